--- /dev/null
+++ b/include/trefoilwick/ledger.h
@@ -0,0 +1,166 @@
+// At-most-once execution of calls that may not be repeated.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "trefoilwick/kernel.h"
+#include "trefoilwick/platform.h"
+
+namespace trefoilwick {
+
+inline constexpr char kLedgerTable[] = "ledger";
+
+// docs/design.md, section 5.
+enum class LedgerState : uint8_t { kStarted, kSent, kDone, kNotRun, kUnknown };
+inline constexpr auto kLedgerStateNames = MakeEnumTable<LedgerState>({
+    {LedgerState::kStarted, "started"},
+    {LedgerState::kSent, "sent"},
+    {LedgerState::kDone, "done"},
+    {LedgerState::kNotRun, "not_run"},
+    {LedgerState::kUnknown, "unknown"},
+});
+
+// The row of one (account, key).
+struct LedgerRecord {
+  std::string attempt;
+  std::string body_sha256;
+  std::string kind;
+  LedgerState state = LedgerState::kStarted;
+  // Wall-clock time after which another entry may seal or close the row.
+  int64_t deadline_unix_ms = 0;
+  std::string entry;
+  std::string request;
+  // Set when done: the backend server's answer.
+  int result_status = 0;
+  std::string result_body;
+  bool operator==(const LedgerRecord&) const = default;
+};
+
+std::string EncodeLedgerRecord(const LedgerRecord& record);
+absl::StatusOr<LedgerRecord> DecodeLedgerRecord(const std::string& bytes);
+// Key of the row: "<account>/<key>", with '/' and '%' of both percent-encoded.
+std::string LedgerKey(const std::string& account, const std::string& key);
+
+struct LedgerCallInput {
+  std::string account;
+  std::string key;
+  std::string body_sha256;
+  std::string kind;
+  std::string entry;
+  std::string request;
+  // Unique per attempt.
+  std::string attempt;
+  // Longest time from the start to the dispatch.
+  Duration dispatch_within{2'000'000};
+  // Longest time the backend server's call may take.
+  Duration call_timeout{5'000'000};
+};
+
+// Actions.
+struct LedgerRead {};
+struct LedgerWrite {
+  // Expected version of the row, 0 when absent.
+  int64_t expected_version = 0;
+  LedgerRecord record;
+};
+// Send the call to a backend server, once; abandon it at the deadline.
+struct LedgerDispatch {
+  Duration timeout{0};
+};
+// Wait, then call OnWaited.
+struct LedgerWait {
+  Duration duration{0};
+};
+enum class LedgerVerdict : uint8_t {
+  // The call ran, now or earlier; status and body are its answer.
+  kDone,
+  // Certain not to have run and never to run under this attempt.
+  kNotRun,
+  // Sent; whether it ran is not known. Never sent again.
+  kUnknown,
+  // Another attempt with the same key is in progress.
+  kInProgress,
+  // The key was used with another body or kind; this call was not run.
+  kKeyReused,
+};
+inline constexpr auto kLedgerVerdictNames = MakeEnumTable<LedgerVerdict>({
+    {LedgerVerdict::kDone, "done"},
+    {LedgerVerdict::kNotRun, "not_run"},
+    {LedgerVerdict::kUnknown, "unknown"},
+    {LedgerVerdict::kInProgress, "in_progress"},
+    {LedgerVerdict::kKeyReused, "key_reused"},
+});
+struct LedgerAnswer {
+  LedgerVerdict verdict = LedgerVerdict::kNotRun;
+  int status = 0;
+  std::string body;
+  // The answer is one recorded by an earlier attempt.
+  bool replayed = false;
+  // The row does not yet say what the answer says: call on with the action
+  // that follows (the adapter answers the caller first).
+  bool recording = false;
+};
+// Nothing more to do.
+struct LedgerEnd {};
+using LedgerAction = std::variant<LedgerRead,
+                                  LedgerWrite,
+                                  LedgerDispatch,
+                                  LedgerWait,
+                                  LedgerAnswer,
+                                  LedgerEnd>;
+
+// How a dispatched call ended.
+struct DispatchResult {
+  // Set when the server answered.
+  std::optional<int> status;
+  std::string body;
+  // True only when the request certainly never reached a server (connection
+  // refused before any byte was sent).
+  bool certainly_not_sent = false;
+};
+
+// State machine of one call. Start() and each On...() return the next action;
+// the adapter carries out exactly that action and reports its result.
+class LedgerCall {
+ public:
+  LedgerCall(const Clock& clock, LedgerCallInput input);
+  LedgerAction Start();
+  LedgerAction OnRead(const absl::StatusOr<StoreRow>& row);
+  LedgerAction OnWritten(const absl::StatusOr<int64_t>& version);
+  LedgerAction OnDispatched(const DispatchResult& result);
+  LedgerAction OnWaited();
+  LedgerAction OnAnswered();
+
+ private:
+  enum class Step : uint8_t;
+  const Clock& m_clock;
+  LedgerCallInput m_input;
+  TimePoint m_dispatch_deadline{};
+  int m_step = 0;
+  int m_store_failures = 0;
+  int64_t m_version = 0;
+  LedgerRecord m_record;
+  LedgerAnswer m_answer;
+};
+
+// Looks up the outcome of a (account, key) from any entry, sealing or closing
+// a row whose deadline passed. Blocking.
+absl::StatusOr<LedgerRecord> LookUpLedger(const Clock& clock,
+                                          TableService& store,
+                                          const std::string& account,
+                                          const std::string& key);
+
+// Carries out a LedgerCall against a store. `dispatch` sends the call;
+// `answer` is called exactly once. Blocks until LedgerEnd.
+void RunLedgerCall(const Clock& clock,
+                   TableService& store,
+                   const LedgerCallInput& input,
+                   const std::function<DispatchResult(Duration)>& dispatch,
+                   const std::function<void(const LedgerAnswer&)>& answer,
+                   const std::function<void(Duration)>& wait);
+
+}  // namespace trefoilwick
--- /dev/null
+++ b/include/trefoilwick/report.h
@@ -0,0 +1,66 @@
+// Service-level burn: how fast the error budget of each rank and account is
+// used up, over several windows.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "trefoilwick/kernel.h"
+
+namespace trefoilwick {
+
+enum class ReportFormat : uint8_t { kText, kJson, kSvg };
+inline constexpr auto kReportFormatNames = MakeEnumTable<ReportFormat>({
+    {ReportFormat::kText, "text"},
+    {ReportFormat::kJson, "json"},
+    {ReportFormat::kSvg, "svg"},
+});
+
+// Requests of one minute, rank and account.
+struct BurnCell {
+  uint64_t good = 0;
+  // Late for the kind's target, or not finished.
+  uint64_t bad = 0;
+};
+
+// Key of a series: rank name and account name.
+struct BurnKey {
+  std::string rank;
+  std::string account;
+  auto operator<=>(const BurnKey&) const = default;
+};
+
+// Ring of per-minute counts for the last six hours. Merges across instances.
+// Not thread-safe.
+class BurnData {
+ public:
+  void Record(int64_t unix_millis, const BurnKey& key, bool good);
+  void Merge(const BurnData& other);
+  // Sum over [now - window, now].
+  BurnCell Sum(int64_t unix_millis, const BurnKey& key, Duration window) const;
+  std::vector<BurnKey> Keys() const;
+  std::string ToJson() const;
+  static absl::StatusOr<BurnData> FromJson(const std::string& text);
+
+ private:
+  std::map<BurnKey, std::map<int64_t, BurnCell>> m_minutes;
+};
+
+struct BurnRow {
+  BurnKey key;
+  // Share of bad requests over the budget 1 - objective, per window; 1 uses
+  // the budget up exactly at the end of the period.
+  std::map<std::string, double> burn;
+  uint64_t requests = 0;
+};
+
+// Windows are 5 minutes, 1 hour and 6 hours. `objective` e.g. 0.99. Rows with
+// account "*" sum a rank.
+std::vector<BurnRow> ComputeBurn(const BurnData& data,
+                                 int64_t unix_millis,
+                                 double objective);
+std::string RenderBurn(const std::vector<BurnRow>& rows, ReportFormat format);
+
+}  // namespace trefoilwick
--- /dev/null
+++ b/include/trefoilwick/routing.h
@@ -0,0 +1,221 @@
+// Which chain of stages, scheduler and backend server serves a request, and
+// which servers are fit to.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "trefoilwick/kernel.h"
+#include "trefoilwick/table.h"
+
+namespace trefoilwick {
+
+enum class ServerRole : uint8_t { kEngine, kService };
+
+// Layers [first, end) of a model.
+struct LayerRange {
+  int first = 0;
+  int end = 0;
+  auto operator<=>(const LayerRange&) const = default;
+};
+
+// A backend server as known from the instance list.
+struct BackendServer {
+  std::string id;
+  ServerRole role = ServerRole::kEngine;
+  std::string data_center;
+  // host:port
+  std::string address;
+  bool leaving = false;
+  std::string model;
+  LayerRange layers;
+  int model_layers = 0;
+  std::string accelerator;
+  // Decoded tokens per second at full batch.
+  double speed = 0;
+  // Whether it refuses orders that carry an old epoch.
+  bool checks_epochs = true;
+  std::string service;
+  bool operator==(const BackendServer&) const = default;
+};
+
+// A live entry instance that may schedule chains.
+struct SchedulerCandidate {
+  std::string id;
+  std::string data_center;
+};
+
+// Stages that together hold every layer of a model, in order.
+struct Chain {
+  // Id of the first stage's server.
+  std::string id;
+  std::string model;
+  std::string data_center;
+  std::vector<BackendServer> stages;
+  // Speed of the slowest stage.
+  double tokens_per_second = 0;
+};
+
+// Immutable snapshot for the request path.
+struct FleetView {
+  int64_t version = 0;
+  std::map<std::string, Chain> chains;
+  // Servers that are in no chain and may replace a stage.
+  std::vector<BackendServer> spares;
+  // Plain servers by service name.
+  std::map<std::string, std::vector<BackendServer>> services;
+};
+
+// Forms chains. Pure: the same servers give the same result on every instance,
+// whatever their order. Per model and data center, servers with the same layer
+// range are sorted by speed (then id) and the i-th of each range are joined;
+// ranges that tile [0, model_layers) are found by search. Servers that are
+// leaving or in `unavailable` are left out, unless `previous` has them in a
+// chain whose other stages are fine and they are only leaving. Chains of
+// `previous` that are still whole are kept as they are; a chain that lost a
+// later stage takes a spare with the same range, same data center first.
+FleetView FormChains(int64_t version,
+                     const std::vector<BackendServer>& servers,
+                     const std::set<std::string>& unavailable,
+                     const FleetView& previous);
+
+// The scheduler of a chain: rendezvous hash over the candidates in the chain's
+// data center, over all when there is none. Empty when there are no
+// candidates.
+std::string ChainOwner(const Chain& chain,
+                       const std::vector<SchedulerCandidate>& live);
+
+// What an entry last heard of a chain.
+struct ChainLoadInfo {
+  Duration expected_wait{0};
+  int queued = 0;
+  int running = 0;
+  // Requests this entry sent since that report.
+  int sent_since = 0;
+  TimePoint at;
+};
+
+struct ChoiceContext {
+  const FleetView& fleet;
+  const std::map<std::string, ChainLoadInfo>& loads;
+  std::string model;
+  std::string data_center;
+  // Hash of the prompt's prefix; 0 when unknown.
+  uint64_t prefix = 0;
+  TimePoint now;
+  // Chains already tried for this request.
+  const std::set<std::string>& excluded;
+};
+
+// Chooses a chain. Plug-ins register under a name in
+// Registry<ChainPolicy>: "power_of_two" (default; two random choices by
+// expected wait, prefix affinity first), "round_robin", "least_loaded",
+// "random".
+class ChainPolicy {
+ public:
+  virtual ~ChainPolicy() = default;
+  // Returns the chain id; empty when no chain serves the model.
+  virtual std::string Choose(const ChoiceContext& context, Random& random) = 0;
+};
+
+// Remembers which chain holds which prompt prefix, from own choices and from
+// cache events, which may be late or missing. Bounded.
+class PrefixIndex {
+ public:
+  explicit PrefixIndex(size_t capacity = 65536) : m_capacity(capacity) {}
+  void Record(uint64_t prefix, const std::string& chain);
+  // Removes a chain's prefixes, when it lost its first stage.
+  void Forget(const std::string& chain);
+  std::optional<std::string> Find(uint64_t prefix) const;
+
+ private:
+  size_t m_capacity;
+  std::unordered_map<uint64_t, std::string> m_chains;
+  std::deque<uint64_t> m_order;
+};
+
+// Hash of the first `tokens` white-space separated words of a prompt.
+uint64_t PrefixHash(std::string_view prompt, int tokens = 16);
+
+// Content fingerprint of a request for quarantine (xxhash of model + prompt).
+uint64_t Fingerprint(std::string_view model, std::string_view prompt);
+
+enum class ServerHealth : uint8_t { kHealthy, kSuspect, kEjected };
+inline constexpr auto kServerHealthNames = MakeEnumTable<ServerHealth>({
+    {ServerHealth::kHealthy, "healthy"},
+    {ServerHealth::kSuspect, "suspect"},
+    {ServerHealth::kEjected, "ejected"},
+});
+
+// Outlier detection per backend server. The first failure makes a server
+// suspect (try a fresh connection); a second one in a row ejects it for a time
+// that doubles from 1 s to 60 s. At most a third of the servers of a role are
+// ejected at once. Not thread-safe.
+class HealthTracker {
+ public:
+  void SetServers(const std::vector<BackendServer>& servers);
+  void OnSuccess(TimePoint now, const std::string& server, Duration took);
+  void OnFailure(TimePoint now, const std::string& server);
+  // The server's process is known to have ended: ejected without a second
+  // failure.
+  void OnCrash(TimePoint now, const std::string& server);
+  ServerHealth Health(TimePoint now, const std::string& server) const;
+  // Servers to leave out of chains now.
+  std::set<std::string> Ejected(TimePoint now) const;
+  // 3 x p99 of recent call times, at least 250 ms; 2 s without history.
+  Duration Deadline(const std::string& server) const;
+
+ private:
+  struct State {
+    ServerRole role = ServerRole::kEngine;
+    int failures = 0;
+    int ejections = 0;
+    TimePoint ejected_until{};
+    std::deque<Duration> recent;
+  };
+  bool MayEject(TimePoint now, const State& state) const;
+
+  std::map<std::string, State> m_states;
+};
+
+// Permits retries up to a fraction of recent first attempts, plus a small
+// reserve so that a quiet instance may retry at all. Thread-safe.
+class RetryBudget {
+ public:
+  explicit RetryBudget(double ratio = 0.1, double reserve = 3)
+      : m_ratio(ratio), m_reserve(reserve), m_tokens(reserve) {}
+  void OnAttempt();
+  // Takes one retry from the budget; false when it is spent.
+  bool TryRetry();
+
+ private:
+  double m_ratio;
+  double m_reserve;
+  std::mutex m_mutex;
+  double m_tokens;
+};
+
+// Content fingerprints that crashed a server while run alone, with expiry.
+// Exchanged between instances by gossip. Not thread-safe.
+class Quarantine {
+ public:
+  // Entries last 10 minutes.
+  void Add(int64_t unix_millis, uint64_t fingerprint);
+  // Merges an entry from a peer; keeps the later expiry.
+  void Merge(uint64_t fingerprint, int64_t expires_unix_millis);
+  bool Contains(int64_t unix_millis, uint64_t fingerprint) const;
+  std::vector<std::pair<uint64_t, int64_t>> List(int64_t unix_millis) const;
+  void Clear();
+
+ private:
+  std::map<uint64_t, int64_t> m_expiry;
+};
+
+}  // namespace trefoilwick
--- /dev/null
+++ b/src/admission.cc
@@ -0,0 +1,1 @@
+#include "trefoilwick/admission.h"
--- /dev/null
+++ b/src/batches.cc
@@ -0,0 +1,1 @@
+#include "trefoilwick/batches.h"
--- /dev/null
+++ b/src/config_store.cc
@@ -0,0 +1,1 @@
+#include "trefoilwick/config_store.h"
--- /dev/null
+++ b/src/ledger.cc
@@ -0,0 +1,1 @@
+#include "trefoilwick/ledger.h"
--- /dev/null
+++ b/src/membership.cc
@@ -0,0 +1,1 @@
+#include "trefoilwick/membership.h"
--- /dev/null
+++ b/src/pipeline.cc
@@ -0,0 +1,1 @@
+#include "trefoilwick/pipeline.h"
--- /dev/null
+++ b/src/platform.cc
@@ -0,0 +1,1 @@
+#include "trefoilwick/platform.h"
--- /dev/null
+++ b/src/report.cc
@@ -0,0 +1,1 @@
+#include "trefoilwick/report.h"
--- /dev/null
+++ b/src/routing.cc
@@ -0,0 +1,1 @@
+#include "trefoilwick/routing.h"
--- /dev/null
+++ b/src/table.cc
@@ -0,0 +1,1 @@
+#include "trefoilwick/table.h"
--- /dev/null
+++ b/test/fault_matrix_test.cc
@@ -0,0 +1,1 @@
+#include "test_args.h"
--- /dev/null
+++ b/tools/bench.cc
@@ -0,0 +1,3 @@
+int main() {
+  return 0;
+}
