--- /dev/null
+++ b/include/trefoilwick/entry.h
@@ -0,0 +1,191 @@
+// Requests owned by an entry instance, from acceptance to their outcome.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "trefoilwick/kernel.h"
+#include "trefoilwick/pipeline.h"
+
+namespace trefoilwick {
+
+// Identity of a request: the entry instance and the incarnation that own it.
+struct RequestId {
+  std::string entry;
+  int64_t incarnation = 0;
+  uint64_t sequence = 0;
+  bool operator==(const RequestId&) const = default;
+};
+// "<entry>-<incarnation hex>-<sequence hex>".
+std::string FormatRequestId(const RequestId& id);
+std::optional<RequestId> ParseRequestId(std::string_view text);
+
+// Where a request is sent: a chain and the instance that schedules it.
+struct Route {
+  std::string chain;
+  std::string scheduler;
+};
+struct RouteQuery {
+  std::string model;
+  uint64_t prefix = 0;
+  // Chains already tried.
+  std::set<std::string> excluded;
+};
+
+// Actions of EntryRequests.
+struct SubmitRequest {
+  Route route;
+  Submission submission;
+};
+struct CancelRequest {
+  std::string scheduler;
+  std::string request;
+};
+// Ask a scheduler, over a fresh connection, whether it still has the requests.
+struct VerifyRequests {
+  std::string scheduler;
+  std::vector<std::string> requests;
+};
+// News of a request for its caller: accepted (no tokens, still running), new
+// tokens, or the final outcome.
+struct CallerUpdate {
+  std::string request;
+  int index = 0;
+  std::vector<std::string> tokens;
+  Outcome outcome = Outcome::kRunning;
+  std::string reason;
+  // Set with kNotRun when a later attempt makes sense.
+  Duration retry_after{0};
+};
+using EntryAction =
+    std::variant<SubmitRequest, CancelRequest, VerifyRequests, CallerUpdate>;
+
+// What is kept of a request, also for a while after its end.
+struct RequestView {
+  std::string account;
+  std::string kind;
+  Rank rank = Rank::kOrdinary;
+  Outcome outcome = Outcome::kRunning;
+  std::string reason;
+  std::vector<std::string> tokens;
+  int attempts = 0;
+};
+
+struct EntryOptions {
+  // Submissions of one request, the first included.
+  int max_attempts = 6;
+  // A running request without news for this long is verified.
+  Duration verify_after{1'000'000};
+  // An accepted request waits this long for a chain to become available.
+  Duration route_timeout{10'000'000};
+  Duration route_retry{100'000};
+  // Outcomes stay available after the end of a request.
+  Duration outcome_retention{60'000'000};
+};
+
+// State machine of all requests that one entry instance owns. Tokens join the
+// answer only from the current lineage, in order, once. `not_run` is reported
+// only when no submission can have started. Not thread-safe.
+class EntryRequests {
+ public:
+  using Router = std::function<std::optional<Route>(const RouteQuery&)>;
+
+  EntryRequests(std::string entry,
+                int64_t incarnation,
+                EntryOptions options,
+                Router router);
+
+  // Takes over a request; the lineage, request id and entry of `submission`
+  // are filled in. Returns the request id. A request that no chain can take
+  // ends as kNotRun in the actions that follow.
+  std::string Accept(TimePoint now, Submission submission, std::string model);
+  void OnSubmitAccepted(TimePoint now,
+                        const std::string& request,
+                        uint64_t lineage);
+  void OnSubmitRefused(TimePoint now,
+                       const std::string& request,
+                       uint64_t lineage,
+                       const SubmitRefusal& refusal);
+  // The submission got no answer. `certainly_not_sent`: it never left.
+  void OnSubmitFailed(TimePoint now,
+                      const std::string& request,
+                      uint64_t lineage,
+                      bool certainly_not_sent);
+  // Returns the requests that the scheduler should drop.
+  std::vector<std::string> OnDeliver(TimePoint now,
+                                     const std::string& scheduler,
+                                     const std::vector<TokenUpdate>& updates);
+  // The scheduler does not have these requests (answer to VerifyRequests).
+  void OnVerified(TimePoint now,
+                  const std::string& scheduler,
+                  const std::vector<std::string>& missing);
+  // The scheduler does not answer, or is known to be gone.
+  void OnSchedulerLost(TimePoint now, const std::string& scheduler);
+  void OnCallerGone(TimePoint now, const std::string& request);
+  void OnTick(TimePoint now);
+  // Ends everything that still runs as incomplete; for the second SIGTERM.
+  void Abort(TimePoint now);
+
+  std::vector<EntryAction> TakeActions();
+  const RequestView* Find(const std::string& request) const;
+  // Requests without an outcome.
+  size_t active() const { return m_active; }
+  int64_t incarnation() const { return m_incarnation; }
+  uint64_t dropped_updates() const { return m_dropped_updates; }
+
+ private:
+  struct Entry {
+    RequestView view;
+    Submission submission;
+    std::string model;
+    std::set<std::string> excluded;
+    Route route;
+    uint64_t lineage = 0;
+    // No submission is under way and none is accepted.
+    bool unrouted = true;
+    bool accepted = false;
+    // Some submission may have started to run.
+    bool may_have_run = false;
+    bool verifying = false;
+    int refusals = 0;
+    Duration retry_after{0};
+    TimePoint last_news{};
+    TimePoint next_route{};
+    TimePoint route_deadline{};
+    TimePoint ended{};
+  };
+  Entry* FindRunning(const std::string& request);
+  void TryRoute(TimePoint now, const std::string& id, Entry& entry);
+  void Resubmit(TimePoint now,
+                const std::string& id,
+                Entry& entry,
+                bool exclude_chain);
+  void Finish(TimePoint now,
+              const std::string& id,
+              Entry& entry,
+              Outcome outcome,
+              std::string reason);
+  void ApplyUpdate(TimePoint now, Entry& entry, const TokenUpdate& update);
+  uint64_t NextLineage();
+
+  std::string m_entry;
+  int64_t m_incarnation;
+  EntryOptions m_options;
+  Router m_router;
+  uint32_t m_lineage_prefix;
+  uint32_t m_next_lineage = 1;
+  uint64_t m_next_sequence = 1;
+  size_t m_active = 0;
+  uint64_t m_dropped_updates = 0;
+  std::unordered_map<std::string, Entry> m_requests;
+  std::vector<EntryAction> m_actions;
+};
+
+}  // namespace trefoilwick
--- /dev/null
+++ b/src/chain_host.h
@@ -0,0 +1,128 @@
+// Runs the schedulers of the chains that this instance owns.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "engine_client.h"
+#include "event_loop.h"
+#include "peer.h"
+#include "trefoilwick/kernel.h"
+#include "trefoilwick/pipeline.h"
+#include "trefoilwick/routing.h"
+#include "trefoilwick/table.h"
+
+namespace trefoilwick::detail {
+
+struct ChainHostConfig {
+  std::string id;
+  int64_t incarnation = 0;
+};
+
+// All members run on the chain loop, except where noted. State of backend
+// servers (health) is kept here too, since only schedulers observe engines.
+class ChainHost {
+ public:
+  // Called on the chain loop with the updates for one entry.
+  using DeliverFunction =
+      std::function<void(const std::string& entry, Delivery delivery)>;
+  using CrasherFunction = std::function<void(uint64_t fingerprint)>;
+
+  ChainHost(ChainHostConfig config,
+            EventLoop& loop,
+            HttpCaller& caller,
+            Metrics& metrics,
+            const RcuCell<Table>& table,
+            RcuCell<FleetView>& fleet);
+  ~ChainHost();
+  void SetCallbacks(DeliverFunction deliver, CrasherFunction crasher);
+  // Starts the periodic work. From any thread.
+  void Start();
+
+  void OnServers(int64_t version, std::vector<BackendServer> servers);
+  void OnSchedulers(std::vector<SchedulerCandidate> live);
+  SubmitResult Submit(RemoteSubmission submission);
+  void Cancel(const std::vector<std::string>& requests);
+  std::vector<std::string> Missing(const std::vector<std::string>& requests);
+  void OnEntryGone(const std::string& entry);
+  // Gives up all chains; what runs is handed back to its entries.
+  void Leave();
+  size_t running() const;
+  std::vector<ChainLoadReport> Loads() const;
+
+ private:
+  struct PendingCall {
+    std::string chain;
+    // Distinguishes schedulers that held the same chain one after the other.
+    uint64_t generation = 0;
+    uint64_t id = 0;
+    TimePoint started{};
+    CancelCall cancel;
+  };
+  struct Owned {
+    uint64_t generation = 0;
+    std::unique_ptr<ChainScheduler> scheduler;
+    std::set<std::string> dissolved_requests;
+  };
+
+  void Reform();
+  void AssignChains();
+  void Acquire(const Chain& chain);
+  void Release(const std::string& chain, const std::string& reason);
+  void Pump(const std::string& chain);
+  void Handle(const std::string& chain, Owned& owned, ChainAction action);
+  void RunStep(const std::string& chain, const Owned& owned, SendStep step);
+  void RunClaim(const std::string& chain, const Owned& owned, SendClaim claim);
+  void OnStepResult(const std::string& chain,
+                    uint64_t generation,
+                    const SendStep& step,
+                    TimePoint started,
+                    const HttpResult& result);
+  void OnClaimResult(const std::string& chain,
+                     uint64_t generation,
+                     const SendClaim& claim,
+                     const HttpResult& result);
+  void OnNeedStage(const NeedStage& need);
+  void OnTick();
+  void ProbeEjected();
+  // Starts a call that is reported as lost after `deadline`.
+  void CallWithDeadline(HttpCall call,
+                        Duration deadline,
+                        std::function<void(HttpResult)> done);
+
+  ChainHostConfig m_config;
+  EventLoop& m_loop;
+  HttpCaller& m_caller;
+  const RcuCell<Table>& m_table;
+  RcuCell<FleetView>& m_fleet;
+  SystemClock m_clock;
+  DeliverFunction m_deliver;
+  CrasherFunction m_crasher;
+
+  int64_t m_list_version = 0;
+  std::vector<BackendServer> m_servers;
+  std::vector<SchedulerCandidate> m_live;
+  HealthTracker m_health;
+  // Servers out of use until a health check succeeds.
+  std::set<std::string> m_awaiting_check;
+  std::map<std::string, Owned> m_owned;
+  std::unordered_map<std::string, std::string> m_request_chain;
+  uint64_t m_next_generation = 1;
+  uint16_t m_scheduler_id = 0;
+  bool m_leaving = false;
+
+  Counter& m_steps;
+  Counter& m_step_items;
+  Counter& m_failures;
+  Counter& m_takeovers;
+  Counter& m_refusals;
+  LatencyHistogram& m_step_time;
+};
+
+}  // namespace trefoilwick::detail
--- /dev/null
+++ b/src/control_host.h
@@ -0,0 +1,64 @@
+// Membership, instance list, table spread and gossip of this instance.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "entry_host.h"
+#include "event_loop.h"
+#include "peer.h"
+#include "trefoilwick/config_store.h"
+#include "trefoilwick/membership.h"
+#include "trefoilwick/platform.h"
+#include "trefoilwick/table.h"
+
+namespace trefoilwick::detail {
+
+struct Runtime;
+
+// All members run on the control loop, except where noted.
+class ControlHost {
+ public:
+  explicit ControlHost(Runtime& runtime);
+  // Starts the periodic work. From any thread.
+  void Start();
+  std::string OnProbe(const std::string& gossip);
+  PeerTableChanges OnChanges(int64_t after);
+  void OnCommitted(const Table& table);
+  void Leave();
+  std::vector<Member> View() const { return m_membership.View(); }
+  bool CertainlyGone(const std::string& id, int64_t incarnation) const {
+    return m_membership.CertainlyGone(id, incarnation);
+  }
+  int64_t newest_known_version() const { return m_spread.newest_known(); }
+
+ private:
+  void Tick();
+  void PollInstanceList();
+  void OnListing(const InstanceListing& listing);
+  void PublishReports();
+  void Pump();
+  void PumpMembership();
+  void PumpSpread();
+  void Probe(SendProbe probe);
+  void ProbeVia(SendIndirectProbe probe);
+  void OnMemberChanged(const Member& member);
+  void OnItem(const GossipItem& item);
+  void PublishMembers();
+  void ReadHeadVersion();
+  void Fetch(int64_t after);
+  void FetchSnapshotTable();
+  void FetchPeer(const FetchFromPeer& fetch);
+
+  Runtime& m_runtime;
+  Membership m_membership;
+  ConfigSpread m_spread;
+  bool m_listing = false;
+  std::string m_last_demand;
+  std::string m_last_quarantine;
+};
+
+}  // namespace trefoilwick::detail
--- /dev/null
+++ b/src/daemon_admin.cc
@@ -0,0 +1,278 @@
+#include <algorithm>
+#include <utility>
+
+#include "http_front.h"
+#include "trefoilwick/config_store.h"
+
+namespace trefoilwick::detail {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int64_t kEntriesMaxAgeMs = 5000;
+constexpr std::chrono::seconds kRefuseAfterLeaving{kEntriesMaxAgeMs / 1000};
+constexpr int kHistoryRows = 100;
+constexpr double kObjective = 0.99;
+
+std::vector<std::string> KnownModels(const Runtime& runtime) {
+  std::set<std::string> models;
+  for (const auto& [id, chain] : runtime.fleet.Load()->chains)
+    models.insert(chain.model);
+  return {models.begin(), models.end()};
+}
+
+json MemberJson(const Member& member) {
+  return {{"id", member.id},
+          {"state", std::string(kMemberStateNames.Name(member.state))},
+          {"data_center", member.data_center},
+          {"address", member.address},
+          {"incarnation", member.incarnation},
+          {"table_version", member.table_version}};
+}
+
+}  // namespace
+
+void StartLeaving(Runtime& runtime) {
+  if (runtime.leaving.exchange(true))
+    return;
+  LogStateChange("daemon", "leaving");
+  runtime.control_loop.Post([&runtime] { runtime.control->Leave(); });
+  runtime.chain_loop.Post([&runtime] { runtime.chains->Leave(); });
+  runtime.entry_loop.PostAfter(kRefuseAfterLeaving, [&runtime] {
+    runtime.refusing.store(true);
+    LogStateChange("daemon", "refusing_new_work");
+  });
+}
+
+void HttpFront::Entries(const Exchange& exchange) const {
+  const auto members = m_runtime.members.Load();
+  std::vector<const Member*> near;
+  std::vector<const Member*> far;
+  for (const auto& candidate : members->schedulers) {
+    const Member* member = members->Find(candidate.id);
+    if (!member)
+      continue;
+    if (member->data_center == m_runtime.settings.data_center)
+      near.push_back(member);
+    else
+      far.push_back(member);
+  }
+  // A different order for every answer spreads the callers.
+  thread_local Random random(StableHash(
+      m_runtime.settings.id, static_cast<uint64_t>(m_runtime.incarnation)));
+  const auto shuffle = [&](std::vector<const Member*>& list) {
+    for (size_t i = list.size(); i > 1; --i)
+      std::swap(list[i - 1], list[random.Below(i)]);
+  };
+  shuffle(near);
+  shuffle(far);
+  json entries = json::array();
+  for (const Member* member : near)
+    entries.push_back({{"address", member->address},
+                       {"data_center", member->data_center},
+                       {"weight", 1.0}});
+  for (const Member* member : far)
+    entries.push_back({{"address", member->address},
+                       {"data_center", member->data_center},
+                       {"weight", 0.1}});
+  exchange.Reply(200, {{"entries", entries}, {"max_age_ms", kEntriesMaxAgeMs}});
+}
+
+void HttpFront::ShowTable(const Exchange& exchange) {
+  const auto table = m_runtime.table.Load();
+  exchange.Reply(200, {{"version", table ? table->version() : 0},
+                       {"toml", table ? FormatTable(*table) : ""}});
+}
+
+void HttpFront::ApplyTable(const Exchange& exchange) {
+  const json body = json::parse(exchange.body(), nullptr, false);
+  if (!body.is_object() || !body.contains("toml") ||
+      !body["toml"].is_string() || !body.contains("base") ||
+      !body["base"].is_number_integer() || !body.contains("attempt") ||
+      !body["attempt"].is_string()) {
+    exchange.ReplyProblem({400,
+                           "bad_request",
+                           "toml, base and attempt are required",
+                           Outcome::kNotRun,
+                           Duration(0),
+                           {}});
+    return;
+  }
+  const std::string file = body.value("file", "table.toml");
+  Findings findings;
+  const auto edited = ParseTable(body["toml"].get<std::string>(), file,
+                                 KnownModels(m_runtime), findings);
+  if (!edited.ok()) {
+    json list = json::array();
+    for (const Finding& finding : findings.list())
+      list.push_back({{"file", finding.file},
+                      {"line", finding.line},
+                      {"message", finding.message}});
+    exchange.Reply(422, {{"verdict", "refused"},
+                         {"reason", "the table has findings"},
+                         {"findings", list}});
+    return;
+  }
+  const int64_t base_version = body["base"].get<int64_t>();
+  const std::string attempt = body["attempt"].get<std::string>();
+  const std::string author = body.value("author", "operator");
+  OnStorePool(exchange, [this, exchange, edited = *edited, base_version,
+                         attempt, author] {
+    auto base = LoadTable(*m_runtime.store, *m_runtime.objects);
+    if (!base.ok()) {
+      // Nothing was written by this call, but an earlier try of the same
+      // attempt may have been.
+      exchange.Reply(503, {{"verdict", "unknown"},
+                           {"reason", "the table service does not answer"}});
+      return;
+    }
+    Table based_on = *base;
+    if (base->version() != base_version) {
+      const auto current = m_runtime.table.Load();
+      if (current && current->version() == base_version)
+        based_on = *current;
+      else
+        based_on = Table(base_version, {}, {});
+    }
+    const CommitResult result =
+        CommitTable(m_runtime.clock, *m_runtime.store, *m_runtime.objects,
+                    based_on, edited, author, attempt);
+    json reply{
+        {"verdict", std::string(kCommitVerdictNames.Name(result.verdict))},
+        {"version", result.version},
+        {"reason", result.reason},
+        {"difference", result.difference}};
+    int status = 200;
+    if (result.verdict == CommitVerdict::kRefused)
+      status = 409;
+    if (result.verdict == CommitVerdict::kUnknown)
+      status = 503;
+    if (result.verdict == CommitVerdict::kAccepted) {
+      m_runtime.control_loop.Post([this, edited, version = result.version] {
+        m_runtime.control->OnCommitted(
+            Table(version, edited.kinds(), edited.accounts()));
+      });
+    }
+    exchange.Reply(status, reply);
+  });
+}
+
+void HttpFront::TableHistory(const Exchange& exchange) {
+  OnStorePool(exchange, [this, exchange] {
+    const auto table = m_runtime.table.Load();
+    const int64_t version = table ? table->version() : 0;
+    const auto changes = ReadChanges(
+        *m_runtime.store, std::max<int64_t>(0, version - kHistoryRows),
+        kHistoryRows + 1);
+    if (!changes.ok()) {
+      exchange.ReplyProblem({503,
+                             "store_unavailable",
+                             "the history cannot be read now",
+                             Outcome::kUnknown,
+                             std::chrono::seconds(2),
+                             {}});
+      return;
+    }
+    json rows = json::array();
+    for (const ConfigChange& change : *changes) {
+      rows.push_back({{"version", change.delta.version},
+                      {"author", change.author},
+                      {"unix_ms", change.unix_ms},
+                      {"kinds", change.delta.kinds.size()},
+                      {"accounts", change.delta.accounts.size()},
+                      {"removed", change.delta.removed_kinds.size() +
+                                      change.delta.removed_accounts.size()}});
+    }
+    exchange.Reply(200, {{"changes", rows}});
+  });
+}
+
+void HttpFront::ShowStatus(const Exchange& exchange) {
+  m_runtime.control_loop.Post([this, exchange] {
+    json members = json::array();
+    for (const Member& member : m_runtime.control->View())
+      members.push_back(MemberJson(member));
+    const int64_t newest = m_runtime.control->newest_known_version();
+    m_runtime.chain_loop.Post([this, exchange, members, newest] {
+      json loads = json::array();
+      for (const ChainLoadReport& load : m_runtime.chains->Loads())
+        loads.push_back(
+            {{"chain", load.chain},
+             {"queued", load.queued},
+             {"running", load.running},
+             {"expected_wait_ms", load.expected_wait.count() / 1000}});
+      const auto fleet = m_runtime.fleet.Load();
+      const auto table = m_runtime.table.Load();
+      json chains = json::array();
+      for (const auto& [id, chain] : fleet->chains) {
+        json stages = json::array();
+        for (const BackendServer& stage : chain.stages)
+          stages.push_back(stage.id);
+        chains.push_back(
+            {{"id", id},
+             {"model", chain.model},
+             {"data_center", chain.data_center},
+             {"tokens_per_second", chain.tokens_per_second},
+             {"owner", ChainOwner(chain, m_runtime.members.Load()->schedulers)},
+             {"stages", stages}});
+      }
+      exchange.Reply(200, {{"id", m_runtime.settings.id},
+                           {"leaving", m_runtime.leaving.load()},
+                           {"table_version", table ? table->version() : 0},
+                           {"newest_known_version", newest},
+                           {"members", members},
+                           {"owned_chains", loads},
+                           {"chains", chains},
+                           {"spares", fleet->spares.size()}});
+    });
+  });
+}
+
+void HttpFront::ShowBurn(const Exchange& exchange) {
+  const std::string name = exchange.Query("format");
+  std::string data;
+  std::vector<BurnRow> rows;
+  {
+    std::lock_guard lock(m_runtime.burn_mutex);
+    data = m_runtime.burn.ToJson();
+    rows =
+        ComputeBurn(m_runtime.burn, m_runtime.clock.UnixMillis(), kObjective);
+  }
+  // "raw" is what the command line merges across instances.
+  if (name == "raw") {
+    exchange.ReplyText(200, data, "application/json");
+    return;
+  }
+  const auto format = kReportFormatNames.Parse(name.empty() ? "text" : name);
+  if (!format) {
+    exchange.ReplyProblem({400,
+                           "bad_format",
+                           "use text, json, svg or raw",
+                           Outcome::kNotRun,
+                           Duration(0),
+                           {}});
+    return;
+  }
+  constexpr std::array<const char*, 3> kTypes = {
+      "text/plain", "application/json", "image/svg+xml"};
+  exchange.ReplyText(200, RenderBurn(rows, *format),
+                     kTypes[static_cast<size_t>(*format)]);
+}
+
+void HttpFront::QuarantineCommand(const Exchange& exchange) {
+  std::lock_guard lock(m_runtime.quarantine_mutex);
+  if (exchange.method() == "POST") {
+    m_runtime.quarantine.Clear();
+    exchange.Reply(200, {{"cleared", true}});
+    return;
+  }
+  json list = json::array();
+  for (const auto& [print, expires] :
+       m_runtime.quarantine.List(m_runtime.clock.UnixMillis()))
+    list.push_back(
+        {{"fingerprint", std::to_string(print)}, {"expires_unix_ms", expires}});
+  exchange.Reply(200, {{"quarantine", list}});
+}
+
+}  // namespace trefoilwick::detail
--- /dev/null
+++ b/src/daemon_chain_host.cc
@@ -0,0 +1,467 @@
+#include <algorithm>
+#include <utility>
+
+#include "chain_host.h"
+
+namespace trefoilwick::detail {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTickInterval{10};
+constexpr std::chrono::milliseconds kCheckInterval{500};
+constexpr std::chrono::milliseconds kClaimDeadline{500};
+constexpr std::chrono::milliseconds kCheckDeadline{300};
+
+std::string HostOf(const BackendServer& server) {
+  return server.address;
+}
+
+}  // namespace
+
+ChainHost::ChainHost(ChainHostConfig config,
+                     EventLoop& loop,
+                     HttpCaller& caller,
+                     Metrics& metrics,
+                     const RcuCell<Table>& table,
+                     RcuCell<FleetView>& fleet)
+    : m_config(std::move(config)),
+      m_loop(loop),
+      m_caller(caller),
+      m_table(table),
+      m_fleet(fleet),
+      m_scheduler_id(static_cast<uint16_t>(
+          StableHash(m_config.id,
+                     static_cast<uint64_t>(m_config.incarnation)))),
+      m_steps(metrics.GetCounter("trefoilwick_steps_total")),
+      m_step_items(metrics.GetCounter("trefoilwick_step_items_total")),
+      m_failures(metrics.GetCounter("trefoilwick_step_failures_total")),
+      m_takeovers(metrics.GetCounter("trefoilwick_chains_acquired_total")),
+      m_refusals(metrics.GetCounter("trefoilwick_scheduler_refusals_total")),
+      m_step_time(metrics.GetHistogram("trefoilwick_step_seconds")) {
+  m_fleet.Store(std::make_shared<FleetView>());
+}
+
+ChainHost::~ChainHost() = default;
+
+void ChainHost::SetCallbacks(DeliverFunction deliver, CrasherFunction crasher) {
+  m_deliver = std::move(deliver);
+  m_crasher = std::move(crasher);
+}
+
+void ChainHost::Start() {
+  m_loop.Every(kTickInterval, [this] { OnTick(); });
+  m_loop.Every(kCheckInterval, [this] { ProbeEjected(); });
+}
+
+void ChainHost::OnServers(int64_t version, std::vector<BackendServer> servers) {
+  m_list_version = version;
+  if (servers == m_servers)
+    return;
+  m_servers = std::move(servers);
+  m_health.SetServers(m_servers);
+  Reform();
+}
+
+void ChainHost::OnSchedulers(std::vector<SchedulerCandidate> live) {
+  m_live = std::move(live);
+  AssignChains();
+}
+
+void ChainHost::Reform() {
+  std::set<std::string> unavailable = m_health.Ejected(m_clock.Now());
+  unavailable.insert(m_awaiting_check.begin(), m_awaiting_check.end());
+  m_awaiting_check.insert(unavailable.begin(), unavailable.end());
+  const auto previous = m_fleet.Load();
+  m_fleet.Store(std::make_shared<FleetView>(
+      FormChains(m_list_version, m_servers, unavailable, *previous)));
+  AssignChains();
+}
+
+void ChainHost::AssignChains() {
+  const auto fleet = m_fleet.Load();
+  std::vector<std::string> lost;
+  for (const auto& [id, owned] : m_owned) {
+    auto it = fleet->chains.find(id);
+    if (it == fleet->chains.end())
+      lost.push_back(id);
+  }
+  for (const std::string& id : lost)
+    Release(id, "chain_lost");
+  for (const auto& [id, chain] : fleet->chains) {
+    const bool mine = !m_leaving && ChainOwner(chain, m_live) == m_config.id;
+    auto it = m_owned.find(id);
+    if (mine && it == m_owned.end()) {
+      Acquire(chain);
+    } else if (!mine && it != m_owned.end()) {
+      Release(id, "moved");
+    } else if (mine && it->second.scheduler->chain().stages != chain.stages) {
+      it->second.scheduler->SetChain(m_clock.Now(), chain);
+      Pump(id);
+    }
+  }
+}
+
+void ChainHost::Acquire(const Chain& chain) {
+  auto scheduler =
+      ChainScheduler::Builder()
+          .SchedulerId(m_scheduler_id)
+          .Incarnation(static_cast<uint32_t>(StableHash(
+              m_config.id + "/" + chain.id,
+              static_cast<uint64_t>(m_config.incarnation) + m_next_generation)))
+          .InitialChain(chain)
+          .Build(m_clock.Now());
+  if (!scheduler.ok()) {
+    LogStateChange("scheduler", "chain_rejected",
+                   {{"chain", chain.id},
+                    {"reason", std::string(scheduler.status().message())}});
+    return;
+  }
+  Owned owned;
+  owned.generation = m_next_generation++;
+  owned.scheduler = std::move(*scheduler);
+  m_owned.emplace(chain.id, std::move(owned));
+  m_takeovers.Add();
+  LogStateChange("scheduler", "chain_acquired",
+                 {{"chain", chain.id}, {"model", chain.model}});
+  Pump(chain.id);
+}
+
+void ChainHost::Release(const std::string& chain, const std::string& reason) {
+  auto it = m_owned.find(chain);
+  if (it == m_owned.end())
+    return;
+  LogStateChange("scheduler", "chain_released",
+                 {{"chain", chain}, {"reason", reason}});
+  it->second.scheduler->Dissolve(m_clock.Now(), reason);
+  Pump(chain);
+  m_owned.erase(chain);
+}
+
+SubmitResult ChainHost::Submit(RemoteSubmission submission) {
+  SubmitResult result;
+  result.scheduler_incarnation = m_config.incarnation;
+  auto it = m_owned.find(submission.chain);
+  if (it == m_owned.end()) {
+    result.refusal = SubmitRefusal{"no_chain", Duration(100'000)};
+    return result;
+  }
+  Submission& s = submission.submission;
+  const auto table = m_table.Load();
+  if (table) {
+    if (const Account* account = table->FindAccount(s.account))
+      s.account_weight = account->weight;
+    if (const Kind* kind = table->FindKind(s.kind)) {
+      s.kind_weight = kind->weight;
+      s.kind_floor = kind->floor;
+    }
+  }
+  const TimePoint now = m_clock.Now();
+  ChainScheduler& scheduler = *it->second.scheduler;
+  // A repeated submission of a request replaces the earlier one.
+  if (m_request_chain.count(s.request) > 0)
+    Cancel({s.request});
+  const std::string request = s.request;
+  const Rank rank = s.rank;
+  const std::string account = s.account;
+  result.refusal = scheduler.Submit(now, std::move(s));
+  result.expected_wait = scheduler.ExpectedWait(rank, account);
+  if (result.refusal)
+    m_refusals.Add();
+  else
+    m_request_chain[request] = submission.chain;
+  const std::string chain = submission.chain;
+  Pump(chain);
+  return result;
+}
+
+void ChainHost::Cancel(const std::vector<std::string>& requests) {
+  std::set<std::string> chains;
+  for (const std::string& request : requests) {
+    auto it = m_request_chain.find(request);
+    if (it == m_request_chain.end())
+      continue;
+    auto owned = m_owned.find(it->second);
+    if (owned != m_owned.end()) {
+      owned->second.scheduler->Cancel(m_clock.Now(), request);
+      chains.insert(it->second);
+    }
+    m_request_chain.erase(it);
+  }
+  for (const std::string& chain : chains)
+    Pump(chain);
+}
+
+std::vector<std::string> ChainHost::Missing(
+    const std::vector<std::string>& requests) {
+  std::vector<std::string> missing;
+  for (const std::string& request : requests)
+    if (m_request_chain.count(request) == 0)
+      missing.push_back(request);
+  return missing;
+}
+
+void ChainHost::OnEntryGone(const std::string& entry) {
+  std::vector<std::string> chains;
+  for (auto& [id, owned] : m_owned) {
+    owned.scheduler->CancelEntry(m_clock.Now(), entry);
+    chains.push_back(id);
+  }
+  for (const std::string& chain : chains)
+    Pump(chain);
+}
+
+void ChainHost::Leave() {
+  m_leaving = true;
+  AssignChains();
+}
+
+size_t ChainHost::running() const {
+  size_t total = 0;
+  for (const auto& [id, owned] : m_owned)
+    total += owned.scheduler->running() + owned.scheduler->queued();
+  return total;
+}
+
+std::vector<ChainLoadReport> ChainHost::Loads() const {
+  std::vector<ChainLoadReport> loads;
+  for (const auto& [id, owned] : m_owned) {
+    loads.push_back({id, owned.scheduler->ExpectedWait(Rank::kOrdinary, ""),
+                     static_cast<int>(owned.scheduler->queued()),
+                     static_cast<int>(owned.scheduler->running())});
+  }
+  return loads;
+}
+
+void ChainHost::Pump(const std::string& chain) {
+  // Handling an action may produce more of them, or end the scheduler.
+  while (true) {
+    auto it = m_owned.find(chain);
+    if (it == m_owned.end())
+      return;
+    std::vector<ChainAction> actions = it->second.scheduler->TakeActions();
+    if (actions.empty())
+      return;
+    for (ChainAction& action : actions) {
+      it = m_owned.find(chain);
+      if (it == m_owned.end())
+        return;
+      Handle(chain, it->second, std::move(action));
+    }
+  }
+}
+
+void ChainHost::Handle(const std::string& chain,
+                       Owned& owned,
+                       ChainAction action) {
+  std::visit(
+      Overloaded{
+          [&](SendStep& step) { RunStep(chain, owned, std::move(step)); },
+          [&](SendClaim& claim) { RunClaim(chain, owned, std::move(claim)); },
+          [&](SendRelease& release) {
+            HttpCall call;
+            call.address = HostOf(release.server);
+            call.path = "/v1/release";
+            call.body = EncodeRelease(release.requests);
+            m_caller.Call(call, [](const HttpResult&) {});
+          },
+          [&](DeliverTokens& deliver) {
+            Delivery delivery;
+            delivery.scheduler = m_config.id;
+            delivery.scheduler_incarnation = m_config.incarnation;
+            for (const TokenUpdate& update : deliver.updates)
+              if (update.state != UpdateState::kRunning)
+                m_request_chain.erase(update.request);
+            delivery.updates = std::move(deliver.updates);
+            delivery.loads.push_back(
+                {chain, owned.scheduler->ExpectedWait(Rank::kOrdinary, ""),
+                 static_cast<int>(owned.scheduler->queued()),
+                 static_cast<int>(owned.scheduler->running())});
+            m_deliver(deliver.entry, std::move(delivery));
+          },
+          [&](ReportFailure& report) {
+            m_failures.Add();
+            if (report.failure == CallFailure::kStaleEpoch)
+              return;
+            LogStateChange(
+                "scheduler", "step_failed",
+                {{"chain", chain},
+                 {"server", report.server},
+                 {"failure",
+                  std::string(kCallFailureNames.Name(report.failure))}});
+            m_health.OnFailure(m_clock.Now(), report.server);
+          },
+          [&](ReportCrasher& report) {
+            LogStateChange("scheduler", "request_quarantined",
+                           {{"fingerprint", std::to_string(report.fingerprint)},
+                            {"server", report.server}});
+            m_crasher(report.fingerprint);
+          },
+          [&](NeedStage& need) { OnNeedStage(need); },
+      },
+      action);
+}
+
+void ChainHost::OnNeedStage(const NeedStage& need) {
+  m_health.OnCrash(m_clock.Now(), need.failed_server);
+  m_awaiting_check.insert(need.failed_server);
+  LogStateChange("scheduler", "stage_lost",
+                 {{"chain", need.chain}, {"server", need.failed_server}});
+  // Posted: the scheduler that asked is still handing out its actions.
+  m_loop.Post([this] { Reform(); });
+}
+
+void ChainHost::CallWithDeadline(HttpCall call,
+                                 Duration deadline,
+                                 std::function<void(HttpResult)> done) {
+  struct State {
+    bool finished = false;
+    std::function<void(HttpResult)> done;
+  };
+  auto state = std::make_shared<State>();
+  state->done = std::move(done);
+  CancelCall cancel = m_caller.Call(call, [this, state](HttpResult result) {
+    m_loop.Post([state, result = std::move(result)]() mutable {
+      if (std::exchange(state->finished, true))
+        return;
+      state->done(std::move(result));
+    });
+  });
+  m_loop.PostAfter(deadline, [state, cancel] {
+    if (std::exchange(state->finished, true))
+      return;
+    cancel();
+    HttpResult result;
+    result.failure = CallFailure::kLost;
+    state->done(std::move(result));
+  });
+}
+
+void ChainHost::RunStep(const std::string& chain,
+                        const Owned& owned,
+                        SendStep step) {
+  m_steps.Add();
+  m_step_items.Add(step.items.size());
+  HttpCall call;
+  call.address = HostOf(step.server);
+  call.path = "/v1/step";
+  // The id is unique across schedulers and their restarts.
+  call.body = EncodeStep(step, m_config.id + "-" +
+                                   std::to_string(m_config.incarnation) + "-" +
+                                   std::to_string(owned.generation) + "-" +
+                                   std::to_string(step.step));
+  call.fresh_connection = step.fresh_connection;
+  const Duration deadline = m_health.Deadline(step.server.id);
+  const uint64_t generation = owned.generation;
+  const TimePoint started = m_clock.Now();
+  // Results are matched by id; the items are not needed any more.
+  step.items.clear();
+  CallWithDeadline(std::move(call), deadline,
+                   [this, chain, generation, started,
+                    step = std::move(step)](const HttpResult& result) {
+                     OnStepResult(chain, generation, step, started, result);
+                   });
+}
+
+void ChainHost::OnStepResult(const std::string& chain,
+                             uint64_t generation,
+                             const SendStep& step,
+                             TimePoint started,
+                             const HttpResult& result) {
+  auto it = m_owned.find(chain);
+  if (it == m_owned.end() || it->second.generation != generation)
+    return;
+  const TimePoint now = m_clock.Now();
+  ChainScheduler& scheduler = *it->second.scheduler;
+  if (result.failure) {
+    scheduler.OnStepFailure(now, step.step, *result.failure);
+  } else if (result.status == 409) {
+    scheduler.OnStepFailure(now, step.step, CallFailure::kStaleEpoch,
+                            DecodeNewestEpoch(result.body));
+  } else if (result.status != 200) {
+    scheduler.OnStepFailure(now, step.step, CallFailure::kError);
+  } else {
+    auto items = DecodeStepReply(result.body);
+    if (items.ok()) {
+      m_health.OnSuccess(now, step.server.id, now - started);
+      m_step_time.Record(now - started);
+      scheduler.OnStepReply(now, step.step, std::move(*items));
+    } else {
+      scheduler.OnStepFailure(now, step.step, CallFailure::kError);
+    }
+  }
+  Pump(chain);
+}
+
+void ChainHost::RunClaim(const std::string& chain,
+                         const Owned& owned,
+                         SendClaim claim) {
+  HttpCall call;
+  call.address = HostOf(claim.server);
+  call.path = "/v1/claim";
+  call.body = EncodeClaim(claim.epoch, m_config.id);
+  const uint64_t generation = owned.generation;
+  CallWithDeadline(std::move(call), kClaimDeadline,
+                   [this, chain, generation,
+                    claim = std::move(claim)](const HttpResult& result) {
+                     OnClaimResult(chain, generation, claim, result);
+                   });
+}
+
+void ChainHost::OnClaimResult(const std::string& chain,
+                              uint64_t generation,
+                              const SendClaim& claim,
+                              const HttpResult& result) {
+  auto it = m_owned.find(chain);
+  if (it == m_owned.end() || it->second.generation != generation)
+    return;
+  const TimePoint now = m_clock.Now();
+  ChainScheduler& scheduler = *it->second.scheduler;
+  if (result.failure)
+    scheduler.OnClaimFailure(now, claim.claim, *result.failure);
+  else if (result.status == 409)
+    scheduler.OnClaimFailure(now, claim.claim, CallFailure::kStaleEpoch,
+                             DecodeNewestEpoch(result.body));
+  else if (result.status != 200)
+    scheduler.OnClaimFailure(now, claim.claim, CallFailure::kError);
+  else
+    scheduler.OnClaimReply(now, claim.claim);
+  Pump(chain);
+}
+
+void ChainHost::OnTick() {
+  const TimePoint now = m_clock.Now();
+  std::vector<std::string> chains;
+  for (auto& [id, owned] : m_owned) {
+    owned.scheduler->OnTick(now);
+    chains.push_back(id);
+  }
+  for (const std::string& chain : chains)
+    Pump(chain);
+}
+
+void ChainHost::ProbeEjected() {
+  const std::set<std::string> ejected = m_health.Ejected(m_clock.Now());
+  for (const BackendServer& server : m_servers) {
+    if (m_awaiting_check.count(server.id) == 0 || ejected.count(server.id) > 0)
+      continue;
+    HttpCall call;
+    call.address = server.address;
+    call.method = "GET";
+    call.path = "/healthz";
+    call.fresh_connection = true;
+    CallWithDeadline(
+        std::move(call), kCheckDeadline,
+        [this, id = server.id](const HttpResult& result) {
+          if (result.failure || result.status != 200) {
+            m_health.OnCrash(m_clock.Now(), id);
+            return;
+          }
+          if (m_awaiting_check.erase(id) > 0) {
+            LogStateChange("scheduler", "server_readmitted", {{"server", id}});
+            Reform();
+          }
+        });
+  }
+}
+
+}  // namespace trefoilwick::detail
--- /dev/null
+++ b/src/daemon_cli.cc
@@ -0,0 +1,542 @@
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <cstdlib>
+#include <future>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <thread>
+
+#include "cli.h"
+#include "engine_client.h"
+#include "runtime.h"
+#include "trefoilwick/daemon.h"
+#include "trefoilwick/report.h"
+#include "trefoilwick/table.h"
+
+namespace trefoilwick::detail {
+
+namespace po = boost::program_options;
+using nlohmann::json;
+
+namespace {
+
+constexpr int kDone = 0;
+constexpr int kRefused = 1;
+constexpr int kUsageError = 2;
+constexpr int kUnknownOutcome = 3;
+constexpr std::chrono::seconds kCallTimeout{15};
+
+std::string Environment(const char* name) {
+  const char* value = std::getenv(name);
+  return value ? value : "";
+}
+
+// Options that every client command takes.
+struct ClientOptions {
+  po::options_description description;
+  po::positional_options_description positional;
+  po::variables_map values;
+
+  explicit ClientOptions(const std::string& title) : description(title) {
+    description.add_options()("help", "show this text")(
+        "entry",
+        po::value<std::string>()->default_value(
+            Environment("TREFOILWICK_ENTRY")),
+        "entry instances as host:port, separated by commas; the first that "
+        "answers is used (default: TREFOILWICK_ENTRY)")(
+        "key",
+        po::value<std::string>()->default_value(Environment("TREFOILWICK_KEY")),
+        "operators' key (default: TREFOILWICK_KEY)");
+  }
+
+  // Returns an exit code when the command ends here.
+  std::optional<int> Parse(const std::vector<std::string>& args) {
+    try {
+      po::store(po::command_line_parser(args)
+                    .options(description)
+                    .positional(positional)
+                    .run(),
+                values);
+      po::notify(values);
+    } catch (const po::error& error) {
+      std::cerr << error.what() << "\n" << description;
+      return kUsageError;
+    }
+    if (values.count("help") > 0) {
+      std::cout << description;
+      return kDone;
+    }
+    return std::nullopt;
+  }
+
+  std::string Get(const char* name) const {
+    return values.count(name) > 0 ? values[name].as<std::string>() : "";
+  }
+
+  std::vector<std::string> Entries() const {
+    std::vector<std::string> entries;
+    std::string list = Get("entry");
+    size_t start = 0;
+    while (start <= list.size()) {
+      const size_t comma = std::min(list.find(',', start), list.size());
+      std::string entry = list.substr(start, comma - start);
+      if (entry.rfind("http://", 0) == 0)
+        entry = entry.substr(7);
+      if (!entry.empty())
+        entries.push_back(entry);
+      start = comma + 1;
+    }
+    return entries;
+  }
+};
+
+HttpResult CallOne(const std::string& address,
+                   const ClientOptions& options,
+                   const std::string& method,
+                   const std::string& path,
+                   const std::string& body) {
+  static HttpCaller caller;
+  HttpCall call;
+  call.address = address;
+  call.method = method;
+  call.path = path;
+  call.body = body;
+  call.bearer_key = options.Get("key");
+  auto promise = std::make_shared<std::promise<HttpResult>>();
+  auto future = promise->get_future();
+  CancelCall cancel = caller.Call(call, [promise](HttpResult result) {
+    promise->set_value(std::move(result));
+  });
+  if (future.wait_for(kCallTimeout) == std::future_status::ready)
+    return future.get();
+  cancel();
+  HttpResult lost;
+  lost.failure = CallFailure::kLost;
+  return lost;
+}
+
+// Asks the entries in order until one answers.
+HttpResult CallAny(const ClientOptions& options,
+                   const std::string& method,
+                   const std::string& path,
+                   const std::string& body = "") {
+  HttpResult result;
+  result.failure = CallFailure::kCrashed;
+  result.certainly_not_sent = true;
+  for (const std::string& entry : options.Entries()) {
+    result = CallOne(entry, options, method, path, body);
+    if (!result.failure || (method != "GET" && !result.certainly_not_sent))
+      return result;
+  }
+  return result;
+}
+
+int Unreachable(const HttpResult& result) {
+  std::cerr << "no entry instance answered\n";
+  return result.certainly_not_sent ? kRefused : kUnknownOutcome;
+}
+
+// Prints a problem answer; returns the exit code.
+int PrintProblem(const HttpResult& result) {
+  const json body = json::parse(result.body, nullptr, false);
+  if (body.is_object()) {
+    std::cerr << body.value("title", "error") << ": "
+              << body.value("detail", "") << "\n";
+    if (body.value("outcome", "") == "unknown")
+      return kUnknownOutcome;
+  } else {
+    std::cerr << "HTTP status " << result.status << "\n";
+  }
+  return kRefused;
+}
+
+int CheckFile(const std::string& path) {
+  const auto text = ReadFile(path);
+  if (!text.ok()) {
+    std::cerr << text.status().message() << "\n";
+    return kRefused;
+  }
+  Findings findings;
+  // A table has rows of kinds or accounts; settings have neither.
+  const bool is_table = text->find("[[kind]]") != std::string::npos ||
+                        text->find("[[account]]") != std::string::npos;
+  const bool ok = is_table ? ParseTable(*text, path, {}, findings).ok()
+                           : ParseSettings(*text, path, findings).ok();
+  if (!ok) {
+    std::cerr << findings.ToString();
+    return kRefused;
+  }
+  std::cout << path << ": " << (is_table ? "table" : "settings") << " ok\n";
+  return kDone;
+}
+
+int CheckCommand(const std::vector<std::string>& args) {
+  ClientOptions options("trefoilwick check FILE");
+  options.description.add_options()("file", po::value<std::string>(),
+                                    "settings file or table (TOML)");
+  options.positional.add("file", 1);
+  if (auto code = options.Parse(args))
+    return *code;
+  if (options.Get("file").empty()) {
+    std::cerr << options.description;
+    return kUsageError;
+  }
+  return CheckFile(options.Get("file"));
+}
+
+std::string NewAttempt() {
+  std::random_device device;
+  std::string attempt;
+  for (int i = 0; i < 4; ++i)
+    attempt += std::to_string(device()) + (i < 3 ? "." : "");
+  return attempt;
+}
+
+int TableGet(const ClientOptions& options) {
+  const HttpResult result = CallAny(options, "GET", "/v1/admin/table");
+  if (result.failure)
+    return Unreachable(result);
+  if (result.status != 200)
+    return PrintProblem(result);
+  const json body = json::parse(result.body);
+  std::cout << "# version " << body["version"].get<int64_t>() << "\n"
+            << body["toml"].get<std::string>();
+  return kDone;
+}
+
+int TableDiff(const ClientOptions& options) {
+  const std::string path = options.Get("file");
+  const auto text = ReadFile(path);
+  if (!text.ok()) {
+    std::cerr << text.status().message() << "\n";
+    return kRefused;
+  }
+  Findings findings;
+  const auto edited = ParseTable(*text, path, {}, findings);
+  if (!edited.ok()) {
+    std::cerr << findings.ToString();
+    return kRefused;
+  }
+  const HttpResult result = CallAny(options, "GET", "/v1/admin/table");
+  if (result.failure)
+    return Unreachable(result);
+  if (result.status != 200)
+    return PrintProblem(result);
+  const json body = json::parse(result.body);
+  Findings none;
+  const auto current =
+      ParseTable(body["toml"].get<std::string>(), "current", {}, none);
+  const Table from = current.ok() ? *current : Table();
+  std::cout << FormatDelta(from, DiffTables(from, *edited));
+  return kDone;
+}
+
+// Version that a file fetched with `table get` was based on; -1 when it does
+// not say.
+int64_t BaseVersion(const std::string& text) {
+  constexpr std::string_view kPrefix = "# version ";
+  if (text.rfind(kPrefix, 0) != 0)
+    return -1;
+  return std::atoll(text.c_str() + kPrefix.size());
+}
+
+int WaitInForce(const ClientOptions& options, int64_t version) {
+  const auto limit =
+      std::chrono::steady_clock::now() +
+      std::chrono::seconds(options.values["wait-seconds"].as<int>());
+  std::string behind;
+  while (std::chrono::steady_clock::now() < limit) {
+    const HttpResult result = CallAny(options, "GET", "/v1/admin/status");
+    if (!result.failure && result.status == 200) {
+      behind.clear();
+      const json body = json::parse(result.body);
+      for (const json& member : body["members"])
+        if (member["table_version"].get<int64_t>() < version)
+          behind += " " + member["id"].get<std::string>();
+      if (behind.empty()) {
+        std::cout << "version " << version << " is in force on all members\n";
+        return kDone;
+      }
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  std::cout << "version " << version
+            << " is accepted and not yet in force on:" << behind << "\n";
+  return kUnknownOutcome;
+}
+
+int PrintVerdict(const json& body) {
+  const std::string verdict = body.value("verdict", "unknown");
+  std::cout << verdict;
+  if (verdict == "accepted")
+    std::cout << ": version " << body.value("version", int64_t{0});
+  if (!body.value("reason", "").empty())
+    std::cout << ": " << body.value("reason", "");
+  std::cout << "\n" << body.value("difference", "");
+  if (body.contains("findings"))
+    for (const json& finding : body["findings"])
+      std::cout << finding.value("file", "") << ":" << finding.value("line", 0)
+                << ": " << finding.value("message", "") << "\n";
+  if (verdict == "accepted")
+    return kDone;
+  return verdict == "refused" ? kRefused : kUnknownOutcome;
+}
+
+int TableApply(const ClientOptions& options) {
+  const std::string path = options.Get("file");
+  const auto text = ReadFile(path);
+  if (!text.ok()) {
+    std::cerr << text.status().message() << "\n";
+    return kRefused;
+  }
+  int64_t base = options.values.count("base") > 0
+                     ? options.values["base"].as<int64_t>()
+                     : BaseVersion(*text);
+  if (base < 0) {
+    std::cerr << "the file does not start with '# version N' (as written by "
+                 "'table get'); name the version it edits with --base\n";
+    return kUsageError;
+  }
+  const std::string attempt =
+      options.Get("attempt").empty() ? NewAttempt() : options.Get("attempt");
+  const json request{{"toml", *text},
+                     {"base", base},
+                     {"attempt", attempt},
+                     {"file", path},
+                     {"author", options.Get("author")}};
+  const HttpResult result =
+      CallAny(options, "POST", "/v1/admin/table", request.dump());
+  if (result.failure) {
+    std::cerr << "unknown: no answer; repeat with --attempt " << attempt
+              << " to learn the outcome\n";
+    return Unreachable(result);
+  }
+  const json body = json::parse(result.body, nullptr, false);
+  if (!body.is_object() || !body.contains("verdict"))
+    return PrintProblem(result);
+  const int code = PrintVerdict(body);
+  if (code == kUnknownOutcome)
+    std::cout << "repeat with --attempt " << attempt
+              << " to learn the outcome\n";
+  if (code != kDone || options.values.count("wait") == 0)
+    return code;
+  return WaitInForce(options, body["version"].get<int64_t>());
+}
+
+int TableHistoryCommand(const ClientOptions& options) {
+  const HttpResult result = CallAny(options, "GET", "/v1/admin/history");
+  if (result.failure)
+    return Unreachable(result);
+  if (result.status != 200)
+    return PrintProblem(result);
+  for (const json& change : json::parse(result.body)["changes"])
+    std::cout << "version " << change["version"] << "  unix_ms "
+              << change["unix_ms"] << "  author "
+              << change["author"].get<std::string>() << "  kinds "
+              << change["kinds"] << "  accounts " << change["accounts"]
+              << "  removed " << change["removed"] << "\n";
+  return kDone;
+}
+
+int TableCommand(const std::vector<std::string>& args) {
+  ClientOptions options(
+      "trefoilwick table get|check|apply|diff|history [FILE]");
+  options.description.add_options()("action", po::value<std::string>(),
+                                    "what to do")(
+      "file", po::value<std::string>(), "table (TOML)")(
+      "base", po::value<int64_t>(), "version the file edits (apply)")(
+      "attempt", po::value<std::string>(),
+      "id of an earlier try with an unknown outcome (apply)")(
+      "author", po::value<std::string>()->default_value("operator"),
+      "name kept in the history (apply)")(
+      "wait", "wait until the version is in force on all members (apply)")(
+      "wait-seconds", po::value<int>()->default_value(30),
+      "longest wait for --wait");
+  options.positional.add("action", 1).add("file", 1);
+  if (auto code = options.Parse(args))
+    return *code;
+  const std::string action = options.Get("action");
+  const bool needs_file =
+      action == "check" || action == "apply" || action == "diff";
+  if (needs_file && options.Get("file").empty()) {
+    std::cerr << "a FILE is required\n" << options.description;
+    return kUsageError;
+  }
+  if (action == "get")
+    return TableGet(options);
+  if (action == "check")
+    return CheckFile(options.Get("file"));
+  if (action == "apply")
+    return TableApply(options);
+  if (action == "diff")
+    return TableDiff(options);
+  if (action == "history")
+    return TableHistoryCommand(options);
+  std::cerr << options.description;
+  return kUsageError;
+}
+
+int StatusCommand(const std::vector<std::string>& args) {
+  ClientOptions options("trefoilwick status");
+  options.description.add_options()("json", "print the answer as JSON");
+  if (auto code = options.Parse(args))
+    return *code;
+  const HttpResult result = CallAny(options, "GET", "/v1/admin/status");
+  if (result.failure)
+    return Unreachable(result);
+  if (result.status != 200)
+    return PrintProblem(result);
+  const json body = json::parse(result.body);
+  if (options.values.count("json") > 0) {
+    std::cout << body.dump(2) << "\n";
+    return kDone;
+  }
+  std::cout << "seen by " << body["id"].get<std::string>() << "  table version "
+            << body["table_version"] << "  spares " << body["spares"] << "\n";
+  std::cout << "members:\n";
+  for (const json& member : body["members"])
+    std::cout << "  " << member["id"].get<std::string>() << "  "
+              << member["state"].get<std::string>() << "  "
+              << member["data_center"].get<std::string>() << "  "
+              << member["address"].get<std::string>() << "  table "
+              << member["table_version"] << "\n";
+  std::cout << "chains:\n";
+  for (const json& chain : body["chains"]) {
+    std::cout << "  " << chain["id"].get<std::string>() << "  "
+              << chain["model"].get<std::string>() << "  "
+              << chain["data_center"].get<std::string>() << "  scheduler "
+              << chain["owner"].get<std::string>() << "  stages";
+    for (const json& stage : chain["stages"])
+      std::cout << " " << stage.get<std::string>();
+    std::cout << "\n";
+  }
+  return kDone;
+}
+
+int DrainCommand(const std::vector<std::string>& args) {
+  ClientOptions options("trefoilwick drain --entry HOST:PORT");
+  if (auto code = options.Parse(args))
+    return *code;
+  if (options.Entries().size() != 1) {
+    std::cerr << "name exactly one instance with --entry\n";
+    return kUsageError;
+  }
+  const HttpResult result = CallAny(options, "POST", "/v1/admin/drain", "{}");
+  if (result.failure)
+    return Unreachable(result);
+  if (result.status != 200)
+    return PrintProblem(result);
+  std::cout << "leaving\n";
+  return kDone;
+}
+
+int OutcomeCommand(const std::vector<std::string>& args) {
+  ClientOptions options("trefoilwick outcome ID");
+  options.description.add_options()("id", po::value<std::string>(),
+                                    "request id (X-Request-Id)");
+  options.positional.add("id", 1);
+  if (auto code = options.Parse(args))
+    return *code;
+  if (options.Get("id").empty()) {
+    std::cerr << options.description;
+    return kUsageError;
+  }
+  const HttpResult result =
+      CallAny(options, "GET", "/v1/requests/" + options.Get("id"));
+  if (result.failure)
+    return Unreachable(result);
+  if (result.status != 200)
+    return PrintProblem(result);
+  const json body = json::parse(result.body);
+  const std::string outcome = body["outcome"].get<std::string>();
+  std::cout << outcome << "\n";
+  return outcome == "unknown" ? kUnknownOutcome : kDone;
+}
+
+int QuarantineCommandLine(const std::vector<std::string>& args) {
+  ClientOptions options("trefoilwick quarantine list|clear");
+  options.description.add_options()("action", po::value<std::string>(),
+                                    "list or clear");
+  options.positional.add("action", 1);
+  if (auto code = options.Parse(args))
+    return *code;
+  const std::string action = options.Get("action");
+  if (action != "list" && action != "clear") {
+    std::cerr << options.description;
+    return kUsageError;
+  }
+  const bool clear = action == "clear";
+  const std::vector<std::string> entries = options.Entries();
+  int code = kDone;
+  // An entry that keeps its list would spread it again, so all are cleared.
+  for (const std::string& entry : entries) {
+    const HttpResult result =
+        CallOne(entry, options, clear ? "POST" : "GET", "/v1/admin/quarantine",
+                clear ? "{}" : "");
+    if (result.failure || result.status != 200) {
+      std::cerr << entry << ": no answer\n";
+      code = kRefused;
+      continue;
+    }
+    if (clear)
+      continue;
+    for (const json& row : json::parse(result.body)["quarantine"])
+      std::cout << row["fingerprint"].get<std::string>() << "  expires_unix_ms "
+                << row["expires_unix_ms"] << "\n";
+    break;
+  }
+  return code;
+}
+
+int ReportCommand(const std::vector<std::string>& args) {
+  ClientOptions options("trefoilwick report burn [--format text|json|svg]");
+  options.description.add_options()("what", po::value<std::string>(), "burn")(
+      "format", po::value<std::string>()->default_value("text"),
+      "text, json or svg");
+  options.positional.add("what", 1);
+  if (auto code = options.Parse(args))
+    return *code;
+  const auto format = kReportFormatNames.Parse(options.Get("format"));
+  if (options.Get("what") != "burn" || !format) {
+    std::cerr << options.description;
+    return kUsageError;
+  }
+  BurnData merged;
+  int answered = 0;
+  for (const std::string& entry : options.Entries()) {
+    const HttpResult result =
+        CallOne(entry, options, "GET", "/v1/admin/burn?format=raw", "");
+    if (result.failure || result.status != 200) {
+      std::cerr << entry << ": no answer; the report leaves it out\n";
+      continue;
+    }
+    const auto data = BurnData::FromJson(result.body);
+    if (data.ok()) {
+      merged.Merge(*data);
+      ++answered;
+    }
+  }
+  if (answered == 0)
+    return kRefused;
+  constexpr double kObjective = 0.99;
+  std::cout << RenderBurn(
+      ComputeBurn(merged, SystemClock().UnixMillis(), kObjective), *format);
+  return kDone;
+}
+
+}  // namespace
+
+const ClientCommand* FindClientCommand(const std::string& name) {
+  static const std::map<std::string, ClientCommand> commands = {
+      {"check", CheckCommand},     {"table", TableCommand},
+      {"status", StatusCommand},   {"drain", DrainCommand},
+      {"outcome", OutcomeCommand}, {"quarantine", QuarantineCommandLine},
+      {"report", ReportCommand},
+  };
+  auto it = commands.find(name);
+  return it == commands.end() ? nullptr : &it->second;
+}
+
+}  // namespace trefoilwick::detail
--- /dev/null
+++ b/src/daemon_control_host.cc
@@ -0,0 +1,423 @@
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "control_host.h"
+#include "runtime.h"
+
+namespace trefoilwick::detail {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::chrono::milliseconds kTickInterval{50};
+constexpr std::chrono::milliseconds kListInterval{1000};
+constexpr std::chrono::milliseconds kReportInterval{1000};
+constexpr std::chrono::milliseconds kProbeTimeout{300};
+constexpr std::chrono::milliseconds kChangesTimeout{1000};
+// Accounts named in one usage report; the rest get an equal share.
+constexpr size_t kMaxDemandAccounts = 24;
+constexpr char kDemandTopic[] = "demand";
+constexpr char kQuarantineTopic[] = "quarantine";
+constexpr int kMaxChangesPerRead = 512;
+
+Member SelfMember(const Runtime& runtime) {
+  Member self;
+  self.id = runtime.settings.id;
+  self.incarnation = runtime.incarnation;
+  self.state = MemberState::kLive;
+  self.data_center = runtime.settings.data_center;
+  self.address = runtime.settings.address;
+  self.peer_address = runtime.settings.peer_address;
+  return self;
+}
+
+BackendServer ToServer(const InstanceRecord& record) {
+  BackendServer server;
+  server.id = record.id;
+  server.role =
+      record.role == "service" ? ServerRole::kService : ServerRole::kEngine;
+  server.data_center = record.data_center;
+  server.address = record.address;
+  server.leaving = record.state == InstanceState::kLeaving;
+  server.model = record.model;
+  server.layers = {record.first_layer, record.end_layer};
+  server.model_layers = record.model_layers;
+  server.accelerator = record.accelerator;
+  server.speed = record.speed;
+  server.checks_epochs = record.checks_epochs;
+  server.service = record.service;
+  return server;
+}
+
+std::string EncodeDemand(const std::vector<AccountDemand>& demand) {
+  json list = json::array();
+  for (const AccountDemand& item : demand)
+    list.push_back({item.account, std::lround(item.tokens_per_second)});
+  return list.dump();
+}
+
+std::vector<AccountDemand> DecodeDemand(const std::string& payload) {
+  std::vector<AccountDemand> demand;
+  const json list = json::parse(payload, nullptr, false);
+  if (!list.is_array())
+    return demand;
+  for (const json& item : list) {
+    if (item.is_array() && item.size() == 2 && item[0].is_string() &&
+        item[1].is_number())
+      demand.push_back({item[0].get<std::string>(), item[1].get<double>()});
+  }
+  return demand;
+}
+
+}  // namespace
+
+ControlHost::ControlHost(Runtime& runtime)
+    : m_runtime(runtime),
+      m_membership(SelfMember(runtime),
+                   MembershipOptions(),
+                   StableHash(runtime.settings.id,
+                              static_cast<uint64_t>(runtime.incarnation))),
+      m_spread(StableHash(runtime.settings.id + "/config",
+                          static_cast<uint64_t>(runtime.incarnation))) {
+  PublishMembers();
+}
+
+void ControlHost::Start() {
+  EventLoop& loop = m_runtime.control_loop;
+  loop.Post([this] { PollInstanceList(); });
+  loop.Every(kTickInterval, [this] { Tick(); });
+  loop.Every(kListInterval, [this] { PollInstanceList(); });
+  loop.Every(kReportInterval, [this] { PublishReports(); });
+}
+
+void ControlHost::Tick() {
+  const TimePoint now = m_runtime.clock.Now();
+  m_membership.OnTick(now);
+  m_spread.OnTick(now);
+  Pump();
+}
+
+void ControlHost::PollInstanceList() {
+  // One request at a time, so that a slow list is not flooded.
+  if (m_listing)
+    return;
+  m_listing = m_runtime.store_pool.TryPost([this] {
+    auto listing = m_runtime.list->List();
+    m_runtime.control_loop.Post([this, listing = std::move(listing)] {
+      m_listing = false;
+      if (listing.ok())
+        OnListing(*listing);
+    });
+  });
+}
+
+void ControlHost::OnListing(const InstanceListing& listing) {
+  std::vector<InstanceRecord> entries;
+  std::vector<BackendServer> servers;
+  for (const InstanceRecord& record : listing.instances) {
+    if (record.role == "entry")
+      entries.push_back(record);
+    else
+      servers.push_back(ToServer(record));
+  }
+  m_membership.OnInstanceList(m_runtime.clock.Now(), entries);
+  m_runtime.chain_loop.Post([this, version = listing.version,
+                             servers = std::move(servers)]() mutable {
+    m_runtime.chains->OnServers(version, std::move(servers));
+  });
+  Pump();
+}
+
+void ControlHost::PublishReports() {
+  const TimePoint now = m_runtime.clock.Now();
+  std::string demand =
+      EncodeDemand(m_runtime.limiter.LocalDemand(now, kMaxDemandAccounts));
+  if (demand != m_last_demand) {
+    m_last_demand = demand;
+    m_membership.Publish(now, kDemandTopic, std::move(demand));
+  }
+  json list = json::array();
+  {
+    std::lock_guard lock(m_runtime.quarantine_mutex);
+    for (const auto& [print, expires] :
+         m_runtime.quarantine.List(m_runtime.clock.UnixMillis()))
+      list.push_back({print, expires});
+  }
+  std::string quarantine = list.dump();
+  if (quarantine != m_last_quarantine &&
+      !(m_last_quarantine.empty() && list.empty())) {
+    m_last_quarantine = quarantine;
+    m_membership.Publish(now, kQuarantineTopic, std::move(quarantine));
+  }
+  Pump();
+}
+
+std::string ControlHost::OnProbe(const std::string& gossip) {
+  auto message = DecodeGossip(gossip);
+  if (!message.ok())
+    return "";
+  const GossipMessage reply =
+      m_membership.OnProbe(m_runtime.clock.Now(), *message);
+  Pump();
+  return EncodeGossip(reply);
+}
+
+void ControlHost::OnCommitted(const Table& table) {
+  m_spread.OnCommitted(m_runtime.clock.Now(), table);
+  Pump();
+}
+
+void ControlHost::Leave() {
+  m_membership.Leave(m_runtime.clock.Now());
+  PublishMembers();
+  Pump();
+}
+
+void ControlHost::Pump() {
+  PumpSpread();
+  PumpMembership();
+}
+
+void ControlHost::PumpMembership() {
+  for (MembershipAction& action : m_membership.TakeActions()) {
+    std::visit(
+        Overloaded{
+            [&](SendProbe& probe) { Probe(std::move(probe)); },
+            [&](SendIndirectProbe& probe) { ProbeVia(std::move(probe)); },
+            [&](MemberChanged& change) { OnMemberChanged(change.member); },
+            [&](ItemReceived& received) { OnItem(received.item); },
+        },
+        action);
+  }
+}
+
+void ControlHost::Probe(SendProbe probe) {
+  const PeerCall call{probe.target.peer_address, kProbeTimeout,
+                      probe.fresh_connection};
+  const uint64_t id = probe.probe;
+  const bool posted = m_runtime.peer_pool.TryPost(
+      [this, call, id, message = EncodeGossip(probe.message)] {
+        auto reply = m_runtime.peers.Probe(call, message);
+        m_runtime.control_loop.Post([this, id, reply = std::move(reply)] {
+          const TimePoint now = m_runtime.clock.Now();
+          auto decoded = reply.ok()
+                             ? DecodeGossip(*reply)
+                             : absl::StatusOr<GossipMessage>(reply.status());
+          if (decoded.ok())
+            m_membership.OnProbeReply(now, id, *decoded);
+          else
+            m_membership.OnProbeFailure(now, id);
+          Pump();
+        });
+      });
+  if (!posted)
+    m_membership.OnProbeFailure(m_runtime.clock.Now(), id);
+}
+
+void ControlHost::ProbeVia(SendIndirectProbe probe) {
+  const PeerCall call{probe.via.peer_address, 2 * kProbeTimeout, false};
+  const uint64_t id = probe.probe;
+  [[maybe_unused]] const bool posted = m_runtime.peer_pool.TryPost(
+      [this, call, id, target = probe.target.peer_address,
+       message = EncodeGossip(probe.message)] {
+        auto reply = m_runtime.peers.ProbeVia(call, target, message);
+        m_runtime.control_loop.Post([this, id, reply = std::move(reply)] {
+          const TimePoint now = m_runtime.clock.Now();
+          auto decoded = reply.ok()
+                             ? DecodeGossip(*reply)
+                             : absl::StatusOr<GossipMessage>(reply.status());
+          if (decoded.ok())
+            m_membership.OnProbeReply(now, id, *decoded);
+          else
+            m_membership.OnProbeFailure(now, id);
+          Pump();
+        });
+      });
+}
+
+void ControlHost::OnMemberChanged(const Member& member) {
+  LogStateChange("membership", "member_changed",
+                 {{"member", member.id},
+                  {"state", std::string(kMemberStateNames.Name(member.state))},
+                  {"incarnation", std::to_string(member.incarnation)}});
+  PublishMembers();
+  if (member.state == MemberState::kGone) {
+    m_runtime.entry_loop.Post(
+        [this, id = member.id] { m_runtime.entry->OnSchedulerLost(id); });
+    m_runtime.chain_loop.Post(
+        [this, id = member.id] { m_runtime.chains->OnEntryGone(id); });
+  }
+}
+
+void ControlHost::PublishMembers() {
+  auto view = std::make_shared<MembersView>();
+  for (const Member& member : m_membership.View())
+    view->members.emplace(member.id, member);
+  for (const Member& member : m_membership.Usable())
+    view->schedulers.push_back({member.id, member.data_center});
+  m_runtime.limiter.SetLiveInstances(
+      std::max<int>(1, static_cast<int>(view->schedulers.size())));
+  m_runtime.chain_loop.Post([this, live = view->schedulers] {
+    if (m_runtime.chains)
+      m_runtime.chains->OnSchedulers(live);
+  });
+  m_runtime.members.Store(std::move(view));
+}
+
+void ControlHost::OnItem(const GossipItem& item) {
+  const TimePoint now = m_runtime.clock.Now();
+  if (item.topic == kDemandTopic) {
+    m_runtime.limiter.OnPeerDemand(now, item.origin,
+                                   DecodeDemand(item.payload));
+  } else if (item.topic == kQuarantineTopic) {
+    const json list = json::parse(item.payload, nullptr, false);
+    if (!list.is_array())
+      return;
+    std::lock_guard lock(m_runtime.quarantine_mutex);
+    for (const json& entry : list) {
+      if (entry.is_array() && entry.size() == 2 && entry[0].is_number() &&
+          entry[1].is_number())
+        m_runtime.quarantine.Merge(entry[0].get<uint64_t>(),
+                                   entry[1].get<int64_t>());
+    }
+  }
+}
+
+void ControlHost::PumpSpread() {
+  const TimePoint now = m_runtime.clock.Now();
+  for (const Member& member : m_membership.View()) {
+    if (member.id != m_runtime.settings.id && member.table_version > 0)
+      m_spread.OnPeerVersion(now, member.id, member.table_version);
+  }
+  for (SpreadAction& action : m_spread.TakeActions()) {
+    std::visit(Overloaded{
+                   [&](ReadHead&) { ReadHeadVersion(); },
+                   [&](FetchChanges& fetch) { Fetch(fetch.after); },
+                   [&](FetchSnapshot&) { FetchSnapshotTable(); },
+                   [&](FetchFromPeer& fetch) { FetchPeer(fetch); },
+                   [&](InstallTable& install) {
+                     const int64_t version = install.table->version();
+                     LogStateChange("table", "installed",
+                                    {{"version", std::to_string(version)}});
+                     m_runtime.metrics.GetGauge("trefoilwick_table_version")
+                         .Set(static_cast<double>(version));
+                     m_runtime.table.Store(install.table);
+                     m_membership.SetTableVersion(version);
+                   },
+               },
+               action);
+  }
+}
+
+void ControlHost::ReadHeadVersion() {
+  const bool posted = m_runtime.store_pool.TryPost([this] {
+    auto head = ReadHeadVersionFromStore(*m_runtime.store);
+    m_runtime.control_loop.Post([this, head = std::move(head)] {
+      m_spread.OnHead(m_runtime.clock.Now(), head);
+      Pump();
+    });
+  });
+  if (!posted)
+    m_spread.OnHead(m_runtime.clock.Now(),
+                    MakeStatus(absl::StatusCode::kUnavailable, "busy"));
+}
+
+void ControlHost::Fetch(int64_t after) {
+  const auto report = [this,
+                       after](absl::StatusOr<std::vector<TableDelta>> deltas) {
+    m_runtime.control_loop.Post([this, after, deltas = std::move(deltas)] {
+      m_spread.OnChanges(m_runtime.clock.Now(), after, deltas);
+      Pump();
+    });
+  };
+  const bool posted = m_runtime.store_pool.TryPost([this, after, report] {
+    auto changes = ReadChanges(*m_runtime.store, after, kMaxChangesPerRead);
+    if (!changes.ok()) {
+      report(changes.status());
+      return;
+    }
+    std::vector<TableDelta> deltas;
+    for (ConfigChange& change : *changes)
+      deltas.push_back(std::move(change.delta));
+    report(std::move(deltas));
+  });
+  if (!posted)
+    report(MakeStatus(absl::StatusCode::kUnavailable, "busy"));
+}
+
+void ControlHost::FetchSnapshotTable() {
+  const auto report = [this](absl::StatusOr<Table> table) {
+    m_runtime.control_loop.Post([this, table = std::move(table)] {
+      m_spread.OnSnapshot(m_runtime.clock.Now(), table);
+      Pump();
+    });
+  };
+  const bool posted = m_runtime.store_pool.TryPost([this, report] {
+    report(LoadTable(*m_runtime.store, *m_runtime.objects));
+  });
+  if (!posted)
+    report(MakeStatus(absl::StatusCode::kUnavailable, "busy"));
+}
+
+void ControlHost::FetchPeer(const FetchFromPeer& fetch) {
+  const auto members = m_runtime.members.Load();
+  const Member* member = members->Find(fetch.peer);
+  const auto report_changes =
+      [this, fetch](absl::StatusOr<std::vector<TableDelta>> deltas) {
+        m_runtime.control_loop.Post([this, fetch, deltas = std::move(deltas)] {
+          m_spread.OnChanges(m_runtime.clock.Now(), fetch.after, deltas);
+          Pump();
+        });
+      };
+  if (!member) {
+    report_changes(MakeStatus(absl::StatusCode::kUnavailable, "peer is gone"));
+    return;
+  }
+  const PeerCall call{member->peer_address, kChangesTimeout, false};
+  const bool posted =
+      m_runtime.peer_pool.TryPost([this, call, fetch, report_changes] {
+        auto reply = m_runtime.peers.Changes(call, fetch.after);
+        if (!reply.ok()) {
+          report_changes(reply.status());
+          return;
+        }
+        if (!reply->snapshot.empty()) {
+          auto table = DecodeTable(reply->snapshot);
+          m_runtime.control_loop.Post([this, table = std::move(table)] {
+            m_spread.OnSnapshot(m_runtime.clock.Now(), table);
+            Pump();
+          });
+          return;
+        }
+        std::vector<TableDelta> deltas;
+        for (const std::string& bytes : reply->changes) {
+          auto delta = DecodeDelta(bytes);
+          if (!delta.ok())
+            break;
+          deltas.push_back(std::move(*delta));
+        }
+        report_changes(std::move(deltas));
+      });
+  if (!posted)
+    report_changes(MakeStatus(absl::StatusCode::kUnavailable, "busy"));
+}
+
+PeerTableChanges ControlHost::OnChanges(int64_t after) {
+  PeerTableChanges reply;
+  const auto table = m_spread.table();
+  if (!table)
+    return reply;
+  reply.head = table->version();
+  const auto recent = m_spread.RecentSince(after);
+  if (!recent) {
+    reply.snapshot = EncodeTable(*table);
+    return reply;
+  }
+  for (const TableDelta& delta : *recent)
+    reply.changes.push_back(EncodeDelta(delta));
+  return reply;
+}
+
+}  // namespace trefoilwick::detail
--- /dev/null
+++ b/src/daemon_serve.cc
@@ -0,0 +1,229 @@
+#include <openssl/sha.h>
+
+#include <pplx/threadpool.h>
+#include <csignal>
+#include <thread>
+
+#include "http_front.h"
+#include "serve.h"
+
+namespace trefoilwick::detail {
+
+namespace {
+
+// The pool of the HTTP library serves connections; nothing on it may block.
+constexpr size_t kHttpThreads = 8;
+constexpr std::chrono::milliseconds kSignalPoll{50};
+
+std::atomic<int> g_stop_signals{0};
+
+void OnStopSignal(int) {
+  g_stop_signals.fetch_add(1);
+}
+
+// Serves the calls of peers by handing them to the loops.
+class PeerService final : public PeerHandler {
+ public:
+  explicit PeerService(Runtime& runtime) : m_runtime(runtime) {}
+
+  SubmitResult OnSubmit(RemoteSubmission submission) override {
+    SubmitResult result;
+    result.refusal = SubmitRefusal{"stopping", std::chrono::milliseconds(100)};
+    m_runtime.chain_loop.RunAndWait(
+        [&] { result = m_runtime.chains->Submit(std::move(submission)); });
+    return result;
+  }
+  std::vector<std::string> OnDeliver(Delivery delivery) override {
+    std::vector<std::string> disowned;
+    m_runtime.entry_loop.RunAndWait(
+        [&] { disowned = m_runtime.entry->OnDeliver(delivery); });
+    return disowned;
+  }
+  void OnCancel(const std::vector<std::string>& requests) override {
+    m_runtime.chain_loop.RunAndWait(
+        [&] { m_runtime.chains->Cancel(requests); });
+  }
+  std::vector<std::string> OnMissing(
+      const std::vector<std::string>& requests) override {
+    std::vector<std::string> missing = requests;
+    m_runtime.chain_loop.RunAndWait(
+        [&] { missing = m_runtime.chains->Missing(requests); });
+    return missing;
+  }
+  std::string OnProbe(const std::string& gossip) override {
+    std::string reply;
+    m_runtime.control_loop.RunAndWait(
+        [&] { reply = m_runtime.control->OnProbe(gossip); });
+    return reply;
+  }
+  absl::StatusOr<std::string> OnProbeVia(const std::string& target,
+                                         const std::string& gossip) override {
+    return m_runtime.peers.Probe({target, std::chrono::milliseconds(300), true},
+                                 gossip);
+  }
+  PeerTableChanges OnChanges(int64_t after) override {
+    PeerTableChanges changes;
+    m_runtime.control_loop.RunAndWait(
+        [&] { changes = m_runtime.control->OnChanges(after); });
+    return changes;
+  }
+  PeerOutcome OnOutcome(const std::string& request) override {
+    PeerOutcome outcome;
+    outcome.incarnation = m_runtime.incarnation;
+    outcome.outcome = "unknown";
+    m_runtime.entry_loop.RunAndWait([&] {
+      if (const RequestView* view = m_runtime.entry->Find(request)) {
+        outcome.known = true;
+        outcome.outcome = std::string(kOutcomeNames.Name(view->outcome));
+        outcome.detail = view->reason;
+      }
+    });
+    return outcome;
+  }
+
+ private:
+  Runtime& m_runtime;
+};
+
+void WireChains(Runtime& runtime, std::shared_ptr<DeliverySender>& sender) {
+  sender = std::make_shared<DeliverySender>(
+      runtime.chain_loop, runtime.peer_pool, runtime.peers, runtime.members,
+      [&runtime](const std::vector<std::string>& disowned) {
+        runtime.chains->Cancel(disowned);
+      },
+      [&runtime](const std::string& entry) {
+        runtime.chains->OnEntryGone(entry);
+      });
+  const auto deliver = [&runtime, &sender](const std::string& entry,
+                                           Delivery delivery) {
+    if (entry != runtime.settings.id) {
+      sender->Send(entry, std::move(delivery));
+      return;
+    }
+    runtime.entry_loop.Post([&runtime, delivery = std::move(delivery)] {
+      auto disowned = runtime.entry->OnDeliver(delivery);
+      if (!disowned.empty())
+        runtime.chain_loop.Post([&runtime, disowned = std::move(disowned)] {
+          runtime.chains->Cancel(disowned);
+        });
+    });
+  };
+  runtime.chains->SetCallbacks(deliver, [&runtime](uint64_t fingerprint) {
+    std::lock_guard lock(runtime.quarantine_mutex);
+    runtime.quarantine.Add(runtime.clock.UnixMillis(), fingerprint);
+  });
+}
+
+// True when nothing is left that a stop would cut off.
+bool Drained(Runtime& runtime, const DeliverySender& sender) {
+  size_t left = static_cast<size_t>(std::max(0, runtime.open_requests.load())) +
+                static_cast<size_t>(runtime.pending_records.load());
+  runtime.entry_loop.RunAndWait([&] { left += runtime.entry->active(); });
+  runtime.chain_loop.RunAndWait(
+      [&] { left += runtime.chains->running() + sender.unacknowledged(); });
+  return left == 0;
+}
+
+// Waits for SIGTERM or the drain command, then until drained, for the time
+// limit, or for a second signal.
+void WaitForStop(Runtime& runtime, const DeliverySender& sender) {
+  while (g_stop_signals.load() == 0 && !runtime.leaving.load())
+    std::this_thread::sleep_for(kSignalPoll);
+  // A drain command is not a signal: the first SIGTERM after it is not yet the
+  // one that stops at once.
+  const int before = runtime.leaving.load() ? g_stop_signals.load() : 0;
+  StartLeaving(runtime);
+  const TimePoint limit = runtime.clock.Now() + runtime.settings.drain;
+  while (runtime.clock.Now() < limit && g_stop_signals.load() < before + 2) {
+    std::this_thread::sleep_for(kSignalPoll);
+    // Callers may hold the old address until `refusing` is set.
+    if (runtime.refusing.load() && Drained(runtime, sender)) {
+      LogStateChange("daemon", "drained");
+      return;
+    }
+  }
+  LogStateChange("daemon", "stopping_with_open_requests");
+  runtime.entry_loop.RunAndWait([&] { runtime.entry->Abort(); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+}
+
+}  // namespace
+
+std::string Sha256Hex(const std::string& bytes) {
+  unsigned char digest[SHA256_DIGEST_LENGTH];
+  SHA256(reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
+         digest);
+  constexpr char kHex[] = "0123456789abcdef";
+  std::string out;
+  for (unsigned char byte : digest) {
+    out += kHex[byte >> 4];
+    out += kHex[byte & 15];
+  }
+  return out;
+}
+
+Runtime::Runtime(Settings with_settings)
+    : settings(std::move(with_settings)),
+      incarnation(clock.UnixMillis() * 1000) {
+  store = MakeHttpTableService(settings.table_url, settings.store_deadline);
+  objects = MakeHttpObjectStore(settings.object_url, settings.store_deadline);
+  list = MakeHttpInstanceList(settings.list_url, settings.store_deadline);
+  chains =
+      std::make_unique<ChainHost>(ChainHostConfig{settings.id, incarnation},
+                                  chain_loop, http, metrics, table, fleet);
+  entry = std::make_unique<EntryHost>(
+      EntryHostConfig{settings.id, incarnation, settings.data_center,
+                      settings.chain_policy},
+      entry_loop, chain_loop, *chains, peer_pool, peers, metrics, fleet,
+      members);
+  control = std::make_unique<ControlHost>(*this);
+}
+
+int Serve(const Settings& settings) {
+  InitLogging(settings.id, settings.log_level);
+  crossplat::threadpool::initialize_with_threads(kHttpThreads);
+  RegisterChainPolicies();
+  if (!Registry<ChainPolicy>::Get().Create(settings.chain_policy)) {
+    LogStateChange("daemon", "unknown_chain_policy",
+                   {{"policy", settings.chain_policy}});
+    return 1;
+  }
+  std::signal(SIGTERM, OnStopSignal);
+  std::signal(SIGINT, OnStopSignal);
+  std::signal(SIGPIPE, SIG_IGN);
+
+  auto runtime = std::make_unique<Runtime>(settings);
+  std::shared_ptr<DeliverySender> sender;
+  WireChains(*runtime, sender);
+  PeerService peer_service(*runtime);
+  PeerServer peer_server(settings.peer_address, peer_service);
+  HttpFront front(*runtime);
+  for (const absl::Status& status : {peer_server.Start(), front.Start()}) {
+    if (!status.ok()) {
+      LogStateChange("daemon", "start_failed",
+                     {{"reason", std::string(status.message())}});
+      std::_Exit(1);
+    }
+  }
+  runtime->chains->Start();
+  runtime->entry->Start();
+  runtime->control->Start();
+  LogStateChange("daemon", "started",
+                 {{"address", settings.address},
+                  {"peer_address", settings.peer_address},
+                  {"data_center", settings.data_center}});
+  WaitForStop(*runtime, *sender);
+  front.Stop();
+  peer_server.Stop();
+  runtime->control_loop.Stop();
+  runtime->entry_loop.Stop();
+  runtime->chain_loop.Stop();
+  runtime->peer_pool.Stop();
+  runtime->store_pool.Stop();
+  LogStateChange("daemon", "stopped");
+  // Callbacks of the HTTP library may still be under way on its threads, which
+  // it never joins; ending here keeps them from destroyed objects.
+  std::_Exit(0);
+}
+
+}  // namespace trefoilwick::detail
--- /dev/null
+++ b/src/daemon_services.cc
@@ -0,0 +1,410 @@
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+#include "http_front.h"
+#include "trefoilwick/batches.h"
+#include "trefoilwick/ledger.h"
+
+namespace trefoilwick::detail {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::chrono::milliseconds kServiceTimeout{5000};
+constexpr int kMaxServiceAttempts = 3;
+constexpr size_t kMaxBatchItems = 10'000;
+
+Problem NotRun(int status, std::string type, std::string detail) {
+  return {status,           std::move(type), std::move(detail),
+          Outcome::kNotRun, Duration(0),     {}};
+}
+
+std::string JoinPath(const std::vector<std::string>& path, size_t first) {
+  std::string out;
+  for (size_t i = first; i < path.size(); ++i)
+    out += "/" + web::uri::encode_data_string(path[i]);
+  return out.empty() ? "/" : out;
+}
+
+// Servers of a service, in random order, leaving ones left out.
+std::vector<BackendServer> ServersOf(const Runtime& runtime,
+                                     const std::string& service) {
+  std::vector<BackendServer> servers;
+  const auto fleet = runtime.fleet.Load();
+  auto it = fleet->services.find(service);
+  if (it != fleet->services.end())
+    for (const BackendServer& server : it->second)
+      if (!server.leaving)
+        servers.push_back(server);
+  thread_local Random random(
+      StableHash(runtime.settings.id,
+                 std::hash<std::thread::id>()(std::this_thread::get_id())));
+  for (size_t i = servers.size(); i > 1; --i)
+    std::swap(servers[i - 1], servers[random.Below(i)]);
+  return servers;
+}
+
+// Waits for one call. Only for threads of the store pool.
+HttpResult CallAndWait(Runtime& runtime, const HttpCall& call, Duration limit) {
+  struct State {
+    std::mutex mutex;
+    std::condition_variable done;
+    std::optional<HttpResult> result;
+  };
+  auto state = std::make_shared<State>();
+  CancelCall cancel = runtime.http.Call(call, [state](HttpResult result) {
+    std::lock_guard lock(state->mutex);
+    if (!state->result)
+      state->result = std::move(result);
+    state->done.notify_one();
+  });
+  std::unique_lock lock(state->mutex);
+  if (!state->done.wait_for(lock, limit, [&] { return state->result; })) {
+    HttpResult lost;
+    lost.failure = CallFailure::kLost;
+    state->result = lost;
+    lock.unlock();
+    cancel();
+    return lost;
+  }
+  return *state->result;
+}
+
+void AnswerLedger(const Exchange& exchange, const LedgerAnswer& answer) {
+  switch (answer.verdict) {
+    case LedgerVerdict::kDone:
+      exchange.ReplyText(answer.status, answer.body, "application/json");
+      return;
+    case LedgerVerdict::kNotRun: {
+      Problem problem =
+          NotRun(503, "not_run", "the call was not run and may be sent again");
+      problem.retry_after = std::chrono::seconds(1);
+      exchange.ReplyProblem(problem);
+      return;
+    }
+    case LedgerVerdict::kUnknown:
+      exchange.ReplyProblem(
+          {502,
+           "outcome_unknown",
+           "the call was sent and its result is not known; it is never sent "
+           "again under this key",
+           Outcome::kUnknown,
+           Duration(0),
+           {}});
+      return;
+    case LedgerVerdict::kInProgress: {
+      exchange.ReplyProblem({409,
+                             "in_progress",
+                             "an earlier call with this key is in progress",
+                             Outcome::kUnknown,
+                             std::chrono::seconds(1),
+                             {}});
+      return;
+    }
+    case LedgerVerdict::kKeyReused:
+      exchange.ReplyProblem(
+          NotRun(422, "idempotency_key_reused",
+                 "the key was used with another body or kind of work"));
+      return;
+  }
+}
+
+struct ServiceRequest {
+  Exchange exchange;
+  std::string account;
+  Kind kind;
+  std::string path;
+};
+
+// Calls a server of the service; retries while it is certain that no server
+// got the call, or when the kind is idempotent and the budget allows.
+DispatchResult CallService(Runtime& runtime,
+                           const ServiceRequest& request,
+                           const std::string& key,
+                           Duration limit) {
+  const TimePoint deadline = runtime.clock.Now() + limit;
+  DispatchResult last;
+  last.certainly_not_sent = true;
+  const auto servers = ServersOf(runtime, request.kind.service);
+  const size_t attempts = std::min<size_t>(servers.size(), kMaxServiceAttempts);
+  for (size_t i = 0; i < attempts; ++i) {
+    const Duration left = deadline - runtime.clock.Now();
+    if (left <= Duration(0))
+      break;
+    if (i > 0 && !runtime.retry_budget.TryRetry())
+      break;
+    HttpCall call;
+    call.address = servers[i].address;
+    call.path = request.path;
+    call.body = request.exchange.body();
+    call.user = request.account;
+    call.idempotency_key = key;
+    call.fresh_connection = i > 0;
+    const HttpResult result = CallAndWait(runtime, call, left);
+    if (!result.failure) {
+      const bool retry = request.kind.idempotent && result.status >= 500;
+      last = DispatchResult{result.status, result.body, false};
+      if (!retry)
+        return last;
+    } else {
+      if (!result.certainly_not_sent)
+        last = DispatchResult{std::nullopt, "", false};
+      // A call that may have reached a server is not repeated unless the kind
+      // is idempotent.
+      if (!request.kind.idempotent && !result.certainly_not_sent)
+        return last;
+    }
+  }
+  return last;
+}
+
+void RunIdempotent(Runtime& runtime, const ServiceRequest& request) {
+  runtime.retry_budget.OnAttempt();
+  const DispatchResult result =
+      CallService(runtime, request, "", kServiceTimeout);
+  if (result.status) {
+    request.exchange.ReplyText(*result.status, result.body, "application/json");
+    return;
+  }
+  request.exchange.ReplyProblem(
+      {502,
+       "no_answer",
+       "no server of the service answered",
+       result.certainly_not_sent ? Outcome::kNotRun : Outcome::kIncomplete,
+       std::chrono::seconds(1),
+       {}});
+}
+
+void RunAtMostOnce(Runtime& runtime,
+                   const ServiceRequest& request,
+                   const std::string& key) {
+  runtime.retry_budget.OnAttempt();
+  LedgerCallInput input;
+  input.account = request.account;
+  input.key = key;
+  input.body_sha256 = Sha256Hex(request.path + "\n" + request.exchange.body());
+  input.kind = request.kind.name;
+  input.entry = runtime.settings.id;
+  input.request = request.exchange.request_id();
+  input.attempt = request.exchange.request_id();
+  runtime.pending_records.fetch_add(1);
+  RunLedgerCall(
+      runtime.clock, *runtime.store, input,
+      [&](Duration limit) { return CallService(runtime, request, key, limit); },
+      [&](const LedgerAnswer& answer) {
+        runtime.metrics
+            .GetCounter(
+                "trefoilwick_ledger_calls_total",
+                {{"verdict",
+                  std::string(kLedgerVerdictNames.Name(answer.verdict))}})
+            .Add();
+        AnswerLedger(request.exchange, answer);
+      },
+      [](Duration wait) { std::this_thread::sleep_for(wait); });
+  runtime.pending_records.fetch_sub(1);
+}
+
+json CountsJson(const BatchCounts& counts) {
+  return {{"submitted", counts.submitted},
+          {"finished", counts.finished},
+          {"not_finished", counts.not_finished},
+          {"waiting", counts.waiting}};
+}
+
+std::optional<std::string> ReadBatch(const std::string& body, BatchSpec& spec) {
+  const json parsed = json::parse(body, nullptr, false);
+  if (!parsed.is_object() || !parsed.contains("model") ||
+      !parsed["model"].is_string() || !parsed.contains("items") ||
+      !parsed["items"].is_array())
+    return "model and items are required";
+  spec.model = parsed["model"].get<std::string>();
+  if (parsed.contains("kind") && parsed["kind"].is_string())
+    spec.kind = parsed["kind"].get<std::string>();
+  const json& items = parsed["items"];
+  if (items.empty() || items.size() > kMaxBatchItems)
+    return "items: 1 to 10000 are accepted";
+  for (const json& item : items) {
+    if (!item.is_object() || !item.contains("prompt") ||
+        !item["prompt"].is_string())
+      return "items: each needs a prompt";
+    BatchItem read;
+    read.prompt = item["prompt"].get<std::string>();
+    if (item.contains("max_tokens") && item["max_tokens"].is_number_integer())
+      read.max_tokens = std::clamp(item["max_tokens"].get<int>(), 1, 4096);
+    spec.items.push_back(std::move(read));
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+void HttpFront::ServiceCall(const Exchange& exchange, const Caller& caller) {
+  const Kind* kind = caller.table->FindKind(exchange.path()[2]);
+  if (!kind || kind->service.empty()) {
+    exchange.ReplyProblem(
+        NotRun(404, "unknown_kind", "the table has no such kind of work"));
+    return;
+  }
+  if (kind->rank < caller.account->rank_limit) {
+    exchange.ReplyProblem(
+        NotRun(403, "rank_not_permitted",
+               "the account may not ask for work of this rank"));
+    return;
+  }
+  const std::string key = exchange.Header("Idempotency-Key");
+  if (!kind->idempotent && (key.empty() || key.size() > 255)) {
+    exchange.ReplyProblem(NotRun(
+        400, "idempotency_key_required",
+        "this kind of work needs an Idempotency-Key of 1 to 255 characters"));
+    return;
+  }
+  if (auto refusal =
+          m_runtime.limiter.Admit(m_runtime.clock.Now(), *caller.account, 0)) {
+    Problem problem =
+        NotRun(429, "limit_exceeded",
+               "limit " + std::string(kLimitReasonNames.Name(refusal->reason)));
+    problem.retry_after = std::max<Duration>(refusal->retry_after,
+                                             std::chrono::milliseconds(100));
+    exchange.ReplyProblem(problem);
+    return;
+  }
+  auto request = std::make_shared<ServiceRequest>(ServiceRequest{
+      exchange, caller.account->name, *kind, JoinPath(exchange.path(), 3)});
+  const bool posted = m_runtime.store_pool.TryPost([this, request, key] {
+    if (request->kind.idempotent)
+      RunIdempotent(m_runtime, *request);
+    else
+      RunAtMostOnce(m_runtime, *request, key);
+    m_runtime.limiter.Release(m_runtime.clock.Now(), request->account, 0, 0);
+  });
+  if (!posted) {
+    m_runtime.limiter.Release(m_runtime.clock.Now(), request->account, 0, 0);
+    exchange.ReplyProblem({503,
+                           "busy",
+                           "too many service calls are waiting",
+                           Outcome::kNotRun,
+                           std::chrono::seconds(1),
+                           {}});
+  }
+}
+
+void HttpFront::OperationOutcome(const Exchange& exchange,
+                                 const Caller& caller) {
+  const std::string account = caller.account->name;
+  OnStorePool(exchange, [this, exchange, account] {
+    const auto record = LookUpLedger(m_runtime.clock, *m_runtime.store, account,
+                                     exchange.path()[2]);
+    if (record.ok()) {
+      json body{{"key", exchange.path()[2]},
+                {"kind", record->kind},
+                {"state", std::string(kLedgerStateNames.Name(record->state))},
+                {"request", record->request}};
+      if (record->state == LedgerState::kDone)
+        body["result_status"] = record->result_status;
+      exchange.Reply(200, body);
+    } else if (record.status().code() == absl::StatusCode::kNotFound) {
+      exchange.ReplyProblem(NotRun(404, "unknown_operation",
+                                   "no call with this key was accepted"));
+    } else {
+      exchange.ReplyProblem({503,
+                             "store_unavailable",
+                             "the outcome cannot be read now",
+                             Outcome::kUnknown,
+                             std::chrono::seconds(2),
+                             {}});
+    }
+  });
+}
+
+void HttpFront::SubmitBatchJob(const Exchange& exchange, const Caller& caller) {
+  BatchSpec spec;
+  if (auto finding = ReadBatch(exchange.body(), spec)) {
+    exchange.ReplyProblem(NotRun(400, "bad_request", *finding));
+    return;
+  }
+  const Kind* kind = spec.kind.empty()
+                         ? caller.table->DefaultKindForModel(spec.model)
+                         : caller.table->FindKind(spec.kind);
+  if (!kind || kind->model != spec.model) {
+    exchange.ReplyProblem(
+        NotRun(404, "unknown_kind", "no kind of work serves this model"));
+    return;
+  }
+  spec.kind = kind->name;
+  spec.account = caller.account->name;
+  spec.id = exchange.request_id();
+  OnStorePool(exchange, [this, exchange, spec = std::move(spec)] {
+    const absl::Status status = SubmitBatch(m_runtime.clock, *m_runtime.store,
+                                            *m_runtime.objects, spec);
+    if (status.ok()) {
+      BatchCounts counts;
+      counts.submitted = counts.waiting = static_cast<int>(spec.items.size());
+      json body = CountsJson(counts);
+      body["id"] = spec.id;
+      exchange.Reply(202, body);
+    } else if (status.code() == absl::StatusCode::kUnknown) {
+      exchange.ReplyProblem({503,
+                             "outcome_unknown",
+                             "ask GET /v1/batches/" + spec.id,
+                             Outcome::kUnknown,
+                             std::chrono::seconds(2),
+                             {}});
+    } else {
+      Problem problem =
+          NotRun(503, "store_unavailable", "the batch was not accepted");
+      problem.retry_after = std::chrono::seconds(2);
+      exchange.ReplyProblem(problem);
+    }
+  });
+}
+
+void HttpFront::ShowBatch(const Exchange& exchange, const Caller& caller) {
+  const std::string account = caller.account->name;
+  OnStorePool(exchange, [this, exchange, account] {
+    const std::string id = exchange.path()[2];
+    const bool items = exchange.path().size() == 4;
+    auto spec = GetBatch(*m_runtime.store, *m_runtime.objects, id);
+    if (spec.ok() && spec->account != account)
+      spec = MakeStatus(absl::StatusCode::kNotFound, "no such batch");
+    auto counts = spec.ok() ? CountBatch(*m_runtime.store, id)
+                            : absl::StatusOr<BatchCounts>(spec.status());
+    if (!counts.ok()) {
+      if (counts.status().code() == absl::StatusCode::kNotFound)
+        exchange.ReplyProblem(NotRun(404, "unknown_batch", "no such batch"));
+      else
+        exchange.ReplyProblem({503,
+                               "store_unavailable",
+                               "the batch cannot be read now",
+                               Outcome::kUnknown,
+                               std::chrono::seconds(2),
+                               {}});
+      return;
+    }
+    json body = CountsJson(*counts);
+    body["id"] = id;
+    if (items) {
+      auto list = ListBatchItems(*m_runtime.store, *m_runtime.objects, id);
+      if (!list.ok()) {
+        exchange.ReplyProblem({503,
+                               "store_unavailable",
+                               "the items cannot be read now",
+                               Outcome::kUnknown,
+                               std::chrono::seconds(2),
+                               {}});
+        return;
+      }
+      body["items"] = json::array();
+      for (const BatchItemResult& item : *list)
+        body["items"].push_back(
+            {{"index", item.index},
+             {"state", std::string(kItemStateNames.Name(item.state))},
+             {"text", item.text},
+             {"reason", item.reason}});
+    }
+    exchange.Reply(200, body);
+  });
+}
+
+}  // namespace trefoilwick::detail
--- /dev/null
+++ b/src/engine_client.h
@@ -0,0 +1,64 @@
+// Asynchronous HTTP/JSON calls to backend servers.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "trefoilwick/kernel.h"
+#include "trefoilwick/pipeline.h"
+
+namespace trefoilwick::detail {
+
+struct HttpResult {
+  // Set when no complete answer arrived.
+  std::optional<CallFailure> failure;
+  // The connection was refused, so that nothing was sent.
+  bool certainly_not_sent = false;
+  int status = 0;
+  std::string body;
+  std::string content_type;
+};
+
+struct HttpCall {
+  // host:port
+  std::string address;
+  std::string method = "POST";
+  std::string path;
+  std::string body;
+  std::string user;
+  std::string idempotency_key;
+  std::string bearer_key;
+  // Replaces the pooled connections to the address.
+  bool fresh_connection = false;
+};
+
+// Stops waiting for a call; its callback then reports kLost.
+using CancelCall = std::function<void()>;
+
+// Thread-safe. Callbacks run on a thread of the HTTP library and must not
+// block. Calls have no deadline of their own beyond 60 s: the owner cancels.
+class HttpCaller {
+ public:
+  HttpCaller();
+  ~HttpCaller();
+  CancelCall Call(const HttpCall& call, std::function<void(HttpResult)> done);
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+// Bodies of the engine protocol (docs/design.md, section 10).
+std::string EncodeStep(const SendStep& step, const std::string& step_id);
+std::string EncodeClaim(uint64_t epoch, const std::string& owner);
+std::string EncodeRelease(
+    const std::vector<std::pair<std::string, uint64_t>>& requests);
+absl::StatusOr<std::vector<StepResultItem>> DecodeStepReply(
+    const std::string& body);
+// 0 when the body names none.
+uint64_t DecodeNewestEpoch(const std::string& body);
+
+}  // namespace trefoilwick::detail
--- a/src/gen/Peer.cpp
+++ b/src/gen/Peer.cpp
@@ -599,6 +599,253 @@
 }
 
 
+Peer_missing_args::~Peer_missing_args() noexcept {
+}
+
+
+uint32_t Peer_missing_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->requests.clear();
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->requests.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
+            {
+              xfer += iprot->readString(this->requests[_i69]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Peer_missing_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_missing_args");
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->requests.size()));
+    std::vector<std::string> ::const_iterator _iter70;
+    for (_iter70 = this->requests.begin(); _iter70 != this->requests.end(); ++_iter70)
+    {
+      xfer += oprot->writeString((*_iter70));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_missing_pargs::~Peer_missing_pargs() noexcept {
+}
+
+
+uint32_t Peer_missing_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_missing_pargs");
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>((*(this->requests)).size()));
+    std::vector<std::string> ::const_iterator _iter71;
+    for (_iter71 = (*(this->requests)).begin(); _iter71 != (*(this->requests)).end(); ++_iter71)
+    {
+      xfer += oprot->writeString((*_iter71));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_missing_result::~Peer_missing_result() noexcept {
+}
+
+
+uint32_t Peer_missing_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->success.clear();
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->success.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
+            {
+              xfer += iprot->readString(this->success[_i76]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Peer_missing_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("Peer_missing_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->success.size()));
+      std::vector<std::string> ::const_iterator _iter77;
+      for (_iter77 = this->success.begin(); _iter77 != this->success.end(); ++_iter77)
+      {
+        xfer += oprot->writeString((*_iter77));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_missing_presult::~Peer_missing_presult() noexcept {
+}
+
+
+uint32_t Peer_missing_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            (*(this->success)).clear();
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            (*(this->success)).resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
+            {
+              xfer += iprot->readString((*(this->success))[_i82]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
 Peer_probe_args::~Peer_probe_args() noexcept {
 }
 
@@ -1531,6 +1778,64 @@
   return;
 }
 
+void PeerClient::missing(std::vector<std::string> & _return, const std::vector<std::string> & requests)
+{
+  send_missing(requests);
+  recv_missing(_return);
+}
+
+void PeerClient::send_missing(const std::vector<std::string> & requests)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("missing", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Peer_missing_pargs args;
+  args.requests = &requests;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void PeerClient::recv_missing(std::vector<std::string> & _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("missing") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  Peer_missing_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "missing failed: unknown result");
+}
+
 void PeerClient::probe(Gossip& _return, const Gossip& message)
 {
   send_probe(message);
@@ -1944,6 +2249,60 @@
   }
 }
 
+void PeerProcessor::process_missing(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Peer.missing", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Peer.missing");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "Peer.missing");
+  }
+
+  Peer_missing_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "Peer.missing", bytes);
+  }
+
+  Peer_missing_result result;
+  try {
+    iface_->missing(result.success, args.requests);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Peer.missing");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("missing", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "Peer.missing");
+  }
+
+  oprot->writeMessageBegin("missing", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "Peer.missing", bytes);
+  }
+}
+
 void PeerProcessor::process_probe(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
 {
   void* ctx = nullptr;
@@ -2413,6 +2772,90 @@
   } // end while(true)
 }
 
+void PeerConcurrentClient::missing(std::vector<std::string> & _return, const std::vector<std::string> & requests)
+{
+  int32_t seqid = send_missing(requests);
+  recv_missing(_return, seqid);
+}
+
+int32_t PeerConcurrentClient::send_missing(const std::vector<std::string> & requests)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("missing", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Peer_missing_pargs args;
+  args.requests = &requests;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void PeerConcurrentClient::recv_missing(std::vector<std::string> & _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("missing") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      Peer_missing_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "missing failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 void PeerConcurrentClient::probe(Gossip& _return, const Gossip& message)
 {
   int32_t seqid = send_probe(message);
--- a/src/gen/Peer.h
+++ b/src/gen/Peer.h
@@ -25,6 +25,7 @@
   virtual void submit(SubmitReply& _return, const Submission& submission) = 0;
   virtual void deliver(std::vector<std::string> & _return, const DeliverMessage& message) = 0;
   virtual void cancel(const std::vector<std::string> & requests) = 0;
+  virtual void missing(std::vector<std::string> & _return, const std::vector<std::string> & requests) = 0;
   virtual void probe(Gossip& _return, const Gossip& message) = 0;
   virtual void probe_via(Gossip& _return, const std::string& target, const Gossip& message) = 0;
   virtual void changes(TableChanges& _return, const int64_t after) = 0;
@@ -67,6 +68,9 @@
   void cancel(const std::vector<std::string> & /* requests */) override {
     return;
   }
+  void missing(std::vector<std::string> & /* _return */, const std::vector<std::string> & /* requests */) override {
+    return;
+  }
   void probe(Gossip& /* _return */, const Gossip& /* message */) override {
     return;
   }
@@ -375,6 +379,110 @@
 
 };
 
+typedef struct _Peer_missing_args__isset {
+  _Peer_missing_args__isset() : requests(false) {}
+  bool requests :1;
+} _Peer_missing_args__isset;
+
+class Peer_missing_args {
+ public:
+
+  Peer_missing_args(const Peer_missing_args&);
+  Peer_missing_args& operator=(const Peer_missing_args&);
+  Peer_missing_args() noexcept {
+  }
+
+  virtual ~Peer_missing_args() noexcept;
+  std::vector<std::string>  requests;
+
+  _Peer_missing_args__isset __isset;
+
+  void __set_requests(const std::vector<std::string> & val);
+
+  bool operator == (const Peer_missing_args & rhs) const
+  {
+    if (!(requests == rhs.requests))
+      return false;
+    return true;
+  }
+  bool operator != (const Peer_missing_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Peer_missing_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Peer_missing_pargs {
+ public:
+
+
+  virtual ~Peer_missing_pargs() noexcept;
+  const std::vector<std::string> * requests;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Peer_missing_result__isset {
+  _Peer_missing_result__isset() : success(false) {}
+  bool success :1;
+} _Peer_missing_result__isset;
+
+class Peer_missing_result {
+ public:
+
+  Peer_missing_result(const Peer_missing_result&);
+  Peer_missing_result& operator=(const Peer_missing_result&);
+  Peer_missing_result() noexcept {
+  }
+
+  virtual ~Peer_missing_result() noexcept;
+  std::vector<std::string>  success;
+
+  _Peer_missing_result__isset __isset;
+
+  void __set_success(const std::vector<std::string> & val);
+
+  bool operator == (const Peer_missing_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    return true;
+  }
+  bool operator != (const Peer_missing_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Peer_missing_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Peer_missing_presult__isset {
+  _Peer_missing_presult__isset() : success(false) {}
+  bool success :1;
+} _Peer_missing_presult__isset;
+
+class Peer_missing_presult {
+ public:
+
+
+  virtual ~Peer_missing_presult() noexcept;
+  std::vector<std::string> * success;
+
+  _Peer_missing_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 typedef struct _Peer_probe_args__isset {
   _Peer_probe_args__isset() : message(false) {}
   bool message :1;
@@ -835,6 +943,9 @@
   void cancel(const std::vector<std::string> & requests) override;
   void send_cancel(const std::vector<std::string> & requests);
   void recv_cancel();
+  void missing(std::vector<std::string> & _return, const std::vector<std::string> & requests) override;
+  void send_missing(const std::vector<std::string> & requests);
+  void recv_missing(std::vector<std::string> & _return);
   void probe(Gossip& _return, const Gossip& message) override;
   void send_probe(const Gossip& message);
   void recv_probe(Gossip& _return);
@@ -865,6 +976,7 @@
   void process_submit(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_deliver(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_cancel(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_missing(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_probe(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_probe_via(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_changes(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
@@ -875,6 +987,7 @@
     processMap_["submit"] = &PeerProcessor::process_submit;
     processMap_["deliver"] = &PeerProcessor::process_deliver;
     processMap_["cancel"] = &PeerProcessor::process_cancel;
+    processMap_["missing"] = &PeerProcessor::process_missing;
     processMap_["probe"] = &PeerProcessor::process_probe;
     processMap_["probe_via"] = &PeerProcessor::process_probe_via;
     processMap_["changes"] = &PeerProcessor::process_changes;
@@ -936,6 +1049,16 @@
     ifaces_[i]->cancel(requests);
   }
 
+  void missing(std::vector<std::string> & _return, const std::vector<std::string> & requests) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->missing(_return, requests);
+    }
+    ifaces_[i]->missing(_return, requests);
+    return;
+  }
+
   void probe(Gossip& _return, const Gossip& message) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
@@ -1017,6 +1140,9 @@
   void cancel(const std::vector<std::string> & requests) override;
   int32_t send_cancel(const std::vector<std::string> & requests);
   void recv_cancel(const int32_t seqid);
+  void missing(std::vector<std::string> & _return, const std::vector<std::string> & requests) override;
+  int32_t send_missing(const std::vector<std::string> & requests);
+  void recv_missing(std::vector<std::string> & _return, const int32_t seqid);
   void probe(Gossip& _return, const Gossip& message) override;
   int32_t send_probe(const Gossip& message);
   void recv_probe(Gossip& _return, const int32_t seqid);
--- a/src/gen/peer_types.cpp
+++ b/src/gen/peer_types.cpp
@@ -658,6 +658,10 @@
 void TokenUpdate::__set_reason(const std::string& val) {
   this->reason = val;
 }
+
+void TokenUpdate::__set_replaces(const int64_t val) {
+  this->replaces = val;
+}
 std::ostream& operator<<(std::ostream& out, const TokenUpdate& obj)
 {
   obj.printTo(out);
@@ -748,6 +752,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->replaces);
+          this->__isset.replaces = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -797,6 +809,10 @@
   xfer += oprot->writeString(this->reason);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("replaces", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->replaces);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -810,6 +826,7 @@
   swap(a.tokens, b.tokens);
   swap(a.state, b.state);
   swap(a.reason, b.reason);
+  swap(a.replaces, b.replaces);
   swap(a.__isset, b.__isset);
 }
 
@@ -820,6 +837,7 @@
   tokens = other17.tokens;
   state = other17.state;
   reason = other17.reason;
+  replaces = other17.replaces;
   __isset = other17.__isset;
 }
 TokenUpdate& TokenUpdate::operator=(const TokenUpdate& other18) {
@@ -829,6 +847,7 @@
   tokens = other18.tokens;
   state = other18.state;
   reason = other18.reason;
+  replaces = other18.replaces;
   __isset = other18.__isset;
   return *this;
 }
@@ -841,6 +860,7 @@
   out << ", " << "tokens=" << to_string(tokens);
   out << ", " << "state=" << to_string(state);
   out << ", " << "reason=" << to_string(reason);
+  out << ", " << "replaces=" << to_string(replaces);
   out << ")";
 }
 
--- a/src/gen/peer_types.h
+++ b/src/gen/peer_types.h
@@ -271,13 +271,14 @@
 std::ostream& operator<<(std::ostream& out, const SubmitReply& obj);
 
 typedef struct _TokenUpdate__isset {
-  _TokenUpdate__isset() : request(false), lineage(false), index(false), tokens(false), state(false), reason(false) {}
+  _TokenUpdate__isset() : request(false), lineage(false), index(false), tokens(false), state(false), reason(false), replaces(false) {}
   bool request :1;
   bool lineage :1;
   bool index :1;
   bool tokens :1;
   bool state :1;
   bool reason :1;
+  bool replaces :1;
 } _TokenUpdate__isset;
 
 class TokenUpdate : public virtual ::apache::thrift::TBase {
@@ -290,7 +291,8 @@
                 lineage(0),
                 index(0),
                 state(static_cast<UpdateState::type>(0)),
-                reason() {
+                reason(),
+                replaces(0) {
   }
 
   virtual ~TokenUpdate() noexcept;
@@ -304,6 +306,7 @@
    */
   UpdateState::type state;
   std::string reason;
+  int64_t replaces;
 
   _TokenUpdate__isset __isset;
 
@@ -319,6 +322,8 @@
 
   void __set_reason(const std::string& val);
 
+  void __set_replaces(const int64_t val);
+
   bool operator == (const TokenUpdate & rhs) const
   {
     if (!(request == rhs.request))
@@ -333,6 +338,8 @@
       return false;
     if (!(reason == rhs.reason))
       return false;
+    if (!(replaces == rhs.replaces))
+      return false;
     return true;
   }
   bool operator != (const TokenUpdate &rhs) const {
--- /dev/null
+++ b/src/http_front.h
@@ -0,0 +1,126 @@
+// HTTP interface for callers and operators.
+#pragma once
+
+#include <cpprest/http_listener.h>
+
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "runtime.h"
+
+namespace trefoilwick::detail {
+
+// An error answer (RFC 9457).
+struct Problem {
+  int status = 500;
+  // Last part of the problem type, e.g. "limit_exceeded".
+  std::string type;
+  std::string detail;
+  Outcome outcome = Outcome::kNotRun;
+  // 0: no Retry-After header.
+  Duration retry_after{0};
+  // Other entry instances to use, for a leaving one.
+  std::vector<std::string> alternatives;
+};
+
+// One HTTP request with its body and the answer that is owed. Copies share the
+// request; the first answer counts, later ones are dropped.
+class Exchange {
+ public:
+  Exchange(Runtime& runtime, web::http::http_request request);
+  const std::string& method() const { return m_state->method; }
+  // Decoded path segments.
+  const std::vector<std::string>& path() const { return m_state->path; }
+  std::string Query(const std::string& name) const;
+  std::string Header(const std::string& name) const;
+  const std::string& body() const { return m_state->body; }
+  void SetBody(std::string body);
+  // Answers 408 when called before the body was read. Does not keep the
+  // exchange alive.
+  std::function<void()> BodyTimeout() const;
+  void SetRequestId(const std::string& id) { m_state->id = id; }
+  const std::string& request_id() const { return m_state->id; }
+  web::http::http_request& raw() { return m_state->request; }
+
+  void Reply(int status, const nlohmann::json& body) const;
+  void ReplyText(int status,
+                 const std::string& body,
+                 const std::string& content_type) const;
+  void ReplyProblem(const Problem& problem) const;
+  // Adds the headers every answer carries and sends it; `done` is called with
+  // false when the caller went away.
+  void Send(web::http::http_response response,
+            std::function<void(bool)> done = nullptr) const;
+
+ private:
+  struct State {
+    explicit State(Runtime& with_runtime) : runtime(with_runtime) {}
+    ~State();
+    Runtime& runtime;
+    web::http::http_request request;
+    std::string method;
+    std::vector<std::string> path;
+    std::string body;
+    std::string id;
+    std::atomic<bool> body_read{false};
+    std::atomic<bool> answered{false};
+  };
+  explicit Exchange(std::shared_ptr<State> state);
+  std::shared_ptr<State> m_state;
+};
+
+// A caller that authenticated, with the table its request is judged by.
+struct Caller {
+  std::shared_ptr<const Table> table;
+  const Account* account = nullptr;
+};
+
+class HttpFront {
+ public:
+  explicit HttpFront(Runtime& runtime);
+  // kUnavailable when the address cannot be bound.
+  absl::Status Start();
+  void Stop();
+
+ private:
+  void OnRequest(web::http::http_request request);
+  void ReadBody(Exchange exchange);
+  void Dispatch(Exchange exchange);
+  void DispatchAdmin(const Exchange& exchange);
+  std::optional<Caller> Authenticate(const Exchange& exchange) const;
+  bool IsOperator(const Exchange& exchange) const;
+  // True when new work was refused since the instance leaves.
+  bool RefuseWhenLeaving(const Exchange& exchange) const;
+
+  // daemon_completions.cc
+  void Completions(const Exchange& exchange, const Caller& caller);
+  void ResumeStream(const Exchange& exchange, const Caller* caller);
+  void OutcomeOf(const Exchange& exchange, const Caller* caller);
+  // daemon_services.cc
+  void ServiceCall(const Exchange& exchange, const Caller& caller);
+  void OperationOutcome(const Exchange& exchange, const Caller& caller);
+  void SubmitBatchJob(const Exchange& exchange, const Caller& caller);
+  void ShowBatch(const Exchange& exchange, const Caller& caller);
+  // daemon_admin.cc
+  void Entries(const Exchange& exchange) const;
+  void ShowTable(const Exchange& exchange);
+  void ApplyTable(const Exchange& exchange);
+  void TableHistory(const Exchange& exchange);
+  void ShowStatus(const Exchange& exchange);
+  void ShowBurn(const Exchange& exchange);
+  void QuarantineCommand(const Exchange& exchange);
+  // Posts a blocking task to the store pool, or refuses with 503.
+  void OnStorePool(const Exchange& exchange, std::function<void()> task);
+
+  Runtime& m_runtime;
+  std::unique_ptr<web::http::experimental::listener::http_listener> m_listener;
+};
+
+// Starts leaving (SIGTERM or the drain command); returns at once.
+void StartLeaving(Runtime& runtime);
+
+}  // namespace trefoilwick::detail
--- /dev/null
+++ b/src/peer.h
@@ -0,0 +1,129 @@
+// Messages between entry instances, without Thrift types.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "trefoilwick/kernel.h"
+#include "trefoilwick/pipeline.h"
+
+namespace trefoilwick::detail {
+
+struct RemoteSubmission {
+  std::string chain;
+  int64_t entry_incarnation = 0;
+  Submission submission;
+};
+
+struct SubmitResult {
+  // Empty when accepted.
+  std::optional<SubmitRefusal> refusal;
+  Duration expected_wait{0};
+  int64_t scheduler_incarnation = 0;
+};
+
+struct ChainLoadReport {
+  std::string chain;
+  Duration expected_wait{0};
+  int queued = 0;
+  int running = 0;
+};
+
+struct Delivery {
+  std::string scheduler;
+  int64_t scheduler_incarnation = 0;
+  std::vector<TokenUpdate> updates;
+  std::vector<ChainLoadReport> loads;
+};
+
+struct PeerTableChanges {
+  int64_t head = 0;
+  // Encoded TableDelta, oldest first; empty with `snapshot` when the asker is
+  // too far behind.
+  std::vector<std::string> changes;
+  std::string snapshot;
+};
+
+struct PeerOutcome {
+  // The instance knows the request.
+  bool known = false;
+  int64_t incarnation = 0;
+  std::string outcome;
+  std::string detail;
+};
+
+// Serves the calls of peers. Called on the server's own threads.
+class PeerHandler {
+ public:
+  virtual ~PeerHandler() = default;
+  virtual SubmitResult OnSubmit(RemoteSubmission submission) = 0;
+  virtual std::vector<std::string> OnDeliver(Delivery delivery) = 0;
+  virtual void OnCancel(const std::vector<std::string>& requests) = 0;
+  virtual std::vector<std::string> OnMissing(
+      const std::vector<std::string>& requests) = 0;
+  virtual std::string OnProbe(const std::string& gossip) = 0;
+  virtual absl::StatusOr<std::string> OnProbeVia(const std::string& target,
+                                                 const std::string& gossip) = 0;
+  virtual PeerTableChanges OnChanges(int64_t after) = 0;
+  virtual PeerOutcome OnOutcome(const std::string& request) = 0;
+};
+
+// Accepts connections of peers on "host:port".
+class PeerServer {
+ public:
+  PeerServer(const std::string& address, PeerHandler& handler);
+  ~PeerServer();
+  // kUnavailable when the address cannot be bound.
+  absl::Status Start();
+  void Stop();
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+// How one call to a peer is made.
+struct PeerCall {
+  // host:port
+  std::string address;
+  Duration timeout{500'000};
+  // Do not use a pooled connection: it may have gone silent.
+  bool fresh_connection = false;
+};
+
+// Blocking calls to peers over pooled connections; thread-safe. Errors:
+// kUnavailable when the call certainly did not reach the peer, kUnknown
+// otherwise.
+class PeerClient {
+ public:
+  PeerClient();
+  ~PeerClient();
+  absl::StatusOr<SubmitResult> Submit(const PeerCall& call,
+                                      const RemoteSubmission& submission);
+  absl::StatusOr<std::vector<std::string>> Deliver(const PeerCall& call,
+                                                   const Delivery& delivery);
+  absl::Status Cancel(const PeerCall& call,
+                      const std::vector<std::string>& requests);
+  absl::StatusOr<std::vector<std::string>> Missing(
+      const PeerCall& call,
+      const std::vector<std::string>& requests);
+  absl::StatusOr<std::string> Probe(const PeerCall& call,
+                                    const std::string& gossip);
+  absl::StatusOr<std::string> ProbeVia(const PeerCall& call,
+                                       const std::string& target,
+                                       const std::string& gossip);
+  absl::StatusOr<PeerTableChanges> Changes(const PeerCall& call, int64_t after);
+  absl::StatusOr<PeerOutcome> Outcome(const PeerCall& call,
+                                      const std::string& request);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace trefoilwick::detail
--- a/src/peer.thrift
+++ b/src/peer.thrift
@@ -38,6 +38,8 @@
   4: list<string> tokens;
   5: UpdateState state;
   6: string reason;
+  // Lineage that this one replaces; 0 when it replaces none.
+  7: i64 replaces;
 }
 
 struct ChainLoad {
@@ -77,6 +79,8 @@
   // Returns the requests that this entry no longer owns.
   list<string> deliver(1: DeliverMessage message);
   void cancel(1: list<string> requests);
+  // Returns the requests that are neither queued nor running here.
+  list<string> missing(1: list<string> requests);
   Gossip probe(1: Gossip message);
   Gossip probe_via(1: string target, 2: Gossip message);
   TableChanges changes(1: i64 after);
