--- a/include/trefoilwick/config_store.h
+++ b/include/trefoilwick/config_store.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -20,8 +22,13 @@
 // A snapshot of the whole table is written every so many versions.
 inline constexpr int64_t kSnapshotInterval = 256;
 
+// Changes read from the store at once, also the most that a peer is sent.
+inline constexpr int kChangesPage = 256;
+
 // Key of the change row of a version; keys order like versions.
 std::string ConfigChangeKey(int64_t version);
+// Object that holds the table of a version, a multiple of kSnapshotInterval.
+std::string ConfigSnapshotName(int64_t version);
 
 // One entry of the change log.
 struct ConfigChange {
@@ -52,7 +59,8 @@
 // version is not base.version(). A lost answer is resolved by reading the
 // change row and comparing `attempt`; kUnknown when that cannot be read either.
 // Blocking. `attempt` must be unique per edit; committing the same attempt
-// again is idempotent.
+// again is idempotent. `edited` is checked first; its version is ignored. An
+// edit that changes nothing is accepted without a new version.
 CommitResult CommitTable(const Clock& clock,
                          TableService& store,
                          ObjectStore& objects,
@@ -65,17 +73,27 @@
 // version 0 when none was ever committed.
 absl::StatusOr<Table> LoadTable(TableService& store, ObjectStore& objects);
 
+// The newest accepted version; 0 when none was ever committed.
+absl::StatusOr<int64_t> ReadHeadVersion(TableService& store);
+
 // Change log entries newer than `after`, oldest first.
 absl::StatusOr<std::vector<ConfigChange>> ReadChanges(TableService& store,
                                                       int64_t after,
                                                       int limit);
 
-// Actions of ConfigSpread.
+// Actions of ConfigSpread. Each of the first four is answered by one event.
+
+// ReadHeadVersion, answered by OnHead.
 struct ReadHead {};
+// ReadChanges with kChangesPage, answered by OnChanges.
 struct FetchChanges {
   int64_t after = 0;
 };
+// LoadTable, answered by OnSnapshot.
 struct FetchSnapshot {};
+// Answered by OnChanges with what the peer's RecentSince(after) returns, or by
+// OnSnapshot with the peer's table when that is nullopt. `after` is -1 when
+// this instance has no table yet.
 struct FetchFromPeer {
   std::string peer;
   int64_t after = 0;
@@ -87,13 +105,14 @@
     variant<ReadHead, FetchChanges, FetchSnapshot, FetchFromPeer, InstallTable>;
 
 // Keeps this instance's table up to date; a state machine. Versions only grow,
-// whatever order replies arrive in. Not thread-safe.
+// whatever order replies arrive in. Asks the store first and a peer when the
+// store failed or lacks the version. Not thread-safe.
 class ConfigSpread {
  public:
   explicit ConfigSpread(uint64_t seed,
                         Duration poll_interval = std::chrono::seconds(1));
   void OnTick(TimePoint now);
-  // Version that a peer has in force, from gossip.
+  // Version that a peer has in force, from gossip. The latest is remembered.
   void OnPeerVersion(TimePoint now, const std::string& peer, int64_t version);
   void OnHead(TimePoint now, const absl::StatusOr<int64_t>& head);
   // Changes newer than the `after` of the request, from the store or a peer.
@@ -106,24 +125,60 @@
   std::vector<SpreadAction> TakeActions();
   // Null until a table was installed.
   std::shared_ptr<const Table> table() const { return m_table; }
+  // The newest version that the store confirmed or a peer claims. A claim that
+  // neither the store nor the peer could back up does not count.
   int64_t newest_known() const { return m_newest; }
   // Recent deltas kept to serve peers; nullopt when `after` is too old and the
   // peer needs the whole table.
   std::optional<std::vector<TableDelta>> RecentSince(int64_t after) const;
 
  private:
-  void Install(std::shared_ptr<const Table> table);
+  // What a peer says it has, when newer than this instance's table.
+  struct Claim {
+    int64_t version = 0;
+    int failures = 0;
+    TimePoint retry_at{};
+  };
+  // The one outstanding fetch; from the store when `peer` is empty.
+  struct Fetch {
+    std::string peer;
+    int64_t after = 0;
+    bool whole = false;
+    TimePoint deadline{};
+  };
+  // -1 without a table.
+  int64_t Version() const { return m_table ? m_table->version() : -1; }
+  Duration Backoff(Duration base, int failures, Duration limit);
+  void Install(Table table);
+  void Remember(const TableDelta& delta);
+  bool ApplyChanges(const std::vector<TableDelta>& changes);
+  void UpdateNewest();
+  void StoreFailed(TimePoint now);
+  void FetchSucceeded(TimePoint now);
+  void FetchFailed(TimePoint now, bool source_failed);
+  std::vector<std::string> Candidates(TimePoint now) const;
   void RequestMissing(TimePoint now);
+  void StartFetch(TimePoint now, const std::string& peer);
 
   Random m_random;
   Duration m_poll_interval;
   TimePoint m_next_poll{};
-  TimePoint m_fetch_deadline{};
+  bool m_head_pending = false;
+  TimePoint m_head_deadline{};
+  // Newest version confirmed by the store; -1 before the first answer.
+  int64_t m_head = -1;
+  int m_store_failures = 0;
+  // The store answered without the version that a peer claims.
+  bool m_store_lacks = false;
+  std::optional<Fetch> m_fetch;
+  TimePoint m_next_fetch{};
+  int m_fetch_failures = 0;
+  int m_gap_replies = 0;
   std::shared_ptr<const Table> m_table;
   int64_t m_newest = 0;
-  std::string m_newest_peer;
-  bool m_store_failed = false;
-  std::vector<TableDelta> m_recent;
+  std::map<std::string, Claim> m_claims;
+  std::deque<TableDelta> m_recent;
+  size_t m_recent_rows = 0;
   std::vector<SpreadAction> m_actions;
 };
 
--- a/include/trefoilwick/table.h
+++ b/include/trefoilwick/table.h
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -56,16 +58,19 @@
   bool operator==(const TableDelta&) const = default;
 };
 
-// An immutable, checked table. Copies are explicit via ApplyDelta.
+// An immutable table. Copies share the rows and are cheap.
 class Table {
  public:
-  Table() = default;
+  // No rows, version 0.
+  Table();
   Table(int64_t version,
         std::map<std::string, Kind> kinds,
         std::map<std::string, Account> accounts);
   int64_t version() const { return m_version; }
-  const std::map<std::string, Kind>& kinds() const { return m_kinds; }
-  const std::map<std::string, Account>& accounts() const { return m_accounts; }
+  const std::map<std::string, Kind>& kinds() const { return m_rows->kinds; }
+  const std::map<std::string, Account>& accounts() const {
+    return m_rows->accounts;
+  }
   // Each returns null when there is no such row.
   const Kind* FindKind(std::string_view name) const;
   const Account* FindAccount(std::string_view name) const;
@@ -73,25 +78,46 @@
   // The kind with the lowest rank among those that serve `model`: what a
   // request that names no kind gets. Ties go to the first by name.
   const Kind* DefaultKindForModel(std::string_view model) const;
+  // The same rows under another version.
+  Table WithVersion(int64_t version) const;
+  bool operator==(const Table& other) const;
 
  private:
+  struct Rows {
+    std::map<std::string, Kind> kinds;
+    std::map<std::string, Account> accounts;
+    // Refers to `accounts`; built once the maps no longer change.
+    std::unordered_map<std::string_view, const Account*> account_by_key_hash;
+  };
   int64_t m_version = 0;
-  std::map<std::string, Kind> m_kinds;
-  std::map<std::string, Account> m_accounts;
-  // Points into m_accounts by name.
-  std::unordered_map<std::string, std::string> m_account_by_key_hash;
+  std::shared_ptr<const Rows> m_rows;
+};
+
+// Names that the rows of a table may refer to. An empty list: not checked.
+struct KnownTargets {
+  std::vector<std::string> models;
+  std::vector<std::string> services;
 };
 
 // Parses and checks TOML. Every problem is added to `findings` with its line:
-// unknown field, wrong type, missing or out-of-range value, duplicate name or
-// key hash, floors that sum over 1, unknown model or service. `known_models`
-// empty: models are not checked. Returns kInvalidArgument with all findings as
-// message when there is any.
+// syntax error, unknown field, wrong type, missing or out-of-range value,
+// duplicate name or key hash, floors that sum over 1, unknown model or service.
+// The version of the table is the optional top-level field `version`, else 0.
+// Returns kInvalidArgument with all findings as message when there is any.
+absl::StatusOr<Table> ParseTable(const std::string& text,
+                                 const std::string& file,
+                                 const KnownTargets& known,
+                                 Findings& findings);
+// As above with `known_models` only; services are not checked.
 absl::StatusOr<Table> ParseTable(const std::string& text,
                                  const std::string& file,
                                  const std::vector<std::string>& known_models,
                                  Findings& findings);
 
+// The checks of ParseTable for a table that was made in another way. Findings
+// have line 0 and name the row.
+void CheckTable(const Table& table, const std::string& file, Findings& found);
+
 // TOML text that ParseTable reads back to an equal table.
 std::string FormatTable(const Table& table);
 
@@ -101,11 +127,20 @@
 // Returns kFailedPrecondition unless delta.version is table.version() + 1.
 absl::StatusOr<Table> ApplyDelta(const Table& table, const TableDelta& delta);
 
+// Applies several deltas with one copy of the rows. Returns
+// kFailedPrecondition unless their versions follow that of `table` without a
+// gap.
+absl::StatusOr<Table> ApplyDeltas(const Table& table,
+                                  std::span<const TableDelta> deltas);
+
 // One line per changed row, "+", "-" or "~" first; "~" lines name the changed
 // fields with old and new value.
 std::string FormatDelta(const Table& from, const TableDelta& delta);
 
-// Compact serialised forms for the change log and for peers.
+// Serialised forms for the change log and for peers: JSON in UTF-8, short
+// names, default values left out. Decoding skips fields it does not know, and
+// checks types but not ranges, so that instances of an older version can read a
+// table accepted under newer rules. Errors are kInvalidArgument.
 std::string EncodeDelta(const TableDelta& delta);
 absl::StatusOr<TableDelta> DecodeDelta(const std::string& bytes);
 std::string EncodeTable(const Table& table);
