Fix daemon build against the merged table module

Cause: the module's final interface differs from the draft. Change: names of the head reader and the model list.

--- a/src/control_host.h
+++ b/src/control_host.h
@@ -48,7 +48,7 @@
   void OnMemberChanged(const Member& member);
   void OnItem(const GossipItem& item);
   void PublishMembers();
-  void ReadHeadVersion();
+  void ReadHeadOfStore();
   void Fetch(int64_t after);
   void FetchSnapshotTable();
   void FetchPeer(const FetchFromPeer& fetch);
--- a/src/daemon_cli.cc
+++ b/src/daemon_cli.cc
@@ -27,6 +27,8 @@
 constexpr int kUsageError = 2;
 constexpr int kUnknownOutcome = 3;
 constexpr std::chrono::seconds kCallTimeout{15};
+// The client does not know the models of the fleet; the instance checks them.
+const std::vector<std::string> kAnyModel;
 
 std::string Environment(const char* name) {
   const char* value = std::getenv(name);
@@ -162,7 +164,7 @@
   // A table has rows of kinds or accounts; settings have neither.
   const bool is_table = text->find("[[kind]]") != std::string::npos ||
                         text->find("[[account]]") != std::string::npos;
-  const bool ok = is_table ? ParseTable(*text, path, {}, findings).ok()
+  const bool ok = is_table ? ParseTable(*text, path, kAnyModel, findings).ok()
                            : ParseSettings(*text, path, findings).ok();
   if (!ok) {
     std::cerr << findings.ToString();
@@ -214,7 +216,7 @@
     return kRefused;
   }
   Findings findings;
-  const auto edited = ParseTable(*text, path, {}, findings);
+  const auto edited = ParseTable(*text, path, kAnyModel, findings);
   if (!edited.ok()) {
     std::cerr << findings.ToString();
     return kRefused;
@@ -227,7 +229,7 @@
   const json body = json::parse(result.body);
   Findings none;
   const auto current =
-      ParseTable(body["toml"].get<std::string>(), "current", {}, none);
+      ParseTable(body["toml"].get<std::string>(), "current", kAnyModel, none);
   const Table from = current.ok() ? *current : Table();
   std::cout << FormatDelta(from, DiffTables(from, *edited));
   return kDone;
--- a/src/daemon_control_host.cc
+++ b/src/daemon_control_host.cc
@@ -293,7 +293,7 @@
   }
   for (SpreadAction& action : m_spread.TakeActions()) {
     std::visit(Overloaded{
-                   [&](ReadHead&) { ReadHeadVersion(); },
+                   [&](ReadHead&) { ReadHeadOfStore(); },
                    [&](FetchChanges& fetch) { Fetch(fetch.after); },
                    [&](FetchSnapshot&) { FetchSnapshotTable(); },
                    [&](FetchFromPeer& fetch) { FetchPeer(fetch); },
@@ -311,9 +311,9 @@
   }
 }
 
-void ControlHost::ReadHeadVersion() {
+void ControlHost::ReadHeadOfStore() {
   const bool posted = m_runtime.store_pool.TryPost([this] {
-    auto head = ReadHeadVersionFromStore(*m_runtime.store);
+    auto head = trefoilwick::ReadHeadVersion(*m_runtime.store);
     m_runtime.control_loop.Post([this, head = std::move(head)] {
       m_spread.OnHead(m_runtime.clock.Now(), head);
       Pump();
--- a/src/daemon_serve.cc
+++ b/src/daemon_serve.cc
@@ -1,8 +1,11 @@
 #include <openssl/sha.h>
 
-#include <pplx/threadpool.h>
 #include <csignal>
 #include <thread>
+#include <utility>
+
+// After <utility>: Boost.Asio uses std::exchange without including it.
+#include <pplx/threadpool.h>
 
 #include "http_front.h"
 #include "serve.h"
--- a/src/http_front.h
+++ b/src/http_front.h
@@ -42,7 +42,7 @@
   // Answers 408 when called before the body was read. Does not keep the
   // exchange alive.
   std::function<void()> BodyTimeout() const;
-  void SetRequestId(const std::string& id) { m_state->id = id; }
+  void SetRequestId(const std::string& id) const { m_state->id = id; }
   const std::string& request_id() const { return m_state->id; }
   web::http::http_request& raw() { return m_state->request; }
 
