--- a/include/trefoilwick/admission.h
+++ b/include/trefoilwick/admission.h
@@ -88,23 +88,31 @@
   double kind_floor = 0;
   Rank rank = Rank::kOrdinary;
   TimePoint enqueued;
+  // Service the entry will probably need. Counted from Pop on, so that one
+  // account cannot take all free places before its first charge.
+  double expected_cost = 0;
+  // Set by Pop: chosen since its kind was below its floor.
+  bool by_floor = false;
 };
 
 // Orders queued requests: urgent rank first, except that a kind that received
 // less than its floor of the recent service goes ahead; within a rank, kinds
 // and then accounts by weighted fair virtual time of the service they really
-// got. An account that was idle starts at the current virtual time. One
-// instance per chain; not thread-safe.
+// got. An account that was idle starts at the current virtual time, and what it
+// used while nobody else waited is not held against it. One instance per chain;
+// not thread-safe.
 class FairQueue {
  public:
-  // Time constant of the window over which floors are judged.
+  // Time constant of the window over which floors are judged: a kind claims at
+  // most its floor of the service of one window afterwards.
   explicit FairQueue(Duration floor_window = std::chrono::seconds(10));
   ~FairQueue();
   FairQueue(FairQueue&&) noexcept;
   FairQueue& operator=(FairQueue&&) noexcept;
 
   void Push(QueueEntry entry);
-  // Puts an entry back at the head of its account, without charge.
+  // Puts a popped entry back at the head of its account, without charge;
+  // `expected_cost` is the part of its estimate that was not used.
   void PushFront(QueueEntry entry);
   // The next entry to serve; nullopt when empty.
   std::optional<QueueEntry> Pop(TimePoint now);
@@ -115,10 +123,18 @@
               const std::string& kind,
               const std::string& account,
               double cost);
+  // A popped entry ended; `unused` is the part of its expected cost that was
+  // not charged.
+  void Finish(const std::string& kind,
+              const std::string& account,
+              double unused);
   size_t size() const;
   size_t size(Rank rank) const;
+  // Entries of one account, and accounts with entries, of the given rank.
+  size_t QueuedOf(Rank rank, const std::string& account) const;
+  size_t QueuedAccounts(Rank rank) const;
   // Number of queued entries that would be served before a new entry of this
-  // rank and kind, ignoring floors.
+  // rank and account, ignoring floors.
   size_t Ahead(Rank rank, const std::string& account) const;
   // Oldest entries first, at most `limit`, of the given rank.
   std::vector<std::string> Oldest(Rank rank, size_t limit) const;
--- a/include/trefoilwick/pipeline.h
+++ b/include/trefoilwick/pipeline.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -116,12 +117,20 @@
 struct TokenUpdate {
   std::string request;
   uint64_t lineage = 0;
+  // The lineage that `lineage` replaces, 0 for the submitted one. An entry
+  // whose current lineage is `replaces` makes `lineage` the current one; an
+  // update that matches neither is dropped.
+  uint64_t replaces = 0;
   int index = 0;
   std::vector<std::string> tokens;
   UpdateState state = UpdateState::kRunning;
-  // Machine-readable reason when failed: "chain_lost", "stopped",
-  // "quarantined".
+  // Machine-readable reason when failed: "quarantined", "no_progress" (the
+  // stages keep losing its state) or what Dissolve was given ("chain_lost",
+  // "stopped").
   std::string reason;
+  // Set on failure when the request may have crashed a server: a new submission
+  // must have `isolated` set.
+  bool suspect = false;
 };
 // Tokens for one entry; one action per step and entry.
 struct DeliverTokens {
@@ -163,11 +172,21 @@
   int max_batch = 16;
   // Prompt tokens run in one step for one micro-batch.
   int max_prefill_tokens = 512;
+  // Micro-batches in flight beyond one per stage; covers the time between the
+  // end of a step at one stage and its start at the next.
+  int extra_micro_batches = 1;
+  // Queued requests of one rank. When they are reached, an account that has
+  // less than an equal part of them may still queue, up to twice as many.
   size_t max_queue = 4096;
+  // Times a batch-rank request may be put back for an urgent one.
+  int max_preemptions = 2;
+  // Bounds of the doubling wait before a refused claim is repeated.
+  Duration claim_backoff_min{50'000};
+  Duration claim_backoff_max{5'000'000};
   // Time a claim may take before it is repeated.
   Duration claim_timeout{1'000'000};
-  // A request refused at once when its expected wait is over this multiple of
-  // its first-token target.
+  // A request is refused at once when its expected wait is over this multiple
+  // of its first-token target.
   double refuse_over_target = 1.0;
   // Tokens of prompt that cost as much service as one generated token.
   double prefill_cost = 0.1;
@@ -176,12 +195,17 @@
 // Scheduler of one chain; a state machine. Events return nothing; the adapter
 // collects what is to be done with TakeActions(). Not thread-safe.
 //
-// Up to one micro-batch per stage is in flight. A request belongs to one
-// micro-batch until it ends. A step failure first repeats the call on a fresh
-// connection (steps are idempotent at a stage: the stage returns the stored
-// result of the last step of a lineage), then asks for a replacement stage;
-// the requests in the batch restart with a new lineage that replays the prompt
-// and the tokens already delivered.
+// Up to one micro-batch per stage and `extra_micro_batches` are in flight. A
+// request joins a micro-batch between two of its rounds. A step failure first
+// repeats the call on a fresh connection (steps are idempotent at a stage: the
+// stage returns the stored result of the last step of a lineage), then asks for
+// a replacement stage; all running requests restart with a new lineage that
+// replays the prompt and the tokens already delivered. Requests of the failed
+// step first run alone at each stage; one whose lone run fails a server again
+// is quarantined.
+//
+// OnTick sends releases, batched per server, and repeats claims; it must be
+// called at least every 200 ms.
 class ChainScheduler {
  public:
   class Builder {
@@ -203,8 +227,11 @@
   };
   ~ChainScheduler();
 
-  // Queues a request, or says why not; nothing was run then.
+  // Queues a request, or says why not; nothing was run then. A submission with
+  // a new lineage of a known request replaces the older one. `retry_after` is
+  // the expected time until it would be accepted, without jitter.
   std::optional<SubmitRefusal> Submit(TimePoint now, Submission submission);
+  // Ends a request without a further update.
   void Cancel(TimePoint now, const std::string& request);
   // Cancels what belongs to an entry that is gone.
   void CancelEntry(TimePoint now, const std::string& entry);
--- a/src/pipeline.cc
+++ b/src/pipeline.cc
@@ -1,1 +1,417 @@
 #include "trefoilwick/pipeline.h"
+
+#include <algorithm>
+#include <cmath>
+#include <sstream>
+
+#include "pipeline_impl.h"
+
+namespace trefoilwick {
+namespace {
+
+// A step in flight may store KV of a request that has ended; the release waits
+// for its answer, but not longer than this.
+constexpr Duration kReleaseDelay{500'000};
+// A request submitted as isolated crashed a server at most this many tokens
+// after those that its entry has received.
+constexpr int kIsolatedMargin = 8;
+// Added to the expected wait while a stage is being replaced.
+constexpr double kReplacementMicros = 1'000'000;
+
+std::vector<std::string> SplitWords(const std::string& text) {
+  std::istringstream stream(text);
+  std::vector<std::string> words;
+  for (std::string word; stream >> word;)
+    words.push_back(std::move(word));
+  // A sequence has at least one position to run.
+  if (words.empty())
+    words.emplace_back();
+  return words;
+}
+
+template <typename T>
+void EraseValue(T& list, detail::ChainRequest* request) {
+  std::erase(list, request);
+}
+
+}  // namespace
+
+namespace detail {
+
+const std::string& ChainRequest::TokenAt(int index) const {
+  const auto at = static_cast<size_t>(index);
+  return at < words.size() ? words[at] : submission.tokens[at - words.size()];
+}
+
+}  // namespace detail
+
+std::optional<SubmitRefusal> ChainScheduler::Impl::Submit(
+    Submission submission) {
+  if (!accepting)
+    return SubmitRefusal{"stopping", Duration{0}};
+  if (stages.empty())
+    return SubmitRefusal{"no_chain", Duration{0}};
+  auto banned = quarantined_prints.find(submission.fingerprint);
+  if (banned != quarantined_prints.end() && banned->second > now)
+    return SubmitRefusal{"quarantined", Duration{0}};
+  if (auto known = requests.find(submission.request); known != requests.end()) {
+    const Request& old = *known->second;
+    if (old.lineage == submission.lineage ||
+        old.submission.lineage == submission.lineage)
+      return SubmitRefusal{"duplicate", Duration{0}};
+    End(*known->second);
+  }
+  if (auto refusal = CheckLoad(submission))
+    return refusal;
+  Enqueue(std::move(submission));
+  return std::nullopt;
+}
+
+std::optional<SubmitRefusal> ChainScheduler::Impl::CheckLoad(
+    const Submission& submission) const {
+  const Rank rank = submission.rank;
+  const size_t queued = queue.size(rank);
+  if (queued >= options.max_queue) {
+    const size_t part = options.max_queue / (queue.QueuedAccounts(rank) + 1);
+    if (queued >= 2 * options.max_queue ||
+        queue.QueuedOf(rank, submission.account) >= part) {
+      const auto over = static_cast<double>(queued - options.max_queue + 1);
+      return SubmitRefusal{
+          "overloaded",
+          Duration{std::llround(std::max(round_us, over * MicrosPerPlace()))}};
+    }
+  }
+  if (rank == Rank::kBatch)
+    return std::nullopt;
+  const Duration wait = ExpectedWait(rank, submission.account);
+  const Duration limit{
+      std::llround(options.refuse_over_target *
+                   static_cast<double>(submission.first_token_target.count()))};
+  if (wait <= limit)
+    return std::nullopt;
+  return SubmitRefusal{
+      "overloaded", std::max(wait - limit, Duration{std::llround(round_us)})};
+}
+
+// Mean time between two places that become free.
+double ChainScheduler::Impl::MicrosPerPlace() const {
+  const double places = std::max(1.0, static_cast<double>(Capacity()));
+  return std::max(1.0, rounds_per_request) * round_us / places;
+}
+
+Duration ChainScheduler::Impl::ExpectedWait(Rank rank,
+                                            const std::string& account) const {
+  double wait = 0;
+  if (backoff_until > now)
+    wait += static_cast<double>((backoff_until - now).count());
+  for (const auto& stage : stages)
+    wait += stage.failed ? kReplacementMicros : 0;
+  const size_t busy = BatchedCount();
+  if (busy + queue.size() == 0)
+    return Duration{std::llround(wait)};
+  size_t free = Capacity() - std::min(busy, Capacity());
+  if (rank == Rank::kUrgent)
+    free += Preemptible();
+  const size_t ahead = queue.Ahead(rank, account) + 1;
+  wait += round_us / 2;
+  if (ahead > free)
+    wait += static_cast<double>(ahead - free) * MicrosPerPlace();
+  return Duration{std::llround(wait)};
+}
+
+void ChainScheduler::Impl::Enqueue(Submission submission) {
+  auto owned = std::make_unique<Request>();
+  Request& request = *owned;
+  request.words = SplitWords(submission.prompt);
+  submission.prompt.clear();
+  request.submission = std::move(submission);
+  const Submission& s = request.submission;
+  request.lineage = s.lineage;
+  request.isolated = s.isolated;
+  request.clear_at = request.length() + kIsolatedMargin;
+  requests[s.request] = std::move(owned);
+  if (request.complete()) {
+    AddUpdate(request, UpdateState::kFinished);
+    requests.erase(s.request);
+    return;
+  }
+  const auto left =
+      static_cast<double>(s.max_tokens) - static_cast<double>(s.tokens.size());
+  request.expected_cost = left + options.prefill_cost * request.length();
+  if (rounds_per_request == 0)
+    rounds_per_request = left;
+  queue.Push({s.request, s.account, s.account_weight, s.kind, s.kind_weight,
+              s.kind_floor, s.rank, now, request.expected_cost});
+}
+
+// Forgets a request: its place, its queue entry and its KV.
+void ChainScheduler::Impl::End(Request& request) {
+  Release(request);
+  Detach(request);
+  const Submission& s = request.submission;
+  if (request.queued)
+    queue.Erase(s.request);
+  else
+    queue.Finish(s.kind, s.account, request.expected_cost);
+  requests.erase(std::string(s.request));
+}
+
+void ChainScheduler::Impl::Detach(Request& request) {
+  if (Batch* batch = request.batch) {
+    EraseValue(batch->members, &request);
+    std::replace(batch->owners.begin(), batch->owners.end(), &request,
+                 static_cast<Request*>(nullptr));
+    request.batch = nullptr;
+    return;
+  }
+  EraseValue(rejoin, &request);
+  EraseValue(suspects, &request);
+}
+
+void ChainScheduler::Impl::Fail(Request& request,
+                                UpdateState state,
+                                const std::string& reason) {
+  AddUpdate(request, state, {}, reason);
+  End(request);
+}
+
+void ChainScheduler::Impl::AddUpdate(const Request& request,
+                                     UpdateState state,
+                                     std::vector<std::string> tokens,
+                                     const std::string& reason) {
+  const Submission& s = request.submission;
+  TokenUpdate update;
+  update.request = s.request;
+  update.lineage = request.lineage;
+  update.replaces = request.replaces;
+  update.index = static_cast<int>(s.tokens.size() - tokens.size());
+  update.tokens = std::move(tokens);
+  update.state = state;
+  update.reason = reason;
+  update.suspect = state == UpdateState::kFailed && request.isolated;
+  auto found =
+      std::find_if(outgoing.begin(), outgoing.end(),
+                   [&](const auto& group) { return group.entry == s.entry; });
+  if (found == outgoing.end())
+    found = outgoing.insert(outgoing.end(), DeliverTokens{s.entry, {}});
+  found->updates.push_back(std::move(update));
+}
+
+void ChainScheduler::Impl::FlushUpdates() {
+  for (auto& group : outgoing)
+    actions.emplace_back(std::move(group));
+  outgoing.clear();
+}
+
+// Schedules the release of the current lineage's KV.
+void ChainScheduler::Impl::Release(Request& request) {
+  if (!request.used)
+    return;
+  request.used = false;
+  detail::ReleaseKey key{request.submission.request, request.lineage};
+  Batch* batch = request.batch;
+  const bool stepping = batch && batch->in_flight &&
+                        std::find(batch->owners.begin(), batch->owners.end(),
+                                  &request) != batch->owners.end();
+  releases[key] = stepping ? now + kReleaseDelay : now;
+  if (stepping)
+    batch->late_releases.push_back(std::move(key));
+}
+
+void ChainScheduler::Impl::FlushReleases(bool all) {
+  SendRelease release;
+  for (auto it = releases.begin(); it != releases.end();) {
+    if (!all && it->second > now) {
+      ++it;
+      continue;
+    }
+    release.requests.push_back(it->first);
+    it = releases.erase(it);
+  }
+  if (release.requests.empty())
+    return;
+  for (const auto& stage : stages) {
+    if (stage.failed)
+      continue;
+    release.server = stage.server;
+    actions.emplace_back(release);
+  }
+}
+
+size_t ChainScheduler::Impl::BatchedCount() const {
+  size_t count = rejoin.size();
+  for (const auto& batch : batches)
+    count += batch->isolated ? 0 : batch->members.size();
+  return count;
+}
+
+size_t ChainScheduler::Impl::Capacity() const {
+  return batches.empty()
+             ? 0
+             : (batches.size() - 1) * static_cast<size_t>(options.max_batch);
+}
+
+ChainScheduler::Builder& ChainScheduler::Builder::SchedulerId(uint16_t id) {
+  m_scheduler_id = id;
+  return *this;
+}
+
+ChainScheduler::Builder& ChainScheduler::Builder::Incarnation(
+    uint32_t incarnation) {
+  m_incarnation = incarnation;
+  return *this;
+}
+
+ChainScheduler::Builder& ChainScheduler::Builder::Options(
+    ChainSchedulerOptions options) {
+  m_options = options;
+  return *this;
+}
+
+ChainScheduler::Builder& ChainScheduler::Builder::InitialChain(Chain chain) {
+  m_chain = std::move(chain);
+  return *this;
+}
+
+absl::StatusOr<std::unique_ptr<ChainScheduler>> ChainScheduler::Builder::Build(
+    TimePoint now) {
+  const ChainSchedulerOptions& o = m_options;
+  if (o.max_batch < 1 || o.max_prefill_tokens < 1 ||
+      o.extra_micro_batches < 0 || o.claim_backoff_min.count() < 1)
+    return MakeStatus(absl::StatusCode::kInvalidArgument,
+                      "scheduler options out of range");
+  auto impl = std::make_unique<Impl>();
+  impl->id = m_scheduler_id;
+  // Chains that one process schedules must not share lineages.
+  impl->prefix = m_incarnation ^
+                 static_cast<uint32_t>(StableHash(m_chain.id, m_scheduler_id));
+  impl->options = o;
+  impl->random = Random(StableHash(m_chain.id, impl->prefix));
+  impl->now = now;
+  impl->BuildStages(m_chain);
+  return std::unique_ptr<ChainScheduler>(new ChainScheduler(std::move(impl)));
+}
+
+ChainScheduler::ChainScheduler(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl)) {}
+ChainScheduler::~ChainScheduler() = default;
+
+std::optional<SubmitRefusal> ChainScheduler::Submit(TimePoint now,
+                                                    Submission submission) {
+  m_impl->now = now;
+  auto refusal = m_impl->Submit(std::move(submission));
+  m_impl->Pump();
+  return refusal;
+}
+
+void ChainScheduler::Cancel(TimePoint now, const std::string& request) {
+  m_impl->now = now;
+  if (auto it = m_impl->requests.find(request); it != m_impl->requests.end())
+    m_impl->End(*it->second);
+  m_impl->Pump();
+}
+
+void ChainScheduler::CancelEntry(TimePoint now, const std::string& entry) {
+  m_impl->now = now;
+  std::vector<Impl::Request*> owned;
+  for (const auto& [name, request] : m_impl->requests)
+    if (request->submission.entry == entry)
+      owned.push_back(request.get());
+  for (Impl::Request* request : owned)
+    m_impl->End(*request);
+  m_impl->Pump();
+}
+
+void ChainScheduler::OnStepReply(TimePoint now,
+                                 uint64_t step,
+                                 std::vector<StepResultItem> items) {
+  m_impl->now = now;
+  if (Impl::Batch* batch = m_impl->FindStep(step))
+    m_impl->OnReply(*batch, std::move(items));
+  m_impl->Pump();
+}
+
+void ChainScheduler::OnStepFailure(TimePoint now,
+                                   uint64_t step,
+                                   CallFailure failure,
+                                   uint64_t newest_epoch) {
+  m_impl->now = now;
+  if (Impl::Batch* batch = m_impl->FindStep(step))
+    m_impl->OnStepFailure(*batch, failure, newest_epoch);
+  m_impl->Pump();
+}
+
+void ChainScheduler::OnClaimReply(TimePoint now, uint64_t claim) {
+  m_impl->now = now;
+  if (detail::ChainStage* stage = m_impl->FindClaim(claim))
+    m_impl->OnClaimed(*stage);
+  m_impl->Pump();
+}
+
+void ChainScheduler::OnClaimFailure(TimePoint now,
+                                    uint64_t claim,
+                                    CallFailure failure,
+                                    uint64_t newest_epoch) {
+  m_impl->now = now;
+  if (detail::ChainStage* stage = m_impl->FindClaim(claim)) {
+    if (failure == CallFailure::kStaleEpoch)
+      m_impl->LoseEpoch(newest_epoch);
+    else
+      m_impl->OnClaimLost(*stage, failure);
+  }
+  m_impl->Pump();
+}
+
+void ChainScheduler::OnTick(TimePoint now) {
+  m_impl->now = now;
+  for (auto& stage : m_impl->stages)
+    if (stage.claim != 0 &&
+        now - stage.claim_sent >= m_impl->options.claim_timeout)
+      m_impl->OnClaimLost(stage, CallFailure::kLost);
+  m_impl->FlushReleases(false);
+  m_impl->DropOldPrints();
+  m_impl->Pump();
+}
+
+void ChainScheduler::SetChain(TimePoint now, Chain chain) {
+  m_impl->now = now;
+  m_impl->SetChain(std::move(chain));
+  m_impl->Pump();
+}
+
+void ChainScheduler::Dissolve(TimePoint now, const std::string& reason) {
+  m_impl->now = now;
+  m_impl->Dissolve(reason);
+}
+
+void ChainScheduler::StopAccepting() {
+  m_impl->accepting = false;
+}
+
+std::vector<ChainAction> ChainScheduler::TakeActions() {
+  m_impl->FlushUpdates();
+  return std::exchange(m_impl->actions, {});
+}
+
+const Chain& ChainScheduler::chain() const {
+  return m_impl->chain;
+}
+
+Duration ChainScheduler::ExpectedWait(Rank rank,
+                                      const std::string& account) const {
+  return m_impl->ExpectedWait(rank, account);
+}
+
+size_t ChainScheduler::queued() const {
+  return m_impl->queue.size();
+}
+
+size_t ChainScheduler::running() const {
+  return m_impl->requests.size() - m_impl->queue.size();
+}
+
+uint64_t ChainScheduler::epoch() const {
+  return m_impl->epoch;
+}
+
+}  // namespace trefoilwick
--- /dev/null
+++ b/src/pipeline_faults.cc
@@ -0,0 +1,285 @@
+#include <algorithm>
+#include <cmath>
+
+#include "pipeline_impl.h"
+
+namespace trefoilwick {
+namespace {
+
+// How long fingerprints of suspects and of quarantined requests are kept.
+constexpr Duration kPrintLifetime = std::chrono::minutes(10);
+// An epoch held this long ends a row of refused claims.
+constexpr Duration kSettled = std::chrono::seconds(10);
+constexpr int kMaxDoublings = 20;
+
+bool SameServer(const BackendServer& a, const BackendServer& b) {
+  return a.id == b.id && a.address == b.address && a.layers == b.layers;
+}
+
+}  // namespace
+
+// Takes over the stages of `next`, keeping what is known of servers that stay.
+void ChainScheduler::Impl::BuildStages(const Chain& next) {
+  std::vector<detail::ChainStage> old = std::exchange(stages, {});
+  for (const BackendServer& server : next.stages) {
+    detail::ChainStage stage;
+    stage.server = server;
+    for (const auto& known : old)
+      if (!known.failed && SameServer(known.server, server)) {
+        stage = known;
+        stage.server = server;
+      }
+    stage.in_flight = 0;
+    stages.push_back(std::move(stage));
+  }
+  chain = next;
+  batches.clear();
+  const size_t count =
+      stages.empty() ? 0
+                     : stages.size() +
+                           static_cast<size_t>(options.extra_micro_batches) + 1;
+  for (size_t i = 0; i < count; ++i)
+    batches.push_back(std::make_unique<Batch>());
+  if (!batches.empty())
+    batches.back()->isolated = true;
+}
+
+bool ChainScheduler::Impl::Claimed() const {
+  return !stages.empty() &&
+         std::all_of(stages.begin(), stages.end(), [](const auto& stage) {
+           return stage.claimed && !stage.failed;
+         });
+}
+
+// Claims the stages once there is work. A scheduler without work claims
+// nothing, so it takes no chain from another one whose view is newer.
+void ChainScheduler::Impl::EnsureClaimed() {
+  if (!HasWork() || now < backoff_until)
+    return;
+  if (epoch == 0)
+    epoch = ++epoch_counter << 16 | id;
+  for (auto& stage : stages)
+    if (!stage.claimed && !stage.failed && stage.claim == 0)
+      SendClaimTo(stage);
+}
+
+void ChainScheduler::Impl::SendClaimTo(detail::ChainStage& stage) {
+  stage.claim = ++last_claim;
+  stage.claim_sent = now;
+  actions.emplace_back(SendClaim{stage.claim, stage.server, epoch});
+}
+
+detail::ChainStage* ChainScheduler::Impl::FindClaim(uint64_t claim) {
+  for (auto& stage : stages)
+    if (claim != 0 && stage.claim == claim)
+      return &stage;
+  return nullptr;
+}
+
+void ChainScheduler::Impl::OnClaimed(detail::ChainStage& stage) {
+  stage.claim = 0;
+  stage.claim_repeated = false;
+  stage.claimed = true;
+  if (Claimed())
+    claimed_at = now;
+}
+
+void ChainScheduler::Impl::OnClaimLost(detail::ChainStage& stage,
+                                       CallFailure failure) {
+  stage.claim = 0;
+  if (failure != CallFailure::kCrashed && !stage.claim_repeated) {
+    stage.claim_repeated = true;
+    SendClaimTo(stage);
+    return;
+  }
+  stage.claim_repeated = false;
+  FailStage(static_cast<size_t>(&stage - stages.data()), failure);
+}
+
+// Another scheduler holds a newer epoch. All stages are claimed again with a
+// higher one after a wait that doubles, so that two schedulers neither spin nor
+// take the chain from each other at every step.
+void ChainScheduler::Impl::LoseEpoch(uint64_t newest) {
+  epoch_counter = std::max(epoch_counter, newest >> 16);
+  epoch = 0;
+  for (auto& stage : stages) {
+    stage.claimed = false;
+    stage.claim = 0;
+    stage.claim_repeated = false;
+  }
+  if (claimed_at != TimePoint{} && now - claimed_at > kSettled)
+    refused_claims = 0;
+  claimed_at = TimePoint{};
+  const double doubled =
+      std::ldexp(static_cast<double>(options.claim_backoff_min.count()),
+                 std::min(refused_claims++, kMaxDoublings));
+  const double longest = static_cast<double>(options.claim_backoff_max.count());
+  backoff_until = now + Duration{std::llround(std::min(doubled, longest) *
+                                              (0.5 + random.Unit()))};
+}
+
+void ChainScheduler::Impl::OnStepFailure(Batch& batch,
+                                         CallFailure failure,
+                                         uint64_t newest) {
+  const auto at = static_cast<size_t>(batch.stage);
+  if (failure == CallFailure::kStaleEpoch) {
+    EndStep(batch);
+    // The step was not run and is sent again under the next epoch.
+    if (batch.step_epoch == epoch)
+      LoseEpoch(newest);
+    else
+      epoch_counter = std::max(epoch_counter, newest >> 16);
+    return;
+  }
+  if (failure != CallFailure::kCrashed && !batch.repeated) {
+    EndStep(batch);
+    batch.repeated = true;
+    return;
+  }
+  FailStage(at, failure);
+}
+
+// Every request loses its KV with a stage. Those of the steps that were at the
+// stage may have caused it.
+void ChainScheduler::Impl::FailStage(size_t at, CallFailure failure) {
+  auto& stage = stages[at];
+  stage.failed = true;
+  stage.claimed = false;
+  stage.claim = 0;
+  const std::string server = stage.server.id;
+  actions.emplace_back(ReportFailure{server, failure});
+  actions.emplace_back(NeedStage{chain.id, server});
+  for (const auto& batch : batches)
+    if (batch->stage == static_cast<int>(at) &&
+        (batch->in_flight || batch->repeated))
+      MarkSuspects(*batch, server);
+  AbortRounds();
+}
+
+void ChainScheduler::Impl::MarkSuspects(Batch& batch,
+                                        const std::string& server) {
+  for (size_t i = 0; i < batch.items.size(); ++i) {
+    const int end = batch.items[i].position + batch.items[i].count;
+    if (batch.fingerprints[i] != 0)
+      suspect_prints[batch.fingerprints[i]] = {now + kPrintLifetime, end};
+    Request* owner = batch.owners[i];
+    if (!owner)
+      continue;
+    if (batch.isolated) {
+      QuarantineRequest(*owner, server);
+      return;
+    }
+    owner->isolated = true;
+    owner->clear_at = end;
+  }
+}
+
+// Ends a request that failed a server while it ran alone, and all requests with
+// the same content.
+void ChainScheduler::Impl::QuarantineRequest(Request& request,
+                                             const std::string& server) {
+  const uint64_t print = request.submission.fingerprint;
+  actions.emplace_back(ReportCrasher{print, server});
+  std::vector<Request*> same{&request};
+  if (print != 0) {
+    suspect_prints.erase(print);
+    quarantined_prints[print] = now + kPrintLifetime;
+    for (const auto& [name, other] : requests)
+      if (other.get() != &request && other->submission.fingerprint == print)
+        same.push_back(other.get());
+  }
+  for (Request* each : same)
+    Fail(*each, UpdateState::kQuarantined, "quarantined");
+}
+
+// Isolates a request with the content of a suspect.
+void ChainScheduler::Impl::SuspectByPrint(Request& request) {
+  if (request.isolated)
+    return;
+  auto found = suspect_prints.find(request.submission.fingerprint);
+  if (found == suspect_prints.end())
+    return;
+  request.isolated = true;
+  request.clear_at = found->second.clear_at;
+}
+
+void ChainScheduler::Impl::DropOldPrints() {
+  std::erase_if(suspect_prints,
+                [&](const auto& item) { return item.second.expires <= now; });
+  std::erase_if(quarantined_prints,
+                [&](const auto& item) { return item.second <= now; });
+}
+
+// Ends all rounds; what was running starts again once the stages are claimed,
+// in the order in which it first started.
+void ChainScheduler::Impl::AbortRounds() {
+  std::deque<Request*> running = std::exchange(rejoin, {});
+  for (const auto& batch : batches)
+    running.insert(running.end(), batch->members.begin(), batch->members.end());
+  for (Request* request : running)
+    Restart(*request);
+  for (const auto& batch : batches) {
+    const bool isolated = batch->isolated;
+    *batch = Batch{};
+    batch->isolated = isolated;
+  }
+  for (auto& stage : stages)
+    stage.in_flight = 0;
+  std::sort(running.begin(), running.end(), [](const auto* a, const auto* b) {
+    return a->start_order < b->start_order;
+  });
+  for (Request* request : running)
+    (request->isolated ? suspects : rejoin).push_back(request);
+}
+
+void ChainScheduler::Impl::Restart(Request& request) {
+  Release(request);
+  request.batch = nullptr;
+  request.position = 0;
+  request.renew = true;
+  SuspectByPrint(request);
+}
+
+void ChainScheduler::Impl::SetChain(Chain next) {
+  const bool same =
+      std::equal(stages.begin(), stages.end(), next.stages.begin(),
+                 next.stages.end(), [](const auto& stage, const auto& server) {
+                   return !stage.failed && SameServer(stage.server, server);
+                 });
+  if (same) {
+    for (size_t i = 0; i < stages.size(); ++i)
+      stages[i].server = next.stages[i];
+    chain = std::move(next);
+    return;
+  }
+  AbortRounds();
+  // Servers that stay get the releases with the next tick, the others now.
+  SendRelease release;
+  for (const auto& [key, due] : releases)
+    release.requests.push_back(key);
+  for (const auto& stage : stages) {
+    const bool stays = std::any_of(
+        next.stages.begin(), next.stages.end(),
+        [&](const auto& server) { return SameServer(stage.server, server); });
+    if (stays || stage.failed || release.requests.empty())
+      continue;
+    release.server = stage.server;
+    actions.emplace_back(release);
+  }
+  BuildStages(next);
+}
+
+void ChainScheduler::Impl::Dissolve(const std::string& reason) {
+  std::vector<Request*> all;
+  for (const auto& [name, request] : requests)
+    all.push_back(request.get());
+  for (Request* request : all)
+    Fail(*request, UpdateState::kFailed, reason);
+  FlushReleases(true);
+  Chain none = chain;
+  none.stages.clear();
+  BuildStages(none);
+  epoch = 0;
+}
+
+}  // namespace trefoilwick
--- /dev/null
+++ b/src/pipeline_impl.h
@@ -0,0 +1,210 @@
+// State of ChainScheduler; shared by src/pipeline*.cc.
+#pragma once
+
+#include <deque>
+#include <limits>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "trefoilwick/pipeline.h"
+
+namespace trefoilwick {
+namespace detail {
+
+struct MicroBatch;
+
+// A request that has not ended. Its sequence is the words of the prompt and
+// then the tokens; `position` counts the part that every stage holds KV for.
+struct ChainRequest {
+  Submission submission;
+  std::vector<std::string> words;
+  uint64_t lineage = 0;
+  uint64_t replaces = 0;
+  // Whether a stage may hold KV of `lineage`.
+  bool used = false;
+  // Whether the next start needs a new lineage.
+  bool renew = false;
+  int position = 0;
+  // Runs alone at each stage until `position` reaches `clear_at`.
+  bool isolated = false;
+  int clear_at = std::numeric_limits<int>::max();
+  bool queued = true;
+  bool by_floor = false;
+  int preemptions = 0;
+  // Lineages lost since the last token.
+  int lost_lineages = 0;
+  int rounds = 0;
+  uint64_t start_order = 0;
+  // Part of the expected cost that is not charged yet.
+  double expected_cost = 0;
+  MicroBatch* batch = nullptr;
+
+  int length() const {
+    return static_cast<int>(words.size() + submission.tokens.size());
+  }
+  int remaining() const { return length() - position; }
+  const std::string& TokenAt(int index) const;
+  bool complete() const {
+    return static_cast<int>(submission.tokens.size()) >= submission.max_tokens;
+  }
+};
+
+using ReleaseKey = std::pair<std::string, uint64_t>;
+
+// A group of requests that go through the stages together. A round takes the
+// items through all stages; `owners` and `fingerprints` run parallel to
+// `items`, and an owner is null once its request has ended.
+struct MicroBatch {
+  bool isolated = false;
+  std::vector<ChainRequest*> members;
+  std::vector<StepItem> items;
+  std::vector<ChainRequest*> owners;
+  std::vector<uint64_t> fingerprints;
+  // -1 between rounds.
+  int stage = -1;
+  bool in_flight = false;
+  // Lost once and repeated on a fresh connection.
+  bool repeated = false;
+  uint64_t step = 0;
+  uint64_t step_epoch = 0;
+  TimePoint round_start{};
+  // Lineages that ended during the step in flight.
+  std::vector<ReleaseKey> late_releases;
+
+  bool idle() const { return stage < 0; }
+  bool waits_for(size_t at) const {
+    return stage == static_cast<int>(at) && !in_flight;
+  }
+};
+
+// Content that may have crashed a server up to the position `clear_at`.
+struct SuspectPrint {
+  TimePoint expires;
+  int clear_at = 0;
+};
+
+struct ChainStage {
+  BackendServer server;
+  bool claimed = false;
+  bool failed = false;
+  // Number of the claim in flight; 0 when there is none.
+  uint64_t claim = 0;
+  bool claim_repeated = false;
+  TimePoint claim_sent{};
+  int in_flight = 0;
+};
+
+}  // namespace detail
+
+struct ChainScheduler::Impl {
+  using Request = detail::ChainRequest;
+  using Batch = detail::MicroBatch;
+
+  uint16_t id = 0;
+  // High half of the lineages and step numbers this scheduler creates.
+  uint32_t prefix = 0;
+  ChainSchedulerOptions options;
+  Chain chain;
+  Random random{0};
+  TimePoint now{};
+  bool accepting = true;
+
+  FairQueue queue;
+  std::unordered_map<std::string, std::unique_ptr<Request>> requests;
+  std::vector<detail::ChainStage> stages;
+  // The last one runs suspects, one at a time.
+  std::vector<std::unique_ptr<Batch>> batches;
+  // Running requests that wait for a place in a micro-batch.
+  std::deque<Request*> rejoin;
+  std::deque<Request*> suspects;
+  // KV to be released, and the earliest time to do so.
+  std::map<detail::ReleaseKey, TimePoint> releases;
+  // Fingerprints of suspects and of quarantined requests.
+  std::map<uint64_t, detail::SuspectPrint> suspect_prints;
+  std::map<uint64_t, TimePoint> quarantined_prints;
+  std::vector<DeliverTokens> outgoing;
+  std::vector<ChainAction> actions;
+
+  uint32_t last_lineage = 0;
+  uint32_t last_step = 0;
+  uint64_t last_claim = 0;
+  uint64_t last_start = 0;
+  // 0 while no epoch is held or being claimed.
+  uint64_t epoch = 0;
+  uint64_t epoch_counter = 0;
+  int refused_claims = 0;
+  TimePoint backoff_until{};
+  TimePoint claimed_at{};
+  // Moving averages; see ExpectedWait.
+  double round_us = 50'000;
+  double rounds_per_request = 0;
+
+  // pipeline.cc
+  std::optional<SubmitRefusal> Submit(Submission submission);
+  std::optional<SubmitRefusal> CheckLoad(const Submission& submission) const;
+  Duration ExpectedWait(Rank rank, const std::string& account) const;
+  double MicrosPerPlace() const;
+  void Enqueue(Submission submission);
+  void End(Request& request);
+  void Detach(Request& request);
+  void Fail(Request& request, UpdateState state, const std::string& reason);
+  void AddUpdate(const Request& request,
+                 UpdateState state,
+                 std::vector<std::string> tokens = {},
+                 const std::string& reason = {});
+  void FlushUpdates();
+  void Release(Request& request);
+  void FlushReleases(bool all);
+  size_t BatchedCount() const;
+  size_t Capacity() const;
+  size_t Preemptible() const;
+  bool HasWork() const { return !requests.empty(); }
+
+  // pipeline_rounds.cc
+  void Pump();
+  void StartRound(Batch& batch);
+  void Admit(Batch& batch);
+  void AdmitSuspect(Batch& batch);
+  void Preempt(Batch& batch);
+  bool PreemptOne(Batch& batch);
+  Request* PopQueue();
+  void Join(Batch& batch, Request& request);
+  void BuildItems(Batch& batch);
+  bool MaySend(const Batch& batch) const;
+  void SendHeld(Batch& batch);
+  Batch* FindStep(uint64_t step);
+  void EndStep(Batch& batch);
+  void OnReply(Batch& batch, std::vector<StepResultItem> results);
+  void FinishRound(Batch& batch);
+  void FinishItem(Request& request, const StepItem& item, std::string token);
+  void ClearSuspect(Request& request);
+  void Renew(Request& request);
+  void LoseLineage(Request& request);
+  void Charge(Request& request, double cost);
+
+  // pipeline_faults.cc
+  void BuildStages(const Chain& next);
+  bool Claimed() const;
+  void EnsureClaimed();
+  void SendClaimTo(detail::ChainStage& stage);
+  detail::ChainStage* FindClaim(uint64_t claim);
+  void OnClaimed(detail::ChainStage& stage);
+  void OnClaimLost(detail::ChainStage& stage, CallFailure failure);
+  void LoseEpoch(uint64_t newest);
+  void OnStepFailure(Batch& batch, CallFailure failure, uint64_t newest);
+  void FailStage(size_t at, CallFailure failure);
+  void MarkSuspects(Batch& batch, const std::string& server);
+  void QuarantineRequest(Request& request, const std::string& server);
+  void SuspectByPrint(Request& request);
+  void DropOldPrints();
+  void AbortRounds();
+  void Restart(Request& request);
+  void SetChain(Chain next);
+  void Dissolve(const std::string& reason);
+};
+
+}  // namespace trefoilwick
--- /dev/null
+++ b/src/pipeline_rounds.cc
@@ -0,0 +1,350 @@
+#include <algorithm>
+#include <limits>
+
+#include "pipeline_impl.h"
+
+namespace trefoilwick {
+namespace {
+
+// Lineages a request may lose at the stages without a new token, before it is
+// given up.
+constexpr int kMaxLostLineages = 8;
+constexpr double kRoundWeight = 0.1;
+constexpr double kRequestWeight = 0.05;
+
+void Average(double& average, double sample, double weight) {
+  average += weight * (sample - average);
+}
+
+// The result of an item; the order of results is normally that of the items.
+StepResultItem* FindResult(std::vector<StepResultItem>& results,
+                           size_t hint,
+                           const StepItem& item) {
+  auto matches = [&](const StepResultItem& result) {
+    return result.lineage == item.lineage && result.request == item.request;
+  };
+  if (hint < results.size() && matches(results[hint]))
+    return &results[hint];
+  auto found = std::find_if(results.begin(), results.end(), matches);
+  return found == results.end() ? nullptr : &*found;
+}
+
+}  // namespace
+
+// Sends what can be sent and starts rounds of idle micro-batches.
+void ChainScheduler::Impl::Pump() {
+  EnsureClaimed();
+  if (!Claimed())
+    return;
+  for (auto it = batches.rbegin(); it != batches.rend(); ++it) {
+    Batch& batch = **it;
+    if (batch.idle())
+      StartRound(batch);
+    if (!batch.idle() && !batch.in_flight)
+      SendHeld(batch);
+  }
+}
+
+void ChainScheduler::Impl::StartRound(Batch& batch) {
+  if (batch.isolated)
+    AdmitSuspect(batch);
+  else
+    Admit(batch);
+  if (batch.members.empty())
+    return;
+  BuildItems(batch);
+  if (batch.items.empty())
+    return;
+  batch.stage = 0;
+  batch.step = 0;
+  batch.repeated = false;
+  batch.round_start = now;
+}
+
+void ChainScheduler::Impl::AdmitSuspect(Batch& batch) {
+  if (!batch.members.empty() || suspects.empty())
+    return;
+  Request& request = *suspects.front();
+  suspects.pop_front();
+  Join(batch, request);
+}
+
+// Fills a micro-batch up to an equal part of all requests.
+void ChainScheduler::Impl::Admit(Batch& batch) {
+  if (rejoin.empty() && queue.size() == 0)
+    return;
+  const size_t count = batches.size() - 1;
+  const size_t part = (BatchedCount() + queue.size() + count - 1) / count;
+  const size_t target = std::min(part, static_cast<size_t>(options.max_batch));
+  while (batch.members.size() < target && !rejoin.empty()) {
+    Request& request = *rejoin.front();
+    rejoin.pop_front();
+    Join(batch, request);
+  }
+  while (batch.members.size() < target && BatchedCount() < Capacity()) {
+    Request* request = PopQueue();
+    if (!request)
+      break;
+    Join(batch, *request);
+  }
+  Preempt(batch);
+}
+
+// Replaces batch-rank members by urgent requests when no place is free.
+void ChainScheduler::Impl::Preempt(Batch& batch) {
+  while (rejoin.empty() && queue.size(Rank::kUrgent) > 0 &&
+         BatchedCount() >= Capacity()) {
+    if (!PreemptOne(batch))
+      return;
+    if (Request* next = PopQueue())
+      Join(batch, *next);
+  }
+}
+
+// Puts the most recently started batch-rank member back in the queue. Members
+// that were chosen for a floor and those put back often enough stay.
+bool ChainScheduler::Impl::PreemptOne(Batch& batch) {
+  Request* victim = nullptr;
+  for (Request* member : batch.members) {
+    if (member->submission.rank != Rank::kBatch || member->by_floor ||
+        member->preemptions >= options.max_preemptions)
+      continue;
+    if (!victim || member->start_order > victim->start_order)
+      victim = member;
+  }
+  if (!victim)
+    return false;
+  Release(*victim);
+  Detach(*victim);
+  victim->renew = true;
+  victim->position = 0;
+  victim->queued = true;
+  victim->start_order = 0;
+  ++victim->preemptions;
+  const Submission& s = victim->submission;
+  queue.PushFront({s.request, s.account, s.account_weight, s.kind,
+                   s.kind_weight, s.kind_floor, s.rank, now,
+                   victim->expected_cost});
+  return true;
+}
+
+size_t ChainScheduler::Impl::Preemptible() const {
+  size_t count = 0;
+  for (const auto& batch : batches) {
+    if (batch->isolated)
+      continue;
+    for (const Request* member : batch->members)
+      count += member->submission.rank == Rank::kBatch && !member->by_floor &&
+                       member->preemptions < options.max_preemptions
+                   ? 1
+                   : 0;
+  }
+  return count;
+}
+
+// The next request for normal batching; requests to be isolated are put aside.
+ChainScheduler::Impl::Request* ChainScheduler::Impl::PopQueue() {
+  while (auto entry = queue.Pop(now)) {
+    Request& request = *requests.at(entry->id);
+    request.queued = false;
+    request.by_floor = entry->by_floor;
+    SuspectByPrint(request);
+    if (!request.isolated)
+      return &request;
+    suspects.push_back(&request);
+  }
+  return nullptr;
+}
+
+void ChainScheduler::Impl::Join(Batch& batch, Request& request) {
+  if (request.renew)
+    Renew(request);
+  if (request.start_order == 0)
+    request.start_order = ++last_start;
+  request.batch = &batch;
+  batch.members.push_back(&request);
+}
+
+// Gives a request a new lineage and tells its entry.
+void ChainScheduler::Impl::Renew(Request& request) {
+  request.replaces = request.lineage;
+  request.lineage = static_cast<uint64_t>(prefix) << 32 | ++last_lineage;
+  request.renew = false;
+  request.position = 0;
+  AddUpdate(request, UpdateState::kRunning);
+}
+
+// A stage lost the request's KV: it starts again within its micro-batch.
+void ChainScheduler::Impl::LoseLineage(Request& request) {
+  if (++request.lost_lineages > kMaxLostLineages) {
+    Fail(request, UpdateState::kFailed, "no_progress");
+    return;
+  }
+  Release(request);
+  Renew(request);
+}
+
+void ChainScheduler::Impl::BuildItems(Batch& batch) {
+  batch.items.clear();
+  batch.owners.clear();
+  batch.fingerprints.clear();
+  int budget = options.max_prefill_tokens;
+  for (Request* member : batch.members) {
+    const bool decode = member->position > 0 && member->remaining() == 1;
+    const int count = decode ? 1 : std::min(member->remaining(), budget);
+    if (count == 0)
+      continue;
+    budget -= decode ? 0 : count;
+    StepItem item;
+    item.request = member->submission.request;
+    item.lineage = member->lineage;
+    item.account = member->submission.account;
+    item.position = member->position;
+    item.count = count;
+    for (int i = 0; i < count; ++i)
+      item.input.push_back(member->TokenAt(member->position + i));
+    item.sample = count == member->remaining();
+    item.rank = member->submission.rank;
+    member->used = true;
+    batch.items.push_back(std::move(item));
+    batch.owners.push_back(member);
+    batch.fingerprints.push_back(member->submission.fingerprint);
+  }
+}
+
+// A suspect shares no stage with another step, so that a crash is its own. A
+// repeated step goes before a suspect, whose crash it might be.
+bool ChainScheduler::Impl::MaySend(const Batch& batch) const {
+  const auto at = static_cast<size_t>(batch.stage);
+  const Batch& lone = *batches.back();
+  if (!batch.isolated) {
+    if (lone.stage != batch.stage)
+      return true;
+    return !lone.in_flight && !lone.repeated && batch.repeated;
+  }
+  if (stages[at].in_flight > 0)
+    return false;
+  return std::none_of(batches.begin(), batches.end(), [&](const auto& other) {
+    return !other->isolated && other->repeated && other->waits_for(at);
+  });
+}
+
+void ChainScheduler::Impl::SendHeld(Batch& batch) {
+  if (!MaySend(batch))
+    return;
+  auto& stage = stages[static_cast<size_t>(batch.stage)];
+  ++stage.in_flight;
+  batch.in_flight = true;
+  // A step that was refused or lost keeps its number: the stage runs it once.
+  if (batch.step == 0)
+    batch.step = static_cast<uint64_t>(prefix & 0x1fffff) << 32 | ++last_step;
+  batch.step_epoch = epoch;
+  actions.emplace_back(
+      SendStep{batch.step, stage.server, epoch, batch.items, batch.repeated});
+}
+
+ChainScheduler::Impl::Batch* ChainScheduler::Impl::FindStep(uint64_t step) {
+  for (const auto& batch : batches)
+    if (batch->in_flight && batch->step == step)
+      return batch.get();
+  return nullptr;
+}
+
+void ChainScheduler::Impl::EndStep(Batch& batch) {
+  batch.in_flight = false;
+  --stages[static_cast<size_t>(batch.stage)].in_flight;
+  for (auto& key : batch.late_releases)
+    releases[std::move(key)] = now;
+  batch.late_releases.clear();
+}
+
+void ChainScheduler::Impl::OnReply(Batch& batch,
+                                   std::vector<StepResultItem> results) {
+  EndStep(batch);
+  const bool last = batch.stage + 1 == static_cast<int>(stages.size());
+  size_t kept = 0;
+  for (size_t i = 0; i < batch.items.size(); ++i) {
+    Request* owner = batch.owners[i];
+    if (!owner)
+      continue;
+    StepResultItem* result = FindResult(results, i, batch.items[i]);
+    if (!result || !result->error.empty() ||
+        (last && batch.items[i].sample && result->token.empty())) {
+      LoseLineage(*owner);
+      continue;
+    }
+    if (kept != i)
+      batch.items[kept] = std::move(batch.items[i]);
+    batch.items[kept].input.clear();
+    batch.items[kept].activation =
+        std::move(last ? result->token : result->activation);
+    batch.owners[kept] = owner;
+    batch.fingerprints[kept] = batch.fingerprints[i];
+    ++kept;
+  }
+  batch.items.resize(kept);
+  batch.owners.resize(kept);
+  batch.fingerprints.resize(kept);
+  batch.step = 0;
+  batch.repeated = false;
+  if (last)
+    FinishRound(batch);
+  else
+    batch.stage = kept > 0 ? batch.stage + 1 : -1;
+}
+
+// The round passed all stages; `activation` holds the sampled tokens.
+void ChainScheduler::Impl::FinishRound(Batch& batch) {
+  batch.stage = -1;
+  if (!batch.items.empty())
+    Average(round_us, static_cast<double>((now - batch.round_start).count()),
+            kRoundWeight);
+  // Ending a request clears its owner entry, so each is read in its turn.
+  for (size_t i = 0; i < batch.items.size(); ++i)
+    if (Request* owner = batch.owners[i])
+      FinishItem(*owner, batch.items[i], std::move(batch.items[i].activation));
+  batch.items.clear();
+  batch.owners.clear();
+  batch.fingerprints.clear();
+}
+
+void ChainScheduler::Impl::FinishItem(Request& request,
+                                      const StepItem& item,
+                                      std::string token) {
+  const bool decode = item.position > 0 && item.count == 1 && item.sample;
+  request.position += item.count;
+  ++request.rounds;
+  const double prefill = decode ? 0 : options.prefill_cost * item.count;
+  Charge(request, prefill + (item.sample ? 1 : 0));
+  if (request.isolated && request.position >= request.clear_at)
+    ClearSuspect(request);
+  if (!item.sample)
+    return;
+  request.lost_lineages = 0;
+  request.submission.tokens.push_back(token);
+  const bool complete = request.complete();
+  AddUpdate(request, complete ? UpdateState::kFinished : UpdateState::kRunning,
+            {std::move(token)});
+  if (!complete)
+    return;
+  Average(rounds_per_request, request.rounds, kRequestWeight);
+  if (request.isolated)
+    suspect_prints.erase(request.submission.fingerprint);
+  End(request);
+}
+
+void ChainScheduler::Impl::ClearSuspect(Request& request) {
+  suspect_prints.erase(request.submission.fingerprint);
+  request.isolated = false;
+  request.clear_at = std::numeric_limits<int>::max();
+  Detach(request);
+  rejoin.push_front(&request);
+}
+
+void ChainScheduler::Impl::Charge(Request& request, double cost) {
+  const Submission& s = request.submission;
+  queue.Charge(now, s.kind, s.account, cost);
+  request.expected_cost -= std::min(request.expected_cost, cost);
+}
+
+}  // namespace trefoilwick
