--- a/tools/standin.cc
+++ b/tools/standin.cc
@@ -1,3 +1,5 @@
-int main() {
-  return 0;
+#include "standin.h"
+
+int main(int argc, char** argv) {
+  return trefoilwick::standin::RunStandin(argc, argv);
 }
--- /dev/null
+++ b/tools/standin_engine.cc
@@ -0,0 +1,239 @@
+#include "standin_engine.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "answer.h"
+
+namespace trefoilwick::standin {
+namespace {
+
+constexpr std::chrono::seconds kLoadHistory{60};
+
+bool HasMarker(const std::vector<std::string>& input) {
+  return std::any_of(input.begin(), input.end(), [](const std::string& word) {
+    return word.find(kCrashMarker) != std::string::npos;
+  });
+}
+
+// Parses a number at the start of `text` and removes it and one separator.
+template <typename T>
+bool TakeNumber(std::string_view& text, T& value, int base) {
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), value, base);
+  if (error != std::errc())
+    return false;
+  text.remove_prefix(static_cast<size_t>(end - text.data()));
+  if (!text.empty() && text.front() == ':')
+    text.remove_prefix(1);
+  return true;
+}
+
+}  // namespace
+
+std::string FormatActivation(const Activation& activation) {
+  char text[48];
+  std::snprintf(text, sizeof(text), "%d:%llx%s", activation.layers_done,
+                static_cast<unsigned long long>(activation.hash),
+                activation.marked ? ":crash" : "");
+  return text;
+}
+
+std::optional<Activation> ParseActivation(const std::string& text) {
+  std::string_view rest = text;
+  Activation activation;
+  if (!TakeNumber(rest, activation.layers_done, 10) ||
+      !TakeNumber(rest, activation.hash, 16))
+    return std::nullopt;
+  activation.marked = rest == "crash";
+  if (!rest.empty() && !activation.marked)
+    return std::nullopt;
+  return activation;
+}
+
+std::optional<uint64_t> Engine::Claim(uint64_t epoch,
+                                      const std::string& owner) {
+  if (checks_epochs()) {
+    // An owner is unknown when a step brought the epoch before any claim.
+    const bool own = m_owner.empty() || owner == m_owner;
+    if (epoch < m_epoch || (epoch == m_epoch && m_epoch > 0 && !own))
+      return m_epoch;
+  }
+  m_epoch = std::max(m_epoch, epoch);
+  m_owner = owner;
+  return std::nullopt;
+}
+
+std::optional<StepOutcome> Engine::Refusal(const EngineStep& step) const {
+  StepOutcome outcome;
+  if (checks_epochs() && step.epoch < m_epoch) {
+    outcome.status = StepOutcome::Status::kStaleEpoch;
+    outcome.newest_epoch = m_epoch;
+    return outcome;
+  }
+  outcome.status = StepOutcome::Status::kBadStep;
+  if (step.first_layer != m_options.first_layer ||
+      step.end_layer != m_options.end_layer) {
+    outcome.error = "wrong_layers";
+    return outcome;
+  }
+  auto it = m_steps.find(step.step);
+  if (it == m_steps.end())
+    return std::nullopt;
+  if (it->second.step.items != step.items) {
+    outcome.error = "step_reused";
+    return outcome;
+  }
+  outcome = it->second.outcome;
+  outcome.repeated = true;
+  return outcome;
+}
+
+bool Engine::Crashes(const EngineStep& step) const {
+  if (!m_options.crash_on_marker)
+    return false;
+  return std::any_of(
+      step.items.begin(), step.items.end(), [&](const EngineItem& item) {
+        const auto activation = ParseActivation(item.activation);
+        return HasMarker(item.input) || (activation && activation->marked);
+      });
+}
+
+Engine::Sequence* Engine::FindSequence(const EngineItem& item,
+                                       EngineResult& result) {
+  const Key key{item.request, item.lineage};
+  auto it = m_by_key.find(key);
+  if (it == m_by_key.end()) {
+    if (item.position != 0) {
+      result.error = "no_kv";
+      return nullptr;
+    }
+    m_sequences.push_front(
+        {key, item.user, 0, StartAnswerHash(item.user), false});
+    it = m_by_key.emplace(key, m_sequences.begin()).first;
+  }
+  Sequence& sequence = *it->second;
+  if (sequence.next != item.position || sequence.user != item.user) {
+    result.error = "no_kv";
+    return nullptr;
+  }
+  m_sequences.splice(m_sequences.begin(), m_sequences, it->second);
+  return &sequence;
+}
+
+EngineResult Engine::RunItem(const EngineItem& item) {
+  EngineResult result;
+  const bool first = m_options.first_layer == 0;
+  Activation activation;
+  if (first) {
+    if (item.count <= 0 || item.input.size() != size_t(item.count))
+      result.error = "bad_input";
+  } else {
+    const auto parsed = ParseActivation(item.activation);
+    if (item.count <= 0)
+      result.error = "bad_input";
+    else if (!parsed || parsed->layers_done != m_options.first_layer)
+      result.error = "bad_activation";
+    else
+      activation = *parsed;
+  }
+  Sequence* sequence =
+      result.error.empty() ? FindSequence(item, result) : nullptr;
+  if (sequence == nullptr)
+    return result;
+  if (first) {
+    for (const std::string& token : item.input)
+      sequence->hash = ExtendAnswerHash(sequence->hash, token);
+    sequence->marked = sequence->marked || HasMarker(item.input);
+    activation.hash = sequence->hash;
+    activation.marked = sequence->marked;
+  }
+  sequence->next += item.count;
+  m_kv_tokens += size_t(item.count);
+  activation.layers_done = m_options.end_layer;
+  result.activation = FormatActivation(activation);
+  if (m_options.end_layer == m_options.model_layers && item.sample)
+    result.token = TokenOfHash(activation.hash);
+  return result;
+}
+
+StepOutcome Engine::Step(TimePoint now, const EngineStep& step) {
+  if (auto refusal = Refusal(step))
+    return *refusal;
+  StepOutcome outcome;
+  m_epoch = std::max(m_epoch, step.epoch);
+  if (Crashes(step)) {
+    outcome.status = StepOutcome::Status::kCrash;
+    return outcome;
+  }
+  Duration duration{0};
+  int items_run = 0;
+  for (const EngineItem& item : step.items) {
+    outcome.results.push_back(RunItem(item));
+    if (!outcome.results.back().error.empty())
+      continue;
+    ++items_run;
+    duration += m_options.per_sequence;
+    if (item.count > 1)
+      duration += m_options.per_prefill_token * item.count;
+  }
+  if (items_run > 0)
+    duration += m_options.base;
+  Evict();
+  outcome.start = std::max(now, m_busy_until);
+  outcome.end = outcome.start + duration;
+  m_busy_until = outcome.end;
+  m_runs.push_back({outcome.start, outcome.end, now, items_run, m_kv_tokens});
+  Remember(now, step, outcome);
+  return outcome;
+}
+
+void Engine::Evict() {
+  while (m_kv_tokens > m_options.kv_tokens && m_sequences.size() > 1) {
+    const Sequence& oldest = m_sequences.back();
+    m_kv_tokens -= size_t(oldest.next);
+    m_by_key.erase(oldest.key);
+    m_sequences.pop_back();
+  }
+}
+
+void Engine::Remember(TimePoint now,
+                      const EngineStep& step,
+                      StepOutcome outcome) {
+  m_steps[step.step] = {step, std::move(outcome)};
+  m_step_order.push_back(step.step);
+  if (m_step_order.size() > m_options.stored_steps) {
+    m_steps.erase(m_step_order.front());
+    m_step_order.pop_front();
+  }
+  while (m_runs.front().end + kLoadHistory < now)
+    m_runs.pop_front();
+}
+
+void Engine::Release(const std::string& request, const std::string& lineage) {
+  auto it = m_by_key.find({request, lineage});
+  if (it == m_by_key.end())
+    return;
+  m_kv_tokens -= size_t(it->second->next);
+  m_sequences.erase(it->second);
+  m_by_key.erase(it);
+}
+
+EngineLoad Engine::Load(TimePoint at) const {
+  EngineLoad load;
+  load.epoch = m_epoch;
+  load.kv_tokens = m_kv_tokens;
+  for (const Run& run : m_runs) {
+    if (run.arrival > at || run.end <= at)
+      continue;
+    (run.start <= at ? load.running : load.queued) += run.items;
+  }
+  // The KV of that time is what the next run found.
+  auto later = std::find_if(m_runs.begin(), m_runs.end(),
+                            [&](const Run& run) { return run.arrival > at; });
+  if (later != m_runs.end())
+    load.kv_tokens = later == m_runs.begin() ? 0 : std::prev(later)->kv_tokens;
+  return load;
+}
+
+}  // namespace trefoilwick::standin
--- /dev/null
+++ b/tools/standin_list.h
@@ -0,0 +1,35 @@
+// Instance list stand-in, without sockets.
+#pragma once
+
+#include "standin.h"
+
+namespace trefoilwick::standin {
+
+// Instances by id, with the states of the last ten minutes. Not thread-safe.
+class InstanceHistory {
+ public:
+  using Instances =
+      std::map<std::string, std::shared_ptr<const nlohmann::json>>;
+  struct State {
+    TimePoint at{};
+    int64_t version = 0;
+    Instances instances;
+  };
+  // `instance` has an "id".
+  void Put(TimePoint now, const nlohmann::json& instance);
+  // False when there is no such instance.
+  bool Remove(TimePoint now, const std::string& id);
+  // The list as it was at `at`.
+  State At(TimePoint at) const;
+
+ private:
+  void Push(TimePoint now, Instances instances);
+  std::deque<State> m_states{State{}};
+};
+
+// Empty, or why `instance` is refused.
+std::string CheckInstance(const nlohmann::json& instance);
+
+std::unique_ptr<Role> MakeListRole(Journal& journal);
+
+}  // namespace trefoilwick::standin
