--- a/src/daemon_services.cc
+++ b/src/daemon_services.cc
@@ -61,7 +61,7 @@
     state->done.notify_one();
   });
   std::unique_lock lock(state->mutex);
-  if (!state->done.wait_for(lock, limit, [&] { return state->result; })) {
+  if (!state->done.wait_for(lock, limit, [&] { return state->result.has_value(); })) {
     HttpResult lost;
     lost.failure = CallFailure::kLost;
     state->result = lost;
