Add membership and burn report

Cause: the daemon needs a view of its peers and operators need a burn report. Change: SWIM-style membership with a compact codec and a 400-byte budget per message; per-minute burn counts that merge across instances; text, JSON, SVG.

--- a/include/trefoilwick/membership.h
+++ b/include/trefoilwick/membership.h
@@ -35,6 +35,7 @@
   // host:port for HTTP and for messages between instances.
   std::string address;
   std::string peer_address;
+  // Learned from messages of the member itself only; not passed on by others.
   int64_t table_version = 0;
   bool operator==(const Member&) const = default;
 };
@@ -86,12 +87,15 @@
   Duration probe_interval{1'000'000};
   Duration probe_timeout{300'000};
   Duration suspect_time{2'000'000};
-  Duration full_exchange_interval{10'000'000};
-  // Bytes of member and item records in one probe or reply.
-  size_t byte_budget = 700;
+  // Bytes of one probe or reply. A node sends about one of each a second and
+  // receives as many, so 400 bytes keep it under 2 KB/s.
+  size_t byte_budget = 400;
   int indirect_probes = 2;
   // Largest part of a data center's members that may be suspect at once.
   double max_suspect_share = 0.5;
+  // Gone members are remembered this long, so that late news does not revive
+  // them.
+  Duration tombstone_time{600'000'000};
 };
 
 // View of the entry instances held by one of them; a state machine. Not
--- a/src/report.cc
+++ b/src/report.cc
@@ -1,1 +1,216 @@
 #include "trefoilwick/report.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace trefoilwick {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int64_t kMinuteMillis = 60'000;
+constexpr int64_t kKeptMinutes = 360;
+
+struct Window {
+  const char* name;
+  Duration length;
+};
+constexpr Window kWindows[] = {
+    {"5m", std::chrono::minutes(5)},
+    {"1h", std::chrono::hours(1)},
+    {"6h", std::chrono::hours(6)},
+};
+
+std::string RenderText(const std::vector<BurnRow>& rows) {
+  std::string out =
+      "rank      account               requests     5m     1h     6h\n";
+  for (const BurnRow& row : rows) {
+    char line[160];
+    std::snprintf(line, sizeof(line), "%-9s %-20s %9llu %6.2f %6.2f %6.2f\n",
+                  row.key.rank.c_str(), row.key.account.c_str(),
+                  static_cast<unsigned long long>(row.requests),
+                  row.burn.at("5m"), row.burn.at("1h"), row.burn.at("6h"));
+    out += line;
+  }
+  return out;
+}
+
+std::string RenderJson(const std::vector<BurnRow>& rows) {
+  json list = json::array();
+  for (const BurnRow& row : rows)
+    list.push_back({{"rank", row.key.rank},
+                    {"account", row.key.account},
+                    {"requests", row.requests},
+                    {"burn", row.burn}});
+  return list.dump(2) + "\n";
+}
+
+std::string EscapeXml(const std::string& text) {
+  std::string out;
+  for (char c : text) {
+    if (c == '<')
+      out += "&lt;";
+    else if (c == '>')
+      out += "&gt;";
+    else if (c == '&')
+      out += "&amp;";
+    else
+      out += c;
+  }
+  return out;
+}
+
+// One bar per row and window; the vertical line marks a burn of 1.
+std::string RenderSvg(const std::vector<BurnRow>& rows) {
+  constexpr int kRowHeight = 48;
+  constexpr int kLeft = 220;
+  constexpr int kUnit = 60;
+  constexpr double kMaxShown = 8;
+  constexpr const char* kColors[] = {"#1f77b4", "#ff7f0e", "#2ca02c"};
+  const int height = kRowHeight * static_cast<int>(rows.size()) + 50;
+  std::string out =
+      "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"760\" height=\"" +
+      std::to_string(height) +
+      "\" font-family=\"sans-serif\" font-size=\"12\">\n"
+      "<text x=\"10\" y=\"18\">Error budget burn (5m, 1h, 6h); line: "
+      "1</text>\n";
+  int y = 34;
+  for (const BurnRow& row : rows) {
+    out += "<text x=\"10\" y=\"" + std::to_string(y + 20) + "\">" +
+           EscapeXml(row.key.rank + " / " + row.key.account) + "</text>\n";
+    for (size_t i = 0; i < std::size(kWindows); ++i) {
+      const double burn = std::min(kMaxShown, row.burn.at(kWindows[i].name));
+      out += "<rect x=\"" + std::to_string(kLeft) + "\" y=\"" +
+             std::to_string(y + static_cast<int>(i) * 12) + "\" width=\"" +
+             std::to_string(static_cast<int>(burn * kUnit) + 1) +
+             "\" height=\"10\" fill=\"" + kColors[i] + "\"/>\n";
+    }
+    y += kRowHeight;
+  }
+  out += "<line x1=\"" + std::to_string(kLeft + kUnit) + "\" y1=\"26\" x2=\"" +
+         std::to_string(kLeft + kUnit) + "\" y2=\"" + std::to_string(y) +
+         "\" stroke=\"#d62728\"/>\n</svg>\n";
+  return out;
+}
+
+}  // namespace
+
+void BurnData::Record(int64_t unix_millis, const BurnKey& key, bool good) {
+  const int64_t minute = unix_millis / kMinuteMillis;
+  auto& minutes = m_minutes[key];
+  BurnCell& cell = minutes[minute];
+  ++(good ? cell.good : cell.bad);
+  while (minutes.begin()->first <= minute - kKeptMinutes)
+    minutes.erase(minutes.begin());
+}
+
+void BurnData::Merge(const BurnData& other) {
+  for (const auto& [key, minutes] : other.m_minutes) {
+    for (const auto& [minute, cell] : minutes) {
+      BurnCell& mine = m_minutes[key][minute];
+      mine.good += cell.good;
+      mine.bad += cell.bad;
+    }
+  }
+}
+
+BurnCell BurnData::Sum(int64_t unix_millis,
+                       const BurnKey& key,
+                       Duration window) const {
+  BurnCell sum;
+  auto it = m_minutes.find(key);
+  if (it == m_minutes.end())
+    return sum;
+  const int64_t first =
+      (unix_millis - window.count() / 1000) / kMinuteMillis + 1;
+  for (auto cell = it->second.lower_bound(first); cell != it->second.end();
+       ++cell) {
+    sum.good += cell->second.good;
+    sum.bad += cell->second.bad;
+  }
+  return sum;
+}
+
+std::vector<BurnKey> BurnData::Keys() const {
+  std::vector<BurnKey> keys;
+  for (const auto& [key, minutes] : m_minutes)
+    keys.push_back(key);
+  return keys;
+}
+
+std::string BurnData::ToJson() const {
+  json out = json::array();
+  for (const auto& [key, minutes] : m_minutes) {
+    json cells = json::array();
+    for (const auto& [minute, cell] : minutes)
+      cells.push_back({minute, cell.good, cell.bad});
+    out.push_back(
+        {{"rank", key.rank}, {"account", key.account}, {"minutes", cells}});
+  }
+  return out.dump();
+}
+
+absl::StatusOr<BurnData> BurnData::FromJson(const std::string& text) {
+  BurnData data;
+  try {
+    for (const json& series : json::parse(text)) {
+      const BurnKey key{series.at("rank").get<std::string>(),
+                        series.at("account").get<std::string>()};
+      for (const json& cell : series.at("minutes"))
+        data.m_minutes[key][cell.at(0).get<int64_t>()] = {
+            cell.at(1).get<uint64_t>(), cell.at(2).get<uint64_t>()};
+    }
+  } catch (const std::exception& error) {
+    return MakeStatus(absl::StatusCode::kInvalidArgument, error.what());
+  }
+  return data;
+}
+
+std::vector<BurnRow> ComputeBurn(const BurnData& data,
+                                 int64_t unix_millis,
+                                 double objective) {
+  const double budget = std::max(1e-9, 1 - objective);
+  const std::vector<BurnKey> keys = data.Keys();
+  std::map<BurnKey, std::map<std::string, BurnCell>> sums;
+  for (const BurnKey& key : keys) {
+    for (const Window& window : kWindows) {
+      const BurnCell cell = data.Sum(unix_millis, key, window.length);
+      for (const BurnKey& target : {key, BurnKey{key.rank, "*"}}) {
+        BurnCell& sum = sums[target][window.name];
+        sum.good += cell.good;
+        sum.bad += cell.bad;
+      }
+    }
+  }
+  std::vector<BurnRow> rows;
+  for (const auto& [key, windows] : sums) {
+    BurnRow row;
+    row.key = key;
+    for (const auto& [name, cell] : windows) {
+      const uint64_t total = cell.good + cell.bad;
+      row.burn[name] = total == 0 ? 0
+                                  : static_cast<double>(cell.bad) /
+                                        static_cast<double>(total) / budget;
+      row.requests = std::max(row.requests, total);
+    }
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+std::string RenderBurn(const std::vector<BurnRow>& rows, ReportFormat format) {
+  switch (format) {
+    case ReportFormat::kText:
+      return RenderText(rows);
+    case ReportFormat::kJson:
+      return RenderJson(rows);
+    case ReportFormat::kSvg:
+      return RenderSvg(rows);
+  }
+  return "";
+}
+
+}  // namespace trefoilwick
