--- a/include/trefoilwick/platform.h
+++ b/include/trefoilwick/platform.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "trefoilwick/kernel.h"
@@ -168,10 +169,14 @@
 
  private:
   StoreFault NextFault(const std::string& call, const std::string& key);
+  absl::StatusOr<std::vector<int64_t>> Apply(
+      const StoreTransaction& transaction);
 
   mutable std::mutex m_mutex;
   FaultFunction m_faults;
   std::map<std::pair<std::string, std::string>, StoreRow> m_rows;
+  // Last version of every key ever written.
+  std::map<std::pair<std::string, std::string>, int64_t> m_versions;
   std::map<std::string, std::string> m_objects;
   uint64_t m_calls = 0;
 };
