--- /dev/null
+++ b/test/config_store_test.cc
@@ -0,0 +1,430 @@
+#include "trefoilwick/config_store.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "memory_store.h"
+#include "table_samples.h"
+
+namespace trefoilwick {
+namespace {
+
+// A store with one accepted version and the edit of an operator.
+struct Fixture {
+  Fixture() {
+    const Table first = SampleTable(4);
+    CPPUNIT_ASSERT(Commit(Table(), first, "first").verdict ==
+                   CommitVerdict::kAccepted);
+    base = first.WithVersion(1);
+    edited = WithWeight(base, "account-1", 5);
+    store.calls.clear();
+  }
+  CommitResult Commit(const Table& from,
+                      const Table& to,
+                      const std::string& attempt) {
+    return CommitTable(clock, store, store, from, to, "author-" + attempt,
+                       attempt);
+  }
+  // Attempt in the change row of a version; empty when there is no row.
+  std::string AttemptAt(int64_t version) const {
+    const auto it = store.rows.find(ConfigChangeKey(version));
+    if (it == store.rows.end())
+      return "";
+    return DecodeConfigChange(it->second.value)->attempt;
+  }
+  Table Load() {
+    store.faults = nullptr;
+    store.before = nullptr;
+    auto table = LoadTable(store, store);
+    CPPUNIT_ASSERT_MESSAGE(table.status().ToString(), table.ok());
+    return *std::move(table);
+  }
+
+  ManualClock clock;
+  MemoryStore store;
+  Table base;
+  Table edited;
+};
+
+// Whether the verdict agrees with what the store holds.
+void CheckTruth(const std::string& what,
+                const Fixture& fixture,
+                const CommitResult& result,
+                const std::string& attempt) {
+  const bool written = fixture.AttemptAt(2) == attempt;
+  const std::string text =
+      what + ": " + std::string(kCommitVerdictNames.Name(result.verdict)) +
+      " " + result.reason;
+  if (result.verdict == CommitVerdict::kAccepted) {
+    CPPUNIT_ASSERT_MESSAGE(text, written);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(text, int64_t{2}, result.version);
+  } else if (result.verdict == CommitVerdict::kRefused) {
+    CPPUNIT_ASSERT_MESSAGE(text, !written);
+  }
+  // Head and change row are written together or not at all.
+  const auto& head = fixture.store.rows.at(kConfigHeadKey).value;
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(
+      text, std::string(fixture.AttemptAt(2).empty() ? "1" : "2"), head);
+}
+
+constexpr StoreFault kFaults[] = {StoreFault::kUnavailable,
+                                  StoreFault::kAnswerLost,
+                                  StoreFault::kRequestLost};
+
+// Faults per call number of one commit. The last fault repeats for all later
+// calls when `repeat` is set.
+struct CommitCase {
+  const char* name;
+  std::vector<StoreFault> faults;
+  bool repeat;
+  CommitVerdict verdict;
+  // Whether the change is in the store afterwards.
+  bool written;
+};
+
+const CommitCase kCommitCases[] = {
+    {"no fault", {}, false, CommitVerdict::kAccepted, true},
+    {"store down",
+     {StoreFault::kUnavailable},
+     true,
+     CommitVerdict::kUnknown,
+     false},
+    {"answer lost, then read",
+     {StoreFault::kNone, StoreFault::kAnswerLost},
+     false,
+     CommitVerdict::kAccepted,
+     true},
+    {"answer lost, store down",
+     {StoreFault::kNone, StoreFault::kAnswerLost, StoreFault::kUnavailable},
+     true,
+     CommitVerdict::kUnknown,
+     true},
+    {"request lost, then written again",
+     {StoreFault::kNone, StoreFault::kRequestLost},
+     false,
+     CommitVerdict::kAccepted,
+     true},
+    {"request lost, store down",
+     {StoreFault::kNone, StoreFault::kRequestLost, StoreFault::kUnavailable},
+     true,
+     CommitVerdict::kUnknown,
+     false},
+    {"unavailable for one write",
+     {StoreFault::kNone, StoreFault::kUnavailable},
+     false,
+     CommitVerdict::kAccepted,
+     true},
+    {"answer and first read lost",
+     {StoreFault::kNone, StoreFault::kAnswerLost, StoreFault::kUnavailable},
+     false,
+     CommitVerdict::kAccepted,
+     true},
+};
+
+class ConfigStoreTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ConfigStoreTest);
+  CPPUNIT_TEST(CommitVerdicts);
+  CPPUNIT_TEST(EveryPairOfFaultsGivesATrueVerdict);
+  CPPUNIT_TEST(OneOfTwoOperatorsIsAccepted);
+  CPPUNIT_TEST(CommitOfAnOldBaseShowsTheDifference);
+  CPPUNIT_TEST(DelayedWriteIsFoundByTheNextTry);
+  CPPUNIT_TEST(SameAttemptIsIdempotent);
+  CPPUNIT_TEST(BadOrEmptyEditsWriteNothing);
+  CPPUNIT_TEST(LoadsSnapshotAndLaterChanges);
+  CPPUNIT_TEST(LoadReportsDamage);
+  CPPUNIT_TEST(EveryFaultOfALoadIsAnErrorOrTheTable);
+  CPPUNIT_TEST(ReadsChangesInPages);
+  CPPUNIT_TEST(ChangeEncoding);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void CommitVerdicts() {
+    for (const CommitCase& test : kCommitCases) {
+      Fixture fixture;
+      fixture.store.faults = [&](const std::string&, int number) {
+        const auto at = static_cast<size_t>(number);
+        if (at < test.faults.size())
+          return test.faults[at];
+        return test.repeat ? test.faults.back() : StoreFault::kNone;
+      };
+      const auto result = fixture.Commit(fixture.base, fixture.edited, "mine");
+      CheckTruth(test.name, fixture, result, "mine");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          test.name, std::string(kCommitVerdictNames.Name(test.verdict)),
+          std::string(kCommitVerdictNames.Name(result.verdict)));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(test.name, test.written,
+                                   fixture.AttemptAt(2) == "mine");
+    }
+  }
+
+  // Guards against a verdict that the store contradicts: every fault at every
+  // pair of calls, alone and with another operator's commit in between. After
+  // the store has recovered, the same attempt must reach the same end.
+  void EveryPairOfFaultsGivesATrueVerdict() {
+    for (int first = 0; first < 7; ++first)
+      for (int second = first; second < 9; ++second)
+        for (const StoreFault one : kFaults)
+          for (const StoreFault two : kFaults)
+            for (int rival = -1; rival < 5; ++rival)
+              RunFaults(first, one, second, two, rival);
+  }
+
+  // Guards against two accepted edits of one version.
+  void OneOfTwoOperatorsIsAccepted() {
+    // The second operator commits before each call of the first.
+    for (int at = 0; at < 2; ++at) {
+      Fixture fixture;
+      CommitResult other;
+      fixture.store.before = [&](const std::string&, int number) {
+        if (number != at || other.version != 0)
+          return;
+        other.version = 1;
+        other = fixture.Commit(
+            fixture.base, WithWeight(fixture.base, "account-2", 7), "other");
+      };
+      const auto mine = fixture.Commit(fixture.base, fixture.edited, "mine");
+      CPPUNIT_ASSERT(other.verdict == CommitVerdict::kAccepted);
+      CPPUNIT_ASSERT(mine.verdict == CommitVerdict::kRefused);
+      CPPUNIT_ASSERT_EQUAL(int64_t{2}, mine.version);
+      CPPUNIT_ASSERT_EQUAL(std::string("~ account account-2 weight 3 -> 7\n"),
+                           mine.difference);
+      CPPUNIT_ASSERT(mine.reason.find("author-other") != std::string::npos);
+      CPPUNIT_ASSERT_EQUAL(std::string("other"), fixture.AttemptAt(2));
+    }
+  }
+
+  // Guards against a difference that shows only the first of several edits.
+  void CommitOfAnOldBaseShowsTheDifference() {
+    Fixture fixture;
+    Table accepted = fixture.base;
+    for (int i = 0; i < 3; ++i) {
+      const Table next =
+          WithWeight(accepted, "account-" + std::to_string(i), 20 + i);
+      CPPUNIT_ASSERT(
+          fixture.Commit(accepted, next, std::to_string(i)).verdict ==
+          CommitVerdict::kAccepted);
+      accepted = fixture.Load();
+    }
+    const auto old = fixture.Commit(fixture.base, fixture.edited, "old");
+    CPPUNIT_ASSERT(old.verdict == CommitVerdict::kRefused);
+    CPPUNIT_ASSERT_EQUAL(int64_t{4}, old.version);
+    CPPUNIT_ASSERT_EQUAL(
+        FormatDelta(fixture.base, DiffTables(fixture.base, fixture.Load())),
+        old.difference);
+    const auto future =
+        fixture.Commit(fixture.base.WithVersion(9), fixture.edited, "future");
+    CPPUNIT_ASSERT(future.verdict == CommitVerdict::kRefused);
+  }
+
+  // Guards against a refusal while the write is still on its way: it arrives
+  // after the change row was read as absent.
+  void DelayedWriteIsFoundByTheNextTry() {
+    Fixture fixture;
+    MemoryStore& store = fixture.store;
+    const int64_t head_row = store.rows.at(kConfigHeadKey).version;
+    const ConfigChange change{
+        DiffTables(fixture.base, fixture.edited.WithVersion(2)), "mine", "me",
+        1};
+    const StoreTransaction delayed{
+        {{kConfigTable, kConfigHeadKey, head_row}},
+        {{kConfigTable, kConfigHeadKey, "2"},
+         {kConfigTable, ConfigChangeKey(2), EncodeConfigChange(change)}}};
+    store.faults = [](const std::string&, int number) {
+      return number == 1 ? StoreFault::kRequestLost : StoreFault::kNone;
+    };
+    // Calls: head, write (lost), change row, head, write again.
+    store.before = [&](const std::string&, int number) {
+      if (number == 4)
+        CPPUNIT_ASSERT(store.Write(delayed).ok());
+    };
+    const auto result = fixture.Commit(fixture.base, fixture.edited, "mine");
+    CPPUNIT_ASSERT(result.verdict == CommitVerdict::kAccepted);
+    CheckTruth("delayed", fixture, result, "mine");
+  }
+
+  void SameAttemptIsIdempotent() {
+    Fixture fixture;
+    for (int i = 0; i < 3; ++i) {
+      const auto result = fixture.Commit(fixture.base, fixture.edited, "mine");
+      CPPUNIT_ASSERT(result.verdict == CommitVerdict::kAccepted);
+      CPPUNIT_ASSERT_EQUAL(int64_t{2}, result.version);
+    }
+    // Still so when other edits followed.
+    const Table now = fixture.Load();
+    fixture.Commit(now, WithWeight(now, "account-3", 9), "later");
+    CPPUNIT_ASSERT(
+        fixture.Commit(fixture.base, fixture.edited, "mine").verdict ==
+        CommitVerdict::kAccepted);
+    CPPUNIT_ASSERT_EQUAL(int64_t{3}, fixture.Load().version());
+  }
+
+  // Guards against a table that the checks refuse being committed by a caller
+  // that did not parse it.
+  void BadOrEmptyEditsWriteNothing() {
+    Fixture fixture;
+    const auto bad = fixture.Commit(
+        fixture.base, WithWeight(fixture.base, "account-1", -1), "bad");
+    CPPUNIT_ASSERT(bad.verdict == CommitVerdict::kRefused);
+    CPPUNIT_ASSERT(bad.reason.find("account-1") != std::string::npos);
+    CPPUNIT_ASSERT(fixture.store.calls.empty());
+    const auto empty = fixture.Commit(fixture.base, fixture.base, "empty");
+    CPPUNIT_ASSERT(empty.verdict == CommitVerdict::kAccepted);
+    CPPUNIT_ASSERT_EQUAL(int64_t{1}, empty.version);
+    CPPUNIT_ASSERT_EQUAL(int64_t{1}, fixture.Load().version());
+  }
+
+  // Guards against joins that replay the whole log, and against a snapshot
+  // that is lost for good because its one write failed.
+  void LoadsSnapshotAndLaterChanges() {
+    MemoryStore store;
+    CPPUNIT_ASSERT_EQUAL(int64_t{0}, LoadTable(store, store)->version());
+    Table table = SampleTable(3);
+    ManualClock clock;
+    store.faults = [](const std::string& call, int) {
+      return call == "put_object" ? StoreFault::kUnavailable
+                                  : StoreFault::kNone;
+    };
+    Table base;
+    for (int i = 1; i <= 600; ++i) {
+      table = WithWeight(table, "account-1", i);
+      CPPUNIT_ASSERT(
+          CommitTable(clock, store, store, base, table, "a", std::to_string(i))
+              .verdict == CommitVerdict::kAccepted);
+      base = table.WithVersion(i);
+    }
+    CPPUNIT_ASSERT(store.objects.empty());
+    store.faults = nullptr;
+    CPPUNIT_ASSERT(base == *LoadTable(store, store));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, store.objects.size());
+    store.calls.clear();
+    CPPUNIT_ASSERT(base == *LoadTable(store, store));
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, store.calls.size());
+    // A damaged snapshot is passed over.
+    store.objects[ConfigSnapshotName(512)] = "{";
+    CPPUNIT_ASSERT(base == *LoadTable(store, store));
+  }
+
+  // Guards against a table that silently lacks a version.
+  void LoadReportsDamage() {
+    Fixture fixture;
+    CPPUNIT_ASSERT(
+        fixture.Commit(fixture.base, fixture.edited, "mine").verdict ==
+        CommitVerdict::kAccepted);
+    MemoryStore& store = fixture.store;
+    const auto rows = store.rows;
+    store.rows.erase(ConfigChangeKey(1));
+    CPPUNIT_ASSERT(!LoadTable(store, store).ok());
+    store.rows = rows;
+    store.rows.erase(ConfigChangeKey(2));
+    CPPUNIT_ASSERT(!LoadTable(store, store).ok());
+    store.rows = rows;
+    store.rows.at(ConfigChangeKey(2)).value = "x";
+    CPPUNIT_ASSERT(!LoadTable(store, store).ok());
+    store.rows = rows;
+    store.rows.at(kConfigHeadKey).value = "2x";
+    CPPUNIT_ASSERT(!ReadHeadVersion(store).ok());
+    store.rows = rows;
+    CPPUNIT_ASSERT_EQUAL(int64_t{2}, *ReadHeadVersion(store));
+  }
+
+  void EveryFaultOfALoadIsAnErrorOrTheTable() {
+    for (int at = 0; at < 4; ++at) {
+      Fixture fixture;
+      fixture.store.faults = [&](const std::string&, int number) {
+        return number == at ? StoreFault::kUnavailable : StoreFault::kNone;
+      };
+      const auto table = LoadTable(fixture.store, fixture.store);
+      CPPUNIT_ASSERT(!table.ok() || *table == fixture.base);
+    }
+  }
+
+  void ReadsChangesInPages() {
+    Fixture fixture;
+    Table table = fixture.base;
+    for (int i = 2; i <= 12; ++i) {
+      fixture.Commit(table, WithWeight(table, "account-1", 100 + i), "m");
+      table = fixture.Load();
+    }
+    const auto page = ReadChanges(fixture.store, 8, 3);
+    CPPUNIT_ASSERT(page.ok());
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, page->size());
+    CPPUNIT_ASSERT_EQUAL(int64_t{9}, page->front().delta.version);
+    CPPUNIT_ASSERT_EQUAL(std::string("author-m"), page->front().author);
+    CPPUNIT_ASSERT(ReadChanges(fixture.store, 12, 3)->empty());
+  }
+
+  // Guards against keys that do not order like versions, and crashes on
+  // damaged rows.
+  void ChangeEncoding() {
+    CPPUNIT_ASSERT(ConfigChangeKey(9) < ConfigChangeKey(10));
+    CPPUNIT_ASSERT(ConfigChangeKey(-1) == ConfigChangeKey(0));
+    const ConfigChange change{{3, {}, {}, {"k"}, {}}, "a\n\xff", "me\n", 17};
+    const std::string bytes = EncodeConfigChange(change);
+    const auto decoded = DecodeConfigChange(bytes);
+    CPPUNIT_ASSERT(decoded.ok() && decoded->delta == change.delta);
+    CPPUNIT_ASSERT_EQUAL(change.author, decoded->author);
+    CPPUNIT_ASSERT_EQUAL(change.unix_ms, decoded->unix_ms);
+    Random random(1);
+    for (int i = 0; i < 5000; ++i) {
+      std::string damaged = bytes;
+      damaged[random.Below(damaged.size())] =
+          static_cast<char>(random.Below(256));
+      damaged.erase(random.Below(damaged.size()), random.Below(4));
+      const auto result = DecodeConfigChange(damaged);
+      CPPUNIT_ASSERT(result.ok() || absl::IsInvalidArgument(result.status()));
+    }
+  }
+
+ private:
+  static void RunFaults(int first,
+                        StoreFault one,
+                        int second,
+                        StoreFault two,
+                        int rival) {
+    Fixture fixture;
+    fixture.store.faults = [&](const std::string&, int number) {
+      if (number == first)
+        return one;
+      return number == second ? two : StoreFault::kNone;
+    };
+    fixture.store.before = [&](const std::string&, int number) {
+      if (number == rival)
+        WriteRival(fixture);
+    };
+    const auto result = fixture.Commit(fixture.base, fixture.edited, "mine");
+    const std::string what = "faults " + std::to_string(first) + " " +
+                             std::string(kStoreFaultNames.Name(one)) + ", " +
+                             std::to_string(second) + " " +
+                             std::string(kStoreFaultNames.Name(two)) +
+                             ", rival " + std::to_string(rival);
+    CheckTruth(what, fixture, result, "mine");
+    fixture.store.faults = nullptr;
+    fixture.store.before = nullptr;
+    const bool written = fixture.AttemptAt(2) == "mine";
+    const bool free = fixture.AttemptAt(2).empty();
+    const auto again = fixture.Commit(fixture.base, fixture.edited, "mine");
+    CheckTruth(what + ", again", fixture, again, "mine");
+    CPPUNIT_ASSERT_MESSAGE(
+        what, (again.verdict == CommitVerdict::kAccepted) == (written || free));
+  }
+
+  // Another operator's commit of version 2, if it is still free.
+  static void WriteRival(Fixture& fixture) {
+    MemoryStore& store = fixture.store;
+    const Table other = WithWeight(fixture.base, "account-2", 7).WithVersion(2);
+    const ConfigChange change{DiffTables(fixture.base, other), "rival", "r", 1};
+    // NOLINTNEXTLINE(bugprone-unused-return-value)
+    store
+        .Write(
+            {{{kConfigTable, kConfigHeadKey,
+               store.rows.at(kConfigHeadKey).version},
+              {kConfigTable, ConfigChangeKey(2), 0}},
+             {{kConfigTable, kConfigHeadKey, "2"},
+              {kConfigTable, ConfigChangeKey(2), EncodeConfigChange(change)}}})
+        .IgnoreError();
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConfigStoreTest);
+
+}  // namespace
+}  // namespace trefoilwick
