--- a/include/trefoilwick/admission.h
+++ b/include/trefoilwick/admission.h
@@ -133,6 +133,8 @@
   // Entries of one account, and accounts with entries, of the given rank.
   size_t QueuedOf(Rank rank, const std::string& account) const;
   size_t QueuedAccounts(Rank rank) const;
+  // Sum of the floors of kinds that only have entries of lower ranks.
+  double FloorsBelow(Rank rank) const;
   // Number of queued entries that would be served before a new entry of this
   // rank and account, ignoring floors.
   size_t Ahead(Rank rank, const std::string& account) const;
--- a/src/admission_queue.cc
+++ b/src/admission_queue.cc
@@ -430,6 +430,19 @@
   return count;
 }
 
+double FairQueue::FloorsBelow(Rank rank) const {
+  double sum = 0;
+  for (const auto& kind : m_impl->kinds) {
+    const bool waits_above =
+        std::any_of(kind->active.begin(),
+                    kind->active.begin() + static_cast<ptrdiff_t>(rank) + 1,
+                    [](const auto& active) { return !active.empty(); });
+    if (kind->waiting_flows > 0 && !waits_above)
+      sum += kind->floor;
+  }
+  return sum;
+}
+
 size_t FairQueue::Ahead(Rank rank, const std::string& account) const {
   size_t ahead = 0;
   for (size_t higher = 0; higher < Index(rank); ++higher)
--- a/src/pipeline.cc
+++ b/src/pipeline.cc
@@ -72,9 +72,10 @@
   const Rank rank = submission.rank;
   const size_t queued = queue.size(rank);
   if (queued >= options.max_queue) {
-    const size_t part = options.max_queue / (queue.QueuedAccounts(rank) + 1);
+    const size_t own = queue.QueuedOf(rank, submission.account);
+    const size_t accounts = queue.QueuedAccounts(rank) + (own == 0 ? 1 : 0);
     if (queued >= 2 * options.max_queue ||
-        queue.QueuedOf(rank, submission.account) >= part) {
+        own >= options.max_queue / accounts) {
       const auto over = static_cast<double>(queued - options.max_queue + 1);
       return SubmitRefusal{
           "overloaded",
@@ -99,6 +100,30 @@
   return std::max(1.0, rounds_per_request) * round_us / places;
 }
 
+// Rounds until the given number of places became free: those of the running
+// requests that end first, and then again for the requests after them.
+double ChainScheduler::Impl::RoundsUntilFree(size_t places) const {
+  std::vector<double> rounds;
+  auto add = [&](const Request* request) {
+    const Submission& s = request->submission;
+    rounds.push_back(s.max_tokens - static_cast<double>(s.tokens.size()));
+  };
+  for (const auto& batch : batches)
+    if (!batch->isolated)
+      std::for_each(batch->members.begin(), batch->members.end(), add);
+  std::for_each(rejoin.begin(), rejoin.end(), add);
+  if (places == 0 || Capacity() == 0)
+    return 0;
+  // Places that are free now go to queued requests ahead of these.
+  if (rounds.size() < Capacity())
+    rounds.resize(Capacity(), std::max(1.0, rounds_per_request));
+  const auto at = static_cast<ptrdiff_t>((places - 1) % rounds.size());
+  std::nth_element(rounds.begin(), rounds.begin() + at, rounds.end());
+  const size_t turns = (places - 1) / rounds.size();
+  return rounds[static_cast<size_t>(at)] +
+         static_cast<double>(turns) * std::max(1.0, rounds_per_request);
+}
+
 Duration ChainScheduler::Impl::ExpectedWait(Rank rank,
                                             const std::string& account) const {
   double wait = 0;
@@ -114,8 +139,10 @@
     free += Preemptible();
   const size_t ahead = queue.Ahead(rank, account) + 1;
   wait += round_us / 2;
+  // Kinds of lower ranks take their floors of what becomes free.
+  const double part = std::max(0.1, 1 - queue.FloorsBelow(rank));
   if (ahead > free)
-    wait += static_cast<double>(ahead - free) * MicrosPerPlace();
+    wait += RoundsUntilFree(ahead - free) * round_us / part;
   return Duration{std::llround(wait)};
 }
 
--- a/src/pipeline_impl.h
+++ b/src/pipeline_impl.h
@@ -148,6 +148,7 @@
   std::optional<SubmitRefusal> CheckLoad(const Submission& submission) const;
   Duration ExpectedWait(Rank rank, const std::string& account) const;
   double MicrosPerPlace() const;
+  double RoundsUntilFree(size_t places) const;
   void Enqueue(Submission submission);
   void End(Request& request);
   void Detach(Request& request);
--- a/test/admission_queue_test.cc
+++ b/test/admission_queue_test.cc
@@ -314,6 +314,7 @@
     const SystemClock clock;
     for (int block = 0; block < kRounds / 100; ++block) {
       std::vector<QueueEntry> popped;
+      popped.reserve(100);
       const TimePoint t0 = clock.Now();
       for (int i = 0; i < 100; ++i)
         popped.push_back(*queue.Pop(now += Duration(50)));
