Measure ChainScheduler in virtual time

Cause: the targets for steps per token, throughput and CPU had no figures. Change: test/pipeline_measure_test.cc. Conclusion: the targets hold unless steps are shorter than stages x hop time; the option then has to be raised.

--- /dev/null
+++ b/test/pipeline_measure_test.cc
@@ -0,0 +1,157 @@
+// Figures of ChainScheduler in virtual time, with loose bounds.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <iostream>
+
+#include "pipeline_fake.h"
+
+namespace trefoilwick {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Submission Work(int tokens) {
+  Submission s;
+  s.prompt = "some words of a prompt to start with";
+  s.max_tokens = tokens;
+  s.rank = Rank::kBatch;
+  return s;
+}
+
+struct Rates {
+  double tokens = 0;
+  double steps = 0;
+};
+
+// Tokens and steps a second while `concurrent` requests run.
+Rates Measure(const FakeOptions& options, int concurrent, int tokens) {
+  FakeChain chain(options);
+  chain.check_tokens = false;
+  for (int i = 0; i < concurrent; ++i)
+    chain.Submit("r" + std::to_string(i), Work(tokens));
+  chain.RunFor(seconds(2));
+  const int tokens_before = chain.tokens;
+  const int steps_before = chain.steps;
+  chain.RunFor(seconds(10));
+  return {(chain.tokens - tokens_before) / 10.0,
+          (chain.steps - steps_before) / 10.0};
+}
+
+class PipelineMeasureTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PipelineMeasureTest);
+  CPPUNIT_TEST(StepsDoNotGrowWithConcurrency);
+  CPPUNIT_TEST(ThroughputNearsTheSlowestStage);
+  CPPUNIT_TEST(CpuPerToken);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against one call per token and stage.
+  void StepsDoNotGrowWithConcurrency() {
+    FakeOptions options;
+    options.stages = 4;
+    const Rates few = Measure(options, 8, 100'000);
+    const Rates many = Measure(options, 80, 100'000);
+    std::cerr << "\n8 requests: " << few.steps << " steps/s, "
+              << few.steps / few.tokens << " a token; 80 requests: "
+              << many.steps << " steps/s, " << many.steps / many.tokens
+              << " a token";
+    CPPUNIT_ASSERT_LESSEQUAL(1.1 * few.steps, many.steps);
+  }
+
+  // Guards against stages that are idle while there is work, and shows what the
+  // extra micro-batch is for.
+  void ThroughputNearsTheSlowestStage() {
+    struct Case {
+      int stages;
+      std::vector<int64_t> base_us;
+      int extra;
+      double least;
+    };
+    const std::vector<Case> cases{
+        {4, {8000}, 1, 0.95},  {4, {8000}, 0, 0},
+        {4, {4000}, 1, 0.95},  {4, {6000, 9000, 7000, 5000}, 1, 0.95},
+        {2, {5000}, 1, 0.95},  {8, {8000}, 1, 0.95},
+        {8, {4000}, 1, 0},     {8, {4000}, 2, 0.95},
+    };
+    for (const Case& c : cases) {
+      FakeOptions options;
+      options.stages = c.stages;
+      options.base_us = c.base_us;
+      options.item_us = 50;
+      options.scheduler.extra_micro_batches = c.extra;
+      const int batch = options.scheduler.max_batch;
+      const int64_t slowest =
+          *std::max_element(c.base_us.begin(), c.base_us.end()) +
+          options.item_us * batch;
+      const double bound = 1e6 * batch / static_cast<double>(slowest);
+      const Rates rates = Measure(options, 600, 150);
+      std::cerr << "\n" << c.stages << " stages, slowest step " << slowest
+                << " us, " << c.extra << " extra: " << rates.tokens
+                << " tokens/s, " << rates.tokens / bound << " of the bound";
+      CPPUNIT_ASSERT_GREATEREQUAL(c.least, rates.tokens / bound);
+    }
+  }
+
+  // Guards against work per token that would not fit an entry's share. The
+  // bound is far above the figure measured, so that a busy machine passes.
+  void CpuPerToken() {
+    Chain chain;
+    chain.id = "c";
+    for (int i = 0; i < 4; ++i) {
+      chain.stages.emplace_back();
+      chain.stages.back().id = "s" + std::to_string(i);
+      chain.stages.back().layers = {i, i + 1};
+    }
+    TimePoint now{};
+    auto scheduler =
+        ChainScheduler::Builder().InitialChain(chain).Build(now).value();
+    for (int i = 0; i < 400; ++i) {
+      Submission s = Work(500);
+      s.request = "regina-1-6a1b2c3d4e5f-" + std::to_string(i);
+      s.lineage = static_cast<uint64_t>(i) + 1;
+      s.account = "account-" + std::to_string(i % 50);
+      s.kind = "summaries";
+      s.entry = "entry-" + std::to_string(i % 13);
+      scheduler->Submit(now, s);
+    }
+    int tokens = 0;
+    Duration used{0};
+    const SystemClock clock;
+    std::deque<SendStep> steps;
+    for (std::vector<ChainAction> actions = scheduler->TakeActions();
+         !actions.empty(); actions = scheduler->TakeActions()) {
+      for (ChainAction& action : actions) {
+        if (auto* claim = std::get_if<SendClaim>(&action))
+          scheduler->OnClaimReply(now, claim->claim);
+        if (auto* step = std::get_if<SendStep>(&action))
+          steps.push_back(std::move(*step));
+        if (auto* deliver = std::get_if<DeliverTokens>(&action))
+          for (const TokenUpdate& update : deliver->updates)
+            tokens += static_cast<int>(update.tokens.size());
+      }
+      if (steps.empty())
+        continue;
+      const SendStep step = std::move(steps.front());
+      steps.pop_front();
+      std::vector<StepResultItem> results;
+      for (const StepItem& item : step.items)
+        results.push_back({item.request, item.lineage, "activation-of-stage",
+                           item.sample ? "token" : "", ""});
+      now += milliseconds(1);
+      const TimePoint start = clock.Now();
+      scheduler->OnStepReply(now, step.step, std::move(results));
+      used += clock.Now() - start;
+    }
+    CPPUNIT_ASSERT_EQUAL(200'000, tokens);
+    const double micros = static_cast<double>(used.count()) / tokens;
+    std::cerr << "\n4 stages: " << micros << " us of CPU a token";
+    CPPUNIT_ASSERT_LESS(100.0, micros);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PipelineMeasureTest);
+
+}  // namespace
+}  // namespace trefoilwick
