--- a/include/trefoilwick/config_store.h
+++ b/include/trefoilwick/config_store.h
@@ -73,6 +73,12 @@
 // version 0 when none was ever committed.
 absl::StatusOr<Table> LoadTable(TableService& store, ObjectStore& objects);
 
+// Reads the table of an earlier version, for differences and history.
+// kNotFound when there is no such version.
+absl::StatusOr<Table> LoadTableAt(TableService& store,
+                                  ObjectStore& objects,
+                                  int64_t version);
+
 // The newest accepted version; 0 when none was ever committed.
 absl::StatusOr<int64_t> ReadHeadVersion(TableService& store);
 
--- a/src/config_store.cc
+++ b/src/config_store.cc
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace trefoilwick {
 namespace {
@@ -56,16 +59,19 @@
   return DecodeConfigChange(row->value);
 }
 
-// Applies every change after `table`, one page at a time. Calls `at_page` after
-// each full page: a snapshot version when `table` is at one.
+// Applies the changes after `table` up to version `until`, one page at a time.
+// Calls `at_page` after each page.
 template <typename AtPage>
-absl::StatusOr<Table> Replay(TableService& store, Table table, AtPage at_page) {
-  while (true) {
-    const auto changes = ReadChanges(store, table.version(), kChangesPage);
+absl::StatusOr<Table> Replay(TableService& store,
+                             Table table,
+                             int64_t until,
+                             AtPage at_page) {
+  while (table.version() < until) {
+    const auto limit = static_cast<int>(
+        std::min<int64_t>(kChangesPage, until - table.version()));
+    const auto changes = ReadChanges(store, table.version(), limit);
     if (!changes.ok())
       return changes.status();
-    if (changes->empty())
-      return table;
     std::vector<TableDelta> deltas;
     for (const ConfigChange& change : *changes)
       deltas.push_back(change.delta);
@@ -75,16 +81,20 @@
                       std::string(next.status().message()));
     table = *std::move(next);
     at_page(table);
-    if (static_cast<int>(deltas.size()) < kChangesPage)
-      return table;
+    if (static_cast<int>(deltas.size()) < limit)
+      break;
   }
+  return table;
 }
 
 // One CommitTable call.
 class Commit {
  public:
-  Commit(TableService& store, const Table& base, const ConfigChange& change)
-      : m_store(store), m_base(base), m_change(change) {}
+  Commit(TableService& store,
+         ObjectStore& objects,
+         const Table& base,
+         const ConfigChange& change)
+      : m_store(store), m_objects(objects), m_base(base), m_change(change) {}
   CommitResult Run();
 
  private:
@@ -94,8 +104,10 @@
   CommitResult Accepted() const;
   CommitResult Refused(const std::string& reason);
   absl::Status Write(const Head& head);
+  absl::StatusOr<Table> Newest();
 
   TableService& m_store;
+  ObjectStore& m_objects;
   const Table& m_base;
   const ConfigChange& m_change;
   // The last answer that left the outcome open.
@@ -106,10 +118,19 @@
   return {CommitVerdict::kAccepted, m_change.delta.version, "", ""};
 }
 
+// Replays the log from the base, or loads a snapshot when the base is old.
+absl::StatusOr<Table> Commit::Newest() {
+  const int64_t until = m_base.version() + kChangesPage;
+  auto table = Replay(m_store, m_base, until, [](const Table&) {});
+  if (!table.ok() || table->version() < until)
+    return table;
+  return LoadTable(m_store, m_objects);
+}
+
 // Refusal of an edit whose base is not the accepted version.
 CommitResult Commit::Refused(const std::string& reason) {
   CommitResult result{CommitVerdict::kRefused, 0, reason, ""};
-  const auto newest = Replay(m_store, m_base, [](const Table&) {});
+  const auto newest = Newest();
   if (!newest.ok()) {
     result.reason += "; the difference could not be read: " +
                      std::string(newest.status().message());
@@ -289,7 +310,7 @@
                             clock.UnixMillis()};
   if (change.delta.empty())
     return CommitNothing(store, base);
-  CommitResult result = Commit(store, base, change).Run();
+  CommitResult result = Commit(store, objects, base, change).Run();
   if (result.verdict == CommitVerdict::kAccepted)
     WriteSnapshot(objects, next);
   return result;
@@ -302,8 +323,9 @@
   auto snapshot = ReadSnapshot(objects, head->version);
   if (!snapshot.ok())
     return snapshot;
-  auto table = Replay(store, *std::move(snapshot),
-                      [&](const Table& page) { WriteSnapshot(objects, page); });
+  auto table =
+      Replay(store, *std::move(snapshot), std::numeric_limits<int64_t>::max(),
+             [&](const Table& page) { WriteSnapshot(objects, page); });
   if (table.ok() && table->version() < head->version)
     return DataLoss("the change log ends at version " +
                     std::to_string(table->version()) + ", the head is " +
@@ -311,6 +333,21 @@
   return table;
 }
 
+absl::StatusOr<Table> LoadTableAt(TableService& store,
+                                  ObjectStore& objects,
+                                  int64_t version) {
+  auto snapshot = ReadSnapshot(objects, version);
+  if (!snapshot.ok())
+    return snapshot;
+  auto table =
+      Replay(store, *std::move(snapshot), version, [](const Table&) {});
+  if (table.ok() && table->version() != version)
+    return MakeStatus(
+        absl::StatusCode::kNotFound,
+        "version " + std::to_string(version) + " was never accepted");
+  return table;
+}
+
 absl::StatusOr<int64_t> ReadHeadVersion(TableService& store) {
   const auto head = ReadHeadRow(store);
   if (!head.ok())
--- a/test/config_store_test.cc
+++ b/test/config_store_test.cc
@@ -298,6 +298,21 @@
     store.calls.clear();
     CPPUNIT_ASSERT(base == *LoadTable(store, store));
     CPPUNIT_ASSERT_EQUAL(size_t{3}, store.calls.size());
+    for (const int version : {0, 1, 256, 300, 600}) {
+      const auto at = LoadTableAt(store, store, version);
+      CPPUNIT_ASSERT(at.ok());
+      CPPUNIT_ASSERT_EQUAL(int64_t{version}, at->version());
+      CPPUNIT_ASSERT(version == 0 ||
+                     at->FindAccount("account-1")->weight == version);
+    }
+    CPPUNIT_ASSERT(absl::IsNotFound(LoadTableAt(store, store, 601).status()));
+    // An old base is compared with the newest table, not with the first page.
+    const auto old =
+        CommitTable(clock, store, store, *LoadTableAt(store, store, 10),
+                    WithWeight(base, "account-1", 7), "a", "old");
+    CPPUNIT_ASSERT(old.verdict == CommitVerdict::kRefused);
+    CPPUNIT_ASSERT_EQUAL(std::string("~ account account-1 weight 10 -> 600\n"),
+                         old.difference);
     // A damaged snapshot is passed over.
     store.objects[ConfigSnapshotName(512)] = "{";
     CPPUNIT_ASSERT(base == *LoadTable(store, store));
--- a/test/memory_store.h
+++ b/test/memory_store.h
@@ -41,7 +41,7 @@
       return Unavailable();
     if (fault == StoreFault::kRequestLost)
       return Unknown();
-    const auto written = Write(transaction);
+    auto written = Write(transaction);
     if (fault == StoreFault::kAnswerLost)
       return Unknown();
     return written;
