Implement the ledger of calls that may not be repeated

Cause: a call that may not be repeated must run at most once, and not_run must stay true for ever, whatever the store, the entries and the network do. Change: LedgerCall (insert started, conditional sent, deadline check, dispatch, record), LookUpLedger, and LedgerAdapter, which carries out one action so that tests step the same code. The tests explore interleavings of callers and look-ups with store faults, delayed writes, lost dispatches, pauses, kills and entries whose wall clocks differ. A call costs three store calls.

--- a/include/trefoilwick/ledger.h
+++ b/include/trefoilwick/ledger.h
@@ -42,7 +42,8 @@
 
 std::string EncodeLedgerRecord(const LedgerRecord& record);
 absl::StatusOr<LedgerRecord> DecodeLedgerRecord(const std::string& bytes);
-// Key of the row: "<account>/<key>", with '/' and '%' of both percent-encoded.
+// Key of the row: "<account>/<key>", with '/', '%' and every byte that is not
+// printable ASCII percent-encoded in both.
 std::string LedgerKey(const std::string& account, const std::string& key);
 
 struct LedgerCallInput {
@@ -136,15 +137,58 @@
   LedgerAction OnAnswered();
 
  private:
-  enum class Step : uint8_t;
+  enum class Step : uint8_t {
+    kInserting,
+    kMarkingSent,
+    kClosing,
+    kReading,
+    kWaiting,
+    kDispatching,
+    kAnswering,
+    kRecording,
+    kRecordReading,
+    kRecordWaiting,
+    kEnded,
+  };
+  LedgerAction Insert(int64_t expected_version);
+  LedgerAction MarkSent();
+  LedgerAction Dispatch();
+  LedgerAction Close(const StoreRow& row, LedgerRecord record);
+  LedgerAction Read();
+  LedgerAction ReadLater(Duration delay);
+  LedgerAction GiveUp();
+  LedgerAction Answer(LedgerVerdict verdict, bool recording);
+  LedgerAction Replay(LedgerVerdict verdict, const LedgerRecord& record);
+  LedgerAction NotRun();
+  LedgerAction OnStoreFailure();
+  LedgerAction OnOwnRow(const StoreRow& row, const LedgerRecord& record);
+  LedgerAction OnOtherRow(const StoreRow& row, const LedgerRecord& record);
+  LedgerAction Record();
+  LedgerAction OnRecordRead(const absl::StatusOr<StoreRow>& row);
+  LedgerAction OnRecordWritten(const absl::Status& status);
+  LedgerAction RecordLater();
+  bool InTime() const { return m_clock.Now() < m_dispatch_deadline; }
+  // An attempt that may have held the row may have been sealed and reported as
+  // not run since, so it never takes the row again.
+  bool MayInsert() const { return InTime() && !m_may_have_written; }
+
   const Clock& m_clock;
   LedgerCallInput m_input;
   TimePoint m_dispatch_deadline{};
-  int m_step = 0;
+  int64_t m_started_unix_ms = 0;
+  Step m_step = Step::kEnded;
   int m_store_failures = 0;
+  Duration m_poll{0};
+  // Last version of the row known to hold this attempt; 0 when not known.
   int64_t m_version = 0;
   LedgerRecord m_record;
   LedgerAnswer m_answer;
+  // A write of this attempt may have taken effect.
+  bool m_may_have_written = false;
+  // The `sent` write was attempted.
+  bool m_marked = false;
+  // Another attempt was last seen started or sent.
+  bool m_other_in_progress = false;
 };
 
 // Looks up the outcome of a (account, key) from any entry, sealing or closing
@@ -154,13 +198,30 @@
                                           const std::string& account,
                                           const std::string& key);
 
+// Carries out the actions of a LedgerCall, one at a time.
+struct LedgerAdapter {
+  TableService& store;
+  // LedgerKey() of the call.
+  std::string row_key;
+  std::function<DispatchResult(Duration)> dispatch;
+  std::function<void(const LedgerAnswer&)> answer;
+  std::function<void(Duration)> wait;
+
+  // Carries out `action`, reports its result to `call` and returns the next
+  // action. A dispatch that throws counts as one whose answer was lost.
+  LedgerAction Step(LedgerCall& call, const LedgerAction& action) const;
+};
+
 // Carries out a LedgerCall against a store. `dispatch` sends the call;
-// `answer` is called exactly once. Blocks until LedgerEnd.
+// `answer` is called exactly once. Blocks until LedgerEnd, or until the answer
+// was given and `stopping` returns true at a wait: a result that the store
+// does not accept is written again until then.
 void RunLedgerCall(const Clock& clock,
                    TableService& store,
                    const LedgerCallInput& input,
                    const std::function<DispatchResult(Duration)>& dispatch,
                    const std::function<void(const LedgerAnswer&)>& answer,
-                   const std::function<void(Duration)>& wait);
+                   const std::function<void(Duration)>& wait,
+                   const std::function<bool()>& stopping = {});
 
 }  // namespace trefoilwick
--- a/src/ledger.cc
+++ b/src/ledger.cc
@@ -1,1 +1,498 @@
 #include "trefoilwick/ledger.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <string_view>
+
+#include "absl/strings/escaping.h"
+
+namespace trefoilwick {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Store calls that may fail before a call gives up, its first included.
+constexpr int kMaxStoreFailures = 3;
+constexpr Duration kRetryDelay = std::chrono::milliseconds(50);
+constexpr Duration kFirstPoll = std::chrono::milliseconds(20);
+constexpr Duration kLongestPoll = std::chrono::milliseconds(500);
+constexpr Duration kLongestRecordDelay = std::chrono::seconds(5);
+// Time after the end of a call within which its holder normally records the
+// result; a `sent` row is closed as unknown only after it.
+constexpr Duration kRecordWithin = std::chrono::seconds(1);
+// Reads and writes of a look-up that races with other writers.
+constexpr int kMaxLookUpRounds = 8;
+
+int64_t ToMillis(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+void AppendEncoded(std::string& out, const std::string& text) {
+  constexpr std::string_view kHex = "0123456789ABCDEF";
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (c == '/' || c == '%' || byte <= 0x20 || byte >= 0x7f) {
+      out += '%';
+      out += kHex[byte >> 4];
+      out += kHex[byte & 15];
+    } else {
+      out += c;
+    }
+  }
+}
+
+StoreTransaction ToTransaction(const std::string& row_key,
+                               const LedgerWrite& write) {
+  return {{{kLedgerTable, row_key, write.expected_version}},
+          {{kLedgerTable, row_key, EncodeLedgerRecord(write.record), false}}};
+}
+
+absl::StatusOr<int64_t> WriteRow(TableService& store,
+                                 const std::string& row_key,
+                                 const LedgerWrite& write) {
+  const auto versions = store.Transact(ToTransaction(row_key, write));
+  if (!versions.ok())
+    return versions.status();
+  return versions->front();
+}
+
+// True when the status of a write says that nothing was written and that
+// reading the row again would not help.
+bool NothingWritten(const absl::Status& status) {
+  return status.code() == absl::StatusCode::kUnavailable ||
+         status.code() == absl::StatusCode::kInvalidArgument;
+}
+
+bool MayReplace(LedgerState current, LedgerState next) {
+  switch (next) {
+    case LedgerState::kDone:
+      return current == LedgerState::kSent || current == LedgerState::kUnknown;
+    case LedgerState::kUnknown:
+      return current == LedgerState::kSent;
+    case LedgerState::kNotRun:
+      // A caller may have been told `unknown`, which is final.
+      return current == LedgerState::kStarted || current == LedgerState::kSent;
+    default:
+      return false;
+  }
+}
+
+DispatchResult DispatchSafely(
+    const std::function<DispatchResult(Duration)>& dispatch,
+    Duration timeout) {
+  try {
+    return dispatch(timeout);
+  } catch (const std::exception& error) {
+    LogStateChange("ledger", "dispatch_failed", {{"error", error.what()}});
+    return {};
+  }
+}
+
+}  // namespace
+
+std::string EncodeLedgerRecord(const LedgerRecord& record) {
+  Json json = {{"attempt", record.attempt},
+               {"body_sha256", record.body_sha256},
+               {"kind", record.kind},
+               {"state", kLedgerStateNames.Name(record.state)},
+               {"deadline_ms", record.deadline_unix_ms},
+               {"entry", record.entry},
+               {"request", record.request}};
+  if (record.state == LedgerState::kDone) {
+    // A body may hold any bytes; rows are text.
+    json["result"] = {{"status", record.result_status},
+                      {"body_base64", absl::Base64Escape(record.result_body)}};
+  }
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+absl::StatusOr<LedgerRecord> DecodeLedgerRecord(const std::string& bytes) {
+  try {
+    const Json json = Json::parse(bytes);
+    LedgerRecord record;
+    record.attempt = json.at("attempt").get<std::string>();
+    record.body_sha256 = json.at("body_sha256").get<std::string>();
+    record.kind = json.at("kind").get<std::string>();
+    record.deadline_unix_ms = json.at("deadline_ms").get<int64_t>();
+    record.entry = json.at("entry").get<std::string>();
+    record.request = json.at("request").get<std::string>();
+    const auto state =
+        kLedgerStateNames.Parse(json.at("state").get<std::string>());
+    if (!state)
+      return MakeStatus(absl::StatusCode::kDataLoss, "unknown ledger state");
+    record.state = *state;
+    if (record.state == LedgerState::kDone) {
+      const Json& result = json.at("result");
+      record.result_status = result.at("status").get<int>();
+      if (!absl::Base64Unescape(result.at("body_base64").get<std::string>(),
+                                &record.result_body))
+        return MakeStatus(absl::StatusCode::kDataLoss, "bad result body");
+    }
+    return record;
+  } catch (const Json::exception& error) {
+    return MakeStatus(absl::StatusCode::kDataLoss, error.what());
+  }
+}
+
+std::string LedgerKey(const std::string& account, const std::string& key) {
+  std::string out;
+  AppendEncoded(out, account);
+  out += '/';
+  AppendEncoded(out, key);
+  return out;
+}
+
+LedgerCall::LedgerCall(const Clock& clock, LedgerCallInput input)
+    : m_clock(clock), m_input(std::move(input)) {}
+
+LedgerAction LedgerCall::Start() {
+  m_dispatch_deadline = m_clock.Now() + m_input.dispatch_within;
+  m_started_unix_ms = m_clock.UnixMillis();
+  m_poll = kFirstPoll;
+  m_record = {
+      .attempt = m_input.attempt,
+      .body_sha256 = m_input.body_sha256,
+      .kind = m_input.kind,
+      .state = LedgerState::kStarted,
+      .deadline_unix_ms = m_started_unix_ms + ToMillis(m_input.dispatch_within),
+      .entry = m_input.entry,
+      .request = m_input.request,
+      .result_status = 0,
+      .result_body = {}};
+  return Insert(0);
+}
+
+LedgerAction LedgerCall::Insert(int64_t expected_version) {
+  m_step = Step::kInserting;
+  return LedgerWrite{expected_version, m_record};
+}
+
+LedgerAction LedgerCall::MarkSent() {
+  if (!InTime())
+    return NotRun();
+  m_step = Step::kMarkingSent;
+  m_marked = true;
+  LedgerRecord sent = m_record;
+  sent.state = LedgerState::kSent;
+  sent.deadline_unix_ms =
+      m_started_unix_ms +
+      ToMillis(m_input.dispatch_within + m_input.call_timeout + kRecordWithin);
+  return LedgerWrite{m_version, sent};
+}
+
+// The row says `sent` for this attempt.
+LedgerAction LedgerCall::Dispatch() {
+  // The holder may have been paused during the write; its caller and other
+  // entries count on nothing being sent after the deadline.
+  if (!InTime())
+    return NotRun();
+  m_step = Step::kDispatching;
+  return LedgerDispatch{m_input.call_timeout};
+}
+
+LedgerAction LedgerCall::Close(const StoreRow& row, LedgerRecord record) {
+  m_step = Step::kClosing;
+  record.state = LedgerState::kUnknown;
+  return LedgerWrite{row.version, std::move(record)};
+}
+
+LedgerAction LedgerCall::Read() {
+  m_step = Step::kReading;
+  return LedgerRead{};
+}
+
+LedgerAction LedgerCall::ReadLater(Duration delay) {
+  m_step = Step::kWaiting;
+  return LedgerWait{delay};
+}
+
+LedgerAction LedgerCall::Answer(LedgerVerdict verdict, bool recording) {
+  m_step = Step::kAnswering;
+  m_store_failures = 0;
+  m_answer.verdict = verdict;
+  m_answer.recording = recording;
+  return m_answer;
+}
+
+LedgerAction LedgerCall::Replay(LedgerVerdict verdict,
+                                const LedgerRecord& record) {
+  m_answer.status = record.result_status;
+  m_answer.body = record.result_body;
+  m_answer.replayed = true;
+  return Answer(verdict, false);
+}
+
+// Nothing was or will be sent by this attempt. Sealing the row lets the
+// caller's next attempt run without waiting for the deadline.
+LedgerAction LedgerCall::NotRun() {
+  m_record.state = LedgerState::kNotRun;
+  return Answer(LedgerVerdict::kNotRun, m_may_have_written);
+}
+
+LedgerAction LedgerCall::GiveUp() {
+  if (m_other_in_progress)
+    return Answer(LedgerVerdict::kInProgress, false);
+  return NotRun();
+}
+
+LedgerAction LedgerCall::OnStoreFailure() {
+  if (++m_store_failures >= kMaxStoreFailures || !InTime())
+    return GiveUp();
+  return ReadLater(kRetryDelay);
+}
+
+LedgerAction LedgerCall::OnWritten(const absl::StatusOr<int64_t>& version) {
+  if (m_step == Step::kRecording)
+    return OnRecordWritten(version.status());
+  if (m_step == Step::kClosing) {
+    if (version.ok()) {
+      m_other_in_progress = false;
+      m_answer.replayed = true;
+      return Answer(LedgerVerdict::kUnknown, false);
+    }
+    return OnStoreFailure();
+  }
+  if (version.ok()) {
+    m_may_have_written = true;
+    m_version = *version;
+    return m_step == Step::kInserting ? MarkSent() : Dispatch();
+  }
+  if (NothingWritten(version.status()))
+    return GiveUp();
+  if (version.status().code() == absl::StatusCode::kFailedPrecondition)
+    return Read();
+  m_may_have_written = true;
+  return OnStoreFailure();
+}
+
+LedgerAction LedgerCall::OnRead(const absl::StatusOr<StoreRow>& row) {
+  if (m_step == Step::kRecordReading)
+    return OnRecordRead(row);
+  if (row.status().code() == absl::StatusCode::kNotFound) {
+    // The insert has not taken effect. A row that was held is never removed
+    // within the life of a call.
+    return InTime() && m_version == 0 ? Insert(0) : GiveUp();
+  }
+  if (!row.ok())
+    return OnStoreFailure();
+  const auto record = DecodeLedgerRecord(row->value);
+  if (!record.ok()) {
+    LogStateChange("ledger", "bad_row", {{"key", row->key}});
+    return Replay(LedgerVerdict::kUnknown, {});
+  }
+  if (record->attempt == m_input.attempt &&
+      (m_marked || record->state == LedgerState::kStarted))
+    return OnOwnRow(*row, *record);
+  return OnOtherRow(*row, *record);
+}
+
+LedgerAction LedgerCall::OnOwnRow(const StoreRow& row,
+                                  const LedgerRecord& record) {
+  m_other_in_progress = false;
+  m_may_have_written = true;
+  m_version = row.version;
+  switch (record.state) {
+    case LedgerState::kStarted:
+      return MarkSent();
+    case LedgerState::kSent:
+      return Dispatch();
+    case LedgerState::kDone:
+      return Replay(LedgerVerdict::kDone, record);
+    default:
+      // Sealed or closed by another entry before anything was sent.
+      return Answer(LedgerVerdict::kNotRun, false);
+  }
+}
+
+LedgerAction LedgerCall::OnOtherRow(const StoreRow& row,
+                                    const LedgerRecord& record) {
+  m_other_in_progress = false;
+  if (record.body_sha256 != m_input.body_sha256 || record.kind != m_input.kind)
+    return Answer(LedgerVerdict::kKeyReused, false);
+  const bool expired = m_clock.UnixMillis() >= record.deadline_unix_ms;
+  switch (record.state) {
+    case LedgerState::kDone:
+      return Replay(LedgerVerdict::kDone, record);
+    case LedgerState::kUnknown:
+      return Replay(LedgerVerdict::kUnknown, record);
+    case LedgerState::kNotRun:
+      return MayInsert() ? Insert(row.version) : GiveUp();
+    case LedgerState::kSent:
+      if (expired)
+        return Close(row, record);
+      break;
+    case LedgerState::kStarted:
+      // Replacing the row keeps the other attempt from being sent, as sealing
+      // it would.
+      if (expired && MayInsert())
+        return Insert(row.version);
+      break;
+  }
+  m_other_in_progress = true;
+  if (!InTime())
+    return GiveUp();
+  const Duration poll = m_poll;
+  m_poll = std::min(m_poll * 2, kLongestPoll);
+  return ReadLater(poll);
+}
+
+LedgerAction LedgerCall::OnDispatched(const DispatchResult& result) {
+  if (result.status) {
+    m_record.state = LedgerState::kDone;
+    m_record.result_status = *result.status;
+    m_record.result_body = result.body;
+    m_answer.status = *result.status;
+    m_answer.body = result.body;
+    return Answer(LedgerVerdict::kDone, true);
+  }
+  if (result.certainly_not_sent)
+    return NotRun();
+  m_record.state = LedgerState::kUnknown;
+  return Answer(LedgerVerdict::kUnknown, true);
+}
+
+LedgerAction LedgerCall::OnWaited() {
+  if (m_step != Step::kRecordWaiting)
+    return Read();
+  m_step = Step::kRecordReading;
+  return LedgerRead{};
+}
+
+LedgerAction LedgerCall::OnAnswered() {
+  if (!m_answer.recording) {
+    m_step = Step::kEnded;
+    return LedgerEnd{};
+  }
+  m_poll = kRetryDelay;
+  if (m_version != 0)
+    return Record();
+  m_step = Step::kRecordReading;
+  return LedgerRead{};
+}
+
+LedgerAction LedgerCall::Record() {
+  m_step = Step::kRecording;
+  return LedgerWrite{m_version, m_record};
+}
+
+LedgerAction LedgerCall::OnRecordWritten(const absl::Status& status) {
+  if (status.ok()) {
+    m_step = Step::kEnded;
+    return LedgerEnd{};
+  }
+  return RecordLater();
+}
+
+LedgerAction LedgerCall::OnRecordRead(const absl::StatusOr<StoreRow>& row) {
+  if (!row.ok() && row.status().code() != absl::StatusCode::kNotFound)
+    return RecordLater();
+  if (row.ok()) {
+    const auto record = DecodeLedgerRecord(row->value);
+    if (record.ok() && record->attempt == m_input.attempt &&
+        MayReplace(record->state, m_record.state)) {
+      m_version = row->version;
+      return Record();
+    }
+  }
+  m_step = Step::kEnded;
+  return LedgerEnd{};
+}
+
+// Only a result is worth more than a few tries: any entry closes the row of an
+// unrecorded attempt after its deadline.
+LedgerAction LedgerCall::RecordLater() {
+  if (++m_store_failures >= kMaxStoreFailures &&
+      m_record.state != LedgerState::kDone) {
+    m_step = Step::kEnded;
+    return LedgerEnd{};
+  }
+  m_step = Step::kRecordWaiting;
+  const Duration delay = m_poll;
+  m_poll = std::min(m_poll * 2, kLongestRecordDelay);
+  return LedgerWait{delay};
+}
+
+absl::StatusOr<LedgerRecord> LookUpLedger(const Clock& clock,
+                                          TableService& store,
+                                          const std::string& account,
+                                          const std::string& key) {
+  const std::string row_key = LedgerKey(account, key);
+  for (int round = 0; round < kMaxLookUpRounds; ++round) {
+    const auto row = store.Get(kLedgerTable, row_key);
+    if (!row.ok())
+      return row.status();
+    auto record = DecodeLedgerRecord(row->value);
+    if (!record.ok())
+      return record;
+    if (clock.UnixMillis() < record->deadline_unix_ms)
+      return record;
+    if (record->state == LedgerState::kStarted)
+      record->state = LedgerState::kNotRun;
+    else if (record->state == LedgerState::kSent)
+      record->state = LedgerState::kUnknown;
+    else
+      return record;
+    const auto written = WriteRow(store, row_key, {row->version, *record});
+    if (written.ok())
+      return record;
+    // Anything but a certain failure is settled by reading the row again.
+    if (NothingWritten(written.status()))
+      return written.status();
+  }
+  return MakeStatus(absl::StatusCode::kUnavailable,
+                    "the ledger row changes too often");
+}
+
+LedgerAction LedgerAdapter::Step(LedgerCall& call,
+                                 const LedgerAction& action) const {
+  return std::visit(
+      Overloaded{[&](const LedgerRead&) {
+                   return call.OnRead(store.Get(kLedgerTable, row_key));
+                 },
+                 [&](const LedgerWrite& write) {
+                   return call.OnWritten(WriteRow(store, row_key, write));
+                 },
+                 [&](const LedgerDispatch& sent) {
+                   return call.OnDispatched(
+                       DispatchSafely(dispatch, sent.timeout));
+                 },
+                 [&](const LedgerWait& pause) {
+                   wait(pause.duration);
+                   return call.OnWaited();
+                 },
+                 [&](const LedgerAnswer& given) {
+                   answer(given);
+                   return call.OnAnswered();
+                 },
+                 [](const LedgerEnd&) -> LedgerAction { return LedgerEnd{}; }},
+      action);
+}
+
+void RunLedgerCall(const Clock& clock,
+                   TableService& store,
+                   const LedgerCallInput& input,
+                   const std::function<DispatchResult(Duration)>& dispatch,
+                   const std::function<void(const LedgerAnswer&)>& answer,
+                   const std::function<void(Duration)>& wait,
+                   const std::function<bool()>& stopping) {
+  LedgerCall call(clock, input);
+  bool answered = false;
+  const LedgerAdapter adapter{store, LedgerKey(input.account, input.key),
+                              dispatch,
+                              [&](const LedgerAnswer& given) {
+                                answered = true;
+                                answer(given);
+                              },
+                              wait};
+  LedgerAction action = call.Start();
+  while (!std::holds_alternative<LedgerEnd>(action)) {
+    if (answered && std::holds_alternative<LedgerWait>(action) && stopping &&
+        stopping())
+      return;
+    action = adapter.Step(call, action);
+  }
+}
+
+}  // namespace trefoilwick
--- /dev/null
+++ b/test/ledger_explorer.h
@@ -0,0 +1,503 @@
+// Explores interleavings of ledger calls and look-ups on one key: runs the
+// real code one action at a time, with faults, and checks its promises.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "trefoilwick/ledger.h"
+
+namespace trefoilwick {
+
+// Picks the branches of one run. Depth-first: replays a path and takes the
+// first branch after it; Advance() moves to the next path. Sampled: seeded.
+class Chooser {
+ public:
+  void StartDepthFirst() { m_position = 0; }
+  void StartSampled(uint64_t seed) {
+    m_random = std::make_unique<Random>(seed);
+  }
+  size_t Choose(size_t branches) {
+    if (m_random)
+      return m_random->Below(branches);
+    if (m_position == m_path.size())
+      m_path.push_back({0, branches});
+    return m_path[m_position++].first;
+  }
+  // Returns false when every path was taken.
+  bool Advance() {
+    while (!m_path.empty()) {
+      auto& [branch, branches] = m_path.back();
+      if (++branch < branches)
+        return true;
+      m_path.pop_back();
+    }
+    return false;
+  }
+
+ private:
+  std::vector<std::pair<size_t, size_t>> m_path;
+  size_t m_position = 0;
+  std::unique_ptr<Random> m_random;
+};
+
+// A clock whose wall-clock time is ahead of a base clock's.
+class SkewedClock final : public Clock {
+ public:
+  SkewedClock(const Clock& base, Duration ahead)
+      : m_base(base), m_ahead(ahead) {}
+  TimePoint Now() const override { return m_base.Now(); }
+  int64_t UnixMillis() const override {
+    return m_base.UnixMillis() + m_ahead.count() / 1000;
+  }
+
+ private:
+  const Clock& m_base;
+  Duration m_ahead;
+};
+
+// Faults planted between the real code and its surroundings, to show that the
+// checks catch them.
+enum class Planted : uint8_t {
+  kNone,
+  // The `sent` write is reported as done without being made.
+  kNoSentWrite,
+  // The look-up seals a `sent` row as `not_run`.
+  kSealSent,
+  // The call's clock stands still, so that its deadline never passes.
+  kNoDeadline,
+  // A write whose answer was lost counts as done.
+  kTrustLostWrites,
+  // Writes are made without their version check.
+  kNoVersionCheck,
+  // A dispatch whose answer was lost counts as not sent.
+  kTrustLostDispatch,
+  // A row in `unknown` is read as `not_run`.
+  kRetryUnknown,
+};
+inline constexpr auto kPlantedNames = MakeEnumTable<Planted>({
+    {Planted::kNone, "none"},
+    {Planted::kNoSentWrite, "no sent write"},
+    {Planted::kSealSent, "sealed sent row"},
+    {Planted::kNoDeadline, "deadline not checked"},
+    {Planted::kTrustLostWrites, "lost write trusted"},
+    {Planted::kNoVersionCheck, "no version check"},
+    {Planted::kTrustLostDispatch, "lost dispatch trusted"},
+    {Planted::kRetryUnknown, "unknown retried"},
+});
+
+struct ActorSpec {
+  bool look_up = false;
+  std::string body = "b1";
+  // Starts only after that actor was answered or killed; -1: at once.
+  int after = -1;
+  // How far the wall clock of the actor's entry is ahead.
+  Duration clock_ahead{0};
+};
+
+struct Scenario {
+  std::string name;
+  std::vector<ActorSpec> actors;
+  // Faults of one run: store, dispatch, freeze or kill.
+  int faults = 1;
+};
+
+struct Exploration {
+  uint64_t runs = 0;
+  bool exhausted = false;
+  // Steps of the longest run.
+  size_t longest = 0;
+  // Violated promise of the first bad run; empty when there is none.
+  std::string violation;
+};
+
+namespace detail {
+
+inline constexpr Duration kPause = std::chrono::seconds(60);
+
+// What the actors of a run share.
+struct Shared {
+  FakeStore store;
+  ManualClock clock;
+  std::vector<std::string> runs;
+  std::set<std::string> told_not_run;
+  bool told_unknown = false;
+  // The next write of an actor is delayed.
+  bool delay_write = false;
+  // Writes and dispatches whose sender stopped waiting for them; they arrive
+  // at any later time.
+  std::vector<std::function<void()>> in_flight;
+  std::string violation;
+
+  void Violate(const std::string& what) {
+    if (violation.empty())
+      violation = what;
+  }
+};
+
+// The store as an actor sees it, with a planted fault.
+class PlantedStore final : public TableService {
+ public:
+  PlantedStore(Shared& shared, Planted planted)
+      : m_shared(shared), m_store(shared.store), m_planted(planted) {}
+  absl::StatusOr<StoreRow> Get(const std::string& table,
+                               const std::string& key) override {
+    auto row = m_store.Get(table, key);
+    if (m_planted == Planted::kRetryUnknown && row.ok())
+      Replace(row->value, "\"unknown\"", "\"not_run\"");
+    return row;
+  }
+  absl::StatusOr<std::vector<int64_t>> Transact(
+      const StoreTransaction& transaction) override {
+    StoreTransaction changed = transaction;
+    std::string& value = changed.puts.front().value;
+    const bool sent = value.find("\"sent\"") != std::string::npos;
+    if (m_planted == Planted::kNoSentWrite && sent)
+      return std::vector<int64_t>{changed.checks.front().version};
+    if (m_planted == Planted::kSealSent && look_up)
+      Replace(value, "\"unknown\"", "\"not_run\"");
+    if (m_planted == Planted::kNoVersionCheck)
+      changed.checks.clear();
+    if (std::exchange(m_shared.delay_write, false)) {
+      m_shared.in_flight.emplace_back([this, changed] {
+        m_store.SetFaults({});
+        (void)m_store.Transact(changed);
+      });
+      return MakeStatus(absl::StatusCode::kUnknown, "delayed");
+    }
+    auto versions = m_store.Transact(changed);
+    if (m_planted == Planted::kTrustLostWrites &&
+        versions.status().code() == absl::StatusCode::kUnknown)
+      return std::vector<int64_t>{changed.checks.front().version + 1};
+    return versions;
+  }
+  absl::StatusOr<std::vector<StoreRow>> Scan(const std::string& table,
+                                             const std::string& prefix,
+                                             const std::string& after,
+                                             int limit) override {
+    return m_store.Scan(table, prefix, after, limit);
+  }
+  bool look_up = false;
+
+ private:
+  static void Replace(std::string& text,
+                      const std::string& from,
+                      const std::string& to) {
+    const size_t at = text.find(from);
+    if (at != std::string::npos)
+      text.replace(at, from.size(), to);
+  }
+  Shared& m_shared;
+  FakeStore& m_store;
+  Planted m_planted;
+};
+
+// One caller at an entry, or one look-up.
+struct Actor {
+  Actor(Shared& shared, const ActorSpec& spec, Planted planted, int index)
+      : spec(spec),
+        attempt("attempt-" + std::to_string(index)),
+        wall(shared.clock, spec.clock_ahead),
+        frozen_wall(stopped_clock, spec.clock_ahead),
+        store(shared, planted) {
+    store.look_up = spec.look_up;
+    const Clock& clock = planted == Planted::kNoDeadline
+                             ? static_cast<const Clock&>(frozen_wall)
+                             : wall;
+    call = std::make_unique<LedgerCall>(
+        clock, LedgerCallInput{.account = "a",
+                               .key = "k",
+                               .body_sha256 = spec.body,
+                               .kind = "ballot",
+                               .entry = "entry-" + std::to_string(index),
+                               .request = "r",
+                               .attempt = attempt});
+  }
+  bool Finished() const {
+    return killed || (started && std::holds_alternative<LedgerEnd>(action));
+  }
+
+  const ActorSpec spec;
+  std::string attempt;
+  SkewedClock wall;
+  ManualClock stopped_clock;
+  SkewedClock frozen_wall;
+  PlantedStore store;
+  std::unique_ptr<LedgerCall> call;
+  LedgerAction action;
+  TimePoint start{};
+  bool started = false;
+  bool killed = false;
+  int answers = 0;
+  // Somebody had been told `unknown` when the dispatch was decided.
+  bool late_dispatch = false;
+};
+
+class Run {
+ public:
+  Run(const Scenario& scenario, Planted planted, Chooser& chooser)
+      : m_planted(planted), m_chooser(chooser), m_budget(scenario.faults) {
+    for (const ActorSpec& spec : scenario.actors) {
+      m_actors.push_back(std::make_unique<Actor>(
+          m_shared, spec, planted, static_cast<int>(m_actors.size())));
+    }
+  }
+
+  std::string Execute() {
+    while (StepOne(true) && m_shared.violation.empty())
+      ++m_steps;
+    for (const auto& actor : m_actors) {
+      if (actor->answers > 1 || (!actor->killed && actor->answers != 1))
+        m_shared.Violate("an actor got " + std::to_string(actor->answers) +
+                         " answers");
+    }
+    for (const std::string& attempt : m_shared.runs) {
+      if (m_shared.told_not_run.count(attempt) != 0)
+        m_shared.Violate("told not_run, but ran: " + attempt);
+    }
+    if (m_shared.runs.size() > 1)
+      m_shared.Violate("ran more than once");
+    return m_shared.violation;
+  }
+  size_t steps() const { return m_steps; }
+
+ private:
+  static constexpr size_t kMaxSteps = 400;
+
+  // Steps one actor. `outermost` is false within a look-up, which takes
+  // several store calls and must not be entered again.
+  bool StepOne(bool outermost) {
+    std::vector<Actor*> ready;
+    for (const auto& actor : m_actors) {
+      const int after = actor->spec.after;
+      const bool due = after < 0 ||
+                       m_actors[static_cast<size_t>(after)]->answers > 0 ||
+                       m_actors[static_cast<size_t>(after)]->killed;
+      if (due && !actor->Finished() && (outermost || !actor->spec.look_up))
+        ready.push_back(actor.get());
+    }
+    const size_t arrivals = m_shared.in_flight.size();
+    if (ready.empty() && arrivals == 0)
+      return false;
+    if (m_steps > kMaxSteps) {
+      m_shared.Violate("a run does not end");
+      return false;
+    }
+    const size_t choice = m_chooser.Choose(ready.size() + arrivals);
+    if (choice < ready.size())
+      Step(*ready[choice]);
+    else
+      Arrive(choice - ready.size());
+    return true;
+  }
+
+  void Arrive(size_t index) {
+    const auto arrive = m_shared.in_flight[index];
+    m_shared.in_flight.erase(m_shared.in_flight.begin() +
+                             static_cast<ptrdiff_t>(index));
+    arrive();
+  }
+
+  void Step(Actor& actor) {
+    if (!actor.started) {
+      actor.started = true;
+      actor.start = m_shared.clock.Now();
+      if (!actor.spec.look_up) {
+        actor.action = actor.call->Start();
+        return;
+      }
+    }
+    // 0: no fault, 1: killed before the action, 2: paused before it, then
+    // those of the action.
+    const size_t fault = ChooseFault(3 + FaultKinds(actor));
+    if (fault == 1) {
+      actor.killed = true;
+      return;
+    }
+    if (fault == 2)
+      m_shared.clock.Advance(kPause);
+    if (actor.spec.look_up)
+      StepLookUp(actor);
+    else
+      StepCall(actor, fault < 3 ? 0 : fault - 2);
+  }
+
+  size_t ChooseFault(size_t kinds) {
+    if (m_budget == 0)
+      return 0;
+    const size_t fault = m_chooser.Choose(kinds);
+    m_budget -= fault == 0 ? 0 : 1;
+    return fault;
+  }
+
+  static size_t FaultKinds(const Actor& actor) {
+    if (actor.spec.look_up)
+      return 0;
+    if (std::holds_alternative<LedgerDispatch>(actor.action) ||
+        std::holds_alternative<LedgerWrite>(actor.action))
+      return 4;
+    return std::holds_alternative<LedgerRead>(actor.action) ? 1 : 0;
+  }
+
+  static StoreFault ToStoreFault(size_t fault) {
+    constexpr StoreFault kFaults[] = {
+        StoreFault::kNone, StoreFault::kUnavailable, StoreFault::kRequestLost,
+        StoreFault::kAnswerLost, StoreFault::kNone};
+    return kFaults[fault];
+  }
+
+  // Store faults: those of ToStoreFault, and 4 for a delayed write.
+  void StepCall(Actor& actor, size_t fault) {
+    m_shared.delay_write =
+        fault == 4 && std::holds_alternative<LedgerWrite>(actor.action);
+    m_shared.store.SetFaults(
+        [fault](const auto&, const auto&) { return ToStoreFault(fault); });
+    const LedgerAdapter adapter{
+        actor.store, LedgerKey("a", "k"),
+        [&](Duration) { return OnDispatch(actor, fault); },
+        [&](const LedgerAnswer& answer) { OnAnswer(actor, answer); },
+        [&](Duration pause) { m_shared.clock.Advance(pause); }};
+    actor.action = adapter.Step(*actor.call, actor.action);
+    if (std::holds_alternative<LedgerDispatch>(actor.action)) {
+      if (m_shared.clock.Now() >=
+          actor.start + LedgerCallInput().dispatch_within)
+        m_shared.Violate("dispatch decided after the deadline");
+      actor.late_dispatch = m_shared.told_unknown;
+    }
+  }
+
+  // Faults: 1 certainly not sent, 2 lost before it ran, 3 answer lost, 4
+  // delayed: it runs after the sender stopped waiting.
+  DispatchResult OnDispatch(Actor& actor, size_t fault) {
+    if (fault == 1)
+      return {.status = {}, .body = {}, .certainly_not_sent = true};
+    const bool trusted = m_planted == Planted::kTrustLostDispatch;
+    if (fault == 2)
+      return {.status = {}, .body = {}, .certainly_not_sent = trusted};
+    if (actor.late_dispatch)
+      m_shared.Violate("ran after unknown was reported");
+    if (fault == 4) {
+      m_shared.in_flight.emplace_back(
+          [this, &actor] { m_shared.runs.push_back(actor.attempt); });
+      return {.status = {}, .body = {}, .certainly_not_sent = trusted};
+    }
+    m_shared.runs.push_back(actor.attempt);
+    if (fault == 3)
+      return {.status = {}, .body = {}, .certainly_not_sent = trusted};
+    return {.status = 200, .body = "done", .certainly_not_sent = false};
+  }
+
+  void OnAnswer(Actor& actor, const LedgerAnswer& answer) {
+    ++actor.answers;
+    switch (answer.verdict) {
+      case LedgerVerdict::kDone:
+        if (m_shared.runs.empty() || answer.body != "done")
+          m_shared.Violate("told done without a run");
+        break;
+      case LedgerVerdict::kNotRun:
+        m_shared.told_not_run.insert(actor.attempt);
+        break;
+      case LedgerVerdict::kUnknown:
+        m_shared.told_unknown = true;
+        break;
+      case LedgerVerdict::kKeyReused:
+        m_shared.told_not_run.insert(actor.attempt);
+        if (SameBodies())
+          m_shared.Violate("told key_reused for the same body");
+        break;
+      case LedgerVerdict::kInProgress:
+        m_shared.told_not_run.insert(actor.attempt);
+        break;
+    }
+  }
+
+  bool SameBodies() const {
+    for (const auto& actor : m_actors)
+      if (actor->spec.body != m_actors.front()->spec.body)
+        return false;
+    return true;
+  }
+
+  // Other actors may take steps before each store call of the look-up, after
+  // which the call may fail.
+  void StepLookUp(Actor& actor) {
+    const auto before_call = [&](const std::string& call, const auto&) {
+      while (m_chooser.Choose(2) == 1 && StepOne(false))
+        ++m_steps;
+      const size_t fault = ChooseFault(call == "get" ? 2 : 4);
+      m_shared.delay_write = false;
+      SetLookUpFaults();
+      return ToStoreFault(fault);
+    };
+    m_before_call = before_call;
+    SetLookUpFaults();
+    const auto record = LookUpLedger(actor.wall, actor.store, "a", "k");
+    m_shared.store.SetFaults({});
+    ++actor.answers;
+    actor.action = LedgerEnd{};
+    if (!record.ok())
+      return;
+    if (record->state == LedgerState::kNotRun)
+      m_shared.told_not_run.insert(record->attempt);
+    if (record->state == LedgerState::kUnknown)
+      m_shared.told_unknown = true;
+    if (record->state == LedgerState::kDone && m_shared.runs.empty())
+      m_shared.Violate("look-up told done without a run");
+  }
+
+  void SetLookUpFaults() { m_shared.store.SetFaults(m_before_call); }
+
+  Planted m_planted;
+  Chooser& m_chooser;
+  int m_budget;
+  size_t m_steps = 0;
+  Shared m_shared;
+  std::vector<std::unique_ptr<Actor>> m_actors;
+  FakeStore::FaultFunction m_before_call;
+};
+
+}  // namespace detail
+
+// Explores up to `depth_first` paths in order, then `samples` seeded ones.
+// Stops at the first violation.
+inline Exploration Explore(const Scenario& scenario,
+                           Planted planted,
+                           uint64_t depth_first,
+                           uint64_t samples) {
+  Exploration result;
+  const auto run_one = [&](Chooser& chooser) {
+    detail::Run run(scenario, planted, chooser);
+    result.violation = run.Execute();
+    result.longest = std::max(result.longest, run.steps());
+    ++result.runs;
+    return result.violation.empty();
+  };
+  Chooser ordered;
+  while (result.runs < depth_first) {
+    ordered.StartDepthFirst();
+    if (!run_one(ordered))
+      return result;
+    if (!ordered.Advance()) {
+      result.exhausted = true;
+      return result;
+    }
+  }
+  for (uint64_t seed = 0; seed < samples; ++seed) {
+    Chooser sampled;
+    sampled.StartSampled(seed);
+    if (!run_one(sampled)) {
+      result.violation += " (seed " + std::to_string(seed) + ")";
+      return result;
+    }
+  }
+  return result;
+}
+
+}  // namespace trefoilwick
