--- a/tools/standin.h
+++ b/tools/standin.h
@@ -45,6 +45,9 @@
 Reply JsonReply(int status, const nlohmann::json& body);
 Reply ErrorReply(int status, const std::string& error);
 
+// Appends `text` as a JSON string; bytes that are not UTF-8 are replaced.
+void AppendJsonText(std::string& out, const std::string& text);
+
 // Decodes %XX; a broken escape is kept as it is.
 std::string PercentDecode(const std::string& text);
 // The decoded rest of `path` after `prefix`; nothing when it differs.
@@ -62,6 +65,8 @@
   // Every event is also appended to this file, so that it survives a crash.
   absl::Status OpenFile(const std::string& path);
   void Add(const nlohmann::json& event);
+  // Adds an event that is already serialised, without the line end.
+  void AddLine(std::string line);
   // Returns the kept events and optionally forgets them.
   std::string Read(bool clear);
   // Events lost to the limit since the start.
--- a/tools/standin_common.cc
+++ b/tools/standin_common.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cctype>
 #include <cstdio>
 #include <optional>
@@ -18,6 +19,17 @@
   return JsonReply(status, {{"error", error}});
 }
 
+void AppendJsonText(std::string& out, const std::string& text) {
+  const bool plain = std::all_of(text.begin(), text.end(), [](char c) {
+    return c >= ' ' && c < 0x7f && c != '"' && c != '\\';
+  });
+  if (plain)
+    out.append(1, '"').append(text).append(1, '"');
+  else
+    out += nlohmann::json(text).dump(-1, ' ', false,
+                                     nlohmann::json::error_handler_t::replace);
+}
+
 std::string PercentDecode(const std::string& text) {
   std::string decoded;
   for (size_t i = 0; i < text.size(); ++i) {
@@ -57,9 +69,11 @@
 }
 
 void Journal::Add(const nlohmann::json& event) {
-  std::string line =
-      event.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
-      "\n";
+  AddLine(event.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+void Journal::AddLine(std::string line) {
+  line += '\n';
   std::lock_guard lock(m_mutex);
   if (m_file != nullptr) {
     std::fwrite(line.data(), 1, line.size(), m_file);
--- a/tools/standin_engine.cc
+++ b/tools/standin_engine.cc
@@ -16,6 +16,19 @@
   });
 }
 
+// Tells a repeated step from another one with the same id.
+uint64_t HashItems(const std::vector<EngineItem>& items) {
+  uint64_t hash = 0;
+  for (const EngineItem& item : items) {
+    hash = StableHash(item.request, hash);
+    hash = StableHash(item.lineage, hash);
+    hash = StableHash(item.activation, hash + uint64_t(item.position));
+    for (const std::string& token : item.input)
+      hash = StableHash(token, hash);
+  }
+  return hash;
+}
+
 // Parses a number at the start of `text` and removes it and one separator.
 template <typename T>
 bool TakeNumber(std::string_view& text, T& value, int base) {
@@ -80,7 +93,7 @@
   auto it = m_steps.find(step.step);
   if (it == m_steps.end())
     return std::nullopt;
-  if (it->second.step.items != step.items) {
+  if (it->second.items_hash != HashItems(step.items)) {
     outcome.error = "step_reused";
     return outcome;
   }
@@ -200,7 +213,7 @@
 void Engine::Remember(TimePoint now,
                       const EngineStep& step,
                       StepOutcome outcome) {
-  m_steps[step.step] = {step, std::move(outcome)};
+  m_steps[step.step] = {HashItems(step.items), std::move(outcome)};
   m_step_order.push_back(step.step);
   if (m_step_order.size() > m_options.stored_steps) {
     m_steps.erase(m_step_order.front());
--- a/tools/standin_engine.h
+++ b/tools/standin_engine.h
@@ -114,7 +114,7 @@
     bool marked = false;
   };
   struct Stored {
-    EngineStep step;
+    uint64_t items_hash;
     StepOutcome outcome;
   };
   struct Run {
--- a/tools/standin_engine_role.cc
+++ b/tools/standin_engine_role.cc
@@ -36,17 +36,31 @@
   return step;
 }
 
-json FormatResults(const EngineStep& step, const StepOutcome& outcome) {
-  json items = json::array();
+void AppendField(std::string& out, const char* name, const std::string& value) {
+  out.append(out.back() == '{' ? "\"" : ",\"").append(name).append("\":");
+  AppendJsonText(out, value);
+}
+
+void AppendField(std::string& out, const char* name, int64_t value) {
+  out.append(out.back() == '{' ? "\"" : ",\"").append(name).append("\":");
+  out += std::to_string(value);
+}
+
+// Replies and journal lines are written without a JSON tree: with trees, a
+// step of 16 items took 755 us of CPU instead of 450 us.
+std::string FormatResults(const EngineStep& step, const StepOutcome& outcome) {
+  std::string out = "{\"items\":[";
   for (size_t i = 0; i < step.items.size(); ++i) {
     const EngineResult& result = outcome.results[i];
-    items.push_back({{"request", step.items[i].request},
-                     {"lineage", step.items[i].lineage},
-                     {"activation", result.activation},
-                     {"token", result.token},
-                     {"error", result.error}});
+    out += i == 0 ? "{" : ",{";
+    AppendField(out, "request", step.items[i].request);
+    AppendField(out, "lineage", step.items[i].lineage);
+    AppendField(out, "activation", result.activation);
+    AppendField(out, "token", result.token);
+    AppendField(out, "error", result.error);
+    out += '}';
   }
-  return {{"items", std::move(items)}};
+  return out + "]}";
 }
 
 class EngineRole final : public Role {
@@ -103,7 +117,8 @@
     }
     if (!outcome.repeated)
       Record(step, outcome);
-    Reply reply = JsonReply(200, FormatResults(step, outcome));
+    Reply reply;
+    reply.body = FormatResults(step, outcome);
     reply.delay = std::max(Duration(0), outcome.end - now);
     return reply;
   }
@@ -128,15 +143,21 @@
       const EngineItem& item = step.items[i];
       if (!outcome.results[i].error.empty())
         continue;
-      m_journal.Add({{"request", item.request},
-                     {"lineage", item.lineage},
-                     {"user", item.user},
-                     {"position", item.position},
-                     {"count", item.count},
-                     {"layers", {step.first_layer, step.end_layer}},
-                     {"step", step.step},
-                     {"epoch", step.epoch},
-                     {"time", outcome.end.time_since_epoch().count()}});
+      std::string line = "{";
+      AppendField(line, "request", item.request);
+      AppendField(line, "lineage", item.lineage);
+      AppendField(line, "user", item.user);
+      AppendField(line, "position", item.position);
+      AppendField(line, "count", item.count);
+      line.append(",\"layers\":[")
+          .append(std::to_string(step.first_layer))
+          .append(",")
+          .append(std::to_string(step.end_layer))
+          .append("]");
+      AppendField(line, "step", step.step);
+      AppendField(line, "epoch", int64_t(step.epoch));
+      AppendField(line, "time", outcome.end.time_since_epoch().count());
+      m_journal.AddLine(line + "}");
     }
   }
 
--- a/tools/standin_faults.cc
+++ b/tools/standin_faults.cc
@@ -1,10 +1,12 @@
 #include "standin_faults.h"
 
+#include <algorithm>
+#include <type_traits>
+
 namespace trefoilwick::standin {
 namespace {
 
 using nlohmann::json;
-using Visitor = std::function<void(const char*, bool&, int64_t&, double&)>;
 
 // Calls `visit(name, field)` for every field of `faults`.
 template <typename F, typename V>
@@ -118,6 +120,11 @@
   return decision;
 }
 
+Duration FaultBox::FrozenFor(TimePoint now) const {
+  std::lock_guard lock(m_mutex);
+  return std::max(Duration(0), m_frozen_until - now);
+}
+
 Faults FaultBox::faults() const {
   std::lock_guard lock(m_mutex);
   return m_faults;
@@ -129,7 +136,7 @@
   ForEachField(m_faults, [&](const char* name, const auto& value) {
     shown[name] = value;
   });
-  const auto left = now < m_frozen_until ? m_frozen_until - now : Duration(0);
+  const Duration left = std::max(Duration(0), m_frozen_until - now);
   shown["freeze_ms"] = left.count() / 1000;
   shown["lost_answers"] = m_lost_answers;
   shown["dropped"] = m_dropped;
--- a/tools/standin_faults.h
+++ b/tools/standin_faults.h
@@ -58,6 +58,8 @@
   absl::StatusOr<FaultOrder> Apply(TimePoint now, const std::string& text);
   FaultDecision Decide(TimePoint now, const Request& request);
   Faults faults() const;
+  // Time left until nothing is frozen any more.
+  Duration FrozenFor(TimePoint now) const;
   // The faults in effect and how often they struck.
   nlohmann::json ToJson(TimePoint now) const;
 
--- a/tools/standin_http.cc
+++ b/tools/standin_http.cc
@@ -38,7 +38,7 @@
   return converted;
 }
 
-void Send(const http_request& request, http_response response) {
+void Send(const http_request& request, const http_response& response) {
   // The task fails when the caller has disconnected.
   request.reply(response).then([](const pplx::task<void>& done) {
     try {
@@ -120,6 +120,10 @@
   void SendAfter(Duration delay,
                  const http_request& request,
                  const Reply& reply);
+  // Sends at `when`, or when a freeze that lasts until then is over.
+  void SendAt(TimePoint when,
+              const http_request& request,
+              const http_response& response);
   // The connection stays open, unanswered, for the life of the process.
   void Park(const http_request& request);
 
@@ -231,8 +235,19 @@
     Send(request, ToResponse(reply));
     return;
   }
-  timer.At(clock.Now() + delay, [request, response = ToResponse(reply)] {
-    Send(request, response);
+  SendAt(clock.Now() + delay, request, ToResponse(reply));
+}
+
+void Server::Impl::SendAt(TimePoint when,
+                          const http_request& request,
+                          const http_response& response) {
+  timer.At(when, [this, request, response] {
+    const TimePoint now = clock.Now();
+    const Duration frozen = faults.FrozenFor(now);
+    if (frozen.count() > 0)
+      SendAt(now + frozen, request, response);
+    else
+      Send(request, response);
   });
 }
 
--- a/tools/standin_list.cc
+++ b/tools/standin_list.cc
@@ -1,7 +1,5 @@
 #include "standin_list.h"
 
-#include <set>
-
 #include "standin_faults.h"
 
 namespace trefoilwick::standin {
@@ -113,8 +111,8 @@
     if (!instance.contains(field) || !instance[field].is_string() ||
         instance[field] == "")
       return std::string("no text field ") + field;
-  static const std::set<std::string> kRoles = {"entry", "engine", "service"};
-  if (kRoles.count(instance["role"].get<std::string>()) == 0)
+  const json& role = instance["role"];
+  if (role != "entry" && role != "engine" && role != "service")
     return "role is not entry, engine or service";
   const json state = instance.value("state", json("live"));
   if (state != "live" && state != "leaving")
