--- a/src/membership.cc
+++ b/src/membership.cc
@@ -285,7 +285,9 @@
   if (it == others.end())
     return;
   Known& known = it->second;
-  if (known.member.state == MemberState::kGone || known.gone_at ||
+  // A member that never answered is of no use yet, so it is not suspected.
+  if (known.member.state == MemberState::kGone ||
+      known.member.state == MemberState::kJoining || known.gone_at ||
       !MaySuspect(known))
     return;
   known.gone_at = now + options.suspect_time;
