Strengthen tests of isolation, floors and idling

Cause: deliberate faults in the code (trial: 17 of them, one at a time) showed rules that no test guarded: suspects cleared late, releases during a step, places kept for a floor, and virtual time after idling. Change: tests for these; random runs also contain a request that crashes servers and assert that it costs at most two.

--- a/test/admission_queue_test.cc
+++ b/test/admission_queue_test.cc
@@ -259,17 +259,21 @@
 
   // Guards against an account that takes all places after a pause.
   void IdlingGivesNoCredit() {
-    std::vector<Source> sources(2);
-    sources[0].account = "steady";
-    sources[1].account = "paused";
-    Places places(sources, 8);
-    places.Run(2'000);
-    places.source(1).depth = 0;
-    places.Run(5'000);
-    places.source(1).depth = 20;
-    places.ResetServed();
-    places.Run(1'000);
-    CPPUNIT_ASSERT_GREATEREQUAL(0.98, places.Jain());
+    for (const bool own_kinds : {false, true}) {
+      std::vector<Source> sources(3);
+      for (size_t i = 0; i < 3; ++i) {
+        sources[i].account = std::to_string(i);
+        sources[i].kind = own_kinds ? "kind" + std::to_string(i) : "chat";
+      }
+      Places places(sources, 9);
+      places.Run(2'000);
+      places.source(1).depth = 0;
+      places.Run(5'000);
+      places.source(1).depth = 20;
+      places.ResetServed();
+      places.Run(1'000);
+      CPPUNIT_ASSERT_GREATEREQUAL(0.98, places.Jain());
+    }
   }
 
   // Guards against an account that has to wait since it used capacity that
@@ -288,6 +292,23 @@
     places.ResetServed();
     places.Run(1'000);
     CPPUNIT_ASSERT_GREATEREQUAL(0.98, places.Jain());
+
+    // The same, when all that it asked for was in service at once.
+    FairQueue queue;
+    queue.Push(Entry("first", "early"));
+    queue.Pop(TimePoint{});
+    queue.Charge(TimePoint{}, "ordinary", "early", 10'000);
+    int early = 0;
+    for (int i = 0; i < 20; ++i) {
+      queue.Push(Entry("l" + std::to_string(i), "late"));
+      queue.Push(Entry("e" + std::to_string(i), "early"));
+    }
+    for (int i = 0; i < 20; ++i) {
+      auto entry = queue.Pop(TimePoint{});
+      early += entry->account == "early" ? 1 : 0;
+      queue.Charge(TimePoint{}, "ordinary", entry->account, 50);
+    }
+    CPPUNIT_ASSERT_EQUAL(10, early);
   }
 
   // Guards against work per call that grows with the accounts known. The bound
--- a/test/pipeline_fake.h
+++ b/test/pipeline_fake.h
@@ -176,6 +176,7 @@
   // Set by tests that submit a request again while an older run goes on.
   bool resubmits = false;
   bool check_tokens = true;
+  StepFault poison_fault = StepFault::kCrash;
   int steps = 0;
   int claims = 0;
   int releases = 0;
@@ -255,7 +256,7 @@
     if (step->epoch < engine.epoch)
       return Answer(from, step, 500, CallFailure::kStaleEpoch, engine.epoch);
     if (Poisoned(*step))
-      fault = StepFault::kCrash;
+      fault = poison_fault;
     if (fault == StepFault::kCrash || fault == StepFault::kCrashLost) {
       engine.alive = false;
       engine.kv.clear();
--- a/test/pipeline_test.cc
+++ b/test/pipeline_test.cc
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(CrashingRequestAmongNeighbours);
   CPPUNIT_TEST(CopiesOfACrashingRequest);
   CPPUNIT_TEST(CancelAtEveryStep);
+  CPPUNIT_TEST(CancelDuringASlowStep);
   CPPUNIT_TEST(CancelEntryEndsItsRequests);
   CPPUNIT_TEST(DissolveReportsEverything);
   CPPUNIT_TEST(PlannedReplacementKeepsRequests);
@@ -258,8 +259,11 @@
             chain.Submit("r" + std::to_string(i),
                          Work(Words(5, "r" + std::to_string(i)), 30)));
       chain.request("r7").poison = poison;
+      const TimePoint start = chain.now();
       CPPUNIT_ASSERT(chain.RunToEnd());
       AssertSound(chain);
+      // Suspects that stay alone to their end take 7 s.
+      CPPUNIT_ASSERT(chain.now() - start < seconds(4));
       CPPUNIT_ASSERT_LESSEQUAL(2, chain.crashes);
       CPPUNIT_ASSERT_EQUAL(size_t{1}, chain.crashers.size());
       CPPUNIT_ASSERT(chain.request("r7").state == UpdateState::kQuarantined);
@@ -326,6 +330,19 @@
     }
   }
 
+  // Guards against KV that a step stores after its request was released.
+  void CancelDuringASlowStep() {
+    FakeOptions options;
+    options.base_us = {700'000};
+    options.deadline_us = 3'000'000;
+    FakeChain chain(options);
+    CPPUNIT_ASSERT(chain.Submit("r", Work("one two", 6)));
+    chain.RunFor(milliseconds(50));
+    chain.Cancel("r");
+    chain.RunFor(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, chain.KvHeld());
+  }
+
   // Guards against requests that go on for an entry that is gone.
   void CancelEntryEndsItsRequests() {
     FakeChain chain({});
@@ -410,6 +427,7 @@
   void FloodWithPreemption() {
     FakeOptions options;
     options.scheduler.max_batch = 4;
+    options.scheduler.max_preemptions = 1000;
     FakeChain chain(options);
     Submission batch = Work(Words(20), 200);
     batch.rank = Rank::kBatch;
@@ -436,7 +454,7 @@
     std::cerr << "\nurgent flood: " << refused << " refused, " << late
               << " late; batch tokens " << batch_tokens << " of "
               << chain.tokens << ", lineages renewed " << chain.renewals;
-    CPPUNIT_ASSERT_GREATER(0, chain.renewals);
+    CPPUNIT_ASSERT(chain.renewals > 0 && chain.renewals < 50);
     CPPUNIT_ASSERT_LESSEQUAL((1000 - refused) / 100, late);
     CPPUNIT_ASSERT_GREATER(chain.tokens / 6, batch_tokens);
     CPPUNIT_ASSERT(chain.RunToEnd(seconds(200)));
@@ -458,12 +476,21 @@
       const int schedulers = 1 + static_cast<int>(random.Below(2));
       FakeChain chain(options, schedulers);
       const uint64_t rate = 5 + random.Below(40);
+      const bool poison = random.Below(3) == 0;
+      if (poison)
+        chain.requests()["r0"].poison = static_cast<int>(random.Below(6));
+      if (random.Below(2) == 0)
+        chain.poison_fault = StepFault::kCrashLost;
       chain.SetFaults([&](const SendStep&, int) {
         if (random.Below(rate) != 0 ||
             chain.now().time_since_epoch() > std::chrono::hours(1) + seconds(3))
           return StepFault::kNone;
         ++faults;
-        return static_cast<StepFault>(1 + random.Below(kStepFaultCount - 1));
+        const auto fault =
+            static_cast<StepFault>(1 + random.Below(kStepFaultCount - 1));
+        const bool crash =
+            fault == StepFault::kCrash || fault == StepFault::kCrashLost;
+        return poison && crash ? StepFault::kStaleEpoch : fault;
       });
       RandomWork(chain, random, schedulers);
       requests += static_cast<int>(chain.requests().size());
@@ -471,6 +498,8 @@
       CPPUNIT_ASSERT_MESSAGE(message, chain.RunToEnd(seconds(300)));
       chain.RunFor(seconds(2));
       CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::string(), chain.violation);
+      if (poison)
+        CPPUNIT_ASSERT_MESSAGE(message, chain.crashes <= 2);
       for (const auto& [id, r] : chain.requests())
         CPPUNIT_ASSERT_EQUAL_MESSAGE(message + id, r.cancelled ? 0 : 1,
                                      r.finals);
@@ -521,6 +550,7 @@
       const std::string id = "r" + std::to_string(i);
       Submission s = Work(Words(static_cast<int>(random.Below(12)), id),
                           1 + static_cast<int>(random.Below(8)));
+      s.fingerprint = StableHash(id);
       s.rank = static_cast<Rank>(random.Below(3));
       const int to = static_cast<int>(random.Below(schedulers));
       const bool cancel = random.Below(8) == 0;
