Implement durable batch jobs

Cause: a batch job must survive the loss of any instance, and its counts must add up while the store fails. Change: SubmitBatch and the read functions over one row per job and result objects named by fencing number and sequence; BatchRunner takes jobs by a conditional write, writes results in groups with the lease renewal, and ends a job with a report object and one transaction. Conclusion: a holder whose lease lapsed cannot change a job.

--- a/include/trefoilwick/batches.h
+++ b/include/trefoilwick/batches.h
@@ -51,7 +51,10 @@
 };
 
 // Stores a job: items as an object, then its row. kOk only once both are
-// durable; kUnavailable: not accepted and never run; kUnknown: ask GetBatch.
+// durable; kUnavailable: not accepted and never run; kUnknown: ask GetBatch;
+// kFailedPrecondition: the id belongs to another job; kInvalidArgument: the id
+// is empty or has characters other than letters, digits, '.', '_' and '-'.
+// Submitting the same job again is harmless.
 absl::Status SubmitBatch(const Clock& clock,
                          TableService& store,
                          ObjectStore& objects,
@@ -65,18 +68,25 @@
     TableService& store,
     ObjectStore& objects,
     const std::string& id);
+// The report of a job whose items all have an outcome, as JSON: `submitted`,
+// `finished`, `not_finished` and `not_finished_items` (`index`, `reason`).
+// kNotFound while items are waiting.
+absl::StatusOr<std::string> GetBatchReport(TableService& store,
+                                           ObjectStore& objects,
+                                           const std::string& id);
 
 // Runs the jobs this instance has taken. A job is taken by a conditional write
 // of its row (owner, fencing number, lease expiry); results are written in
 // groups under that fencing number, so that a holder whose lease passed to
 // another cannot change the job. Items may run again after a takeover (the kind
 // must be idempotent) but an item that has a recorded outcome never does.
+// OnItemDone may be called from any thread, the others from one at a time.
 class BatchRunner {
  public:
   BatchRunner(const Clock& clock,
               TableService& store,
               ObjectStore& objects,
-              std::string instance);
+              const std::string& instance);
   ~BatchRunner();
   struct Work {
     std::string batch;
@@ -89,9 +99,12 @@
   // Renews leases, takes free or expired jobs and returns items to run, at
   // most `limit` outstanding in all. Blocking on the store.
   std::vector<Work> Poll(size_t limit);
-  // Records a finished or not finished item; flushed by the next Poll or
-  // Flush. `retry`: the item may be tried again, its state stays waiting.
+  // Records a finished or not finished item; written by a later Poll, with
+  // other items of its job, or by Flush. `retry`: the item may be tried again,
+  // its state stays waiting. Does not wait for the store.
   void OnItemDone(const std::string& batch, BatchItemResult result, bool retry);
+  // Writes the results of all items done so far.
+  absl::Status Flush();
   // Writes outstanding results and gives up all leases.
   absl::Status Stop();
 
