Keep refunds and long requests out of start times and waits

Change: idle accounts start at the virtual time of real service, and a refund takes no account below where it began to wait. The expected wait counts how often each place becomes free, with the mean length of the queued requests of the rank and higher ones. test/pipeline_claim_test.cc covers claims and back-off. Conclusion: cancelled work neither costs nor credits an account.

--- a/src/admission_queue.cc
+++ b/src/admission_queue.cc
@@ -20,6 +20,8 @@
   double virtual_time = 0;
   // Expected cost of popped entries that is not yet charged.
   double expected = 0;
+  // Key below which no refund takes the flow: where it began to wait.
+  double start = 0;
   int in_service = 0;
   uint64_t sequence = 0;
   std::array<std::list<QueueEntry>, kRankCount> queued;
@@ -45,10 +47,12 @@
   double floor = 0;
   double virtual_time = 0;
   double expected = 0;
+  double start = 0;
   int in_service = 0;
   Rank last_rank = Rank::kOrdinary;
-  // Highest key popped so far: where a flow that was idle starts when no other
-  // flow waits.
+  // Highest virtual time popped so far: where a flow that was idle starts when
+  // no other flow waits. Expected costs are left out, since what is refunded
+  // later must not set back whoever starts here.
   double frontier = 0;
   // Service owed under the floor, and expected cost of entries popped for the
   // floor, which was taken from `credit` in advance.
@@ -168,6 +172,7 @@
       start = std::min(start, other->Key());
   if (std::isinf(start))
     start = frontiers[rank];
+  kind.start = start;
   kind.virtual_time += std::max(0.0, start - kind.Key());
 }
 
@@ -178,6 +183,7 @@
       start = std::min(start, (*active.begin())->Key());
   if (std::isinf(start))
     start = flow.kind->frontier;
+  flow.start = start;
   flow.virtual_time += std::max(0.0, start - flow.Key());
 }
 
@@ -243,8 +249,8 @@
 
 QueueEntry FairQueue::Impl::Take(QueueKind& kind, size_t rank, bool by_floor) {
   QueueFlow& flow = **kind.active[rank].begin();
-  kind.frontier = std::max(kind.frontier, flow.Key());
-  frontiers[rank] = std::max(frontiers[rank], kind.Key());
+  kind.frontier = std::max(kind.frontier, flow.virtual_time);
+  frontiers[rank] = std::max(frontiers[rank], kind.virtual_time);
   auto at = flow.queued[rank].begin();
   QueueEntry entry = *at;
   Remove({&flow, rank, at});
@@ -272,9 +278,13 @@
   const double left =
       flow.in_service == 0 ? 0 : std::max(0.0, flow.expected - amount);
   const double removed = flow.expected - left;
-  Rekey(flow, [&] { flow.expected = left; });
+  Rekey(flow, [&] {
+    flow.expected = left;
+    flow.virtual_time += std::max(0.0, flow.start - flow.Key());
+  });
   kind.expected =
       kind.in_service == 0 ? 0 : std::max(0.0, kind.expected - removed);
+  kind.virtual_time += std::max(0.0, kind.start - kind.Key());
   const double refund =
       kind.in_service == 0 ? kind.prepaid : std::min(amount, kind.prepaid);
   kind.prepaid -= refund;
@@ -329,7 +339,7 @@
     std::erase_if(kind->flows, [&](const auto& item) {
       const QueueFlow& flow = *item.second;
       const bool drop = !flow.waiting() && flow.in_service == 0 &&
-                        flow.Key() <= kind->frontier;
+                        flow.virtual_time <= kind->frontier;
       flow_count -= drop ? 1 : 0;
       return drop;
     });
--- a/src/pipeline.cc
+++ b/src/pipeline.cc
@@ -75,8 +75,8 @@
         own >= options.max_queue / accounts) {
       const auto over = static_cast<double>(queued - options.max_queue + 1);
       return SubmitRefusal{
-          "overloaded",
-          Duration{std::llround(std::max(round_us, over * MicrosPerPlace()))}};
+          "overloaded", Duration{std::llround(
+                            std::max(round_us, over * MicrosPerPlace(rank)))}};
     }
   }
   if (rank == Rank::kBatch)
@@ -91,34 +91,54 @@
       "overloaded", std::max(wait - limit, Duration{std::llround(round_us)})};
 }
 
-// Mean time between two places that become free.
-double ChainScheduler::Impl::MicrosPerPlace() const {
+// Mean rounds of the queued requests of this and higher ranks.
+double ChainScheduler::Impl::MeanRounds(Rank rank) const {
+  double rounds = 0;
+  double count = 0;
+  for (size_t i = 0; i <= static_cast<size_t>(rank); ++i) {
+    rounds += queued_rounds[i];
+    count += static_cast<double>(queue.size(static_cast<Rank>(i)));
+  }
+  return count > 0 ? std::max(1.0, rounds / count) : 1.0;
+}
+
+// Mean time between two places that become free for this rank.
+double ChainScheduler::Impl::MicrosPerPlace(Rank rank) const {
   const double places = std::max(1.0, static_cast<double>(Capacity()));
-  return std::max(1.0, rounds_per_request) * round_us / places;
+  return MeanRounds(rank) * round_us / places;
 }
 
 // Rounds until the given number of places became free: those of the running
-// requests that end first, and then again for the requests after them.
-double ChainScheduler::Impl::RoundsUntilFree(size_t places) const {
+// requests and then, again and again, of the requests that follow them.
+double ChainScheduler::Impl::RoundsUntilFree(Rank rank, size_t places) const {
+  const double mean = MeanRounds(rank);
   std::vector<double> rounds;
   auto add = [&](const Request* request) {
-    const Submission& s = request->submission;
-    rounds.push_back(s.max_tokens - static_cast<double>(s.tokens.size()));
+    rounds.push_back(request->tokens_left());
   };
   for (const auto& batch : batches)
     if (!batch->isolated)
       std::for_each(batch->members.begin(), batch->members.end(), add);
   std::for_each(rejoin.begin(), rejoin.end(), add);
-  if (places == 0 || Capacity() == 0)
-    return 0;
   // Places that are free now go to queued requests ahead of these.
   if (rounds.size() < Capacity())
-    rounds.resize(Capacity(), std::max(1.0, rounds_per_request));
-  const auto at = static_cast<ptrdiff_t>((places - 1) % rounds.size());
-  std::nth_element(rounds.begin(), rounds.begin() + at, rounds.end());
-  const size_t turns = (places - 1) / rounds.size();
-  return rounds[static_cast<size_t>(at)] +
-         static_cast<double>(turns) * std::max(1.0, rounds_per_request);
+    rounds.resize(Capacity(), mean);
+  if (places == 0 || rounds.empty())
+    return 0;
+  const auto wanted = static_cast<double>(places);
+  auto freed_by = [&](double time) {
+    double freed = 0;
+    for (const double first : rounds)
+      freed += time < first ? 0 : 1 + std::floor((time - first) / mean);
+    return freed;
+  };
+  double low = 0;
+  double high = *std::min_element(rounds.begin(), rounds.end()) + wanted * mean;
+  while (high - low > 0.5) {
+    const double middle = (low + high) / 2;
+    (freed_by(middle) >= wanted ? high : low) = middle;
+  }
+  return high;
 }
 
 Duration ChainScheduler::Impl::ExpectedWait(Rank rank,
@@ -139,7 +159,7 @@
   // Kinds of lower ranks take their floors of what becomes free.
   const double part = std::max(0.1, 1 - queue.FloorsBelow(rank));
   if (ahead > free)
-    wait += RoundsUntilFree(ahead - free) * round_us / part;
+    wait += RoundsUntilFree(rank, ahead - free) * round_us / part;
   return Duration{std::llround(wait)};
 }
 
@@ -156,14 +176,12 @@
   requests[s.request] = std::move(owned);
   if (request.complete()) {
     AddUpdate(request, UpdateState::kFinished);
-    requests.erase(s.request);
+    requests.erase(std::string(s.request));
     return;
   }
-  const auto left =
-      static_cast<double>(s.max_tokens) - static_cast<double>(s.tokens.size());
+  const int left = request.tokens_left();
   request.expected_cost = left + options.prefill_cost * request.length();
-  if (rounds_per_request == 0)
-    rounds_per_request = left;
+  queued_rounds[static_cast<size_t>(s.rank)] += left;
   queue.Push({s.request, s.account, s.account_weight, s.kind, s.kind_weight,
               s.kind_floor, s.rank, now, request.expected_cost});
 }
@@ -173,10 +191,12 @@
   Release(request);
   Detach(request);
   const Submission& s = request.submission;
-  if (request.queued)
+  if (request.queued) {
     queue.Erase(s.request);
-  else
+    queued_rounds[static_cast<size_t>(s.rank)] -= request.tokens_left();
+  } else {
     queue.Finish(s.kind, s.account, request.expected_cost);
+  }
   requests.erase(std::string(s.request));
 }
 
--- a/src/pipeline_impl.h
+++ b/src/pipeline_impl.h
@@ -1,6 +1,7 @@
 // State of ChainScheduler; shared by src/pipeline*.cc.
 #pragma once
 
+#include <array>
 #include <deque>
 #include <limits>
 #include <map>
@@ -41,7 +42,6 @@
   int preemptions = 0;
   // Lineages lost since the last token.
   int lost_lineages = 0;
-  int rounds = 0;
   uint64_t start_order = 0;
   // Part of the expected cost that is not charged yet.
   double expected_cost = 0;
@@ -53,9 +53,10 @@
   int remaining() const { return length() - position; }
   bool decodes() const { return position > 0 && remaining() == 1; }
   const std::string& TokenAt(int index) const;
-  bool complete() const {
-    return static_cast<int>(submission.tokens.size()) >= submission.max_tokens;
+  int tokens_left() const {
+    return submission.max_tokens - static_cast<int>(submission.tokens.size());
   }
+  bool complete() const { return tokens_left() <= 0; }
 };
 
 using ReleaseKey = std::pair<std::string, uint64_t>;
@@ -146,16 +147,18 @@
   int refused_claims = 0;
   TimePoint backoff_until{};
   TimePoint claimed_at{};
-  // Moving averages; see ExpectedWait.
+  // Moving average of the time of a round; see ExpectedWait.
   double round_us = 50'000;
-  double rounds_per_request = 0;
+  // Tokens that the queued requests of each rank have left.
+  std::array<double, kRankCount> queued_rounds{};
 
   // pipeline.cc
   std::optional<SubmitRefusal> Submit(Submission submission);
   std::optional<SubmitRefusal> CheckLoad(const Submission& submission) const;
   Duration ExpectedWait(Rank rank, const std::string& account) const;
-  double MicrosPerPlace() const;
-  double RoundsUntilFree(size_t places) const;
+  double MeanRounds(Rank rank) const;
+  double MicrosPerPlace(Rank rank) const;
+  double RoundsUntilFree(Rank rank, size_t places) const;
   void Enqueue(Submission submission);
   void End(Request& request);
   void Detach(Request& request);
--- a/src/pipeline_rounds.cc
+++ b/src/pipeline_rounds.cc
@@ -11,11 +11,6 @@
 // given up.
 constexpr int kMaxLostLineages = 8;
 constexpr double kRoundWeight = 0.1;
-constexpr double kRequestWeight = 0.05;
-
-void Average(double& average, double sample, double weight) {
-  average += weight * (sample - average);
-}
 
 // The result of an item; the order of results is normally that of the items.
 StepResultItem* FindResult(std::vector<StepResultItem>& results,
@@ -120,6 +115,8 @@
   victim->renew = true;
   victim->position = 0;
   victim->queued = true;
+  queued_rounds[static_cast<size_t>(victim->submission.rank)] +=
+      victim->tokens_left();
   victim->start_order = 0;
   ++victim->preemptions;
   const Submission& s = victim->submission;
@@ -148,6 +145,7 @@
   while (auto entry = queue.Pop(now)) {
     Request& request = *requests.at(entry->id);
     request.queued = false;
+    queued_rounds[static_cast<size_t>(entry->rank)] -= request.tokens_left();
     request.by_floor = entry->by_floor;
     SuspectByPrint(request);
     if (!request.isolated)
@@ -317,8 +315,9 @@
 void ChainScheduler::Impl::FinishRound(Batch& batch) {
   batch.stage = -1;
   if (!batch.items.empty())
-    Average(round_us, static_cast<double>((now - batch.round_start).count()),
-            kRoundWeight);
+    round_us +=
+        kRoundWeight *
+        (static_cast<double>((now - batch.round_start).count()) - round_us);
   // Ending a request clears its owner entry, so each is read in its turn.
   for (size_t i = 0; i < batch.items.size(); ++i)
     if (Request* owner = batch.owners[i])
@@ -333,7 +332,6 @@
                                       std::string token) {
   const bool decode = item.position > 0 && item.count == 1 && item.sample;
   request.position += item.count;
-  ++request.rounds;
   const double prefill = decode ? 0 : options.prefill_cost * item.count;
   Charge(request, prefill + (item.sample ? 1 : 0));
   if (request.isolated && request.position >= request.clear_at)
@@ -347,7 +345,6 @@
             {std::move(token)});
   if (!complete)
     return;
-  Average(rounds_per_request, request.rounds, kRequestWeight);
   if (request.isolated)
     suspect_prints.erase(request.submission.fingerprint);
   End(request);
--- /dev/null
+++ b/test/pipeline_claim_test.cc
@@ -0,0 +1,137 @@
+// Claims, epochs and charges of ChainScheduler.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "pipeline_fake.h"
+
+namespace trefoilwick {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Submission Work(const std::string& account, int max_tokens) {
+  Submission s;
+  s.account = account;
+  s.prompt = "a few words";
+  s.max_tokens = max_tokens;
+  s.first_token_target = seconds(100);
+  return s;
+}
+
+class PipelineClaimTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PipelineClaimTest);
+  CPPUNIT_TEST(ClaimFailures);
+  CPPUNIT_TEST(OneLossBacksOffOnce);
+  CPPUNIT_TEST(RefusedClaimsDoNotSpin);
+  CPPUNIT_TEST(IdleSchedulerClaimsNothing);
+  CPPUNIT_TEST(EndedRequestsLeaveNoCharge);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a claim that is never repeated, is repeated without end, or
+  // blames a server for one lost call.
+  void ClaimFailures() {
+    struct Case {
+      std::optional<CallFailure> failure;
+      int times;
+      int reports;
+      int claims;
+      int most_ms;
+    };
+    const std::vector<Case> cases{
+        {CallFailure::kLost, 1, 0, 3, 100},
+        {CallFailure::kError, 1, 0, 3, 100},
+        {CallFailure::kCrashed, 1, 1, 3, 100},
+        {CallFailure::kLost, 4, 2, 7, 150},
+        {std::nullopt, 1, 0, 3, 1200},
+        {std::nullopt, 4, 2, 7, 2300},
+    };
+    for (const Case& c : cases) {
+      FakeOptions options;
+      options.stages = 2;
+      FakeChain chain(options);
+      chain.claim_faults = c.times;
+      chain.claim_fault = c.failure;
+      const TimePoint start = chain.now();
+      CPPUNIT_ASSERT(chain.Submit("r", Work("a", 2)));
+      CPPUNIT_ASSERT(chain.RunToEnd());
+      CPPUNIT_ASSERT_EQUAL(std::string(), chain.violation);
+      CPPUNIT_ASSERT_EQUAL(size_t(c.reports), chain.failures.size());
+      CPPUNIT_ASSERT_EQUAL(c.claims, chain.claims);
+      CPPUNIT_ASSERT(chain.request("r").first_token - start <
+                     milliseconds(c.most_ms));
+      CPPUNIT_ASSERT(chain.request("r").state == UpdateState::kFinished);
+    }
+  }
+
+  // Guards against one loss of the chain that counts once per step in flight,
+  // so that the wait before the next claim grows to seconds.
+  void OneLossBacksOffOnce() {
+    FakeChain chain({});
+    for (int i = 0; i < 40; ++i)
+      CPPUNIT_ASSERT(chain.Submit("r" + std::to_string(i), Work("a", 200)));
+    chain.RunFor(milliseconds(500));
+    const TimePoint end = chain.now() + milliseconds(20);
+    chain.SetFaults([&](const SendStep&, int) {
+      return chain.now() < end ? StepFault::kStaleEpoch : StepFault::kNone;
+    });
+    chain.RunFor(milliseconds(20));
+    const int before = chain.tokens;
+    chain.RunFor(milliseconds(150));
+    CPPUNIT_ASSERT_GREATER(before, chain.tokens);
+    CPPUNIT_ASSERT_EQUAL(std::string(), chain.violation);
+    CPPUNIT_ASSERT_EQUAL(0, chain.renewals);
+  }
+
+  // Guards against a scheduler that claims without pause while another one
+  // always has a newer epoch.
+  void RefusedClaimsDoNotSpin() {
+    FakeChain chain({});
+    chain.claim_faults = 1'000'000;
+    chain.claim_fault = CallFailure::kStaleEpoch;
+    CPPUNIT_ASSERT(chain.Submit("r", Work("a", 2)));
+    chain.RunFor(seconds(60));
+    CPPUNIT_ASSERT(chain.claims > 30 && chain.claims < 120);
+    chain.claim_faults = 0;
+    CPPUNIT_ASSERT(chain.RunToEnd(seconds(8)));
+  }
+
+  // Guards against a scheduler without work that takes the chain from the one
+  // that has work.
+  void IdleSchedulerClaimsNothing() {
+    FakeChain chain({}, 2);
+    CPPUNIT_ASSERT(chain.Submit("r", Work("a", 50)));
+    CPPUNIT_ASSERT(chain.RunToEnd());
+    CPPUNIT_ASSERT_EQUAL(3, chain.claims);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, chain.scheduler(1).epoch());
+  }
+
+  // Guards against expected service of cancelled requests that counts against
+  // their account for ever.
+  void EndedRequestsLeaveNoCharge() {
+    FakeOptions options;
+    options.scheduler.max_batch = 2;
+    FakeChain chain(options);
+    for (int i = 0; i < 8; ++i)
+      CPPUNIT_ASSERT(chain.Submit("c" + std::to_string(i), Work("a", 100'000)));
+    chain.RunFor(seconds(1));
+    for (int i = 0; i < 7; ++i)
+      chain.Cancel("c" + std::to_string(i));
+    for (int i = 0; i < 400; ++i)
+      CPPUNIT_ASSERT(chain.Submit((i % 2 ? "a" : "b") + std::to_string(i),
+                                  Work(i % 2 ? "a" : "b", 20)));
+    chain.Cancel("c7");
+    chain.RunFor(seconds(6));
+    int tokens[2]{};
+    for (const auto& [id, r] : chain.requests())
+      if (id[0] != 'c')
+        tokens[id[0] == 'a'] += static_cast<int>(r.tokens.size());
+    CPPUNIT_ASSERT(tokens[0] > 1000 && tokens[1] > 1000);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, 1.0 * tokens[0] / tokens[1], 0.1);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PipelineClaimTest);
+
+}  // namespace
+}  // namespace trefoilwick
--- a/test/pipeline_fake.h
+++ b/test/pipeline_fake.h
@@ -180,6 +180,9 @@
   int steps = 0;
   int claims = 0;
   int releases = 0;
+  // The next claims get this failure, or no answer when it is empty.
+  int claim_faults = 0;
+  std::optional<CallFailure> claim_fault;
   int crashes = 0;
   int tokens = 0;
   int dropped = 0;
@@ -219,6 +222,15 @@
 
   void Do(int from, SendClaim& claim) {
     ++claims;
+    if (claim_faults > 0) {
+      --claim_faults;
+      if (claim_fault)
+        At(Duration(m_options.hop_us), [=, this] {
+          scheduler(from).OnClaimFailure(m_now, claim.claim, *claim_fault);
+          Collect(from);
+        });
+      return;
+    }
     At(Duration(m_options.hop_us), [=, this] {
       FakeEngine& engine = m_engines[claim.server.id];
       const bool stale = claim.epoch < engine.epoch ||
