Test account limits and the sum of the shares

Cause: the shares of several instances need a bound while demand moves, instances come and go, or one is cut off. Change: own demand counts with the minimum over the hold time; after a silence an instance waits for the hold time; reports are forgotten together while nobody is heard. Requests of different accounts share no reference count. Tests in virtual time.

--- a/include/trefoilwick/admission.h
+++ b/include/trefoilwick/admission.h
@@ -53,16 +53,23 @@
 
 // Enforces the limits of client accounts at one of several entry instances.
 // Each instance enforces a share of an account's limit: its part of the demand
-// that all instances report, at least floor / instances; 1 / instances while no
-// other instance reports the account. Thread-safe.
+// that all instances report, at least floor / instances. It is 1 / instances
+// while there is no news: no report of others counts yet or any more, or the
+// account just became active here. Thread-safe.
 //
 // Own demand counts with its lowest value reported during the last hold time
 // (see AccountLimiterOptions), the demand of others with their newest report.
 // So while every report arrives within the hold time, the shares of all
-// instances sum to at most 1 + floor, even while demand moves between them. An
-// instance that hears from nobody does not raise its share, and after
-// `report_life` it enforces 1 / instances; the sum is then at most
-// 1 + floor + 1 / instances for each instance that is cut off.
+// instances that are active (requests in the last 10 s) sum to at most
+// 1 + floor + new / instances, even while demand moves. `new` counts those that
+// became active during the hold time and one report interval, or that heard
+// their first report during the hold time; it is 0 in a steady state.
+//
+// An instance that hears from nobody does not raise its share. While it is cut
+// off, the sum may rise by the share it had, for `report_life`, and then by
+// 1 / instances. Reports later than the hold time may raise the sum by 1 while
+// they are late. Buckets add at most one second's depth and one request each
+// time an instance becomes active.
 class AccountLimiter {
  public:
   explicit AccountLimiter(AccountLimiterOptions options = {});
--- a/src/admission.cc
+++ b/src/admission.cc
@@ -21,6 +21,10 @@
 // Time constant of the demand average: smooths single requests, and reports a
 // flood within a few seconds.
 constexpr Seconds kDemandTime{4};
+// Standard deviations of random arrivals, and the part of a report, up to which
+// demand counts as unchanged.
+constexpr double kNoise = 2;
+constexpr double kMostTolerance = 0.6;
 // A running request ends at an unknown time.
 constexpr Duration kConcurrentRetry = milliseconds(100);
 // Demand is summed in thousandths, so that taking a report back leaves no
@@ -32,10 +36,20 @@
   std::unordered_map<std::string, int64_t> total;
   // When the newest report arrived.
   TimePoint newest;
+  // When the first report after the start or after a silence arrived.
+  TimePoint since;
   // Whether any report is still valid.
   bool any = false;
 };
 
+// The part of a PeerDemand that concerns one account.
+struct AccountView {
+  int64_t others = 0;
+  TimePoint newest;
+  TimePoint since;
+  bool any = false;
+};
+
 // Refilled with time up to one second's depth; negative while in debt.
 class TokenBucket {
  public:
@@ -100,12 +114,20 @@
     int running = 0;
     bool limited = false;
     DemandMeter demand;
+    // The same in requests per second.
+    DemandMeter asked;
+    // First request after a time without any.
+    TimePoint active_since;
     // Reports of the hold time and the one before, oldest first.
     std::vector<Published> published;
+    // Copied from the snapshot of this version.
+    AccountView view;
+    uint64_t view_version = 0;
   };
   struct Shard {
     std::shared_mutex mutex;
-    std::unordered_map<std::string, std::shared_ptr<State>> states;
+    // States are never removed while the limiter exists.
+    std::unordered_map<std::string, std::unique_ptr<State>> states;
   };
   struct PeerReport {
     TimePoint at;
@@ -120,22 +142,22 @@
     return shards[std::hash<std::string>()(account) % kShards];
   }
 
-  std::shared_ptr<State> FindState(const std::string& account) {
+  State* FindState(const std::string& account) {
     Shard& shard = ShardFor(account);
     std::shared_lock lock(shard.mutex);
     auto it = shard.states.find(account);
-    return it == shard.states.end() ? nullptr : it->second;
+    return it == shard.states.end() ? nullptr : it->second.get();
   }
 
-  std::shared_ptr<State> StateFor(const std::string& account) {
-    if (auto state = FindState(account))
-      return state;
+  State& StateFor(const std::string& account) {
+    if (State* state = FindState(account))
+      return *state;
     Shard& shard = ShardFor(account);
     std::unique_lock lock(shard.mutex);
     auto& state = shard.states[account];
     if (!state)
-      state = std::make_shared<State>();
-    return state;
+      state = std::make_unique<State>();
+    return *state;
   }
 
   Duration HoldTime(int instances) const {
@@ -158,28 +180,51 @@
     return since_start ? std::max<int64_t>(0, held) : 0;
   }
 
+  AccountView ViewOf(const std::string& account) const {
+    const auto demand = snapshot.Load();
+    auto it = demand->total.find(account);
+    return {it == demand->total.end() ? 0 : it->second, demand->newest, demand->since,
+            demand->any};
+  }
+
+  // The state's copy of the snapshot, so that requests of different accounts
+  // share no reference count. The caller holds the state's mutex.
+  const AccountView& ViewOf(const std::string& account, State& state) const {
+    const uint64_t version = snapshot_version.load(std::memory_order_acquire);
+    if (state.view_version != version) {
+      state.view = ViewOf(account);
+      state.view_version = version;
+    }
+    return state.view;
+  }
+
   double Share(TimePoint now,
-               const std::string& account,
                const State* state,
-               const PeerDemand& peers) const {
+               const AccountView& view) const {
     const int count = std::max(1, instances.load(std::memory_order_relaxed));
     const double equal = 1.0 / count;
     if (count == 1)
       return 1;
-    if (!peers.any || now - peers.newest > options.report_life)
+    if (!view.any || now - view.newest > options.report_life)
       return equal;
-    auto it = peers.total.find(account);
-    const int64_t others = it == peers.total.end() ? 0 : it->second;
     // Nobody hears an instance that hears nobody, so its newer reports do not
     // count.
-    const TimePoint heard = std::min(now, peers.newest + options.hold_base);
-    const int64_t own = state ? HeldDemand(*state, heard - HoldTime(count)) : 0;
-    const double base = others == 0 ? equal : options.floor * equal;
+    const Duration hold = HoldTime(count);
+    const TimePoint heard = std::min(now, view.newest + options.hold_base);
+    // After a silence it takes the hold time to hear of everybody.
+    if (now - view.since < hold)
+      return equal;
+    const int64_t own = state ? HeldDemand(*state, heard - hold) : 0;
+    // The first reports of a newly active instance are on their way.
+    const bool is_new =
+        !state || now - state->active_since <= hold + options.hold_base;
+    const double base =
+        view.others == 0 || is_new ? equal : options.floor * equal;
     if (own == 0)
       return base;
-    return std::max(
-        base, static_cast<double>(own) /
-                  (static_cast<double>(own) + static_cast<double>(others)));
+    const double part = static_cast<double>(own) /
+                        static_cast<double>(own + view.others);
+    return std::max(options.floor * equal, part);
   }
 
   // Rebuilds the snapshot if reports changed or expired; at most once per
@@ -200,8 +245,10 @@
       auto next = std::make_shared<PeerDemand>();
       next->total = totals;
       next->newest = newest;
+      next->since = since;
       next->any = !peers.empty();
       snapshot.Store(std::move(next));
+      snapshot_version.fetch_add(1, std::memory_order_release);
       dirty = false;
     }
     next_refresh.store((now + options.refresh).time_since_epoch().count(),
@@ -209,8 +256,12 @@
   }
 
   void ForgetOldReports(TimePoint now) {
+    // An instance that hears nobody forgets all reports at once; one by one, its
+    // own part would grow.
+    const TimePoint heard = std::min(now, newest + options.hold_base);
+    const bool is_silent = now - newest > options.report_life;
     std::erase_if(peers, [&](const auto& peer) {
-      if (now - peer.second.at <= options.report_life)
+      if (!is_silent && heard - peer.second.at <= options.report_life)
         return false;
       Subtract(peer.second);
       dirty = true;
@@ -231,6 +282,8 @@
   std::array<Shard, kShards> shards;
   std::atomic<int> instances{1};
   RcuCell<PeerDemand> snapshot;
+  // Raised after each store of a snapshot.
+  std::atomic<uint64_t> snapshot_version{1};
   std::atomic<int64_t> next_refresh{0};
 
   std::mutex peer_mutex;
@@ -238,6 +291,7 @@
   std::unordered_map<std::string, PeerReport> peers;
   std::unordered_map<std::string, int64_t> totals;
   TimePoint newest{};
+  TimePoint since{};
   bool dirty = false;
 };
 
@@ -250,39 +304,42 @@
                                                   const Account& account,
                                                   int max_tokens) {
   m_impl->Refresh(now, false);
-  const auto peers = m_impl->snapshot.Load();
-  const auto state = m_impl->StateFor(account.name);
-  std::lock_guard lock(state->mutex);
+  Impl::State& state = m_impl->StateFor(account.name);
+  std::lock_guard lock(state.mutex);
   const double cost = std::max(0, max_tokens);
-  state->limited = account.requests_per_second > 0 ||
+  state.limited = account.requests_per_second > 0 ||
                    account.tokens_per_second > 0 || account.concurrent > 0;
-  state->demand.Add(now, std::max(1.0, cost));
-  const double share = m_impl->Share(now, account.name, state.get(), *peers);
+  if (state.demand.at() == TimePoint{} ||
+      now - state.demand.at() > kActiveTime)
+    state.active_since = now;
+  state.demand.Add(now, std::max(1.0, cost));
+  state.asked.Add(now, 1);
+  const double share = m_impl->Share(now, &state, m_impl->ViewOf(account.name, state));
   // A share below 1 may rise with the next reports.
   const Duration longest =
       share < 1 ? m_impl->HoldTime(m_impl->instances.load()) : Duration::max();
   const double request_rate = share * account.requests_per_second;
   const double token_rate = share * account.tokens_per_second;
-  state->requests.Refill(now, request_rate, std::max(1.0, request_rate));
-  state->tokens.Refill(now, token_rate, token_rate);
+  state.requests.Refill(now, request_rate, std::max(1.0, request_rate));
+  state.tokens.Refill(now, token_rate, token_rate);
 
   const int concurrent =
       std::max(1, static_cast<int>(share * account.concurrent + 1e-9));
-  if (account.concurrent > 0 && state->running >= concurrent)
+  if (account.concurrent > 0 && state.running >= concurrent)
     return LimitRefusal{LimitReason::kConcurrent, kConcurrentRetry};
   if (account.requests_per_second > 0) {
-    const Duration wait = state->requests.Wait(1, request_rate);
+    const Duration wait = state.requests.Wait(1, request_rate);
     if (wait > Duration(0))
       return LimitRefusal{LimitReason::kRequestRate, std::min(wait, longest)};
   }
   if (account.tokens_per_second > 0) {
-    const Duration wait = state->tokens.Wait(cost, token_rate);
+    const Duration wait = state.tokens.Wait(cost, token_rate);
     if (wait > Duration(0))
       return LimitRefusal{LimitReason::kTokenRate, std::min(wait, longest)};
   }
-  state->requests.Add(-1);
-  state->tokens.Add(-cost);
-  ++state->running;
+  state.requests.Add(-1);
+  state.tokens.Add(-cost);
+  ++state.running;
   return std::nullopt;
 }
 
@@ -291,7 +348,7 @@
                              int max_tokens,
                              int generated) {
   (void)now;
-  const auto state = m_impl->FindState(account);
+  Impl::State* state = m_impl->FindState(account);
   if (!state)
     return;
   std::lock_guard lock(state->mutex);
@@ -304,7 +361,7 @@
                                                        size_t limit) const {
   struct Row {
     std::string account;
-    std::shared_ptr<Impl::State> state;
+    Impl::State* state;
     int64_t demand = 0;
   };
   const Impl& impl = *m_impl;
@@ -312,7 +369,7 @@
   for (Impl::Shard& shard : m_impl->shards) {
     std::shared_lock lock(shard.mutex);
     for (const auto& [account, state] : shard.states)
-      rows.push_back({account, state});
+      rows.push_back({account, state.get()});
   }
   for (Row& row : rows) {
     std::lock_guard lock(row.state->mutex);
@@ -323,8 +380,14 @@
     if (row.state->published.empty())
       continue;
     const int64_t last = row.state->published.back().demand;
+    // Random arrivals alone move the average of few requests by more.
+    const double requests =
+        2 * kDemandTime.count() * row.state->asked.Value(now);
+    const double tolerance =
+        std::clamp(kNoise / std::sqrt(std::max(1.0, requests)),
+                   impl.options.report_tolerance, kMostTolerance);
     if (std::abs(static_cast<double>(row.demand - last)) <=
-        impl.options.report_tolerance * static_cast<double>(last)) {
+        tolerance * static_cast<double>(last)) {
       row.demand = last;
     }
   }
@@ -370,6 +433,9 @@
     Impl::PeerReport& old = m_impl->peers[peer];
     m_impl->Subtract(old);
     old = std::move(report);
+    if (m_impl->newest == TimePoint{} ||
+        now - m_impl->newest > m_impl->options.report_life / 2)
+      m_impl->since = now;
     m_impl->newest = std::max(m_impl->newest, now);
     m_impl->dirty = true;
   }
@@ -382,12 +448,11 @@
 
 double AccountLimiter::Share(TimePoint now, const std::string& account) const {
   m_impl->Refresh(now, true);
-  const auto peers = m_impl->snapshot.Load();
-  const auto state = m_impl->FindState(account);
+  Impl::State* state = m_impl->FindState(account);
   if (!state)
-    return m_impl->Share(now, account, nullptr, *peers);
+    return m_impl->Share(now, nullptr, m_impl->ViewOf(account));
   std::lock_guard lock(state->mutex);
-  return m_impl->Share(now, account, state.get(), *peers);
+  return m_impl->Share(now, state, m_impl->ViewOf(account, *state));
 }
 
 }  // namespace trefoilwick
--- /dev/null
+++ b/test/admission_share_test.cc
@@ -0,0 +1,374 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <queue>
+#include <tuple>
+
+#include "trefoilwick/admission.h"
+
+namespace trefoilwick {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{seconds(100)};
+constexpr double kLimit = 4000;
+constexpr int kTokens = 40;
+constexpr double kFloor = 0.05;
+
+// What happens to instance `i` at second `t`.
+struct Scenario {
+  const char* name;
+  // All instances, and those that get requests of the account.
+  int instances;
+  int active;
+  int length;
+  // Demand over the limit.
+  std::function<double(int i, double t)> demand;
+  std::function<bool(int i, double t)> is_up = [](int, double) { return true; };
+  std::function<bool(int i, double t)> is_cut = [](int, double) {
+    return false;
+  };
+  // Reports arrive within the hold time multiplied by this.
+  double delay = 1;
+  // Sum of the shares beyond the bound of admission.h, by faults.
+  double extra = 0;
+  // From here on the mean is taken.
+  int from = 20;
+};
+
+struct Result {
+  // Over the limit: the largest 10 s, and the mean.
+  double worst = 0;
+  double mean = 0;
+  // Sum of the shares of the instances that got requests in the last 10 s, and
+  // its largest excess over 1 + floor + (newly active instances) / instances.
+  double shares = 0;
+  double excess = -1;
+};
+
+// Instances that exchange reports every second, in steps of 20 ms of virtual
+// time. Requests arrive at random.
+class Cluster {
+ public:
+  Cluster(const Scenario& scenario, uint64_t seed)
+      : m_scenario(scenario),
+        m_hold(1 + 0.5 * std::log2(scenario.instances)),
+        m_random(seed),
+        m_limiters(scenario.active),
+        m_last_ask(scenario.active, -1),
+        m_active_since(scenario.active, -1) {
+    m_account.name = "account";
+    m_account.tokens_per_second = kLimit;
+    for (AccountLimiter& limiter : m_limiters)
+      limiter.SetLiveInstances(scenario.instances);
+    for (int i = 0; i < scenario.active * scenario.active; ++i)
+      m_delays.push_back(milliseconds(static_cast<int64_t>(
+          m_hold * scenario.delay * (100 + 600 * m_random.Unit()))));
+  }
+
+  Result Run() {
+    const int steps = m_scenario.length * kStepsPerSecond;
+    std::vector<double> admitted(steps + 1);
+    Result result;
+    for (int step = 0; step < steps; ++step) {
+      Deliver(step);
+      double tokens = 0;
+      Sum sum;
+      for (int i = 0; i < m_scenario.active; ++i) {
+        if (!IsUp(i, step))
+          continue;
+        Report(i, step);
+        tokens += Ask(i, step);
+        if (step % kStepsPerSecond == 0)
+          AddShare(i, step, sum);
+      }
+      result.shares = std::max(result.shares, sum.shares);
+      result.excess = std::max(result.excess, sum.shares - sum.bound);
+      admitted[step + 1] = admitted[step] + tokens;
+    }
+    Measure(admitted, result);
+    return result;
+  }
+
+ private:
+  static constexpr int kStepsPerSecond = 50;
+
+  struct Message {
+    int step;
+    int from;
+    int to;
+    std::vector<AccountDemand> demand;
+    bool operator<(const Message& other) const { return step > other.step; }
+  };
+
+  struct Sum {
+    double shares = 0;
+    double bound = 1 + kFloor;
+  };
+
+  void AddShare(int i, int step, Sum& sum) {
+    const int active_time = 10 * kStepsPerSecond;
+    if (m_last_ask[i] < 0 || step - m_last_ask[i] > active_time)
+      return;
+    sum.shares += m_limiters[i].Share(Now(step), m_account.name);
+    // The first own reports are on their way for the hold time and one
+    // interval; those of the others likewise, and then count after the hold
+    // time.
+    if (At(step - m_active_since[i]) <= m_hold + 1 + 1e-9 ||
+        At(step) <= 2 * m_hold + 1)
+      sum.bound += 1.0 / Live(step);
+  }
+
+  int Live(int step) const {
+    int up = m_scenario.instances - m_scenario.active;
+    for (int j = 0; j < m_scenario.active; ++j)
+      up += IsUp(j, step);
+    return up;
+  }
+
+  static double At(int step) { return step * (1.0 / kStepsPerSecond); }
+  static TimePoint Now(int step) {
+    return kStart + milliseconds(1000 / kStepsPerSecond) * step;
+  }
+  bool IsUp(int i, int step) const { return m_scenario.is_up(i, At(step)); }
+
+  void Report(int i, int step) {
+    if ((step + i * 7) % kStepsPerSecond != 0)
+      return;
+    m_limiters[i].SetLiveInstances(Live(step));
+    // Any of the idle instances.
+    if (!m_scenario.is_cut(i, At(step)) &&
+        m_scenario.instances > m_scenario.active)
+      m_limiters[i].OnPeerDemand(Now(step), "idle", {});
+    const auto demand = m_limiters[i].LocalDemand(Now(step), 100);
+    for (int j = 0; j < m_scenario.active; ++j) {
+      if (j == i || m_scenario.is_cut(i, At(step)) ||
+          m_scenario.is_cut(j, At(step)))
+        continue;
+      const int delay = static_cast<int>(
+          m_delays[i * m_scenario.active + j] /
+          milliseconds(1000 / kStepsPerSecond));
+      m_messages.push({step + delay, i, j, demand});
+    }
+  }
+
+  void Deliver(int step) {
+    for (; !m_messages.empty() && m_messages.top().step <= step;
+         m_messages.pop()) {
+      const Message& message = m_messages.top();
+      m_limiters[message.to].OnPeerDemand(
+          Now(step), std::to_string(message.from), message.demand);
+    }
+  }
+
+  double Ask(int i, int step) {
+    const double requests = m_scenario.demand(i, At(step)) * kLimit / kTokens /
+                            kStepsPerSecond;
+    double tokens = 0;
+    const int count =
+        static_cast<int>(requests) +
+        (m_random.Unit() < requests - static_cast<int>(requests));
+    if (count > 0) {
+      if (m_last_ask[i] < 0 || step - m_last_ask[i] > 10 * kStepsPerSecond)
+        m_active_since[i] = step;
+      m_last_ask[i] = step;
+    }
+    for (int n = 0; n < count; ++n) {
+      if (!m_limiters[i].Admit(Now(step), m_account, kTokens)) {
+        tokens += kTokens;
+        m_limiters[i].Release(Now(step), m_account.name, kTokens, kTokens);
+      }
+    }
+    return tokens;
+  }
+
+  void Measure(const std::vector<double>& admitted, Result& result) const {
+    const int window = 10 * kStepsPerSecond;
+    const int end = static_cast<int>(admitted.size()) - 1;
+    const int from = m_scenario.from * kStepsPerSecond;
+    for (int step = from; step + window <= end; ++step)
+      result.worst =
+          std::max(result.worst, (admitted[step + window] - admitted[step]) /
+                                     (10 * kLimit));
+    result.mean =
+        (admitted[end] - admitted[from]) / (At(end - from) * kLimit);
+  }
+
+  const Scenario& m_scenario;
+  double m_hold;
+  Random m_random;
+  Account m_account;
+  std::vector<AccountLimiter> m_limiters;
+  // Steps; -1: never.
+  std::vector<int> m_last_ask;
+  std::vector<int> m_active_since;
+  std::vector<milliseconds> m_delays;
+  std::priority_queue<Message> m_messages;
+};
+
+class AdmissionShareTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AdmissionShareTest);
+  CPPUNIT_TEST(TotalStaysWithinTheLimit);
+  CPPUNIT_TEST(SharesKeepTheBound);
+  CPPUNIT_TEST(ReportSize);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against instances that together admit more than the account's limit,
+  // and against limits that admit much less than asked for. Prints the table.
+  void TotalStaysWithinTheLimit() {
+    const auto even = [](int n, double total) {
+      return [=](int, double) { return total / n; };
+    };
+    // All demand is at one instance for a while, then at the next.
+    const auto moving = [](int n, double period) {
+      return [=](int i, double t) {
+        return static_cast<int>(t / period) % n == i ? 3.0 : 0.0;
+      };
+    };
+    const auto skewed = [](int i, double) { return 2.0 / (1 + i); };
+    const auto first_cut = [](int i, double t) {
+      return i == 0 && t >= 30 && t < 60;
+    };
+    std::vector<Scenario> table = {
+        {.name = "13, even", .instances = 13, .active = 13, .length = 60,
+         .demand = even(13, 3)},
+        {.name = "13, skewed", .instances = 13, .active = 13, .length = 60,
+         .demand = skewed},
+        {.name = "13, half the limit", .instances = 13, .active = 13,
+         .length = 60, .demand = even(13, 0.5)},
+        {.name = "350, even on 20", .instances = 350, .active = 20,
+         .length = 60, .demand = even(20, 3)},
+        {.name = "350, even on all", .instances = 350, .active = 350,
+         .length = 35, .demand = even(350, 3)},
+        {.name = "13, moves every 20 s", .instances = 13, .active = 13,
+         .length = 120, .demand = moving(13, 20), .from = 0},
+        {.name = "13, moves every 5 s", .instances = 13, .active = 13,
+         .length = 120, .demand = moving(13, 5), .from = 0},
+        {.name = "350, moves every 20 s", .instances = 350, .active = 20,
+         .length = 120, .demand = moving(20, 20), .from = 0},
+        {.name = "13, reports 2x late", .instances = 13, .active = 13,
+         .length = 120, .demand = moving(13, 20), .delay = 3,
+         .extra = 1, .from = 0},
+        {.name = "13, one cut off 30 s", .instances = 13, .active = 13,
+         .length = 90, .demand = even(13, 3), .is_cut = first_cut,
+         .extra = 1.0 / 13},
+        {.name = "350, one cut off 30 s", .instances = 350, .active = 20,
+         .length = 90, .demand = even(20, 3), .is_cut = first_cut,
+         .extra = 1.0 / 20},
+        {.name = "13, the only user cut off", .instances = 13, .active = 13,
+         .length = 90,
+         .demand =
+             [](int i, double t) {
+               return i == 0 || (i == 1 && t >= 31) ? 3.0 : 0.0;
+             },
+         .is_cut = first_cut, .extra = 1},
+        {.name = "13, 4 leave and join", .instances = 13, .active = 13,
+         .length = 90, .demand = even(13, 3),
+         .is_up =
+             [](int i, double t) {
+               return i >= 4 || static_cast<int>(t / 15) % 2 == 0;
+             },
+         .extra = 4.0 / 9},
+    };
+    std::printf("\nadmitted / limit: largest 10 s, mean; sum of shares: "
+                "largest, excess over the bound (allowed)\n");
+    for (const Scenario& scenario : table) {
+      const Result result = Cluster(scenario, 1).Run();
+      std::printf("%-26s %5.3f %5.3f  %5.3f %6.3f (%.3f)\n", scenario.name,
+                  result.worst, result.mean, result.shares, result.excess,
+                  scenario.extra);
+      CPPUNIT_ASSERT(result.excess <= scenario.extra + 1e-9);
+      const bool steady = scenario.from > 0 && scenario.extra == 0;
+      // A tenth more by full buckets of one second, and the newly active.
+      CPPUNIT_ASSERT(result.worst <=
+                     (steady ? 1.1 : 1.1 * (2 + kFloor + scenario.extra)));
+    }
+  }
+
+  // Property: with reports that arrive within the hold time, the shares of the
+  // active instances keep to the bound of admission.h at any moment. Guards against shares
+  // that grow before the others have shrunk.
+  void SharesKeepTheBound() {
+    for (uint64_t seed = 0; seed < 2000; ++seed) {
+      Random random(seed);
+      const int count = 2 + static_cast<int>(random.Below(5));
+      std::vector<double> demand(count);
+      const int change = 1 + static_cast<int>(random.Below(8));
+      const Scenario scenario{
+          .name = "random", .instances = count, .active = count, .length = 24,
+          .demand =
+              [&](int i, double t) {
+                if (i == 0 && std::fmod(t, change) < 0.01)
+                  for (double& d : demand)
+                    d = random.Below(2) ? 2 * random.Unit() : 0;
+                return demand[i];
+              },
+          .delay = 1, .from = 0};
+      const Result result = Cluster(scenario, seed).Run();
+      CPPUNIT_ASSERT(result.excess <= 1e-9);
+    }
+  }
+
+  // 12,000 accounts, 2,000 active at 4 of 350 instances each. Prints the bytes
+  // of the reports; guards against rows that change without need.
+  void ReportSize() {
+    Random random(1);
+    const int per_instance = 2000 * 4 / 350;
+    AccountLimiter limiter;
+    limiter.SetLiveInstances(350);
+    for (int i = 0; i < 12'000; ++i) {
+      Account account;
+      account.name = "account-" + std::to_string(i);
+      account.tokens_per_second = 1000;
+      limiter.Admit(kStart, account, 0);
+    }
+    size_t rows = 0;
+    size_t bytes = 0;
+    size_t changed = 0;
+    std::vector<AccountDemand> last;
+    for (int ms = 20'000; ms < 80'000; ms += 10) {
+      const TimePoint now = kStart + milliseconds(ms);
+      // About 11 requests a second and instance, 436 tokens each.
+      if (random.Below(1000) < 110) {
+        Account account;
+        account.name =
+            "account-" + std::to_string(random.Below(per_instance));
+        account.tokens_per_second = 1000;
+        limiter.Admit(now, account, 436);
+      }
+      if (ms % 1000 != 0)
+        continue;
+      const auto demand = limiter.LocalDemand(now, 1000);
+      for (const AccountDemand& row : demand) {
+        ++rows;
+        // Length, name and a 4-byte number.
+        bytes += 5 + row.account.size();
+        changed += std::find(last.begin(), last.end(), row) == last.end();
+      }
+      last = demand;
+    }
+    const double per_second = static_cast<double>(bytes) / 60;
+    std::printf(
+        "\nreports of one instance: %.1f rows/s, %.0f B/s; changed rows %.1f/s"
+        "\nreceived from 349 others: %.1f KB/s, changed rows only %.1f KB/s"
+        "\nrows to one owner per account and its sums back: %.2f KB/s\n",
+        static_cast<double>(rows) / 60, per_second,
+        static_cast<double>(changed) / 60, per_second * 349 / 1000,
+        per_second * 349 / 1000 * static_cast<double>(changed) /
+            static_cast<double>(rows),
+        per_second * 4 / 1000);
+    CPPUNIT_ASSERT(rows <= 60 * per_instance);
+    CPPUNIT_ASSERT(per_second < 1000);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdmissionShareTest);
+
+}  // namespace
+}  // namespace trefoilwick
