Bound the cost of chain repair; give up shares of stopped demand

Cause: repair tried spares of unlike speed for every broken chain after every dissolved one. Demand that moved away kept its share until its average had decayed. Buckets smaller than one request overflowed between requests. Chains without a speed all lost to the last one. Change: only the slowest broken chain tries spares of unlike speed; a stopped account reports a tenth; the token bucket holds the largest recent request; a speed of 0 counts as 1.

--- a/src/admission.cc
+++ b/src/admission.cc
@@ -25,6 +25,12 @@
 // demand counts as unchanged.
 constexpr double kNoise = 2;
 constexpr double kMostTolerance = 0.6;
+// Part of the largest request that is remembered with every request.
+constexpr double kCostMemory = 0.9;
+// Demand that made no request for this many mean intervals has moved away, and
+// most of its share is given up before the average has decayed.
+constexpr double kStopIntervals = 8;
+constexpr double kStoppedPart = 0.1;
 // A running request ends at an unknown time.
 constexpr Duration kConcurrentRetry = milliseconds(100);
 // Demand is summed in thousandths, so that taking a report back leaves no
@@ -50,12 +56,13 @@
   bool any = false;
 };
 
-// Refilled with time up to one second's depth; negative while in debt.
+// Refilled with time up to its depth; starts with one second's. Negative while
+// in debt.
 class TokenBucket {
  public:
-  void Refill(TimePoint now, double rate, double depth) {
+  void Refill(TimePoint now, double rate, double depth, double start) {
     if (!m_started) {
-      m_balance = depth;
+      m_balance = start;
       m_started = true;
     } else if (now > m_at) {
       m_balance += rate * Seconds(now - m_at).count();
@@ -64,11 +71,11 @@
     m_depth = depth;
     m_balance = std::min(m_balance, depth);
   }
-  // Time until `cost` passes; 0 when it passes now.
-  Duration Wait(double cost, double rate) const {
-    const double missing = std::min(cost, m_depth) - m_balance;
+  // Time until the balance is `needed`; 0 when it is.
+  Duration Wait(double needed, double rate) const {
+    const double missing = needed - m_balance;
     // Tolerates the rounding of a wait that was given as an answer.
-    if (missing <= 1e-6 * m_depth)
+    if (missing <= 1e-6 * needed)
       return Duration(0);
     return std::chrono::ceil<Duration>(Seconds(missing / rate));
   }
@@ -111,6 +118,8 @@
     std::mutex mutex;
     TokenBucket requests;
     TokenBucket tokens;
+    // Of recent requests, in tokens.
+    double largest_cost = 0;
     int running = 0;
     bool limited = false;
     DemandMeter demand;
@@ -183,8 +192,8 @@
   AccountView ViewOf(const std::string& account) const {
     const auto demand = snapshot.Load();
     auto it = demand->total.find(account);
-    return {it == demand->total.end() ? 0 : it->second, demand->newest, demand->since,
-            demand->any};
+    return {it == demand->total.end() ? 0 : it->second, demand->newest,
+            demand->since, demand->any};
   }
 
   // The state's copy of the snapshot, so that requests of different accounts
@@ -222,8 +231,8 @@
         view.others == 0 || is_new ? equal : options.floor * equal;
     if (own == 0)
       return base;
-    const double part = static_cast<double>(own) /
-                        static_cast<double>(own + view.others);
+    const double part =
+        static_cast<double>(own) / static_cast<double>(own + view.others);
     return std::max(options.floor * equal, part);
   }
 
@@ -256,8 +265,8 @@
   }
 
   void ForgetOldReports(TimePoint now) {
-    // An instance that hears nobody forgets all reports at once; one by one, its
-    // own part would grow.
+    // An instance that hears nobody forgets all reports at once; one by one,
+    // its own part would grow.
     const TimePoint heard = std::min(now, newest + options.hold_base);
     const bool is_silent = now - newest > options.report_life;
     std::erase_if(peers, [&](const auto& peer) {
@@ -308,20 +317,25 @@
   std::lock_guard lock(state.mutex);
   const double cost = std::max(0, max_tokens);
   state.limited = account.requests_per_second > 0 ||
-                   account.tokens_per_second > 0 || account.concurrent > 0;
-  if (state.demand.at() == TimePoint{} ||
-      now - state.demand.at() > kActiveTime)
+                  account.tokens_per_second > 0 || account.concurrent > 0;
+  if (state.demand.at() == TimePoint{} || now - state.demand.at() > kActiveTime)
     state.active_since = now;
   state.demand.Add(now, std::max(1.0, cost));
   state.asked.Add(now, 1);
-  const double share = m_impl->Share(now, &state, m_impl->ViewOf(account.name, state));
+  const double share =
+      m_impl->Share(now, &state, m_impl->ViewOf(account.name, state));
   // A share below 1 may rise with the next reports.
   const Duration longest =
       share < 1 ? m_impl->HoldTime(m_impl->instances.load()) : Duration::max();
   const double request_rate = share * account.requests_per_second;
   const double token_rate = share * account.tokens_per_second;
-  state.requests.Refill(now, request_rate, std::max(1.0, request_rate));
-  state.tokens.Refill(now, token_rate, token_rate);
+  const double request_depth = std::max(1.0, request_rate);
+  state.requests.Refill(now, request_rate, request_depth, request_depth);
+  // At a share smaller than a request, a bucket of one second's depth would
+  // overflow while it waits for the next request.
+  state.largest_cost = std::max(cost, kCostMemory * state.largest_cost);
+  state.tokens.Refill(now, token_rate, std::max(token_rate, state.largest_cost),
+                      token_rate);
 
   const int concurrent =
       std::max(1, static_cast<int>(share * account.concurrent + 1e-9));
@@ -333,7 +347,8 @@
       return LimitRefusal{LimitReason::kRequestRate, std::min(wait, longest)};
   }
   if (account.tokens_per_second > 0) {
-    const Duration wait = state.tokens.Wait(cost, token_rate);
+    const Duration wait =
+        state.tokens.Wait(std::min(cost, token_rate), token_rate);
     if (wait > Duration(0))
       return LimitRefusal{LimitReason::kTokenRate, std::min(wait, longest)};
   }
@@ -375,8 +390,13 @@
     std::lock_guard lock(row.state->mutex);
     if (!row.state->limited || now - row.state->demand.at() > kActiveTime)
       continue;
+    const double asked = row.state->asked.Value(row.state->demand.at());
+    const Seconds silence = now - row.state->demand.at();
+    const bool has_stopped =
+        silence.count() > std::max(1.0, kStopIntervals / asked);
     row.demand = std::max<int64_t>(
-        1, std::llround(row.state->demand.Value(now) * kDemandUnit));
+        1, std::llround(row.state->demand.Value(now) * kDemandUnit *
+                        (has_stopped ? kStoppedPart : 1)));
     if (row.state->published.empty())
       continue;
     const int64_t last = row.state->published.back().demand;
--- a/src/routing_form.cc
+++ b/src/routing_form.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <tuple>
 
@@ -35,6 +36,7 @@
 
 bool IsStage(const BackendServer& server) {
   return server.role == ServerRole::kEngine && !server.model.empty() &&
+         std::isfinite(server.speed) && server.speed >= 0 &&
          server.layers.first >= 0 && server.layers.first < server.layers.end &&
          server.layers.end <= server.model_layers;
 }
@@ -85,13 +87,6 @@
                  server);
   }
 
-  bool Has(const BackendServer& like) const {
-    auto key = m_groups.find(KeyOf(like));
-    return key != m_groups.end() &&
-           std::any_of(key->second.begin(), key->second.end(),
-                       [](const auto& group) { return !group.second.empty(); });
-  }
-
   // Takes a spare, same data center first, then in order of its name: the
   // slowest that does not slow the chain down, else the fastest. With
   // `only_like`, its speed is within a factor of kLikeSpeeds of the chain's.
@@ -434,44 +429,37 @@
       }
   }
 
-  // Replaces all stages that `is_lost` names, or none. Spares of like speed
-  // come first; others only if no stage would better wait for its like, or if
-  // no other chain serves the model.
+  // Replaces all stages that `is_lost` names, or none. Spares of unlike speed
+  // are taken only if no stage would better wait for its like, or if no other
+  // chain serves the model.
   template <typename IsLost>
-  bool Replace(Old& old, IsLost is_lost) {
-    for (size_t i = 0; i < old.stages.size(); ++i)
-      if (is_lost(old.stages[i]) && !m_pool.Has((*old.before)[i]))
-        return false;
-    for (const bool only_like : {true, false}) {
-      Servers stages = old.stages;
-      Servers taken;
-      size_t wanted = 0;
-      for (size_t i = 0; i < stages.size(); ++i) {
-        if (!is_lost(stages[i]))
-          continue;
-        ++wanted;
-        if (const auto* spare =
-                m_pool.Take((*old.before)[i], old.speed, only_like)) {
-          stages[i] = spare;
-          taken.push_back(spare);
-        }
-      }
-      if (taken.size() == wanted &&
-          (only_like || !m_served.contains(old.model) ||
-           WaitingStages(stages).empty())) {
-        old.stages = std::move(stages);
-        m_served.insert(old.model);
-        return true;
-      }
+  bool Replace(Old& old, IsLost is_lost, bool only_like) {
+    Servers stages = old.stages;
+    Servers taken;
+    bool done = true;
+    for (size_t i = 0; i < stages.size() && done; ++i) {
+      if (!is_lost(stages[i]))
+        continue;
+      stages[i] = m_pool.Take((*old.before)[i], old.speed, only_like);
+      done = stages[i] != nullptr;
+      if (done)
+        taken.push_back(stages[i]);
+    }
+    done = done && (only_like || !m_served.contains(old.model) ||
+                    WaitingStages(stages).empty());
+    if (done) {
+      old.stages = std::move(stages);
+      m_served.insert(old.model);
+    } else {
       for (const BackendServer* spare : taken)
         m_pool.Add(spare);
     }
-    return false;
+    return done;
   }
 
-  // Repairs the fastest chains first and dissolves those that cannot be
-  // repaired, slowest first; the servers of a dissolved chain may repair
-  // others.
+  // Repairs the fastest chains first, with spares of like speed. While that
+  // leaves any, the slowest takes other spares or is dissolved; its servers may
+  // then repair others.
   void ReplaceLost() {
     std::vector<Old*> broken;
     for (Old& old : m_old) {
@@ -484,29 +472,38 @@
       return std::tie(b->speed, a->id) < std::tie(a->speed, b->id);
     });
     while (!broken.empty()) {
-      std::erase_if(broken, [this](Old* old) {
-        return Replace(*old, [](auto* stage) { return stage == nullptr; });
-      });
+      const auto is_lost = [](auto* stage) { return stage == nullptr; };
+      std::erase_if(broken,
+                    [&](Old* old) { return Replace(*old, is_lost, true); });
       if (broken.empty())
         break;
-      for (const BackendServer* stage : broken.back()->stages) {
-        if (!stage)
-          continue;
-        m_used.erase(stage->id);
-        if (IsUsable(*stage))
-          m_pool.Add(stage);
-      }
-      broken.back()->stages.clear();
+      Old& slowest = *broken.back();
       broken.pop_back();
+      if (!Replace(slowest, is_lost, false))
+        Dissolve(slowest);
     }
     std::erase_if(m_old, [](const Old& old) { return old.stages.empty(); });
   }
 
+  void Dissolve(Old& old) {
+    for (const BackendServer* stage : old.stages) {
+      if (!stage)
+        continue;
+      m_used.erase(stage->id);
+      if (IsUsable(*stage))
+        m_pool.Add(stage);
+    }
+    old.stages.clear();
+  }
+
   void ReplaceLeaving() {
-    for (Old& old : m_old)
-      for (const BackendServer* stage : Servers(old.stages))
-        if (stage->leaving)
-          Replace(old, [&](auto* other) { return other == stage; });
+    for (Old& old : m_old) {
+      for (const BackendServer* stage : Servers(old.stages)) {
+        const auto is_lost = [&](auto* other) { return other == stage; };
+        if (stage->leaving && !Replace(old, is_lost, true))
+          Replace(old, is_lost, false);
+      }
+    }
   }
 
   Servers m_servers;
--- a/src/routing_policy.cc
+++ b/src/routing_policy.cc
@@ -39,6 +39,11 @@
   return it == context.loads.end() ? nullptr : &it->second;
 }
 
+// The instance list may leave the speed out.
+double SpeedOf(const Chain& chain) {
+  return std::max(1.0, chain.tokens_per_second);
+}
+
 // Draws with probability proportional to speed, because with equal
 // probabilities slow chains get more than they can serve. Null when empty.
 const Chain* DrawBySpeed(const Chains& chains,
@@ -46,14 +51,14 @@
                          Random& random) {
   double sum = 0;
   for (const Chain* chain : chains)
-    sum += chain == except ? 0 : chain->tokens_per_second;
+    sum += chain == except ? 0 : SpeedOf(*chain);
   double at = random.Unit() * sum;
   const Chain* last = nullptr;
   for (const Chain* chain : chains) {
     if (chain == except)
       continue;
     last = chain;
-    at -= chain->tokens_per_second;
+    at -= SpeedOf(*chain);
     if (at < 0)
       break;
   }
@@ -210,8 +215,7 @@
     return typical;
   const Seconds age = std::max(Duration(0), now - load->at);
   const double trust = std::exp(-(age / kReportLife));
-  double per_request =
-      kTokensPerRequest / std::max(1.0, chain.tokens_per_second);
+  double per_request = kTokensPerRequest / SpeedOf(chain);
   if (load->queued > 0)
     per_request = Seconds(load->expected_wait).count() / load->queued;
   // Own requests tell the work of all entries with the noise of a small sample.
--- a/test/admission_share_test.cc
+++ b/test/admission_share_test.cc
@@ -150,9 +150,8 @@
       if (j == i || m_scenario.is_cut(i, At(step)) ||
           m_scenario.is_cut(j, At(step)))
         continue;
-      const int delay = static_cast<int>(
-          m_delays[i * m_scenario.active + j] /
-          milliseconds(1000 / kStepsPerSecond));
+      const int delay = static_cast<int>(m_delays[i * m_scenario.active + j] /
+                                         milliseconds(1000 / kStepsPerSecond));
       m_messages.push({step + delay, i, j, demand});
     }
   }
@@ -167,12 +166,11 @@
   }
 
   double Ask(int i, int step) {
-    const double requests = m_scenario.demand(i, At(step)) * kLimit / kTokens /
-                            kStepsPerSecond;
+    const double requests =
+        m_scenario.demand(i, At(step)) * kLimit / kTokens / kStepsPerSecond;
     double tokens = 0;
-    const int count =
-        static_cast<int>(requests) +
-        (m_random.Unit() < requests - static_cast<int>(requests));
+    const int count = static_cast<int>(requests) +
+                      (m_random.Unit() < requests - static_cast<int>(requests));
     if (count > 0) {
       if (m_last_ask[i] < 0 || step - m_last_ask[i] > 10 * kStepsPerSecond)
         m_active_since[i] = step;
@@ -193,10 +191,9 @@
     const int from = m_scenario.from * kStepsPerSecond;
     for (int step = from; step + window <= end; ++step)
       result.worst =
-          std::max(result.worst, (admitted[step + window] - admitted[step]) /
-                                     (10 * kLimit));
-    result.mean =
-        (admitted[end] - admitted[from]) / (At(end - from) * kLimit);
+          std::max(result.worst,
+                   (admitted[step + window] - admitted[step]) / (10 * kLimit));
+    result.mean = (admitted[end] - admitted[from]) / (At(end - from) * kLimit);
   }
 
   const Scenario& m_scenario;
@@ -236,51 +233,108 @@
       return i == 0 && t >= 30 && t < 60;
     };
     std::vector<Scenario> table = {
-        {.name = "13, even", .instances = 13, .active = 13, .length = 60,
+        {.name = "13, even",
+         .instances = 13,
+         .active = 13,
+         .length = 60,
          .demand = even(13, 3)},
-        {.name = "13, skewed", .instances = 13, .active = 13, .length = 60,
+        {.name = "13, skewed",
+         .instances = 13,
+         .active = 13,
+         .length = 60,
          .demand = skewed},
-        {.name = "13, half the limit", .instances = 13, .active = 13,
-         .length = 60, .demand = even(13, 0.5)},
-        {.name = "350, even on 20", .instances = 350, .active = 20,
-         .length = 60, .demand = even(20, 3)},
-        {.name = "350, even on all", .instances = 350, .active = 350,
-         .length = 35, .demand = even(350, 3)},
-        {.name = "13, moves every 20 s", .instances = 13, .active = 13,
-         .length = 120, .demand = moving(13, 20), .from = 0},
-        {.name = "13, moves every 5 s", .instances = 13, .active = 13,
-         .length = 120, .demand = moving(13, 5), .from = 0},
-        {.name = "350, moves every 20 s", .instances = 350, .active = 20,
-         .length = 120, .demand = moving(20, 20), .from = 0},
-        {.name = "13, reports 2x late", .instances = 13, .active = 13,
-         .length = 120, .demand = moving(13, 20), .delay = 3,
-         .extra = 1, .from = 0},
-        {.name = "13, one cut off 30 s", .instances = 13, .active = 13,
-         .length = 90, .demand = even(13, 3), .is_cut = first_cut,
+        {.name = "13, half the limit",
+         .instances = 13,
+         .active = 13,
+         .length = 60,
+         .demand = even(13, 0.5)},
+        {.name = "350, even on 20",
+         .instances = 350,
+         .active = 20,
+         .length = 60,
+         .demand = even(20, 3)},
+        {.name = "350, even on all",
+         .instances = 350,
+         .active = 350,
+         .length = 35,
+         .demand = even(350, 3)},
+        {.name = "13, moves every 20 s",
+         .instances = 13,
+         .active = 13,
+         .length = 120,
+         .demand = moving(13, 20),
+         .from = 0},
+        {.name = "13, moves every 5 s",
+         .instances = 13,
+         .active = 13,
+         .length = 120,
+         .demand = moving(13, 5),
+         .from = 0},
+        {.name = "350, moves every 20 s",
+         .instances = 350,
+         .active = 20,
+         .length = 120,
+         .demand = moving(20, 20),
+         .from = 0},
+        {.name = "13, reports 2x late",
+         .instances = 13,
+         .active = 13,
+         .length = 120,
+         .demand = moving(13, 20),
+         .delay = 3,
+         .extra = 1,
+         .from = 0},
+        {.name = "13, one cut off 30 s",
+         .instances = 13,
+         .active = 13,
+         .length = 90,
+         .demand = even(13, 3),
+         .is_cut = first_cut,
          .extra = 1.0 / 13},
-        {.name = "350, one cut off 30 s", .instances = 350, .active = 20,
-         .length = 90, .demand = even(20, 3), .is_cut = first_cut,
+        {.name = "350, one cut off 30 s",
+         .instances = 350,
+         .active = 20,
+         .length = 90,
+         .demand = even(20, 3),
+         .is_cut = first_cut,
          .extra = 1.0 / 20},
-        {.name = "13, the only user cut off", .instances = 13, .active = 13,
+        {.name = "13, the only user cut off",
+         .instances = 13,
+         .active = 13,
          .length = 90,
          .demand =
              [](int i, double t) {
                return i == 0 || (i == 1 && t >= 31) ? 3.0 : 0.0;
              },
-         .is_cut = first_cut, .extra = 1},
-        {.name = "13, 4 leave and join", .instances = 13, .active = 13,
-         .length = 90, .demand = even(13, 3),
+         .is_cut = first_cut,
+         .extra = 1},
+        {.name = "13, 4 leave and join",
+         .instances = 13,
+         .active = 13,
+         .length = 90,
+         .demand = even(13, 3),
          .is_up =
              [](int i, double t) {
                return i >= 4 || static_cast<int>(t / 15) % 2 == 0;
              },
          .extra = 4.0 / 9},
+        {.name = "350, 5 of 20 leave and join",
+         .instances = 350,
+         .active = 20,
+         .length = 90,
+         .demand = even(20, 3),
+         .is_up =
+             [](int i, double t) {
+               return i >= 5 || static_cast<int>(t / 15) % 2 == 0;
+             },
+         .extra = 5.0 / 345},
     };
-    std::printf("\nadmitted / limit: largest 10 s, mean; sum of shares: "
-                "largest, excess over the bound (allowed)\n");
+    std::printf(
+        "\nadmitted / limit: largest 10 s, mean; sum of shares: "
+        "largest, excess over the bound (allowed)\n");
     for (const Scenario& scenario : table) {
       const Result result = Cluster(scenario, 1).Run();
-      std::printf("%-26s %5.3f %5.3f  %5.3f %6.3f (%.3f)\n", scenario.name,
+      std::printf("%-28s %5.3f %5.3f  %5.3f %6.3f (%.3f)\n", scenario.name,
                   result.worst, result.mean, result.shares, result.excess,
                   scenario.extra);
       CPPUNIT_ASSERT(result.excess <= scenario.extra + 1e-9);
@@ -292,24 +346,28 @@
   }
 
   // Property: with reports that arrive within the hold time, the shares of the
-  // active instances keep to the bound of admission.h at any moment. Guards against shares
-  // that grow before the others have shrunk.
+  // active instances keep to the bound of admission.h at any moment. Guards
+  // against shares that grow before the others have shrunk.
   void SharesKeepTheBound() {
     for (uint64_t seed = 0; seed < 2000; ++seed) {
       Random random(seed);
       const int count = 2 + static_cast<int>(random.Below(5));
       std::vector<double> demand(count);
       const int change = 1 + static_cast<int>(random.Below(8));
-      const Scenario scenario{
-          .name = "random", .instances = count, .active = count, .length = 24,
-          .demand =
-              [&](int i, double t) {
-                if (i == 0 && std::fmod(t, change) < 0.01)
-                  for (double& d : demand)
-                    d = random.Below(2) ? 2 * random.Unit() : 0;
-                return demand[i];
-              },
-          .delay = 1, .from = 0};
+      const Scenario scenario{.name = "random",
+                              .instances = count,
+                              .active = count,
+                              .length = 24,
+                              .demand =
+                                  [&](int i, double t) {
+                                    if (i == 0 && std::fmod(t, change) < 0.01)
+                                      for (double& d : demand)
+                                        d = random.Below(2) ? 2 * random.Unit()
+                                                            : 0;
+                                    return demand[i];
+                                  },
+                              .delay = 1,
+                              .from = 0};
       const Result result = Cluster(scenario, seed).Run();
       CPPUNIT_ASSERT(result.excess <= 1e-9);
     }
@@ -337,8 +395,7 @@
       // About 11 requests a second and instance, 436 tokens each.
       if (random.Below(1000) < 110) {
         Account account;
-        account.name =
-            "account-" + std::to_string(random.Below(per_instance));
+        account.name = "account-" + std::to_string(random.Below(per_instance));
         account.tokens_per_second = 1000;
         limiter.Admit(now, account, 436);
       }
@@ -363,7 +420,7 @@
         per_second * 349 / 1000 * static_cast<double>(changed) /
             static_cast<double>(rows),
         per_second * 4 / 1000);
-    CPPUNIT_ASSERT(rows <= 60 * per_instance);
+    CPPUNIT_ASSERT(rows <= size_t{60} * per_instance);
     CPPUNIT_ASSERT(per_second < 1000);
   }
 };
--- a/test/admission_test.cc
+++ b/test/admission_test.cc
@@ -64,8 +64,9 @@
         CPPUNIT_ASSERT(!limiter.Admit(kStart, c.account, c.max_tokens));
       const auto refusal = limiter.Admit(kStart, c.account, c.max_tokens);
       CPPUNIT_ASSERT(refusal);
-      CPPUNIT_ASSERT_EQUAL(std::string(kLimitReasonNames.Name(c.reason)),
-                           std::string(kLimitReasonNames.Name(refusal->reason)));
+      CPPUNIT_ASSERT_EQUAL(
+          std::string(kLimitReasonNames.Name(c.reason)),
+          std::string(kLimitReasonNames.Name(refusal->reason)));
       CPPUNIT_ASSERT(refusal->retry_after - c.retry_after < milliseconds(1));
       CPPUNIT_ASSERT(refusal->retry_after >= c.retry_after);
       if (c.reason == kConcurrent)
@@ -104,10 +105,10 @@
   void RateNeverExceedsTheLimit() {
     for (uint64_t seed = 0; seed < 3000; ++seed) {
       Random random(seed);
-      const Account account = MakeAccount(
-          1 + static_cast<int>(random.Below(20)),
-          100 + static_cast<int>(random.Below(1000)),
-          1 + static_cast<int>(random.Below(8)));
+      const Account account =
+          MakeAccount(1 + static_cast<int>(random.Below(20)),
+                      100 + static_cast<int>(random.Below(1000)),
+                      1 + static_cast<int>(random.Below(8)));
       AccountLimiter limiter;
       TimePoint now = kStart;
       std::vector<int> running;
--- a/test/routing_form_test.cc
+++ b/test/routing_form_test.cc
@@ -234,10 +234,10 @@
          {Stage("a1", lo), Stage("b1", {2, 3})},
          {},
          "| a1 b1"},
-        {"invalid ranges are ignored",
+        {"invalid ranges and speeds are ignored",
          {},
-         with(whole,
-              {Stage("z", {2, 2}), Stage("y", {3, 9}), Stage("x", {-1, 2})}),
+         with(whole, {Stage("z", {2, 2}), Stage("y", {3, 9}),
+                      Stage("x", {-1, 2}), Stage("w", hi, std::nan(""))}),
          {},
          "a1+b1@100 |"},
     };
@@ -287,6 +287,13 @@
         if (random.Below(3) == 0)
           third.insert(server.id);
       Timed("a third ejected", servers, third, first);
+      Servers merged = servers;
+      for (BackendServer& server : merged) {
+        server.model = "m";
+        server.data_center = "a";
+      }
+      const FleetView one = Timed("one model and data center", merged, {}, {});
+      Timed("a third of that ejected", merged, third, one);
       for (const bool listed : {true, false}) {
         const double churned = Churned(servers, listed, first, random);
         std::printf("after 300 restarts, 30 at a time, %s: %.3f of the speed\n",
--- a/test/routing_policy_test.cc
+++ b/test/routing_policy_test.cc
@@ -150,6 +150,7 @@
   CPPUNIT_TEST(AllPoliciesAreRegistered);
   CPPUNIT_TEST(ChoicesStayInBounds);
   CPPUNIT_TEST(DefaultPolicyPreferences);
+  CPPUNIT_TEST(UnknownSpeedsShareTheLoad);
   CPPUNIT_TEST(EstimateCountsAgeAndOwnRequests);
   CPPUNIT_TEST(LaggingReportsDoNotHerd);
   CPPUNIT_TEST_SUITE_END();
@@ -232,6 +233,21 @@
     }
   }
 
+  // Guards against all requests going to one chain when the instance list gives
+  // no speeds.
+  void UnknownSpeedsShareTheLoad() {
+    const FleetView fleet =
+        MakeFleet({MakeChain("x", "a", 0), MakeChain("y", "a", 0),
+                   MakeChain("z", "a", 0)});
+    auto policy = Registry<ChainPolicy>::Get().Create("power_of_two");
+    Random random(1);
+    std::map<std::string, int> chosen;
+    for (int i = 0; i < 300; ++i)
+      ++chosen[policy->Choose({fleet, {}, "m", "a", 0, {}, kNone}, random)];
+    for (const char* id : {"x", "y", "z"})
+      CPPUNIT_ASSERT(chosen[id] > 70 && chosen[id] < 130);
+  }
+
   // Guards against a silent or never reported chain looking idle, and against
   // own requests since the report being ignored.
   void EstimateCountsAgeAndOwnRequests() {
