--- a/test/config_store_spread_test.cc
+++ b/test/config_store_spread_test.cc
@@ -29,6 +29,7 @@
 
 std::vector<TableDelta> Changes(const std::vector<int64_t>& versions) {
   std::vector<TableDelta> changes;
+  changes.reserve(versions.size());
   for (const int64_t version : versions)
     changes.push_back(Change(version));
   return changes;
@@ -100,6 +101,7 @@
   CPPUNIT_TEST(LostRepliesAreReplaced);
   CPPUNIT_TEST(FrozenForAnHour);
   CPPUNIT_TEST(BacksOffWhileTheStoreIsDown);
+  CPPUNIT_TEST(FailuresAtOnceAreSpreadOut);
   CPPUNIT_TEST(NoStormWhenTheStoreReturns);
   CPPUNIT_TEST(ServesRecentChanges);
   CPPUNIT_TEST(SpreadsWithinTargets);
@@ -319,7 +321,38 @@
     CPPUNIT_ASSERT_EQUAL(int64_t{1}, node.Version());
   }
 
-  // Guards against instances that failed together asking again together.
+  // Guards against instances that failed together asking again together: 350
+  // of them lose the store at the same moment, in the middle of a fetch.
+  void FailuresAtOnceAreSpreadOut() {
+    std::vector<ConfigSpread> spreads;
+    for (uint64_t seed = 0; seed < 350; ++seed) {
+      spreads.emplace_back(seed);
+      spreads.back().OnSnapshot(TimePoint(), SampleTable(4, 1));
+      spreads.back().OnHead(TimePoint(), int64_t{2});
+    }
+    int most = 0;
+    for (int i = 0; i < 1200; ++i) {
+      const TimePoint now = TimePoint() + milliseconds(100) * i;
+      int fetches = 0;
+      for (ConfigSpread& spread : spreads) {
+        spread.OnTick(now);
+        for (const auto& action : spread.TakeActions()) {
+          if (std::holds_alternative<ReadHead>(action)) {
+            spread.OnHead(now, kDown);
+          } else if (std::holds_alternative<FetchChanges>(action)) {
+            ++fetches;
+            spread.OnChanges(now, 1, kDown);
+          }
+        }
+      }
+      // The back-off needs some rounds to spread the instances.
+      if (i >= 300)
+        most = std::max(most, fetches);
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(most), most > 0 && most < 35);
+  }
+
+  // Guards against a burst of reads that brings the store down again.
   void NoStormWhenTheStoreReturns() {
     SpreadSimulation simulation({.nodes = 350, .accounts = 4});
     simulation.Run(seconds(10));
@@ -337,8 +370,8 @@
                            simulation.peak_reads() < 1000);
     if (Verbose())
       std::cout << "\nreturn of the store: peak " << simulation.peak_reads()
-                << " reads in a second, spread in " << took->count() / 1e6
-                << " s\n";
+                << " reads in a second, spread in "
+                << static_cast<double>(took->count()) / 1e6 << " s\n";
   }
 
   void ServesRecentChanges() {
--- a/test/config_store_test.cc
+++ b/test/config_store_test.cc
@@ -127,6 +127,7 @@
   CPPUNIT_TEST(OneOfTwoOperatorsIsAccepted);
   CPPUNIT_TEST(CommitOfAnOldBaseShowsTheDifference);
   CPPUNIT_TEST(DelayedWriteIsFoundByTheNextTry);
+  CPPUNIT_TEST(BothRowsGuardTheCommit);
   CPPUNIT_TEST(SameAttemptIsIdempotent);
   CPPUNIT_TEST(BadOrEmptyEditsWriteNothing);
   CPPUNIT_TEST(LoadsSnapshotAndLaterChanges);
@@ -241,6 +242,26 @@
     CheckTruth("delayed", fixture, result, "mine");
   }
 
+  // Guards against a transaction that checks only one of its two rows, and so
+  // writes over a damaged log.
+  void BothRowsGuardTheCommit() {
+    Fixture orphan;
+    const ConfigChange other{{2, {}, {}, {"kind-0"}, {}}, "other", "o", 1};
+    orphan.store.rows[ConfigChangeKey(2)] = {ConfigChangeKey(2),
+                                             EncodeConfigChange(other), 1};
+    CPPUNIT_ASSERT(orphan.Commit(orphan.base, orphan.edited, "mine").verdict !=
+                   CommitVerdict::kAccepted);
+    CPPUNIT_ASSERT_EQUAL(std::string("other"), orphan.AttemptAt(2));
+    Fixture moved;
+    moved.store.before = [&](const std::string& call, int) {
+      if (call == "transact")
+        moved.store.rows[kConfigHeadKey] = {kConfigHeadKey, "2", 9};
+    };
+    CPPUNIT_ASSERT(moved.Commit(moved.base, moved.edited, "mine").verdict !=
+                   CommitVerdict::kAccepted);
+    CPPUNIT_ASSERT(moved.AttemptAt(2).empty());
+  }
+
   void SameAttemptIsIdempotent() {
     Fixture fixture;
     for (int i = 0; i < 3; ++i) {
--- a/test/spread_simulation.h
+++ b/test/spread_simulation.h
@@ -198,7 +198,7 @@
   void ReplyChanges(int node,
                     Duration delay,
                     int64_t after,
-                    absl::StatusOr<std::vector<TableDelta>> changes) {
+                    const absl::StatusOr<std::vector<TableDelta>>& changes) {
     Schedule(delay, [this, node, after, changes] {
       m_nodes[node]->OnChanges(m_now, after, changes);
       Act(node);
@@ -237,7 +237,7 @@
               .size();
       changes.push_back(delta);
     }
-    ReplyChanges(node, StoreDelay(), fetch.after, std::move(changes));
+    ReplyChanges(node, StoreDelay(), fetch.after, changes);
   }
 
   void Do(int node, const FetchSnapshot&) {
@@ -263,7 +263,7 @@
     }
     for (const TableDelta& delta : *changes)
       m_counts.peer_bytes += EncodeDelta(delta).size();
-    ReplyChanges(node, delay, fetch.after, *std::move(changes));
+    ReplyChanges(node, delay, fetch.after, *changes);
   }
 
   void Do(int /*node*/, const InstallTable&) {}
