Answer in_progress when another attempt's row cannot be read

Cause: a caller that sends again and meets a failing store right after the check of its insert failed was told not_run, although its first attempt may have run. Change: a failed check of the insert counts as another attempt in progress. The batch runner takes its instance name by reference. Conclusion: not_run is not said where a row of the key is known to exist.

--- a/src/batches_runner.cc
+++ b/src/batches_runner.cc
@@ -436,8 +436,7 @@
                          TableService& store,
                          ObjectStore& objects,
                          const std::string& instance)
-    : m_impl(
-          std::make_unique<Impl>(clock, store, objects, std::move(instance))) {}
+    : m_impl(std::make_unique<Impl>(clock, store, objects, instance)) {}
 
 BatchRunner::~BatchRunner() = default;
 
--- a/src/ledger.cc
+++ b/src/ledger.cc
@@ -261,8 +261,12 @@
   }
   if (NothingWritten(version.status()))
     return GiveUp();
-  if (version.status().code() == absl::StatusCode::kFailedPrecondition)
+  if (version.status().code() == absl::StatusCode::kFailedPrecondition) {
+    // Another attempt holds the row and may run: if the row cannot be read
+    // now, the caller must not conclude that its call was not run.
+    m_other_in_progress = !m_may_have_written;
     return Read();
+  }
   m_may_have_written = true;
   return OnStoreFailure();
 }
--- a/test/ledger_test.cc
+++ b/test/ledger_test.cc
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(CallWithoutFaultsCostsThreeWrites);
   CPPUNIT_TEST(StoreDownIsNotRunAtOnce);
   CPPUNIT_TEST(SecondCallGetsTheRecordedResult);
+  CPPUNIT_TEST(UnreadableRowOfAnotherAttemptIsNotNotRun);
   CPPUNIT_TEST(ResultIsRecordedWhenTheStoreReturns);
   CPPUNIT_TEST(EveryInterleavingKeepsThePromises);
   CPPUNIT_TEST(PlantedFaultsAreCaught);
@@ -108,6 +109,18 @@
     CPPUNIT_ASSERT_EQUAL(1, m_runs);
   }
 
+  // Guards against a caller that sends again after a broken connection and is
+  // told not_run although its first attempt ran.
+  void UnreadableRowOfAnotherAttemptIsNotNotRun() {
+    Call("k", "b1");
+    m_store.SetFaults([](const std::string& call, const auto&) {
+      return call == "get" ? StoreFault::kUnavailable : StoreFault::kNone;
+    });
+    Call("k", "b1");
+    CPPUNIT_ASSERT(m_answer.verdict == LedgerVerdict::kInProgress);
+    CPPUNIT_ASSERT_EQUAL(1, m_runs);
+  }
+
   // Guards against a result that is dropped because the store was down for a
   // while, and against a stopping entry that waits for the store.
   void ResultIsRecordedWhenTheStoreReturns() {
