--- a/src/daemon_admin.cc
+++ b/src/daemon_admin.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "http_front.h"
@@ -158,6 +159,43 @@
   });
 }
 
+void HttpFront::ShowVersions(const Exchange& exchange) {
+  struct Collected {
+    std::mutex mutex;
+    json versions = json::object();
+    size_t waiting = 1;
+  };
+  auto collected = std::make_shared<Collected>();
+  // Every part answers once; the last one sends the reply.
+  const auto add = [exchange, collected](const std::string& id,
+                                         int64_t version) {
+    std::lock_guard lock(collected->mutex);
+    if (!id.empty())
+      collected->versions[id] = version;
+    if (--collected->waiting == 0)
+      exchange.Reply(200, {{"versions", collected->versions}});
+  };
+  const auto members = m_runtime.members.Load();
+  const auto table = m_runtime.table.Load();
+  collected->waiting += members->members.size();
+  for (const auto& [id, member] : members->members) {
+    if (id == m_runtime.settings.id) {
+      add(id, table ? table->version() : 0);
+      continue;
+    }
+    const PeerCall call{member.peer_address, std::chrono::milliseconds(500),
+                        false};
+    const bool posted = m_runtime.peer_pool.TryPost([this, call, id = id, add] {
+      const auto reply =
+          m_runtime.peers.Changes(call, std::numeric_limits<int64_t>::max());
+      add(id, reply.ok() ? reply->head : -1);
+    });
+    if (!posted)
+      add(id, -1);
+  }
+  add("", 0);
+}
+
 void HttpFront::TableHistory(const Exchange& exchange) {
   OnStorePool(exchange, [this, exchange] {
     const auto table = m_runtime.table.Load();
--- a/src/daemon_cli.cc
+++ b/src/daemon_cli.cc
@@ -250,13 +250,13 @@
       std::chrono::seconds(options.values["wait-seconds"].as<int>());
   std::string behind;
   while (std::chrono::steady_clock::now() < limit) {
-    const HttpResult result = CallAny(options, "GET", "/v1/admin/status");
+    const HttpResult result = CallAny(options, "GET", "/v1/admin/versions");
     if (!result.failure && result.status == 200) {
       behind.clear();
       const json body = json::parse(result.body);
-      for (const json& member : body["members"])
-        if (member["table_version"].get<int64_t>() < version)
-          behind += " " + member["id"].get<std::string>();
+      for (const auto& [id, in_force] : body["versions"].items())
+        if (in_force.get<int64_t>() < version)
+          behind += " " + id;
       if (behind.empty()) {
         std::cout << "version " << version << " is in force on all members\n";
         return kDone;
--- a/src/daemon_completions.cc
+++ b/src/daemon_completions.cc
@@ -126,15 +126,19 @@
   }
   bool open() const { return m_open; }
   void Write(const std::string& text) {
+    const auto ignore_errors = [](pplx::task<void> task) {
+      try {
+        task.get();
+      } catch (const std::exception&) {
+        // The reply task reports the lost caller.
+      }
+    };
+    // The sync hands the bytes to the reader at once; without it the listener
+    // waits until its whole read buffer is full.
     m_buffer
         .putn_nocopy(reinterpret_cast<const uint8_t*>(text.data()), text.size())
-        .then([](pplx::task<size_t> task) {
-          try {
-            task.get();
-          } catch (const std::exception&) {
-            // The reply task reports the lost caller.
-          }
-        });
+        .then([buffer = m_buffer](size_t) mutable { return buffer.sync(); })
+        .then(ignore_errors);
   }
   void Close() {
     m_buffer.sync().then([buffer = m_buffer](pplx::task<void>) mutable {
--- a/src/daemon_control_host.cc
+++ b/src/daemon_control_host.cc
@@ -410,6 +410,8 @@
   if (!table)
     return reply;
   reply.head = table->version();
+  if (after >= reply.head)
+    return reply;
   const auto recent = m_spread.RecentSince(after);
   if (!recent) {
     reply.snapshot = EncodeTable(*table);
--- a/src/daemon_engine_client.cc
+++ b/src/daemon_engine_client.cc
@@ -31,7 +31,9 @@
   if (call.method != "GET")
     request.set_body(call.body, "application/json");
   if (!call.user.empty())
-    request.headers().add("X-Client-Account", call.user);
+    request.headers().add("X-Account", call.user);
+  if (!call.request_id.empty())
+    request.headers().add("X-Request-Id", call.request_id);
   if (!call.idempotency_key.empty())
     request.headers().add("Idempotency-Key", call.idempotency_key);
   if (!call.bearer_key.empty())
--- a/src/daemon_http.cc
+++ b/src/daemon_http.cc
@@ -451,6 +451,8 @@
       ShowTable(exchange);
   } else if (what == "history" && !post) {
     TableHistory(exchange);
+  } else if (what == "versions" && !post) {
+    ShowVersions(exchange);
   } else if (what == "status" && !post) {
     ShowStatus(exchange);
   } else if (what == "burn" && !post) {
--- a/src/daemon_peer.cc
+++ b/src/daemon_peer.cc
@@ -6,6 +6,8 @@
 #include <thrift/transport/TNonblockingServerSocket.h>
 #include <thrift/transport/TSocket.h>
 
+#include <atomic>
+#include <future>
 #include <thread>
 #include <utility>
 
@@ -187,6 +189,17 @@
   PeerHandler& m_handler;
 };
 
+// Tells the starting thread that the server listens, or why it does not.
+struct StartSignal final : at::server::TServerEventHandler {
+  void preServe() override { Set(absl::OkStatus()); }
+  void Set(absl::Status result) {
+    if (!done.exchange(true))
+      status.set_value(std::move(result));
+  }
+  std::promise<absl::Status> status;
+  std::atomic<bool> done{false};
+};
+
 std::shared_ptr<at::TConfiguration> MakeConfiguration() {
   return std::make_shared<at::TConfiguration>(kMaxFrameBytes, kMaxFrameBytes);
 }
@@ -232,22 +245,19 @@
       std::make_shared<at::protocol::TCompactProtocolFactory>(), socket,
       m_impl->workers);
   m_impl->server->setMaxFrameSize(kMaxFrameBytes);
-  try {
-    // Binds here, so that a used port is reported at start.
-    socket->listen();
-  } catch (const at::TException& error) {
-    return MakeStatus(
-        absl::StatusCode::kUnavailable,
-        "cannot listen on " + m_impl->address + ": " + error.what());
-  }
-  m_impl->thread = std::thread([this] {
+  auto started = std::make_shared<StartSignal>();
+  m_impl->server->setServerEventHandler(started);
+  std::future<absl::Status> status = started->status.get_future();
+  m_impl->thread = std::thread([this, started] {
     try {
       m_impl->server->serve();
     } catch (const at::TException& error) {
-      LogStateChange("peer", "server_failed", {{"error", error.what()}});
+      started->Set(MakeStatus(
+          absl::StatusCode::kUnavailable,
+          "cannot listen on " + m_impl->address + ": " + error.what()));
     }
   });
-  return absl::OkStatus();
+  return status.get();
 }
 
 void PeerServer::Stop() {
--- a/src/daemon_services.cc
+++ b/src/daemon_services.cc
@@ -61,7 +61,8 @@
     state->done.notify_one();
   });
   std::unique_lock lock(state->mutex);
-  if (!state->done.wait_for(lock, limit, [&] { return state->result.has_value(); })) {
+  if (!state->done.wait_for(lock, limit,
+                            [&] { return state->result.has_value(); })) {
     HttpResult lost;
     lost.failure = CallFailure::kLost;
     state->result = lost;
@@ -140,6 +141,7 @@
     call.path = request.path;
     call.body = request.exchange.body();
     call.user = request.account;
+    call.request_id = request.exchange.request_id();
     call.idempotency_key = key;
     call.fresh_connection = i > 0;
     const HttpResult result = CallAndWait(runtime, call, left);
--- a/src/engine_client.h
+++ b/src/engine_client.h
@@ -28,7 +28,9 @@
   std::string method = "POST";
   std::string path;
   std::string body;
+  // Client account and request, for the server's own records.
   std::string user;
+  std::string request_id;
   std::string idempotency_key;
   std::string bearer_key;
   // Replaces the pooled connections to the address.
--- a/src/http_front.h
+++ b/src/http_front.h
@@ -109,6 +109,8 @@
   void Entries(const Exchange& exchange) const;
   void ShowTable(const Exchange& exchange);
   void ApplyTable(const Exchange& exchange);
+  // Asks every member which version it has in force.
+  void ShowVersions(const Exchange& exchange);
   void TableHistory(const Exchange& exchange);
   void ShowStatus(const Exchange& exchange);
   void ShowBurn(const Exchange& exchange);
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -65,6 +65,9 @@
   std::map<std::string, Known> others;
   std::map<std::pair<std::string, std::string>, SentItem> items;
   std::vector<std::string> probe_order;
+  // Members that were named and have not answered yet; probed ahead of turn,
+  // so that a new instance is usable at once.
+  std::vector<std::string> unheard;
   std::map<uint64_t, Pending> pending;
   // Probe ids of the calls of one indirect round share a Pending.
   std::map<uint64_t, uint64_t> indirect_of;
@@ -98,6 +101,8 @@
   void AppendItems(GossipMessage& message, size_t& left);
   void AppendRotation(GossipMessage& message, size_t& left);
   void StartProbe();
+  bool ProbeTarget(const std::string& target);
+  void ProbeUnheard();
   void Suspect(TimePoint now, const std::string& id);
   bool MaySuspect(const Known& known) const;
   void SetGone(TimePoint now, Known& known);
@@ -255,13 +260,29 @@
     }
     const std::string target = probe_order.back();
     probe_order.pop_back();
+    if (ProbeTarget(target))
+      return;
+  }
+}
+
+bool Membership::Impl::ProbeTarget(const std::string& target) {
+  auto it = others.find(target);
+  if (it == others.end() || it->second.member.state == MemberState::kGone)
+    return false;
+  const uint64_t probe = next_probe++;
+  pending[probe] = Pending{target, false, false, 1};
+  actions.push_back(SendProbe{probe, it->second.member, Compose(), false});
+  return true;
+}
+
+void Membership::Impl::ProbeUnheard() {
+  while (!unheard.empty()) {
+    const std::string target = unheard.back();
+    unheard.pop_back();
     auto it = others.find(target);
-    if (it == others.end() || it->second.member.state == MemberState::kGone)
-      continue;
-    const uint64_t probe = next_probe++;
-    pending[probe] = Pending{target, false, false, 1};
-    actions.push_back(SendProbe{probe, it->second.member, Compose(), false});
-    return;
+    if (it != others.end() && it->second.member.incarnation == 0 &&
+        ProbeTarget(target))
+      return;
   }
 }
 
@@ -322,6 +343,7 @@
 
 void Membership::OnTick(TimePoint now) {
   m_impl->ExpireSuspicions(now);
+  m_impl->ProbeUnheard();
   if (now < m_impl->next_probe_at)
     return;
   // Jitter keeps instances that started together from probing in step.
@@ -436,6 +458,7 @@
       member.address = record.address;
       member.peer_address = record.peer_address;
       m_impl->Apply(now, member, false);
+      m_impl->unheard.push_back(record.id);
       it = m_impl->others.find(record.id);
     }
     it->second.listed = true;
