Run batch jobs, choose service servers by health, separate call pools

Cause: batches were accepted and never run; service servers were chosen at random; calls waiting for the store could hold up all other service calls. Change: batch host runs items as batch-rank completions; servers of plain services are picked by outstanding calls and health; idempotent and at-most-once calls have their own threads; suspects of a crash stay isolated when their entry submits them again; prompt prefixes prefer the same chain.

--- /dev/null
+++ b/src/batch_host.h
@@ -0,0 +1,43 @@
+// Runs the items of batch jobs as completions of this instance.
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "trefoilwick/batches.h"
+
+namespace trefoilwick::detail {
+
+struct Runtime;
+
+class BatchHost {
+ public:
+  explicit BatchHost(Runtime& runtime);
+  // Starts the periodic work.
+  void Start();
+  // Takes no new items; gives up the leases once those under way have ended.
+  void Leave();
+  // Items under way and results that are not yet written.
+  bool idle() const { return m_idle.load(); }
+
+ private:
+  void Poll();
+  void Run(const BatchRunner::Work& work);
+  void OnItemEnd(const BatchRunner::Work& work,
+                 const std::string& text,
+                 Outcome outcome,
+                 const std::string& reason);
+
+  Runtime& m_runtime;
+  BatchRunner m_runner;
+  std::atomic<bool> m_polling{false};
+  std::atomic<bool> m_leaving{false};
+  std::atomic<bool> m_idle{true};
+  std::atomic<int> m_running{0};
+  // Tries of an item so far; entry loop only.
+  std::map<std::pair<std::string, int>, int> m_attempts;
+};
+
+}  // namespace trefoilwick::detail
--- a/src/daemon_admin.cc
+++ b/src/daemon_admin.cc
@@ -40,6 +40,7 @@
   LogStateChange("daemon", "leaving");
   runtime.control_loop.Post([&runtime] { runtime.control->Leave(); });
   runtime.chain_loop.Post([&runtime] { runtime.chains->Leave(); });
+  runtime.batches->Leave();
   runtime.entry_loop.PostAfter(kRefuseAfterLeaving, [&runtime] {
     runtime.refusing.store(true);
     LogStateChange("daemon", "refusing_new_work");
--- a/src/daemon_entry_host.cc
+++ b/src/daemon_entry_host.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "entry_host.h"
@@ -204,10 +205,11 @@
   const auto members = m_members.Load();
   if (!fleet || !members || !m_policy)
     return std::nullopt;
-  const std::string id =
-      m_policy->Choose({*fleet, m_loads, query.model, m_config.data_center,
-                        query.prefix, m_clock.Now(), query.excluded},
-                       m_random);
+  const std::string id = m_policy->Choose(
+      {*fleet, m_loads, query.model, m_config.data_center, query.prefix,
+       m_clock.Now(), query.excluded, &m_prefixes,
+       std::max(1, static_cast<int>(members->schedulers.size()))},
+      m_random);
   auto it = fleet->chains.find(id);
   if (it == fleet->chains.end())
     return std::nullopt;
@@ -215,6 +217,7 @@
   if (route.scheduler.empty())
     return std::nullopt;
   ++m_loads[id].sent_since;
+  m_prefixes.Record(query.prefix, id);
   return route;
 }
 
--- a/src/daemon_peer.cc
+++ b/src/daemon_peer.cc
@@ -97,6 +97,7 @@
     u.state = static_cast<peer::UpdateState::type>(update.state);
     u.reason = update.reason;
     u.replaces = ToSigned(update.replaces);
+    u.suspect = update.suspect;
     out.updates.push_back(std::move(u));
   }
   for (const ChainLoadReport& load : from.loads) {
@@ -123,6 +124,7 @@
     u.state = static_cast<UpdateState>(update.state);
     u.reason = update.reason;
     u.replaces = static_cast<uint64_t>(update.replaces);
+    u.suspect = update.suspect;
     out.updates.push_back(std::move(u));
   }
   for (const peer::ChainLoad& load : from.loads) {
--- a/src/daemon_serve.cc
+++ b/src/daemon_serve.cc
@@ -124,7 +124,7 @@
   runtime.entry_loop.RunAndWait([&] { left += runtime.entry->active(); });
   runtime.chain_loop.RunAndWait(
       [&] { left += runtime.chains->running() + sender.unacknowledged(); });
-  return left == 0;
+  return left == 0 && runtime.batches->idle();
 }
 
 // Waits for SIGTERM or the drain command, then until drained, for the time
@@ -167,7 +167,8 @@
 
 Runtime::Runtime(Settings with_settings)
     : settings(std::move(with_settings)),
-      incarnation(clock.UnixMillis() * 1000) {
+      incarnation(clock.UnixMillis() * 1000),
+      services(StableHash(settings.id, static_cast<uint64_t>(incarnation))) {
   store = MakeHttpTableService(settings.table_url, settings.store_deadline);
   objects = MakeHttpObjectStore(settings.object_url, settings.store_deadline);
   list = MakeHttpInstanceList(settings.list_url, settings.store_deadline);
@@ -180,6 +181,7 @@
       entry_loop, chain_loop, *chains, peer_pool, peers, metrics, fleet,
       members);
   control = std::make_unique<ControlHost>(*this);
+  batches = std::make_unique<BatchHost>(*this);
 }
 
 int Serve(const Settings& settings) {
@@ -211,6 +213,7 @@
   runtime->chains->Start();
   runtime->entry->Start();
   runtime->control->Start();
+  runtime->batches->Start();
   LogStateChange("daemon", "started",
                  {{"address", settings.address},
                   {"peer_address", settings.peer_address},
@@ -223,6 +226,8 @@
   runtime->chain_loop.Stop();
   runtime->peer_pool.Stop();
   runtime->store_pool.Stop();
+  runtime->service_pool.Stop();
+  runtime->ledger_pool.Stop();
   LogStateChange("daemon", "stopped");
   // Callbacks of the HTTP library may still be under way on its threads, which
   // it never joins; ending here keeps them from destroyed objects.
--- a/src/daemon_services.cc
+++ b/src/daemon_services.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -28,24 +29,6 @@
   return out.empty() ? "/" : out;
 }
 
-// Servers of a service, in random order, leaving ones left out.
-std::vector<BackendServer> ServersOf(const Runtime& runtime,
-                                     const std::string& service) {
-  std::vector<BackendServer> servers;
-  const auto fleet = runtime.fleet.Load();
-  auto it = fleet->services.find(service);
-  if (it != fleet->services.end())
-    for (const BackendServer& server : it->second)
-      if (!server.leaving)
-        servers.push_back(server);
-  thread_local Random random(
-      StableHash(runtime.settings.id,
-                 std::hash<std::thread::id>()(std::this_thread::get_id())));
-  for (size_t i = servers.size(); i > 1; --i)
-    std::swap(servers[i - 1], servers[random.Below(i)]);
-  return servers;
-}
-
 // Waits for one call. Only for threads of the store pool.
 HttpResult CallAndWait(Runtime& runtime, const HttpCall& call, Duration limit) {
   struct State {
@@ -128,36 +111,47 @@
   const TimePoint deadline = runtime.clock.Now() + limit;
   DispatchResult last;
   last.certainly_not_sent = true;
-  const auto servers = ServersOf(runtime, request.kind.service);
-  const size_t attempts = std::min<size_t>(servers.size(), kMaxServiceAttempts);
-  for (size_t i = 0; i < attempts; ++i) {
+  std::set<std::string> tried;
+  runtime.services.SetFleet(runtime.fleet.Load());
+  for (int attempt = 0; attempt < kMaxServiceAttempts; ++attempt) {
     const Duration left = deadline - runtime.clock.Now();
     if (left <= Duration(0))
       break;
-    if (i > 0 && !runtime.retry_budget.TryRetry())
+    if (attempt > 0 && !runtime.retry_budget.TryRetry())
+      break;
+    const TimePoint started = runtime.clock.Now();
+    const auto server =
+        runtime.services.Pick(started, request.kind.service, tried);
+    if (!server)
       break;
+    tried.insert(server->id);
     HttpCall call;
-    call.address = servers[i].address;
+    call.address = server->address;
     call.path = request.path;
     call.body = request.exchange.body();
     call.user = request.account;
     call.request_id = request.exchange.request_id();
     call.idempotency_key = key;
-    call.fresh_connection = i > 0;
+    call.fresh_connection = attempt > 0;
     const HttpResult result = CallAndWait(runtime, call, left);
-    if (!result.failure) {
-      const bool retry = request.kind.idempotent && result.status >= 500;
+    const TimePoint ended = runtime.clock.Now();
+    const bool server_error = !result.failure && result.status >= 500;
+    CallEnd end = CallEnd::kAnswered;
+    if (result.certainly_not_sent)
+      end = CallEnd::kRefused;
+    else if (result.failure || server_error)
+      end = CallEnd::kFailed;
+    runtime.services.End(ended, server->id, end, ended - started);
+    if (!result.failure)
       last = DispatchResult{result.status, result.body, false};
-      if (!retry)
-        return last;
-    } else {
-      if (!result.certainly_not_sent)
-        last = DispatchResult{std::nullopt, "", false};
-      // A call that may have reached a server is not repeated unless the kind
-      // is idempotent.
-      if (!request.kind.idempotent && !result.certainly_not_sent)
-        return last;
-    }
+    else if (!result.certainly_not_sent)
+      last = DispatchResult{std::nullopt, "", false};
+    // A call that may have reached a server is not repeated unless the kind is
+    // idempotent.
+    if (!result.certainly_not_sent && !request.kind.idempotent)
+      return last;
+    if (!result.failure && !server_error)
+      return last;
   }
   return last;
 }
@@ -274,7 +268,9 @@
   }
   auto request = std::make_shared<ServiceRequest>(ServiceRequest{
       exchange, caller.account->name, *kind, JoinPath(exchange.path(), 3)});
-  const bool posted = m_runtime.store_pool.TryPost([this, request, key] {
+  WorkerPool& pool =
+      kind->idempotent ? m_runtime.service_pool : m_runtime.ledger_pool;
+  const bool posted = pool.TryPost([this, request, key] {
     if (request->kind.idempotent)
       RunIdempotent(m_runtime, *request);
     else
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -234,6 +234,8 @@
       Finish(now, id, entry, Outcome::kIncomplete, "quarantined");
       return;
     case UpdateState::kFailed:
+      if (update.suspect)
+        entry.submission.isolated = true;
       Resubmit(now, id, entry, update.reason != "moved");
       return;
   }
--- a/src/entry_host.h
+++ b/src/entry_host.h
@@ -134,6 +134,7 @@
   std::unique_ptr<ChainPolicy> m_policy;
   EntryRequests m_requests;
   std::map<std::string, ChainLoadInfo> m_loads;
+  PrefixIndex m_prefixes;
   struct SinkEntry {
     uint64_t id = 0;
     // False once its caller went away; it still gets the updates, since it
--- a/src/gen/peer_types.cpp
+++ b/src/gen/peer_types.cpp
@@ -662,6 +662,10 @@
 void TokenUpdate::__set_replaces(const int64_t val) {
   this->replaces = val;
 }
+
+void TokenUpdate::__set_suspect(const bool val) {
+  this->suspect = val;
+}
 std::ostream& operator<<(std::ostream& out, const TokenUpdate& obj)
 {
   obj.printTo(out);
@@ -760,6 +764,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->suspect);
+          this->__isset.suspect = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -813,6 +825,10 @@
   xfer += oprot->writeI64(this->replaces);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("suspect", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->suspect);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -827,6 +843,7 @@
   swap(a.state, b.state);
   swap(a.reason, b.reason);
   swap(a.replaces, b.replaces);
+  swap(a.suspect, b.suspect);
   swap(a.__isset, b.__isset);
 }
 
@@ -838,6 +855,7 @@
   state = other17.state;
   reason = other17.reason;
   replaces = other17.replaces;
+  suspect = other17.suspect;
   __isset = other17.__isset;
 }
 TokenUpdate& TokenUpdate::operator=(const TokenUpdate& other18) {
@@ -848,6 +866,7 @@
   state = other18.state;
   reason = other18.reason;
   replaces = other18.replaces;
+  suspect = other18.suspect;
   __isset = other18.__isset;
   return *this;
 }
@@ -861,6 +880,7 @@
   out << ", " << "state=" << to_string(state);
   out << ", " << "reason=" << to_string(reason);
   out << ", " << "replaces=" << to_string(replaces);
+  out << ", " << "suspect=" << to_string(suspect);
   out << ")";
 }
 
--- a/src/gen/peer_types.h
+++ b/src/gen/peer_types.h
@@ -271,7 +271,7 @@
 std::ostream& operator<<(std::ostream& out, const SubmitReply& obj);
 
 typedef struct _TokenUpdate__isset {
-  _TokenUpdate__isset() : request(false), lineage(false), index(false), tokens(false), state(false), reason(false), replaces(false) {}
+  _TokenUpdate__isset() : request(false), lineage(false), index(false), tokens(false), state(false), reason(false), replaces(false), suspect(false) {}
   bool request :1;
   bool lineage :1;
   bool index :1;
@@ -279,6 +279,7 @@
   bool state :1;
   bool reason :1;
   bool replaces :1;
+  bool suspect :1;
 } _TokenUpdate__isset;
 
 class TokenUpdate : public virtual ::apache::thrift::TBase {
@@ -292,7 +293,8 @@
                 index(0),
                 state(static_cast<UpdateState::type>(0)),
                 reason(),
-                replaces(0) {
+                replaces(0),
+                suspect(0) {
   }
 
   virtual ~TokenUpdate() noexcept;
@@ -307,6 +309,7 @@
   UpdateState::type state;
   std::string reason;
   int64_t replaces;
+  bool suspect;
 
   _TokenUpdate__isset __isset;
 
@@ -324,6 +327,8 @@
 
   void __set_replaces(const int64_t val);
 
+  void __set_suspect(const bool val);
+
   bool operator == (const TokenUpdate & rhs) const
   {
     if (!(request == rhs.request))
@@ -340,6 +345,8 @@
       return false;
     if (!(replaces == rhs.replaces))
       return false;
+    if (!(suspect == rhs.suspect))
+      return false;
     return true;
   }
   bool operator != (const TokenUpdate &rhs) const {
--- a/src/peer.thrift
+++ b/src/peer.thrift
@@ -40,6 +40,8 @@
   6: string reason;
   // Lineage that this one replaces; 0 when it replaces none.
   7: i64 replaces;
+  // On failure: the request may have crashed a server.
+  8: bool suspect;
 }
 
 struct ChainLoad {
--- a/src/runtime.h
+++ b/src/runtime.h
@@ -7,12 +7,14 @@
 #include <mutex>
 #include <string>
 
+#include "batch_host.h"
 #include "chain_host.h"
 #include "control_host.h"
 #include "engine_client.h"
 #include "entry_host.h"
 #include "event_loop.h"
 #include "peer.h"
+#include "service_pool.h"
 #include "trefoilwick/admission.h"
 #include "trefoilwick/daemon.h"
 #include "trefoilwick/platform.h"
@@ -28,6 +30,10 @@
 inline constexpr size_t kPeerQueue = 8192;
 inline constexpr size_t kStoreThreads = 16;
 inline constexpr size_t kStoreQueue = 64;
+// Service calls have threads of their own: calls that may not be repeated wait
+// for the store, and must hold up neither the others nor the table's spread.
+inline constexpr size_t kServiceThreads = 16;
+inline constexpr size_t kServiceQueue = 256;
 
 struct Runtime {
   explicit Runtime(Settings with_settings);
@@ -43,6 +49,7 @@
   RcuCell<MembersView> members;
   AccountLimiter limiter;
   RetryBudget retry_budget;
+  ServicePool services;
 
   std::mutex quarantine_mutex;
   Quarantine quarantine;
@@ -70,10 +77,13 @@
   EventLoop control_loop;
   WorkerPool peer_pool{kPeerThreads, kPeerQueue};
   WorkerPool store_pool{kStoreThreads, kStoreQueue};
+  WorkerPool service_pool{kServiceThreads, kServiceQueue};
+  WorkerPool ledger_pool{kServiceThreads, kStoreQueue};
 
   std::unique_ptr<ChainHost> chains;
   std::unique_ptr<EntryHost> entry;
   std::unique_ptr<ControlHost> control;
+  std::unique_ptr<BatchHost> batches;
 };
 
 // Lower-case hex SHA-256.
--- /dev/null
+++ b/src/service_pool.h
@@ -0,0 +1,41 @@
+// Chooses servers of plain services by health and outstanding calls.
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "trefoilwick/kernel.h"
+#include "trefoilwick/routing.h"
+
+namespace trefoilwick::detail {
+
+enum class CallEnd : uint8_t { kAnswered, kFailed, kRefused };
+
+// Thread-safe.
+class ServicePool {
+ public:
+  explicit ServicePool(uint64_t seed) : m_random(seed) {}
+  // Takes over the servers of a new fleet view.
+  void SetFleet(const std::shared_ptr<const FleetView>& fleet);
+  // Returns a server and counts one outstanding call; nullopt when none is
+  // left. Each pick must be ended once.
+  std::optional<BackendServer> Pick(TimePoint now,
+                                    const std::string& service,
+                                    const std::set<std::string>& excluded);
+  void End(TimePoint now,
+           const std::string& server,
+           CallEnd end,
+           Duration took);
+
+ private:
+  std::mutex m_mutex;
+  std::shared_ptr<const FleetView> m_fleet;
+  HealthTracker m_health;
+  std::map<std::string, int> m_outstanding;
+  Random m_random;
+};
+
+}  // namespace trefoilwick::detail
