--- a/include/trefoilwick/admission.h
+++ b/include/trefoilwick/admission.h
@@ -111,6 +111,68 @@
   std::unique_ptr<Impl> m_impl;
 };
 
+// Sum of what other instances reported of an account to its aggregator.
+struct UsageSum {
+  std::string account;
+  double others = 0;
+  // False while the aggregator is new to the account and may not have heard
+  // from every instance yet.
+  bool settled = false;
+  bool operator==(const UsageSum&) const = default;
+};
+
+// Sums the demand reports of the accounts that this instance is the aggregator
+// of. Not thread-safe.
+class UsageAggregator {
+ public:
+  // Takes the report of one instance and returns the sums for its accounts.
+  std::vector<UsageSum> OnReport(TimePoint now,
+                                 const std::string& instance,
+                                 const std::vector<AccountDemand>& report);
+  // Accounts with a report that has not expired.
+  size_t size() const { return m_accounts.size(); }
+
+ private:
+  struct Report {
+    TimePoint at;
+    double demand = 0;
+  };
+  struct AccountState {
+    TimePoint since;
+    std::map<std::string, Report> reports;
+  };
+  void Expire(TimePoint now);
+
+  std::map<std::string, AccountState> m_accounts;
+  TimePoint m_next_expiry{};
+};
+
+// Exchanges demand with the aggregators of accounts: the live instance that
+// rendezvous hashing gives for the account's name. An instance sends and
+// receives a row for each of its own active accounts, so that the cost does not
+// grow with the number of instances. Not thread-safe.
+class UsageExchange {
+ public:
+  // The reports to send now, by aggregator.
+  std::map<std::string, std::vector<AccountDemand>> Reports(
+      const std::vector<AccountDemand>& own,
+      const std::vector<std::string>& live) const;
+  void OnSums(TimePoint now, const std::vector<UsageSum>& sums);
+  // Demand of all other instances for the own active accounts. Without a
+  // settled sum in the last 10 s the others are taken to ask as much as this
+  // instance each, which gives it an equal share.
+  std::vector<AccountDemand> Others(TimePoint now,
+                                    const std::vector<AccountDemand>& own,
+                                    size_t live);
+
+ private:
+  struct Known {
+    TimePoint at;
+    double others = 0;
+  };
+  std::map<std::string, Known> m_known;
+};
+
 // What the queue needs to know of one queued request.
 struct QueueEntry {
   std::string id;
--- a/include/trefoilwick/kernel.h
+++ b/include/trefoilwick/kernel.h
@@ -154,21 +154,27 @@
 });
 
 // Holds an immutable snapshot. Readers keep the snapshot they loaded; a writer
-// replaces it without waiting for them (read-copy-update).
+// replaces it without waiting for them (read-copy-update). The lock covers the
+// copy of one pointer only: std::atomic<std::shared_ptr> of GCC 12 releases its
+// internal lock with relaxed order, which is a data race.
 template <typename T>
 class RcuCell {
  public:
   explicit RcuCell(std::shared_ptr<const T> initial = nullptr)
       : m_value(std::move(initial)) {}
   std::shared_ptr<const T> Load() const {
-    return m_value.load(std::memory_order_acquire);
+    std::lock_guard lock(m_mutex);
+    return m_value;
   }
   void Store(std::shared_ptr<const T> value) {
-    m_value.store(std::move(value), std::memory_order_release);
+    // The old snapshot is destroyed outside the lock.
+    std::lock_guard lock(m_mutex);
+    m_value.swap(value);
   }
 
  private:
-  std::atomic<std::shared_ptr<const T>> m_value;
+  mutable std::mutex m_mutex;
+  std::shared_ptr<const T> m_value;
 };
 
 // Factories of plug-ins by name. A plug-in registers itself with a namespace
--- a/src/control_host.h
+++ b/src/control_host.h
@@ -27,6 +27,8 @@
   void Start();
   std::string OnProbe(const std::string& gossip);
   PeerTableChanges OnChanges(int64_t after);
+  std::vector<UsageSum> OnUsage(const std::string& instance,
+                                const std::vector<AccountDemand>& report);
   void OnCommitted(const Table& table);
   void Leave();
   std::vector<Member> View() const { return m_membership.View(); }
@@ -39,7 +41,8 @@
   void Tick();
   void PollInstanceList();
   void OnListing(const InstanceListing& listing);
-  void PublishReports();
+  void PublishQuarantine();
+  void ExchangeUsage();
   void Pump();
   void PumpMembership();
   void PumpSpread();
@@ -57,7 +60,8 @@
   Membership m_membership;
   ConfigSpread m_spread;
   bool m_listing = false;
-  std::string m_last_demand;
+  UsageAggregator m_aggregator;
+  UsageExchange m_usage;
   std::string m_last_quarantine;
 };
 
--- a/src/daemon_control_host.cc
+++ b/src/daemon_control_host.cc
@@ -16,9 +16,11 @@
 constexpr std::chrono::milliseconds kReportInterval{1000};
 constexpr std::chrono::milliseconds kProbeTimeout{300};
 constexpr std::chrono::milliseconds kChangesTimeout{1000};
-// Accounts named in one usage report; the rest get an equal share.
-constexpr size_t kMaxDemandAccounts = 24;
-constexpr char kDemandTopic[] = "demand";
+constexpr std::chrono::milliseconds kUsageInterval{2000};
+// Accounts reported by one instance; the rest get an equal share.
+constexpr size_t kMaxDemandAccounts = 256;
+// Name under which the limiter keeps the sums of all aggregators.
+constexpr char kUsagePeer[] = "usage";
 constexpr char kQuarantineTopic[] = "quarantine";
 constexpr int kMaxChangesPerRead = 512;
 
@@ -51,26 +53,6 @@
   return server;
 }
 
-std::string EncodeDemand(const std::vector<AccountDemand>& demand) {
-  json list = json::array();
-  for (const AccountDemand& item : demand)
-    list.push_back({item.account, std::lround(item.tokens_per_second)});
-  return list.dump();
-}
-
-std::vector<AccountDemand> DecodeDemand(const std::string& payload) {
-  std::vector<AccountDemand> demand;
-  const json list = json::parse(payload, nullptr, false);
-  if (!list.is_array())
-    return demand;
-  for (const json& item : list) {
-    if (item.is_array() && item.size() == 2 && item[0].is_string() &&
-        item[1].is_number())
-      demand.push_back({item[0].get<std::string>(), item[1].get<double>()});
-  }
-  return demand;
-}
-
 }  // namespace
 
 ControlHost::ControlHost(Runtime& runtime)
@@ -89,7 +71,8 @@
   loop.Post([this] { PollInstanceList(); });
   loop.Every(kTickInterval, [this] { Tick(); });
   loop.Every(kListInterval, [this] { PollInstanceList(); });
-  loop.Every(kReportInterval, [this] { PublishReports(); });
+  loop.Every(kReportInterval, [this] { PublishQuarantine(); });
+  loop.Every(kUsageInterval, [this] { ExchangeUsage(); });
 }
 
 void ControlHost::Tick() {
@@ -130,14 +113,45 @@
   Pump();
 }
 
-void ControlHost::PublishReports() {
+std::vector<UsageSum> ControlHost::OnUsage(
+    const std::string& instance,
+    const std::vector<AccountDemand>& report) {
+  return m_aggregator.OnReport(m_runtime.clock.Now(), instance, report);
+}
+
+void ControlHost::ExchangeUsage() {
   const TimePoint now = m_runtime.clock.Now();
-  std::string demand =
-      EncodeDemand(m_runtime.limiter.LocalDemand(now, kMaxDemandAccounts));
-  if (demand != m_last_demand) {
-    m_last_demand = demand;
-    m_membership.Publish(now, kDemandTopic, std::move(demand));
+  const auto members = m_runtime.members.Load();
+  std::vector<std::string> live;
+  for (const SchedulerCandidate& candidate : members->schedulers)
+    live.push_back(candidate.id);
+  const std::vector<AccountDemand> own =
+      m_runtime.limiter.LocalDemand(now, kMaxDemandAccounts);
+  for (auto& [aggregator, report] : m_usage.Reports(own, live)) {
+    if (aggregator == m_runtime.settings.id) {
+      m_usage.OnSums(now, OnUsage(aggregator, report));
+      continue;
+    }
+    const Member* member = members->Find(aggregator);
+    if (!member)
+      continue;
+    const PeerCall call{member->peer_address, kProbeTimeout, false};
+    [[maybe_unused]] const bool posted =
+        m_runtime.peer_pool.TryPost([this, call, rows = std::move(report)] {
+          auto sums = m_runtime.peers.Usage(call, m_runtime.settings.id, rows);
+          if (!sums.ok())
+            return;
+          m_runtime.control_loop.Post([this, sums = std::move(*sums)] {
+            m_usage.OnSums(m_runtime.clock.Now(), sums);
+          });
+        });
   }
+  m_runtime.limiter.OnPeerDemand(now, kUsagePeer,
+                                 m_usage.Others(now, own, live.size()));
+}
+
+void ControlHost::PublishQuarantine() {
+  const TimePoint now = m_runtime.clock.Now();
   json list = json::array();
   {
     std::lock_guard lock(m_runtime.quarantine_mutex);
@@ -267,11 +281,7 @@
 }
 
 void ControlHost::OnItem(const GossipItem& item) {
-  const TimePoint now = m_runtime.clock.Now();
-  if (item.topic == kDemandTopic) {
-    m_runtime.limiter.OnPeerDemand(now, item.origin,
-                                   DecodeDemand(item.payload));
-  } else if (item.topic == kQuarantineTopic) {
+  if (item.topic == kQuarantineTopic) {
     const json list = json::parse(item.payload, nullptr, false);
     if (!list.is_array())
       return;
--- a/src/daemon_peer.cc
+++ b/src/daemon_peer.cc
@@ -179,6 +179,20 @@
     reply.changes = std::move(changes.changes);
     reply.snapshot = std::move(changes.snapshot);
   }
+  void usage(std::vector<peer::UsageSum>& result,
+             const std::string& instance,
+             const std::vector<peer::AccountDemand>& report) override {
+    std::vector<AccountDemand> rows;
+    for (const peer::AccountDemand& row : report)
+      rows.push_back({row.account, row.tokens_per_second});
+    for (const UsageSum& sum : m_handler.OnUsage(instance, rows)) {
+      peer::UsageSum out;
+      out.account = sum.account;
+      out.others = sum.others;
+      out.settled = sum.settled;
+      result.push_back(std::move(out));
+    }
+  }
   void outcome(peer::OutcomeReply& reply, const std::string& request) override {
     PeerOutcome outcome = m_handler.OnOutcome(request);
     reply.known = outcome.known;
@@ -427,6 +441,29 @@
                           std::move(reply.snapshot)};
 }
 
+absl::StatusOr<std::vector<UsageSum>> PeerClient::Usage(
+    const PeerCall& call,
+    const std::string& instance,
+    const std::vector<AccountDemand>& report) {
+  std::vector<peer::AccountDemand> rows;
+  for (const AccountDemand& row : report) {
+    peer::AccountDemand out;
+    out.account = row.account;
+    out.tokens_per_second = row.tokens_per_second;
+    rows.push_back(std::move(out));
+  }
+  std::vector<peer::UsageSum> reply;
+  absl::Status status = m_impl->Run(call, [&](peer::PeerClient& client) {
+    client.usage(reply, instance, rows);
+  });
+  if (!status.ok())
+    return status;
+  std::vector<UsageSum> sums;
+  for (const peer::UsageSum& sum : reply)
+    sums.push_back({sum.account, sum.others, sum.settled});
+  return sums;
+}
+
 absl::StatusOr<PeerOutcome> PeerClient::Outcome(const PeerCall& call,
                                                 const std::string& request) {
   peer::OutcomeReply reply;
--- a/src/daemon_serve.cc
+++ b/src/daemon_serve.cc
@@ -70,6 +70,14 @@
         [&] { changes = m_runtime.control->OnChanges(after); });
     return changes;
   }
+  std::vector<UsageSum> OnUsage(
+      const std::string& instance,
+      const std::vector<AccountDemand>& report) override {
+    std::vector<UsageSum> sums;
+    m_runtime.control_loop.RunAndWait(
+        [&] { sums = m_runtime.control->OnUsage(instance, report); });
+    return sums;
+  }
   PeerOutcome OnOutcome(const std::string& request) override {
     PeerOutcome outcome;
     outcome.incarnation = m_runtime.incarnation;
--- a/src/gen/Peer.cpp
+++ b/src/gen/Peer.cpp
@@ -304,14 +304,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size47;
-            ::apache::thrift::protocol::TType _etype50;
-            xfer += iprot->readListBegin(_etype50, _size47);
-            this->success.resize(_size47);
-            uint32_t _i51;
-            for (_i51 = 0; _i51 < _size47; ++_i51)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->success.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += iprot->readString(this->success[_i51]);
+              xfer += iprot->readString(this->success[_i55]);
             }
             xfer += iprot->readListEnd();
           }
@@ -342,10 +342,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->success.size()));
-      std::vector<std::string> ::const_iterator _iter52;
-      for (_iter52 = this->success.begin(); _iter52 != this->success.end(); ++_iter52)
+      std::vector<std::string> ::const_iterator _iter56;
+      for (_iter56 = this->success.begin(); _iter56 != this->success.end(); ++_iter56)
       {
-        xfer += oprot->writeString((*_iter52));
+        xfer += oprot->writeString((*_iter56));
       }
       xfer += oprot->writeListEnd();
     }
@@ -386,14 +386,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            (*(this->success)).resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            (*(this->success)).resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
             {
-              xfer += iprot->readString((*(this->success))[_i57]);
+              xfer += iprot->readString((*(this->success))[_i61]);
             }
             xfer += iprot->readListEnd();
           }
@@ -444,14 +444,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _etype61;
-            xfer += iprot->readListBegin(_etype61, _size58);
-            this->requests.resize(_size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->requests.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += iprot->readString(this->requests[_i62]);
+              xfer += iprot->readString(this->requests[_i66]);
             }
             xfer += iprot->readListEnd();
           }
@@ -480,10 +480,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->requests.size()));
-    std::vector<std::string> ::const_iterator _iter63;
-    for (_iter63 = this->requests.begin(); _iter63 != this->requests.end(); ++_iter63)
+    std::vector<std::string> ::const_iterator _iter67;
+    for (_iter67 = this->requests.begin(); _iter67 != this->requests.end(); ++_iter67)
     {
-      xfer += oprot->writeString((*_iter63));
+      xfer += oprot->writeString((*_iter67));
     }
     xfer += oprot->writeListEnd();
   }
@@ -507,10 +507,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>((*(this->requests)).size()));
-    std::vector<std::string> ::const_iterator _iter64;
-    for (_iter64 = (*(this->requests)).begin(); _iter64 != (*(this->requests)).end(); ++_iter64)
+    std::vector<std::string> ::const_iterator _iter68;
+    for (_iter68 = (*(this->requests)).begin(); _iter68 != (*(this->requests)).end(); ++_iter68)
     {
-      xfer += oprot->writeString((*_iter64));
+      xfer += oprot->writeString((*_iter68));
     }
     xfer += oprot->writeListEnd();
   }
@@ -628,14 +628,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size65;
-            ::apache::thrift::protocol::TType _etype68;
-            xfer += iprot->readListBegin(_etype68, _size65);
-            this->requests.resize(_size65);
-            uint32_t _i69;
-            for (_i69 = 0; _i69 < _size65; ++_i69)
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->requests.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
             {
-              xfer += iprot->readString(this->requests[_i69]);
+              xfer += iprot->readString(this->requests[_i73]);
             }
             xfer += iprot->readListEnd();
           }
@@ -664,10 +664,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->requests.size()));
-    std::vector<std::string> ::const_iterator _iter70;
-    for (_iter70 = this->requests.begin(); _iter70 != this->requests.end(); ++_iter70)
+    std::vector<std::string> ::const_iterator _iter74;
+    for (_iter74 = this->requests.begin(); _iter74 != this->requests.end(); ++_iter74)
     {
-      xfer += oprot->writeString((*_iter70));
+      xfer += oprot->writeString((*_iter74));
     }
     xfer += oprot->writeListEnd();
   }
@@ -691,10 +691,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>((*(this->requests)).size()));
-    std::vector<std::string> ::const_iterator _iter71;
-    for (_iter71 = (*(this->requests)).begin(); _iter71 != (*(this->requests)).end(); ++_iter71)
+    std::vector<std::string> ::const_iterator _iter75;
+    for (_iter75 = (*(this->requests)).begin(); _iter75 != (*(this->requests)).end(); ++_iter75)
     {
-      xfer += oprot->writeString((*_iter71));
+      xfer += oprot->writeString((*_iter75));
     }
     xfer += oprot->writeListEnd();
   }
@@ -735,14 +735,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _etype75;
-            xfer += iprot->readListBegin(_etype75, _size72);
-            this->success.resize(_size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->success.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += iprot->readString(this->success[_i76]);
+              xfer += iprot->readString(this->success[_i80]);
             }
             xfer += iprot->readListEnd();
           }
@@ -773,10 +773,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->success.size()));
-      std::vector<std::string> ::const_iterator _iter77;
-      for (_iter77 = this->success.begin(); _iter77 != this->success.end(); ++_iter77)
+      std::vector<std::string> ::const_iterator _iter81;
+      for (_iter81 = this->success.begin(); _iter81 != this->success.end(); ++_iter81)
       {
-        xfer += oprot->writeString((*_iter77));
+        xfer += oprot->writeString((*_iter81));
       }
       xfer += oprot->writeListEnd();
     }
@@ -817,14 +817,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            (*(this->success)).resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            (*(this->success)).resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += iprot->readString((*(this->success))[_i82]);
+              xfer += iprot->readString((*(this->success))[_i86]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1423,6 +1423,269 @@
 }
 
 
+Peer_usage_args::~Peer_usage_args() noexcept {
+}
+
+
+uint32_t Peer_usage_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->instance);
+          this->__isset.instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->report.clear();
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->report.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
+            {
+              xfer += this->report[_i91].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.report = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Peer_usage_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_usage_args");
+
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->instance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("report", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->report.size()));
+    std::vector<AccountDemand> ::const_iterator _iter92;
+    for (_iter92 = this->report.begin(); _iter92 != this->report.end(); ++_iter92)
+    {
+      xfer += (*_iter92).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_usage_pargs::~Peer_usage_pargs() noexcept {
+}
+
+
+uint32_t Peer_usage_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_usage_pargs");
+
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString((*(this->instance)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("report", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->report)).size()));
+    std::vector<AccountDemand> ::const_iterator _iter93;
+    for (_iter93 = (*(this->report)).begin(); _iter93 != (*(this->report)).end(); ++_iter93)
+    {
+      xfer += (*_iter93).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_usage_result::~Peer_usage_result() noexcept {
+}
+
+
+uint32_t Peer_usage_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->success.clear();
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->success.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
+            {
+              xfer += this->success[_i98].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Peer_usage_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("Peer_usage_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
+      std::vector<UsageSum> ::const_iterator _iter99;
+      for (_iter99 = this->success.begin(); _iter99 != this->success.end(); ++_iter99)
+      {
+        xfer += (*_iter99).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_usage_presult::~Peer_usage_presult() noexcept {
+}
+
+
+uint32_t Peer_usage_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            (*(this->success)).clear();
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            (*(this->success)).resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
+            {
+              xfer += (*(this->success))[_i104].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
 Peer_outcome_args::~Peer_outcome_args() noexcept {
 }
 
@@ -2011,6 +2274,65 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "changes failed: unknown result");
 }
 
+void PeerClient::usage(std::vector<UsageSum> & _return, const std::string& instance, const std::vector<AccountDemand> & report)
+{
+  send_usage(instance, report);
+  recv_usage(_return);
+}
+
+void PeerClient::send_usage(const std::string& instance, const std::vector<AccountDemand> & report)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("usage", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Peer_usage_pargs args;
+  args.instance = &instance;
+  args.report = &report;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void PeerClient::recv_usage(std::vector<UsageSum> & _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("usage") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  Peer_usage_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "usage failed: unknown result");
+}
+
 void PeerClient::outcome(OutcomeReply& _return, const std::string& request)
 {
   send_outcome(request);
@@ -2465,6 +2787,60 @@
   }
 }
 
+void PeerProcessor::process_usage(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Peer.usage", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Peer.usage");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "Peer.usage");
+  }
+
+  Peer_usage_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "Peer.usage", bytes);
+  }
+
+  Peer_usage_result result;
+  try {
+    iface_->usage(result.success, args.instance, args.report);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Peer.usage");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("usage", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "Peer.usage");
+  }
+
+  oprot->writeMessageBegin("usage", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "Peer.usage", bytes);
+  }
+}
+
 void PeerProcessor::process_outcome(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
 {
   void* ctx = nullptr;
@@ -3109,6 +3485,91 @@
   } // end while(true)
 }
 
+void PeerConcurrentClient::usage(std::vector<UsageSum> & _return, const std::string& instance, const std::vector<AccountDemand> & report)
+{
+  int32_t seqid = send_usage(instance, report);
+  recv_usage(_return, seqid);
+}
+
+int32_t PeerConcurrentClient::send_usage(const std::string& instance, const std::vector<AccountDemand> & report)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("usage", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Peer_usage_pargs args;
+  args.instance = &instance;
+  args.report = &report;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void PeerConcurrentClient::recv_usage(std::vector<UsageSum> & _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("usage") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      Peer_usage_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "usage failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 void PeerConcurrentClient::outcome(OutcomeReply& _return, const std::string& request)
 {
   int32_t seqid = send_outcome(request);
--- a/src/gen/Peer.h
+++ b/src/gen/Peer.h
@@ -29,6 +29,7 @@
   virtual void probe(Gossip& _return, const Gossip& message) = 0;
   virtual void probe_via(Gossip& _return, const std::string& target, const Gossip& message) = 0;
   virtual void changes(TableChanges& _return, const int64_t after) = 0;
+  virtual void usage(std::vector<UsageSum> & _return, const std::string& instance, const std::vector<AccountDemand> & report) = 0;
   virtual void outcome(OutcomeReply& _return, const std::string& request) = 0;
 };
 
@@ -80,6 +81,9 @@
   void changes(TableChanges& /* _return */, const int64_t /* after */) override {
     return;
   }
+  void usage(std::vector<UsageSum> & /* _return */, const std::string& /* instance */, const std::vector<AccountDemand> & /* report */) override {
+    return;
+  }
   void outcome(OutcomeReply& /* _return */, const std::string& /* request */) override {
     return;
   }
@@ -804,6 +808,118 @@
 
 };
 
+typedef struct _Peer_usage_args__isset {
+  _Peer_usage_args__isset() : instance(false), report(false) {}
+  bool instance :1;
+  bool report :1;
+} _Peer_usage_args__isset;
+
+class Peer_usage_args {
+ public:
+
+  Peer_usage_args(const Peer_usage_args&);
+  Peer_usage_args& operator=(const Peer_usage_args&);
+  Peer_usage_args() noexcept
+                  : instance() {
+  }
+
+  virtual ~Peer_usage_args() noexcept;
+  std::string instance;
+  std::vector<AccountDemand>  report;
+
+  _Peer_usage_args__isset __isset;
+
+  void __set_instance(const std::string& val);
+
+  void __set_report(const std::vector<AccountDemand> & val);
+
+  bool operator == (const Peer_usage_args & rhs) const
+  {
+    if (!(instance == rhs.instance))
+      return false;
+    if (!(report == rhs.report))
+      return false;
+    return true;
+  }
+  bool operator != (const Peer_usage_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Peer_usage_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Peer_usage_pargs {
+ public:
+
+
+  virtual ~Peer_usage_pargs() noexcept;
+  const std::string* instance;
+  const std::vector<AccountDemand> * report;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Peer_usage_result__isset {
+  _Peer_usage_result__isset() : success(false) {}
+  bool success :1;
+} _Peer_usage_result__isset;
+
+class Peer_usage_result {
+ public:
+
+  Peer_usage_result(const Peer_usage_result&);
+  Peer_usage_result& operator=(const Peer_usage_result&);
+  Peer_usage_result() noexcept {
+  }
+
+  virtual ~Peer_usage_result() noexcept;
+  std::vector<UsageSum>  success;
+
+  _Peer_usage_result__isset __isset;
+
+  void __set_success(const std::vector<UsageSum> & val);
+
+  bool operator == (const Peer_usage_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    return true;
+  }
+  bool operator != (const Peer_usage_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Peer_usage_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Peer_usage_presult__isset {
+  _Peer_usage_presult__isset() : success(false) {}
+  bool success :1;
+} _Peer_usage_presult__isset;
+
+class Peer_usage_presult {
+ public:
+
+
+  virtual ~Peer_usage_presult() noexcept;
+  std::vector<UsageSum> * success;
+
+  _Peer_usage_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 typedef struct _Peer_outcome_args__isset {
   _Peer_outcome_args__isset() : request(false) {}
   bool request :1;
@@ -955,6 +1071,9 @@
   void changes(TableChanges& _return, const int64_t after) override;
   void send_changes(const int64_t after);
   void recv_changes(TableChanges& _return);
+  void usage(std::vector<UsageSum> & _return, const std::string& instance, const std::vector<AccountDemand> & report) override;
+  void send_usage(const std::string& instance, const std::vector<AccountDemand> & report);
+  void recv_usage(std::vector<UsageSum> & _return);
   void outcome(OutcomeReply& _return, const std::string& request) override;
   void send_outcome(const std::string& request);
   void recv_outcome(OutcomeReply& _return);
@@ -980,6 +1099,7 @@
   void process_probe(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_probe_via(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_changes(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_usage(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_outcome(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   PeerProcessor(::std::shared_ptr<PeerIf> iface) :
@@ -991,6 +1111,7 @@
     processMap_["probe"] = &PeerProcessor::process_probe;
     processMap_["probe_via"] = &PeerProcessor::process_probe_via;
     processMap_["changes"] = &PeerProcessor::process_changes;
+    processMap_["usage"] = &PeerProcessor::process_usage;
     processMap_["outcome"] = &PeerProcessor::process_outcome;
   }
 
@@ -1089,6 +1210,16 @@
     return;
   }
 
+  void usage(std::vector<UsageSum> & _return, const std::string& instance, const std::vector<AccountDemand> & report) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->usage(_return, instance, report);
+    }
+    ifaces_[i]->usage(_return, instance, report);
+    return;
+  }
+
   void outcome(OutcomeReply& _return, const std::string& request) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
@@ -1152,6 +1283,9 @@
   void changes(TableChanges& _return, const int64_t after) override;
   int32_t send_changes(const int64_t after);
   void recv_changes(TableChanges& _return, const int32_t seqid);
+  void usage(std::vector<UsageSum> & _return, const std::string& instance, const std::vector<AccountDemand> & report) override;
+  int32_t send_usage(const std::string& instance, const std::vector<AccountDemand> & report);
+  void recv_usage(std::vector<UsageSum> & _return, const int32_t seqid);
   void outcome(OutcomeReply& _return, const std::string& request) override;
   int32_t send_outcome(const std::string& request);
   void recv_outcome(OutcomeReply& _return, const int32_t seqid);
--- a/src/gen/peer_types.cpp
+++ b/src/gen/peer_types.cpp
@@ -1644,4 +1644,248 @@
   out << ")";
 }
 
+
+AccountDemand::~AccountDemand() noexcept {
+}
+
+
+void AccountDemand::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void AccountDemand::__set_tokens_per_second(const double val) {
+  this->tokens_per_second = val;
+}
+std::ostream& operator<<(std::ostream& out, const AccountDemand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AccountDemand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->tokens_per_second);
+          this->__isset.tokens_per_second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AccountDemand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AccountDemand");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens_per_second", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->tokens_per_second);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AccountDemand &a, AccountDemand &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.tokens_per_second, b.tokens_per_second);
+  swap(a.__isset, b.__isset);
+}
+
+AccountDemand::AccountDemand(const AccountDemand& other47) {
+  account = other47.account;
+  tokens_per_second = other47.tokens_per_second;
+  __isset = other47.__isset;
+}
+AccountDemand& AccountDemand::operator=(const AccountDemand& other48) {
+  account = other48.account;
+  tokens_per_second = other48.tokens_per_second;
+  __isset = other48.__isset;
+  return *this;
+}
+void AccountDemand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AccountDemand(";
+  out << "account=" << to_string(account);
+  out << ", " << "tokens_per_second=" << to_string(tokens_per_second);
+  out << ")";
+}
+
+
+UsageSum::~UsageSum() noexcept {
+}
+
+
+void UsageSum::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void UsageSum::__set_others(const double val) {
+  this->others = val;
+}
+
+void UsageSum::__set_settled(const bool val) {
+  this->settled = val;
+}
+std::ostream& operator<<(std::ostream& out, const UsageSum& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t UsageSum::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->others);
+          this->__isset.others = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->settled);
+          this->__isset.settled = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t UsageSum::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("UsageSum");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("others", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->others);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("settled", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->settled);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(UsageSum &a, UsageSum &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.others, b.others);
+  swap(a.settled, b.settled);
+  swap(a.__isset, b.__isset);
+}
+
+UsageSum::UsageSum(const UsageSum& other49) {
+  account = other49.account;
+  others = other49.others;
+  settled = other49.settled;
+  __isset = other49.__isset;
+}
+UsageSum& UsageSum::operator=(const UsageSum& other50) {
+  account = other50.account;
+  others = other50.others;
+  settled = other50.settled;
+  __isset = other50.__isset;
+  return *this;
+}
+void UsageSum::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "UsageSum(";
+  out << "account=" << to_string(account);
+  out << ", " << "others=" << to_string(others);
+  out << ", " << "settled=" << to_string(settled);
+  out << ")";
+}
+
 }} // namespace
--- a/src/gen/peer_types.h
+++ b/src/gen/peer_types.h
@@ -52,6 +52,10 @@
 
 class OutcomeReply;
 
+class AccountDemand;
+
+class UsageSum;
+
 typedef struct _Submission__isset {
   _Submission__isset() : request(false), lineage(false), chain(false), account(false), kind(false), rank(false), prompt(false), max_tokens(false), seed(false), tokens(false), entry(false), entry_incarnation(false), isolated(false), fingerprint(false), first_token_us(false), between_tokens_us(false) {}
   bool request :1;
@@ -661,6 +665,113 @@
 
 std::ostream& operator<<(std::ostream& out, const OutcomeReply& obj);
 
+typedef struct _AccountDemand__isset {
+  _AccountDemand__isset() : account(false), tokens_per_second(false) {}
+  bool account :1;
+  bool tokens_per_second :1;
+} _AccountDemand__isset;
+
+class AccountDemand : public virtual ::apache::thrift::TBase {
+ public:
+
+  AccountDemand(const AccountDemand&);
+  AccountDemand& operator=(const AccountDemand&);
+  AccountDemand() noexcept
+                : account(),
+                  tokens_per_second(0) {
+  }
+
+  virtual ~AccountDemand() noexcept;
+  std::string account;
+  double tokens_per_second;
+
+  _AccountDemand__isset __isset;
+
+  void __set_account(const std::string& val);
+
+  void __set_tokens_per_second(const double val);
+
+  bool operator == (const AccountDemand & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (!(tokens_per_second == rhs.tokens_per_second))
+      return false;
+    return true;
+  }
+  bool operator != (const AccountDemand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AccountDemand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AccountDemand &a, AccountDemand &b);
+
+std::ostream& operator<<(std::ostream& out, const AccountDemand& obj);
+
+typedef struct _UsageSum__isset {
+  _UsageSum__isset() : account(false), others(false), settled(false) {}
+  bool account :1;
+  bool others :1;
+  bool settled :1;
+} _UsageSum__isset;
+
+class UsageSum : public virtual ::apache::thrift::TBase {
+ public:
+
+  UsageSum(const UsageSum&);
+  UsageSum& operator=(const UsageSum&);
+  UsageSum() noexcept
+           : account(),
+             others(0),
+             settled(0) {
+  }
+
+  virtual ~UsageSum() noexcept;
+  std::string account;
+  double others;
+  bool settled;
+
+  _UsageSum__isset __isset;
+
+  void __set_account(const std::string& val);
+
+  void __set_others(const double val);
+
+  void __set_settled(const bool val);
+
+  bool operator == (const UsageSum & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (!(others == rhs.others))
+      return false;
+    if (!(settled == rhs.settled))
+      return false;
+    return true;
+  }
+  bool operator != (const UsageSum &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const UsageSum & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(UsageSum &a, UsageSum &b);
+
+std::ostream& operator<<(std::ostream& out, const UsageSum& obj);
+
 }} // namespace
 
 #endif
--- a/src/peer.h
+++ b/src/peer.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "trefoilwick/admission.h"
 #include "trefoilwick/kernel.h"
 #include "trefoilwick/pipeline.h"
 
@@ -70,6 +71,9 @@
   virtual absl::StatusOr<std::string> OnProbeVia(const std::string& target,
                                                  const std::string& gossip) = 0;
   virtual PeerTableChanges OnChanges(int64_t after) = 0;
+  virtual std::vector<UsageSum> OnUsage(
+      const std::string& instance,
+      const std::vector<AccountDemand>& report) = 0;
   virtual PeerOutcome OnOutcome(const std::string& request) = 0;
 };
 
@@ -118,6 +122,10 @@
                                        const std::string& target,
                                        const std::string& gossip);
   absl::StatusOr<PeerTableChanges> Changes(const PeerCall& call, int64_t after);
+  absl::StatusOr<std::vector<UsageSum>> Usage(
+      const PeerCall& call,
+      const std::string& instance,
+      const std::vector<AccountDemand>& report);
   absl::StatusOr<PeerOutcome> Outcome(const PeerCall& call,
                                       const std::string& request);
 
--- a/src/peer.thrift
+++ b/src/peer.thrift
@@ -76,6 +76,17 @@
   4: string detail;
 }
 
+struct AccountDemand {
+  1: string account;
+  2: double tokens_per_second;
+}
+
+struct UsageSum {
+  1: string account;
+  2: double others;
+  3: bool settled;
+}
+
 service Peer {
   SubmitReply submit(1: Submission submission);
   // Returns the requests that this entry no longer owns.
@@ -86,5 +97,7 @@
   Gossip probe(1: Gossip message);
   Gossip probe_via(1: string target, 2: Gossip message);
   TableChanges changes(1: i64 after);
+  // Demand report of an instance; returns the sums of the others.
+  list<UsageSum> usage(1: string instance, 2: list<AccountDemand> report);
   OutcomeReply outcome(1: string request);
 }
--- /dev/null
+++ b/test/admission_usage_test.cc
@@ -0,0 +1,105 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "trefoilwick/admission.h"
+
+namespace trefoilwick {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr TimePoint kStart = TimePoint(seconds(1000));
+
+class AdmissionUsageTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AdmissionUsageTest);
+  CPPUNIT_TEST(SumsLeaveOutTheReporter);
+  CPPUNIT_TEST(NewAggregatorIsNotSettled);
+  CPPUNIT_TEST(ReportsExpire);
+  CPPUNIT_TEST(EveryAccountHasOneAggregator);
+  CPPUNIT_TEST(SilentAggregatorGivesAnEqualShare);
+  CPPUNIT_TEST(RowsPerInstanceDoNotGrowWithInstances);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // An instance must not count its own demand twice.
+  void SumsLeaveOutTheReporter() {
+    UsageAggregator aggregator;
+    aggregator.OnReport(kStart, "e1", {{"club", 30}});
+    aggregator.OnReport(kStart, "e2", {{"club", 10}});
+    const auto sums =
+        aggregator.OnReport(kStart + seconds(4), "e1", {{"club", 30}});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, sums.size());
+    CPPUNIT_ASSERT_EQUAL(10.0, sums[0].others);
+    CPPUNIT_ASSERT(sums[0].settled);
+  }
+
+  // After a takeover a sum of the few that reported so far would let each
+  // instance use nearly the whole limit.
+  void NewAggregatorIsNotSettled() {
+    UsageAggregator aggregator;
+    CPPUNIT_ASSERT(
+        !aggregator.OnReport(kStart, "e1", {{"club", 1}})[0].settled);
+    UsageExchange exchange;
+    exchange.OnSums(kStart, {{"club", 5, true}});
+    exchange.OnSums(kStart + seconds(2), {{"club", 0, false}});
+    const auto others = exchange.Others(kStart + seconds(3), {{"club", 1}}, 3);
+    CPPUNIT_ASSERT_EQUAL(5.0, others[0].tokens_per_second);
+  }
+
+  // Demand of an instance that is gone must not hold back the others for ever.
+  void ReportsExpire() {
+    UsageAggregator aggregator;
+    aggregator.OnReport(kStart, "e1", {{"club", 30}, {"other", 1}});
+    const auto sums =
+        aggregator.OnReport(kStart + seconds(6), "e2", {{"club", 1}});
+    CPPUNIT_ASSERT_EQUAL(0.0, sums[0].others);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, aggregator.size());
+  }
+
+  // Instances with the same view must agree on the aggregator.
+  void EveryAccountHasOneAggregator() {
+    const UsageExchange exchange;
+    std::vector<AccountDemand> own;
+    for (int i = 0; i < 100; ++i)
+      own.push_back({"account-" + std::to_string(i), 1});
+    const auto one = exchange.Reports(own, {"e1", "e2", "e3"});
+    const auto two = exchange.Reports(own, {"e3", "e1", "e2"});
+    CPPUNIT_ASSERT(one == two);
+    size_t rows = 0;
+    for (const auto& [id, list] : one)
+      rows += list.size();
+    CPPUNIT_ASSERT_EQUAL(own.size(), rows);
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, one.size());
+  }
+
+  // A lost aggregator must not turn into a share of the whole limit.
+  void SilentAggregatorGivesAnEqualShare() {
+    UsageExchange exchange;
+    exchange.OnSums(kStart, {{"club", 0, true}});
+    const auto fresh = exchange.Others(kStart, {{"club", 7}}, 5);
+    CPPUNIT_ASSERT_EQUAL(0.0, fresh[0].tokens_per_second);
+    const auto stale = exchange.Others(kStart + seconds(11), {{"club", 7}}, 5);
+    CPPUNIT_ASSERT_EQUAL(28.0, stale[0].tokens_per_second);
+  }
+
+  // The control budget of a node is fixed, whatever the number of nodes.
+  void RowsPerInstanceDoNotGrowWithInstances() {
+    const UsageExchange exchange;
+    for (size_t count : {13, 100, 350}) {
+      std::vector<std::string> live;
+      for (size_t i = 0; i < count; ++i)
+        live.push_back("e" + std::to_string(i));
+      std::vector<AccountDemand> own;
+      for (int i = 0; i < 23; ++i)
+        own.push_back({"account-" + std::to_string(i), 1});
+      size_t rows = 0;
+      for (const auto& [id, list] : exchange.Reports(own, live))
+        rows += list.size();
+      CPPUNIT_ASSERT_EQUAL(own.size(), rows);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdmissionUsageTest);
+
+}  // namespace
+}  // namespace trefoilwick
