Measure the cost of a submission

Cause: the expected wait looks at all queued accounts. Change: CpuPerSubmission in pipeline_measure_test.

--- a/include/trefoilwick/pipeline.h
+++ b/include/trefoilwick/pipeline.h
@@ -162,7 +162,7 @@
                                  NeedStage>;
 
 struct SubmitRefusal {
-  // "overloaded", "stopping", "duplicate", "no_chain".
+  // "overloaded", "stopping", "duplicate", "no_chain", "quarantined".
   std::string reason;
   Duration retry_after{0};
 };
--- a/test/pipeline_measure_test.cc
+++ b/test/pipeline_measure_test.cc
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(FloodsLeaveFloorsAndTargets);
   CPPUNIT_TEST(LargeCallerLeavesSmallOnes);
   CPPUNIT_TEST(CpuPerToken);
+  CPPUNIT_TEST(CpuPerSubmission);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -318,6 +319,30 @@
     std::cerr << "\n4 stages: " << micros << " us of CPU a token";
     CPPUNIT_ASSERT_LESS(100.0, micros);
   }
+
+  // Guards against submissions that take long while many accounts have requests
+  // queued. The bound is far above the figure measured.
+  void CpuPerSubmission() {
+    FakeChain chain({});
+    for (int i = 0; i < 4096; ++i) {
+      Submission s = Work(100);
+      s.account = "account-" + std::to_string(i);
+      CPPUNIT_ASSERT(chain.Submit("b" + std::to_string(i), s));
+    }
+    const SystemClock clock;
+    const TimePoint start = clock.Now();
+    for (int i = 0; i < 500; ++i) {
+      Submission s = Work(100);
+      s.rank = i % 2 ? Rank::kUrgent : Rank::kOrdinary;
+      s.request = "r" + std::to_string(i);
+      s.account = "account-" + std::to_string(i);
+      chain.scheduler().Submit(chain.now(), s);
+    }
+    const double micros =
+        static_cast<double>((clock.Now() - start).count()) / 500;
+    std::cerr << "\n4096 queued: " << micros << " us a submission";
+    CPPUNIT_ASSERT_LESS(1000.0, micros);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PipelineMeasureTest);
