--- /dev/null
+++ b/test/report_test.cc
@@ -0,0 +1,102 @@
+#include "trefoilwick/report.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace trefoilwick {
+namespace {
+
+constexpr int64_t kNow = 1'700'000'000'000;
+constexpr int64_t kMinute = 60'000;
+const BurnKey kClub{"urgent", "club"};
+
+class ReportTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReportTest);
+  CPPUNIT_TEST(BurnIsBadShareOverBudget);
+  CPPUNIT_TEST(WindowsForgetOldMinutes);
+  CPPUNIT_TEST(MergeAddsInstances);
+  CPPUNIT_TEST(JsonRoundTrip);
+  CPPUNIT_TEST(BadJsonIsRefused);
+  CPPUNIT_TEST(AccountNamesAreEscapedInSvg);
+  CPPUNIT_TEST_SUITE_END();
+
+  static double Burn(const std::vector<BurnRow>& rows,
+                     const BurnKey& key,
+                     const char* window) {
+    for (const BurnRow& row : rows)
+      if (row.key == key)
+        return row.burn.at(window);
+    return -1;
+  }
+
+ public:
+  // A burn of 1 must mean that the budget lasts exactly the period.
+  void BurnIsBadShareOverBudget() {
+    BurnData data;
+    for (int i = 0; i < 98; ++i)
+      data.Record(kNow, kClub, true);
+    data.Record(kNow, kClub, false);
+    data.Record(kNow, kClub, false);
+    const auto rows = ComputeBurn(data, kNow, 0.99);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0, Burn(rows, kClub, "5m"), 1e-6);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0, Burn(rows, {"urgent", "*"}, "6h"), 1e-6);
+  }
+
+  // A short window must recover while the long one still shows the outage.
+  void WindowsForgetOldMinutes() {
+    BurnData data;
+    data.Record(kNow - 30 * kMinute, kClub, false);
+    data.Record(kNow, kClub, true);
+    const auto rows = ComputeBurn(data, kNow, 0.99);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, Burn(rows, kClub, "5m"), 1e-6);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(50.0, Burn(rows, kClub, "1h"), 1e-6);
+    data.Record(kNow + 400 * kMinute, kClub, true);
+    CPPUNIT_ASSERT_EQUAL(
+        uint64_t{1},
+        data.Sum(kNow + 400 * kMinute, kClub, std::chrono::hours(6)).good);
+  }
+
+  // The report of a fleet is the sum of what its instances saw.
+  void MergeAddsInstances() {
+    BurnData one;
+    BurnData two;
+    one.Record(kNow, kClub, true);
+    two.Record(kNow, kClub, false);
+    two.Record(kNow, {"batch", "desk"}, true);
+    one.Merge(two);
+    const BurnCell sum = one.Sum(kNow, kClub, std::chrono::minutes(5));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, sum.good);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, sum.bad);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, one.Keys().size());
+  }
+
+  void JsonRoundTrip() {
+    BurnData data;
+    data.Record(kNow, kClub, true);
+    data.Record(kNow - kMinute, kClub, false);
+    const auto read = BurnData::FromJson(data.ToJson());
+    CPPUNIT_ASSERT(read.ok());
+    CPPUNIT_ASSERT_EQUAL(data.ToJson(), read->ToJson());
+  }
+
+  // A report of an instance of another version must not end the client.
+  void BadJsonIsRefused() {
+    for (const char* text : {"", "{", "[1]", "[{\"rank\":1}]",
+                             "[{\"rank\":\"a\",\"account\":\"b\","
+                             "\"minutes\":[[1]]}]"})
+      CPPUNIT_ASSERT(!BurnData::FromJson(text).ok());
+  }
+
+  void AccountNamesAreEscapedInSvg() {
+    BurnData data;
+    data.Record(kNow, {"urgent", "<a&b>"}, true);
+    const auto svg =
+        RenderBurn(ComputeBurn(data, kNow, 0.99), ReportFormat::kSvg);
+    CPPUNIT_ASSERT(svg.find("&lt;a&amp;b&gt;") != std::string::npos);
+    CPPUNIT_ASSERT(svg.find("<a&b>") == std::string::npos);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReportTest);
+
+}  // namespace
+}  // namespace trefoilwick
