Send each service call body once; count only complete requests at a stop

Change: bodies that can be read once; a stop waits for requests whose body arrived; attempt ids carry randomness.

--- a/scripts/fleet_callers.py
+++ b/scripts/fleet_callers.py
@@ -99,3 +99,15 @@
 def status(address, env):
     return json.loads(call(address, "GET", "/v1/admin/status",
                            key=env["OPERATOR_KEY"])[2])
+
+
+def busy_stage(entries, env):
+    """A middle stage of a chain that runs something now."""
+    for entry in entries:
+        view = status(entry, env)
+        for load in view["owned_chains"]:
+            if load["running"] > 0:
+                for chain in view["chains"]:
+                    if chain["id"] == load["chain"]:
+                        return chain["stages"][1]
+    return None
--- a/src/daemon_chain_host.cc
+++ b/src/daemon_chain_host.cc
@@ -288,6 +288,9 @@
                  {"server", report.server},
                  {"failure",
                   std::string(kCallFailureNames.Name(report.failure))}});
+            // Reported after the repeat on a fresh connection failed as well,
+            // so it counts as two failures in a row.
+            m_health.OnFailure(m_clock.Now(), report.server);
             m_health.OnFailure(m_clock.Now(), report.server);
           },
           [&](ReportCrasher& report) {
--- a/src/daemon_engine_client.cc
+++ b/src/daemon_engine_client.cc
@@ -1,4 +1,5 @@
 #include <cpprest/http_client.h>
+#include <cpprest/producerconsumerstream.h>
 
 #include <map>
 #include <mutex>
@@ -25,11 +26,22 @@
   return CallFailure::kLost;
 }
 
+// When a pooled connection closes before the answer, the library sends the
+// request again by itself. A body that can be read only once prevents that, so
+// that a call that may not be repeated is sent at most once.
+void SetBody(wh::http_request& request, const std::string& body) {
+  concurrency::streams::producer_consumer_buffer<uint8_t> buffer;
+  buffer.putn_nocopy(reinterpret_cast<const uint8_t*>(body.data()), body.size())
+      .wait();
+  buffer.close(std::ios_base::out).wait();
+  request.set_body(buffer.create_istream(), body.size(), "application/json");
+}
+
 wh::http_request MakeRequest(const HttpCall& call) {
   wh::http_request request(call.method);
   request.set_request_uri(web::uri(call.path));
   if (call.method != "GET")
-    request.set_body(call.body, "application/json");
+    SetBody(request, call.body);
   if (!call.user.empty())
     request.headers().add("X-Account", call.user);
   if (!call.request_id.empty())
--- a/src/daemon_http.cc
+++ b/src/daemon_http.cc
@@ -87,6 +87,8 @@
 }  // namespace
 
 Exchange::State::~State() {
+  if (dispatched)
+    runtime.unanswered.fetch_sub(1);
   runtime.open_requests.fetch_sub(1);
 }
 
@@ -110,6 +112,11 @@
   m_state->body_read.store(true);
 }
 
+void Exchange::SetDispatched() {
+  m_state->dispatched = true;
+  m_state->runtime.unanswered.fetch_add(1);
+}
+
 std::function<void()> Exchange::BodyTimeout() const {
   return [weak = std::weak_ptr<State>(m_state)] {
     auto state = weak.lock();
@@ -345,6 +352,7 @@
 }
 
 void HttpFront::Dispatch(Exchange exchange) {
+  exchange.SetDispatched();
   const auto& path = exchange.path();
   const std::string& method = exchange.method();
   const auto is = [&](size_t index, const char* name) {
--- a/src/daemon_serve.cc
+++ b/src/daemon_serve.cc
@@ -127,7 +127,7 @@
 
 // True when nothing is left that a stop would cut off.
 bool Drained(Runtime& runtime, const DeliverySender& sender) {
-  size_t left = static_cast<size_t>(std::max(0, runtime.open_requests.load())) +
+  size_t left = static_cast<size_t>(std::max(0, runtime.unanswered.load())) +
                 static_cast<size_t>(runtime.pending_records.load());
   runtime.entry_loop.RunAndWait([&] { left += runtime.entry->active(); });
   runtime.chain_loop.RunAndWait(
--- a/src/daemon_services.cc
+++ b/src/daemon_services.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <random>
 #include <set>
 #include <thread>
 #include <utility>
@@ -184,7 +185,10 @@
   input.kind = request.kind.name;
   input.entry = runtime.settings.id;
   input.request = request.exchange.request_id();
-  input.attempt = request.exchange.request_id();
+  // Request ids are unique only as far as clocks are.
+  static std::random_device device;
+  input.attempt = request.exchange.request_id() + "-" +
+                  std::to_string(device()) + std::to_string(device());
   runtime.pending_records.fetch_add(1);
   RunLedgerCall(
       runtime.clock, *runtime.store, input,
--- a/src/http_front.h
+++ b/src/http_front.h
@@ -39,6 +39,8 @@
   std::string Header(const std::string& name) const;
   const std::string& body() const { return m_state->body; }
   void SetBody(std::string body);
+  // From here on a graceful stop waits for the answer.
+  void SetDispatched();
   // Answers 408 when called before the body was read. Does not keep the
   // exchange alive.
   std::function<void()> BodyTimeout() const;
@@ -67,6 +69,7 @@
     std::string body;
     std::string id;
     std::atomic<bool> body_read{false};
+    bool dispatched = false;
     std::atomic<bool> answered{false};
   };
   explicit Exchange(std::shared_ptr<State> state);
--- a/src/runtime.h
+++ b/src/runtime.h
@@ -59,8 +59,10 @@
   std::atomic<bool> leaving{false};
   // Set some seconds after `leaving`, when callers had time to learn of it.
   std::atomic<bool> refusing{false};
-  // HTTP requests that have no complete answer yet.
+  // HTTP requests whose headers arrived and that have no complete answer yet.
   std::atomic<int> open_requests{0};
+  // Those of them whose body arrived too; a graceful stop waits for these.
+  std::atomic<int> unanswered{0};
   // Ledger rows that still have to be written.
   std::atomic<int> pending_records{0};
   std::atomic<uint64_t> next_request{1};
