Tell every instance of a crashing request before its caller

Cause: process_faults_test crashing_request_sent_again: one request sent again through three entries cost 6 servers, since the quarantine spread by gossip only, more slowly than the caller sent the request again. Change: the scheduler announces the fingerprint to every member and holds the outcome back until each has answered or 300 ms have passed.

--- a/src/chain_host.h
+++ b/src/chain_host.h
@@ -32,7 +32,10 @@
   // Called on the chain loop with the updates for one entry.
   using DeliverFunction =
       std::function<void(const std::string& entry, Delivery delivery)>;
-  using CrasherFunction = std::function<void(uint64_t fingerprint)>;
+  // Tells all instances of a request that crashes servers, then calls `done`
+  // on the chain loop.
+  using CrasherFunction =
+      std::function<void(uint64_t fingerprint, std::function<void()> done)>;
 
   ChainHost(ChainHostConfig config,
             EventLoop& loop,
@@ -88,6 +91,10 @@
                      uint64_t generation,
                      const SendClaim& claim,
                      const HttpResult& result);
+  void OnCrasher(const ReportCrasher& report);
+  // Delivers updates; those that end a quarantined request wait until every
+  // instance knows of it, so that its caller cannot send it again elsewhere.
+  void Deliver(const std::string& entry, Delivery delivery);
   void OnNeedStage(const NeedStage& need);
   void OnTick();
   void ProbeEjected();
@@ -116,6 +123,8 @@
   uint64_t m_next_generation = 1;
   uint16_t m_scheduler_id = 0;
   bool m_leaving = false;
+  int m_announcements = 0;
+  std::vector<std::pair<std::string, Delivery>> m_held;
 
   Counter& m_steps;
   Counter& m_step_items;
--- a/src/daemon_chain_host.cc
+++ b/src/daemon_chain_host.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 #include "chain_host.h"
@@ -241,6 +242,12 @@
     std::vector<ChainAction> actions = it->second.scheduler->TakeActions();
     if (actions.empty())
       return;
+    // Announcements come first, so that the updates that end the requests wait
+    // for them.
+    std::stable_partition(
+        actions.begin(), actions.end(), [](const ChainAction& action) {
+          return std::holds_alternative<ReportCrasher>(action);
+        });
     for (ChainAction& action : actions) {
       it = m_owned.find(chain);
       if (it == m_owned.end())
@@ -276,7 +283,7 @@
                 {chain, owned.scheduler->ExpectedWait(Rank::kOrdinary, ""),
                  static_cast<int>(owned.scheduler->queued()),
                  static_cast<int>(owned.scheduler->running())});
-            m_deliver(deliver.entry, std::move(delivery));
+            Deliver(deliver.entry, std::move(delivery));
           },
           [&](ReportFailure& report) {
             m_failures.Add();
@@ -293,17 +300,41 @@
             m_health.OnFailure(m_clock.Now(), report.server);
             m_health.OnFailure(m_clock.Now(), report.server);
           },
-          [&](ReportCrasher& report) {
-            LogStateChange("scheduler", "request_quarantined",
-                           {{"fingerprint", std::to_string(report.fingerprint)},
-                            {"server", report.server}});
-            m_crasher(report.fingerprint);
-          },
+          [&](ReportCrasher& report) { OnCrasher(report); },
           [&](NeedStage& need) { OnNeedStage(need); },
       },
       action);
 }
 
+void ChainHost::OnCrasher(const ReportCrasher& report) {
+  LogStateChange("scheduler", "request_quarantined",
+                 {{"fingerprint", std::to_string(report.fingerprint)},
+                  {"server", report.server}});
+  ++m_announcements;
+  m_crasher(report.fingerprint, [this] {
+    if (--m_announcements > 0)
+      return;
+    for (auto& [entry, delivery] : std::exchange(m_held, {}))
+      m_deliver(entry, std::move(delivery));
+  });
+}
+
+void ChainHost::Deliver(const std::string& entry, Delivery delivery) {
+  if (m_announcements > 0) {
+    Delivery held = delivery;
+    const auto is_quarantined = [](const TokenUpdate& update) {
+      return update.state == UpdateState::kQuarantined;
+    };
+    std::erase_if(delivery.updates, is_quarantined);
+    std::erase_if(held.updates, std::not_fn(is_quarantined));
+    if (!held.updates.empty())
+      m_held.emplace_back(entry, std::move(held));
+    if (delivery.updates.empty())
+      return;
+  }
+  m_deliver(entry, std::move(delivery));
+}
+
 void ChainHost::OnNeedStage(const NeedStage& need) {
   m_health.OnCrash(m_clock.Now(), need.failed_server);
   m_awaiting_check.insert(need.failed_server);
--- a/src/daemon_peer.cc
+++ b/src/daemon_peer.cc
@@ -179,6 +179,10 @@
     reply.changes = std::move(changes.changes);
     reply.snapshot = std::move(changes.snapshot);
   }
+  void quarantine(const int64_t fingerprint,
+                  const int64_t expires_unix_ms) override {
+    m_handler.OnQuarantine(static_cast<uint64_t>(fingerprint), expires_unix_ms);
+  }
   void usage(std::vector<peer::UsageSum>& result,
              const std::string& instance,
              const std::vector<peer::AccountDemand>& report) override {
@@ -441,6 +445,14 @@
                           std::move(reply.snapshot)};
 }
 
+absl::Status PeerClient::Quarantine(const PeerCall& call,
+                                    uint64_t fingerprint,
+                                    int64_t expires_unix_ms) {
+  return m_impl->Run(call, [&](peer::PeerClient& client) {
+    client.quarantine(ToSigned(fingerprint), expires_unix_ms);
+  });
+}
+
 absl::StatusOr<std::vector<UsageSum>> PeerClient::Usage(
     const PeerCall& call,
     const std::string& instance,
--- a/src/daemon_serve.cc
+++ b/src/daemon_serve.cc
@@ -17,6 +17,7 @@
 // The pool of the HTTP library serves connections; nothing on it may block.
 constexpr size_t kHttpThreads = 8;
 constexpr std::chrono::milliseconds kSignalPoll{50};
+constexpr std::chrono::milliseconds kAnnounceTimeout{300};
 
 std::atomic<int> g_stop_signals{0};
 
@@ -64,6 +65,10 @@
     return m_runtime.peers.Probe({target, std::chrono::milliseconds(300), true},
                                  gossip);
   }
+  void OnQuarantine(uint64_t fingerprint, int64_t expires_unix_ms) override {
+    std::lock_guard lock(m_runtime.quarantine_mutex);
+    m_runtime.quarantine.Merge(fingerprint, expires_unix_ms);
+  }
   PeerTableChanges OnChanges(int64_t after) override {
     PeerTableChanges changes;
     m_runtime.control_loop.RunAndWait(
@@ -96,6 +101,42 @@
   Runtime& m_runtime;
 };
 
+// Adds to the quarantine here and at every member; `done` is called on the
+// chain loop once each has answered or its call has failed.
+void AnnounceCrasher(Runtime& runtime,
+                     uint64_t fingerprint,
+                     std::function<void()> done) {
+  const int64_t now = runtime.clock.UnixMillis();
+  int64_t expires = now;
+  {
+    std::lock_guard lock(runtime.quarantine_mutex);
+    runtime.quarantine.Add(now, fingerprint);
+    for (const auto& [print, expiry] : runtime.quarantine.List(now))
+      if (print == fingerprint)
+        expires = expiry;
+  }
+  const auto members = runtime.members.Load();
+  auto waiting = std::make_shared<std::atomic<size_t>>(1);
+  const auto one_done = [&runtime, waiting, done = std::move(done)] {
+    if (waiting->fetch_sub(1) == 1)
+      runtime.chain_loop.Post(done);
+  };
+  for (const auto& [id, member] : members->members) {
+    if (id == runtime.settings.id)
+      continue;
+    waiting->fetch_add(1);
+    const PeerCall call{member.peer_address, kAnnounceTimeout, false};
+    const bool posted = runtime.peer_pool.TryPost(
+        [&runtime, call, fingerprint, expires, one_done] {
+          runtime.peers.Quarantine(call, fingerprint, expires).IgnoreError();
+          one_done();
+        });
+    if (!posted)
+      one_done();
+  }
+  one_done();
+}
+
 void WireChains(Runtime& runtime, std::shared_ptr<DeliverySender>& sender) {
   sender = std::make_shared<DeliverySender>(
       runtime.chain_loop, runtime.peer_pool, runtime.peers, runtime.members,
@@ -119,10 +160,10 @@
         });
     });
   };
-  runtime.chains->SetCallbacks(deliver, [&runtime](uint64_t fingerprint) {
-    std::lock_guard lock(runtime.quarantine_mutex);
-    runtime.quarantine.Add(runtime.clock.UnixMillis(), fingerprint);
-  });
+  runtime.chains->SetCallbacks(
+      deliver, [&runtime](uint64_t fingerprint, std::function<void()> done) {
+        AnnounceCrasher(runtime, fingerprint, std::move(done));
+      });
 }
 
 // True when nothing is left that a stop would cut off.
--- a/src/gen/Peer.cpp
+++ b/src/gen/Peer.cpp
@@ -1236,6 +1236,178 @@
 }
 
 
+Peer_quarantine_args::~Peer_quarantine_args() noexcept {
+}
+
+
+uint32_t Peer_quarantine_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->expires_unix_ms);
+          this->__isset.expires_unix_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Peer_quarantine_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_quarantine_args");
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("expires_unix_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->expires_unix_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_quarantine_pargs::~Peer_quarantine_pargs() noexcept {
+}
+
+
+uint32_t Peer_quarantine_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_quarantine_pargs");
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64((*(this->fingerprint)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("expires_unix_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64((*(this->expires_unix_ms)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_quarantine_result::~Peer_quarantine_result() noexcept {
+}
+
+
+uint32_t Peer_quarantine_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Peer_quarantine_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("Peer_quarantine_result");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_quarantine_presult::~Peer_quarantine_presult() noexcept {
+}
+
+
+uint32_t Peer_quarantine_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
 Peer_changes_args::~Peer_changes_args() noexcept {
 }
 
@@ -2216,6 +2388,60 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "probe_via failed: unknown result");
 }
 
+void PeerClient::quarantine(const int64_t fingerprint, const int64_t expires_unix_ms)
+{
+  send_quarantine(fingerprint, expires_unix_ms);
+  recv_quarantine();
+}
+
+void PeerClient::send_quarantine(const int64_t fingerprint, const int64_t expires_unix_ms)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("quarantine", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Peer_quarantine_pargs args;
+  args.fingerprint = &fingerprint;
+  args.expires_unix_ms = &expires_unix_ms;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void PeerClient::recv_quarantine()
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("quarantine") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  Peer_quarantine_presult result;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  return;
+}
+
 void PeerClient::changes(TableChanges& _return, const int64_t after)
 {
   send_changes(after);
@@ -2733,6 +2959,59 @@
   }
 }
 
+void PeerProcessor::process_quarantine(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Peer.quarantine", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Peer.quarantine");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "Peer.quarantine");
+  }
+
+  Peer_quarantine_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "Peer.quarantine", bytes);
+  }
+
+  Peer_quarantine_result result;
+  try {
+    iface_->quarantine(args.fingerprint, args.expires_unix_ms);
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Peer.quarantine");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("quarantine", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "Peer.quarantine");
+  }
+
+  oprot->writeMessageBegin("quarantine", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "Peer.quarantine", bytes);
+  }
+}
+
 void PeerProcessor::process_changes(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
 {
   void* ctx = nullptr;
@@ -3401,6 +3680,85 @@
   } // end while(true)
 }
 
+void PeerConcurrentClient::quarantine(const int64_t fingerprint, const int64_t expires_unix_ms)
+{
+  int32_t seqid = send_quarantine(fingerprint, expires_unix_ms);
+  recv_quarantine(seqid);
+}
+
+int32_t PeerConcurrentClient::send_quarantine(const int64_t fingerprint, const int64_t expires_unix_ms)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("quarantine", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Peer_quarantine_pargs args;
+  args.fingerprint = &fingerprint;
+  args.expires_unix_ms = &expires_unix_ms;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void PeerConcurrentClient::recv_quarantine(const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("quarantine") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      Peer_quarantine_presult result;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      sentry.commit();
+      return;
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 void PeerConcurrentClient::changes(TableChanges& _return, const int64_t after)
 {
   int32_t seqid = send_changes(after);
--- a/src/gen/Peer.h
+++ b/src/gen/Peer.h
@@ -28,6 +28,7 @@
   virtual void missing(std::vector<std::string> & _return, const std::vector<std::string> & requests) = 0;
   virtual void probe(Gossip& _return, const Gossip& message) = 0;
   virtual void probe_via(Gossip& _return, const std::string& target, const Gossip& message) = 0;
+  virtual void quarantine(const int64_t fingerprint, const int64_t expires_unix_ms) = 0;
   virtual void changes(TableChanges& _return, const int64_t after) = 0;
   virtual void usage(std::vector<UsageSum> & _return, const std::string& instance, const std::vector<AccountDemand> & report) = 0;
   virtual void outcome(OutcomeReply& _return, const std::string& request) = 0;
@@ -78,6 +79,9 @@
   void probe_via(Gossip& /* _return */, const std::string& /* target */, const Gossip& /* message */) override {
     return;
   }
+  void quarantine(const int64_t /* fingerprint */, const int64_t /* expires_unix_ms */) override {
+    return;
+  }
   void changes(TableChanges& /* _return */, const int64_t /* after */) override {
     return;
   }
@@ -703,6 +707,101 @@
 
 };
 
+typedef struct _Peer_quarantine_args__isset {
+  _Peer_quarantine_args__isset() : fingerprint(false), expires_unix_ms(false) {}
+  bool fingerprint :1;
+  bool expires_unix_ms :1;
+} _Peer_quarantine_args__isset;
+
+class Peer_quarantine_args {
+ public:
+
+  Peer_quarantine_args(const Peer_quarantine_args&) noexcept;
+  Peer_quarantine_args& operator=(const Peer_quarantine_args&) noexcept;
+  Peer_quarantine_args() noexcept
+                       : fingerprint(0),
+                         expires_unix_ms(0) {
+  }
+
+  virtual ~Peer_quarantine_args() noexcept;
+  int64_t fingerprint;
+  int64_t expires_unix_ms;
+
+  _Peer_quarantine_args__isset __isset;
+
+  void __set_fingerprint(const int64_t val);
+
+  void __set_expires_unix_ms(const int64_t val);
+
+  bool operator == (const Peer_quarantine_args & rhs) const
+  {
+    if (!(fingerprint == rhs.fingerprint))
+      return false;
+    if (!(expires_unix_ms == rhs.expires_unix_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const Peer_quarantine_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Peer_quarantine_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Peer_quarantine_pargs {
+ public:
+
+
+  virtual ~Peer_quarantine_pargs() noexcept;
+  const int64_t* fingerprint;
+  const int64_t* expires_unix_ms;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Peer_quarantine_result {
+ public:
+
+  Peer_quarantine_result(const Peer_quarantine_result&) noexcept;
+  Peer_quarantine_result& operator=(const Peer_quarantine_result&) noexcept;
+  Peer_quarantine_result() noexcept {
+  }
+
+  virtual ~Peer_quarantine_result() noexcept;
+
+  bool operator == (const Peer_quarantine_result & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const Peer_quarantine_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Peer_quarantine_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Peer_quarantine_presult {
+ public:
+
+
+  virtual ~Peer_quarantine_presult() noexcept;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 typedef struct _Peer_changes_args__isset {
   _Peer_changes_args__isset() : after(false) {}
   bool after :1;
@@ -1068,6 +1167,9 @@
   void probe_via(Gossip& _return, const std::string& target, const Gossip& message) override;
   void send_probe_via(const std::string& target, const Gossip& message);
   void recv_probe_via(Gossip& _return);
+  void quarantine(const int64_t fingerprint, const int64_t expires_unix_ms) override;
+  void send_quarantine(const int64_t fingerprint, const int64_t expires_unix_ms);
+  void recv_quarantine();
   void changes(TableChanges& _return, const int64_t after) override;
   void send_changes(const int64_t after);
   void recv_changes(TableChanges& _return);
@@ -1098,6 +1200,7 @@
   void process_missing(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_probe(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_probe_via(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_quarantine(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_changes(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_usage(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_outcome(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
@@ -1110,6 +1213,7 @@
     processMap_["missing"] = &PeerProcessor::process_missing;
     processMap_["probe"] = &PeerProcessor::process_probe;
     processMap_["probe_via"] = &PeerProcessor::process_probe_via;
+    processMap_["quarantine"] = &PeerProcessor::process_quarantine;
     processMap_["changes"] = &PeerProcessor::process_changes;
     processMap_["usage"] = &PeerProcessor::process_usage;
     processMap_["outcome"] = &PeerProcessor::process_outcome;
@@ -1200,6 +1304,15 @@
     return;
   }
 
+  void quarantine(const int64_t fingerprint, const int64_t expires_unix_ms) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->quarantine(fingerprint, expires_unix_ms);
+    }
+    ifaces_[i]->quarantine(fingerprint, expires_unix_ms);
+  }
+
   void changes(TableChanges& _return, const int64_t after) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
@@ -1280,6 +1393,9 @@
   void probe_via(Gossip& _return, const std::string& target, const Gossip& message) override;
   int32_t send_probe_via(const std::string& target, const Gossip& message);
   void recv_probe_via(Gossip& _return, const int32_t seqid);
+  void quarantine(const int64_t fingerprint, const int64_t expires_unix_ms) override;
+  int32_t send_quarantine(const int64_t fingerprint, const int64_t expires_unix_ms);
+  void recv_quarantine(const int32_t seqid);
   void changes(TableChanges& _return, const int64_t after) override;
   int32_t send_changes(const int64_t after);
   void recv_changes(TableChanges& _return, const int32_t seqid);
--- a/src/peer.h
+++ b/src/peer.h
@@ -70,6 +70,7 @@
   virtual std::string OnProbe(const std::string& gossip) = 0;
   virtual absl::StatusOr<std::string> OnProbeVia(const std::string& target,
                                                  const std::string& gossip) = 0;
+  virtual void OnQuarantine(uint64_t fingerprint, int64_t expires_unix_ms) = 0;
   virtual PeerTableChanges OnChanges(int64_t after) = 0;
   virtual std::vector<UsageSum> OnUsage(
       const std::string& instance,
@@ -121,6 +122,9 @@
   absl::StatusOr<std::string> ProbeVia(const PeerCall& call,
                                        const std::string& target,
                                        const std::string& gossip);
+  absl::Status Quarantine(const PeerCall& call,
+                          uint64_t fingerprint,
+                          int64_t expires_unix_ms);
   absl::StatusOr<PeerTableChanges> Changes(const PeerCall& call, int64_t after);
   absl::StatusOr<std::vector<UsageSum>> Usage(
       const PeerCall& call,
--- a/src/peer.thrift
+++ b/src/peer.thrift
@@ -96,6 +96,8 @@
   list<string> missing(1: list<string> requests);
   Gossip probe(1: Gossip message);
   Gossip probe_via(1: string target, 2: Gossip message);
+  // A request with this content crashed a server while it ran alone.
+  void quarantine(1: i64 fingerprint, 2: i64 expires_unix_ms);
   TableChanges changes(1: i64 after);
   // Demand report of an instance; returns the sums of the others.
   list<UsageSum> usage(1: string instance, 2: list<AccountDemand> report);
