Add the fault matrix

Cause: no test ran the decision modules of several instances together, so that faults between modules were found only by whole-process runs. Plants show that the checker catches each kind of violation.

--- a/include/trefoilwick/pipeline.h
+++ b/include/trefoilwick/pipeline.h
@@ -264,6 +264,8 @@
   size_t queued() const;
   size_t running() const;
   bool idle() const { return queued() + running() == 0; }
+  // True while the request is queued or running here.
+  bool Holds(const std::string& request) const;
   uint64_t epoch() const;
 
  private:
--- a/src/pipeline.cc
+++ b/src/pipeline.cc
@@ -454,6 +454,10 @@
   return m_impl->ExpectedWait(rank, account);
 }
 
+bool ChainScheduler::Holds(const std::string& request) const {
+  return m_impl->requests.contains(request);
+}
+
 size_t ChainScheduler::queued() const {
   return m_impl->queue.size();
 }
--- /dev/null
+++ b/test/fault_matrix_world.h
@@ -0,0 +1,317 @@
+// Entry instances, engines, store, instance list and plain service in virtual
+// time, for the fault matrix. The decision modules are the real ones; what is
+// around them are fakes.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fault_matrix_checker.h"
+#include "trefoilwick/batches.h"
+#include "trefoilwick/config_store.h"
+#include "trefoilwick/entry.h"
+#include "trefoilwick/ledger.h"
+#include "trefoilwick/membership.h"
+#include "trefoilwick/pipeline.h"
+#include "trefoilwick/platform.h"
+#include "trefoilwick/routing.h"
+
+namespace trefoilwick::matrix {
+
+enum class Fault : uint8_t {
+  kStageCrash,
+  kStageFreeze,
+  kLinkSlow,
+  kLinkDrop,
+  kConnectionSilent,
+  kEntryKilled,
+  kEntryFrozen,
+  kPeerCut,
+  kPeerOneWay,
+  kStoreDown,
+  kStoreSlow,
+  kStoreAnswerLost,
+  kStoreRequestLost,
+  kTwoEditors,
+  kCrashingRequest,
+  kBatchFlood,
+  kUrgentFlood,
+  kInstanceJoins,
+  kListLags,
+};
+inline constexpr auto kFaultNames = MakeEnumTable<Fault>({
+    {Fault::kStageCrash, "stage_crash"},
+    {Fault::kStageFreeze, "stage_freeze"},
+    {Fault::kLinkSlow, "link_slow"},
+    {Fault::kLinkDrop, "link_drop"},
+    {Fault::kConnectionSilent, "conn_silent"},
+    {Fault::kEntryKilled, "entry_killed"},
+    {Fault::kEntryFrozen, "entry_frozen"},
+    {Fault::kPeerCut, "peer_cut"},
+    {Fault::kPeerOneWay, "peer_one_way"},
+    {Fault::kStoreDown, "store_down"},
+    {Fault::kStoreSlow, "store_slow"},
+    {Fault::kStoreAnswerLost, "answer_lost"},
+    {Fault::kStoreRequestLost, "request_lost"},
+    {Fault::kTwoEditors, "two_editors"},
+    {Fault::kCrashingRequest, "crashing_request"},
+    {Fault::kBatchFlood, "batch_flood"},
+    {Fault::kUrgentFlood, "urgent_flood"},
+    {Fault::kInstanceJoins, "instance_joins"},
+    {Fault::kListLags, "list_lags"},
+});
+
+enum class Step : uint8_t {
+  kDiscover,
+  kAccept,
+  kLedgerInsert,
+  kDispatch,
+  kPrefill,
+  kMidStream,
+  kFinish,
+  kLedgerFinish,
+  kTableCommit,
+  kTableSpread,
+  kJoin,
+  kLeave,
+  kOrder,
+  kBatchSubmit,
+  kBatchProgress,
+};
+inline constexpr auto kStepNames = MakeEnumTable<Step>({
+    {Step::kDiscover, "discover"},
+    {Step::kAccept, "accept"},
+    {Step::kLedgerInsert, "ledger_insert"},
+    {Step::kDispatch, "dispatch"},
+    {Step::kPrefill, "prefill"},
+    {Step::kMidStream, "mid_stream"},
+    {Step::kFinish, "finish"},
+    {Step::kLedgerFinish, "ledger_finish"},
+    {Step::kTableCommit, "table_commit"},
+    {Step::kTableSpread, "table_spread"},
+    {Step::kJoin, "join"},
+    {Step::kLeave, "leave"},
+    {Step::kOrder, "order"},
+    {Step::kBatchSubmit, "batch_submit"},
+    {Step::kBatchProgress, "batch_progress"},
+});
+
+struct Injection {
+  Fault fault;
+  Step step;
+};
+
+// Violations planted to show that the checker catches them.
+enum class Plant : uint8_t {
+  kNone,
+  kLoseOutcome,
+  kSecondOutcome,
+  kDispatchTwice,
+  kDispatchAfterNotRun,
+  kRepeatLayers,
+  kSwapAnswers,
+  kRevertTable,
+  kLoseEdit,
+  kServeWhileLeaving,
+  kStopAtOnce,
+  kMiscount,
+  kLoseItem,
+  kNoQuarantine,
+  kStall,
+};
+
+class World {
+ public:
+  World(uint64_t seed,
+        std::vector<Injection> injections,
+        Plant plant = Plant::kNone);
+  ~World();
+  World(const World&) = delete;
+  World& operator=(const World&) = delete;
+  // Runs the scenario to its end and checks it.
+  void Run();
+
+  Checker checker;
+  // Steps whose hook was reached.
+  std::set<Step> reached;
+  // Virtual time at which everything had its outcome.
+  TimePoint ended{};
+
+ private:
+  using Task = std::function<void()>;
+  struct Engine;
+  using EngineTask = std::function<void(Engine&)>;
+  using EngineDone = std::function<void(std::optional<CallFailure>)>;
+  struct Owned;
+  struct Node;
+  struct LedgerRun;
+
+  // Queue.
+  void At(Duration delay, Task task);
+  void AtNode(Node& node, Duration delay, Task task);
+  void RunOn(Node& node, const Task& task);
+  void RunFor(Duration time);
+
+  // Faults.
+  void Reach(Step step, Node* node, const std::string& engine = "");
+  void Inject(Fault fault, Step step, Node& node, const std::string& engine);
+  void InjectStore(Fault fault);
+  void CrashEngine(const std::string& id);
+  void KillNode(Node& node);
+  void CutLinks(const Node& node, bool both_ways);
+  StoreFault OnStoreCall(const std::string& call);
+
+  // Links between instances.
+  bool LinkUp(const std::string& from, const std::string& to) const;
+  Node* Find(const std::string& id);
+  template <typename R>
+  void Rpc(Node& from,
+           const std::string& to,
+           bool fresh,
+           Duration timeout,
+           std::function<R(Node&)> serve,
+           std::function<void(std::optional<R>, bool certain)> done);
+
+  // Control part of an instance.
+  Node& StartNode(const std::string& id);
+  void TickControl(Node& node);
+  void PollList(Node& node);
+  void PumpMembers(Node& node);
+  void OnMember(Node& node, const Member& member);
+  void PumpSpread(Node& node);
+  template <typename F>
+  void FromStore(Node& node, F read);
+  void Do(Node& node, SendProbe& probe);
+  void Do(Node& node, SendIndirectProbe& probe);
+  void Do(Node& node, const MemberChanged& change);
+  void Do(Node& node, const ItemReceived& received);
+  void Do(Node& node, const ReadHead& read);
+  void Do(Node& node, const FetchChanges& fetch);
+  void Do(Node& node, const FetchSnapshot& fetch);
+  void Do(Node& node, const FetchFromPeer& fetch);
+  void Do(Node& node, const InstallTable& install);
+  void StartLeaving(Node& node);
+  void TickLeaving(Node& node);
+
+  // Chains of an instance.
+  void Reform(Node& node);
+  void AssignChains(Node& node);
+  void ReleaseChain(Node& node, const std::string& chain, const char* reason);
+  void PumpChain(Node& node, const std::string& chain);
+  std::optional<SubmitRefusal> Submit(Node& node,
+                                      const std::string& chain,
+                                      Submission submission);
+  void CancelAt(Node& node, const std::string& request);
+  void ProbeEjected(Node& node);
+  void Do(Node& node, const std::string& chain, SendStep& step);
+  void Do(Node& node, const std::string& chain, SendClaim& claim);
+  void Do(Node& node, const std::string& chain, SendRelease& release);
+  void Do(Node& node, const std::string& chain, DeliverTokens& deliver);
+  void Do(Node& node, const std::string& chain, ReportFailure& report);
+  void Do(Node& node, const std::string& chain, ReportCrasher& report);
+  void Do(Node& node, const std::string& chain, NeedStage& need);
+  void FlushDeliveries(Node& node, const std::string& entry);
+
+  // Engines.
+  void AddEngine(const std::string& id, int stage);
+  void CallEngine(Node& node,
+                  const BackendServer& server,
+                  bool fresh,
+                  Duration deadline,
+                  const EngineTask& serve,
+                  const EngineDone& done);
+  bool RunStep(Engine& engine, const SendStep& step, Node& node);
+  StepResultItem RunItem(Engine& engine, const StepItem& item);
+  BackendServer ServerOf(const std::string& id) const;
+
+  // Requests.
+  void Ask(Node& node,
+           const std::string& account,
+           Rank rank,
+           const std::string& prompt,
+           int max_tokens,
+           const std::function<void(const std::string&)>& accepted = {});
+  void PumpRequests(Node& node);
+  void Do(Node& node, SubmitRequest& submit);
+  void Do(Node& node, const CancelRequest& cancel);
+  void Do(Node& node, const VerifyRequests& verify);
+  void Do(Node& node, const CallerUpdate& update);
+  void AskPoison(int attempt);
+  Node& AnyNode(size_t from);
+  bool RefusesWork(const Node& node) const;
+
+  // Plain service calls.
+  void CallService(Node& node, const std::string& key);
+  void StepCall(const std::shared_ptr<LedgerRun>& run, LedgerAction action);
+  void WriteLedger(const std::shared_ptr<LedgerRun>& run,
+                   const LedgerWrite& write);
+  void DispatchCall(const std::shared_ptr<LedgerRun>& run, Duration timeout);
+  void AnswerCall(const std::shared_ptr<LedgerRun>& run,
+                  const LedgerAnswer& answer);
+
+  // Table and batches.
+  void Edit(const std::string& author, double weight);
+  void SubmitJob(Node& node, int attempt);
+  void PollBatches(Node& node);
+  void OnBatchOutcome(Node& node,
+                      const std::string& request,
+                      const CallerUpdate& update);
+  void ObserveBatch();
+
+  // Scenario.
+  void Schedule();
+  bool Settled();
+  void CheckEnd();
+  void CheckOutcomes();
+  void CheckTables();
+
+  uint64_t m_seed;
+  Random m_random;
+  std::vector<Injection> m_injections;
+  Plant m_plant;
+  ManualClock m_clock;
+  TimePoint m_now{};
+  std::multimap<TimePoint, Task> m_queue;
+  FakeStore m_store;
+  bool m_observing = false;
+  std::vector<std::unique_ptr<Node>> m_nodes;
+  std::map<std::string, std::unique_ptr<Engine>> m_engines;
+  std::vector<InstanceRecord> m_records;
+  std::vector<InstanceRecord> m_listed;
+  int64_t m_list_version = 0;
+  TimePoint m_list_lags_until{};
+  // Links that lose messages, and until when.
+  std::map<std::pair<std::string, std::string>, TimePoint> m_cut;
+  // Connections that stay silent until replaced: (instance, other end).
+  std::set<std::pair<std::string, std::string>> m_silent;
+  TimePoint m_store_down_until{};
+  TimePoint m_store_slow_until{};
+  std::optional<StoreFault> m_next_write_fault;
+  // Owner of each request id.
+  std::map<std::string, std::string> m_owner;
+  std::map<std::string, TimePoint> m_accepted_at;
+  // Attempts of the caller by key.
+  std::map<std::string, int> m_tries;
+  std::vector<std::shared_ptr<LedgerRun>> m_calls;
+  int64_t m_newest_edit = 0;
+  // Account and weight that each accepted version set.
+  std::map<int64_t, std::pair<std::string, double>> m_edits;
+  bool m_job_accepted = false;
+  bool m_job_pending = false;
+  // Attempt of the caller by request.
+  std::map<std::string, int> m_poison_requests;
+  TimePoint m_last_fault{};
+  // The instance that makes a blocking call to the store.
+  Node* m_actor = nullptr;
+  bool m_committing = false;
+  int m_sequence = 0;
+  std::optional<CallerUpdate> m_swapped;
+};
+
+}  // namespace trefoilwick::matrix
