Test EntryRequests; ignore a refusal after acceptance

Cause: EntryRequests had no tests. EventsInEachState failed in state "accepted": a refusal of a lineage that was accepted ended the request as incomplete, while a failed submission in the same place is ignored. Change: OnSubmitRefused ignores a lineage that is already accepted, as OnSubmitFailed does. entry_test covers each event in each state, the certainty of not_run, gaps, duplicates, stale and replaced lineages, verification, waiting, bounds, retention and abort, and runs 400 random schedules against a scheduler that loses, repeats and reorders.

--- a/src/entry.cc
+++ b/src/entry.cc
@@ -162,7 +162,7 @@
                                     uint64_t lineage,
                                     const SubmitRefusal& refusal) {
   Entry* entry = FindRunning(request);
-  if (!entry || entry->lineage != lineage)
+  if (!entry || entry->lineage != lineage || entry->accepted)
     return;
   if (refusal.reason == "overloaded") {
     ++entry->refusals;
--- /dev/null
+++ b/test/entry_test.cc
@@ -0,0 +1,788 @@
+#include "trefoilwick/entry.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+
+namespace trefoilwick {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// One entry instance; its actions are collected by kind.
+class Harness {
+ public:
+  explicit Harness(EntryOptions options = {})
+      : m_requests("e0", 42, options, [this](const RouteQuery& query) {
+          queries.push_back(query);
+          return Choose(query);
+        }) {}
+
+  std::string Accept(const std::string& account = "regina-club") {
+    Submission submission;
+    submission.account = account;
+    submission.prompt = "a motion";
+    submission.max_tokens = 4;
+    const std::string id =
+        m_requests.Accept(now, std::move(submission), "debate-70b");
+    Collect();
+    return id;
+  }
+  // Lineage of the last submission.
+  uint64_t lineage() const { return submits.back().submission.lineage; }
+  void Accepted(const std::string& id) {
+    m_requests.OnSubmitAccepted(now, id, lineage());
+    Collect();
+  }
+  void Refused(const std::string& id, const std::string& reason) {
+    m_requests.OnSubmitRefused(now, id, lineage(), {reason, milliseconds(700)});
+    Collect();
+  }
+  void Failed(const std::string& id, bool certainly_not_sent) {
+    m_requests.OnSubmitFailed(now, id, lineage(), certainly_not_sent);
+    Collect();
+  }
+  std::vector<std::string> Deliver(const TokenUpdate& update,
+                                   const std::string& scheduler = "s0") {
+    auto disowned = m_requests.OnDeliver(now, scheduler, {update});
+    Collect();
+    return disowned;
+  }
+  TokenUpdate Update(const std::string& id,
+                     int index,
+                     std::vector<std::string> tokens,
+                     UpdateState state = UpdateState::kRunning) const {
+    TokenUpdate update;
+    update.request = id;
+    update.lineage = lineage();
+    update.index = index;
+    update.tokens = std::move(tokens);
+    update.state = state;
+    return update;
+  }
+  void Lost(const std::string& scheduler = "s0") {
+    m_requests.OnSchedulerLost(now, scheduler);
+    Collect();
+  }
+  void Verified(const std::vector<std::string>& missing) {
+    m_requests.OnVerified(now, "s0", missing);
+    Collect();
+  }
+  void CallerGone(const std::string& id) {
+    m_requests.OnCallerGone(now, id);
+    Collect();
+  }
+  void Abort() {
+    m_requests.Abort(now);
+    Collect();
+  }
+  void Advance(Duration time) {
+    for (const TimePoint end = now + time; now < end; now += milliseconds(50)) {
+      m_requests.OnTick(now);
+      Collect();
+    }
+  }
+  EntryRequests& requests() { return m_requests; }
+  const RequestView& View(const std::string& id) const {
+    const RequestView* view = m_requests.Find(id);
+    CPPUNIT_ASSERT_MESSAGE(id, view != nullptr);
+    return *view;
+  }
+  Outcome OutcomeOf(const std::string& id) const { return View(id).outcome; }
+  size_t Finals(const std::string& id) const {
+    return static_cast<size_t>(std::count_if(
+        updates.begin(), updates.end(), [&](const CallerUpdate& update) {
+          return update.request == id && update.outcome != Outcome::kRunning;
+        }));
+  }
+  // Tokens the caller received, which must follow each other.
+  std::vector<std::string> Received(const std::string& id) const {
+    std::vector<std::string> tokens;
+    for (const CallerUpdate& update : updates) {
+      if (update.request != id || update.tokens.empty())
+        continue;
+      CPPUNIT_ASSERT_EQUAL(static_cast<int>(tokens.size()), update.index);
+      tokens.insert(tokens.end(), update.tokens.begin(), update.tokens.end());
+    }
+    return tokens;
+  }
+
+  TimePoint now{seconds(100)};
+  // Chains that exist, in order of preference; all are scheduled by s0.
+  std::vector<std::string> chains{"c0", "c1"};
+  std::vector<RouteQuery> queries;
+  std::vector<SubmitRequest> submits;
+  std::vector<CancelRequest> cancels;
+  std::vector<VerifyRequests> verifies;
+  std::vector<CallerUpdate> updates;
+
+ private:
+  std::optional<Route> Choose(const RouteQuery& query) const {
+    for (const std::string& chain : chains)
+      if (!query.excluded.contains(chain))
+        return Route{chain, "s0"};
+    return std::nullopt;
+  }
+  void Collect() {
+    for (EntryAction& action : m_requests.TakeActions())
+      std::visit(Overloaded{
+                     [&](SubmitRequest& a) { submits.push_back(a); },
+                     [&](CancelRequest& a) { cancels.push_back(a); },
+                     [&](VerifyRequests& a) { verifies.push_back(a); },
+                     [&](CallerUpdate& a) { updates.push_back(a); },
+                 },
+                 action);
+  }
+
+  EntryRequests m_requests;
+};
+
+// States that a request can be in when an event arrives.
+enum class State : uint8_t {
+  kSubmitted,
+  kAmbiguous,  // an earlier submission may run, the next one is under way
+  kAccepted,
+  kStreaming,
+  kUnrouted,  // accepted work that waits for a chain
+  kFinished,
+};
+inline constexpr auto kStateNames = MakeEnumTable<State>({
+    {State::kSubmitted, "submitted"},
+    {State::kAmbiguous, "ambiguous"},
+    {State::kAccepted, "accepted"},
+    {State::kStreaming, "streaming"},
+    {State::kUnrouted, "unrouted"},
+    {State::kFinished, "finished"},
+});
+
+std::string Bring(Harness& h, State state) {
+  const std::string id = h.Accept();
+  switch (state) {
+    case State::kSubmitted:
+      break;
+    case State::kAmbiguous:
+      h.Failed(id, false);
+      break;
+    case State::kAccepted:
+      h.Accepted(id);
+      break;
+    case State::kStreaming:
+      h.Accepted(id);
+      h.Deliver(h.Update(id, 0, {"t0", "t1"}));
+      break;
+    case State::kUnrouted:
+      h.Accepted(id);
+      h.chains.clear();
+      h.Lost();
+      break;
+    case State::kFinished:
+      h.Accepted(id);
+      h.Deliver(
+          h.Update(id, 0, {"t0", "t1", "t2", "t3"}, UpdateState::kFinished));
+      break;
+  }
+  return id;
+}
+
+class EntryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EntryTest);
+  CPPUNIT_TEST(RequestIdsRoundTrip);
+  CPPUNIT_TEST(EventsInEachState);
+  CPPUNIT_TEST(NotRunOnlyWhenCertain);
+  CPPUNIT_TEST(CallerLearnsOfAcceptanceOnce);
+  CPPUNIT_TEST(TokensJoinOnceInOrder);
+  CPPUNIT_TEST(RestartKeepsReceivedTokens);
+  CPPUNIT_TEST(StaleLineagesAreDropped);
+  CPPUNIT_TEST(ReplacesContinuesTheRequest);
+  CPPUNIT_TEST(AcceptanceAfterReplacedLineage);
+  CPPUNIT_TEST(OtherSchedulersAreDisowned);
+  CPPUNIT_TEST(FailedUpdates);
+  CPPUNIT_TEST(SilentRequestsAreVerified);
+  CPPUNIT_TEST(WaitsForAChain);
+  CPPUNIT_TEST(AttemptsAreBounded);
+  CPPUNIT_TEST(OutcomesAreKeptForAWhile);
+  CPPUNIT_TEST(AbortEndsEverything);
+  CPPUNIT_TEST(RandomSchedules);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against ids whose owner cannot be told, for instance when the name
+  // of an instance has dashes.
+  void RequestIdsRoundTrip() {
+    for (const RequestId& id :
+         {RequestId{"e0", 1, 1}, RequestId{"a-b-c", 1'700'000'000'000'000, 77},
+          RequestId{"x", 0, ~uint64_t{0}}}) {
+      const auto parsed = ParseRequestId(FormatRequestId(id));
+      CPPUNIT_ASSERT(parsed && *parsed == id);
+    }
+    for (const char* text : {"", "-", "a", "a-b", "-1-2", "a-1-", "a--2",
+                             "a-g-1", "a-1-2x", "a-1-11111111111111111"})
+      CPPUNIT_ASSERT_MESSAGE(text, !ParseRequestId(text));
+  }
+
+  // Guards against a wrong outcome, a lost request or a missing resubmission
+  // for any event in any state.
+  void EventsInEachState() {
+    using Event = std::function<void(Harness&, const std::string&)>;
+    struct Expected {
+      Outcome outcome;
+      // Submissions and cancels that the event itself causes.
+      size_t submits;
+      size_t cancels;
+    };
+    struct Case {
+      const char* name;
+      Event event;
+      // One per state, in the order of State.
+      std::array<Expected, 6> expected;
+    };
+    constexpr Outcome kRuns = Outcome::kRunning;
+    constexpr Outcome kDone = Outcome::kFinished;
+    constexpr Outcome kCut = Outcome::kIncomplete;
+    const Case cases[] = {
+        {"accepted",
+         [](Harness& h, const std::string& id) { h.Accepted(id); },
+         {{{kRuns, 0, 0},
+           {kRuns, 0, 0},
+           {kRuns, 0, 0},
+           {kRuns, 0, 0},
+           {kRuns, 0, 0},
+           {kDone, 0, 0}}}},
+        {"certain submit failure",
+         [](Harness& h, const std::string& id) { h.Failed(id, true); },
+         {{{kRuns, 1, 0},
+           {kRuns, 0, 0},
+           {kRuns, 0, 0},
+           {kRuns, 0, 0},
+           {kRuns, 0, 0},
+           {kDone, 0, 0}}}},
+        {"ambiguous submit failure",
+         [](Harness& h, const std::string& id) { h.Failed(id, false); },
+         {{{kRuns, 1, 1},
+           {kRuns, 0, 1},
+           {kRuns, 0, 0},
+           {kRuns, 0, 0},
+           {kRuns, 0, 0},
+           {kDone, 0, 0}}}},
+        {"refused: no_chain",
+         [](Harness& h, const std::string& id) { h.Refused(id, "no_chain"); },
+         {{{kRuns, 1, 0},
+           {kRuns, 0, 0},
+           {kRuns, 0, 0},
+           {kRuns, 0, 0},
+           {kRuns, 0, 0},
+           {kDone, 0, 0}}}},
+        {"scheduler lost",
+         [](Harness& h, const std::string&) { h.Lost(); },
+         {{{kRuns, 1, 1},
+           {kRuns, 0, 1},
+           {kRuns, 1, 1},
+           {kRuns, 1, 1},
+           {kRuns, 0, 0},
+           {kDone, 0, 0}}}},
+        {"another scheduler lost",
+         [](Harness& h, const std::string&) { h.Lost("s9"); },
+         {{{kRuns, 0, 0},
+           {kRuns, 0, 0},
+           {kRuns, 0, 0},
+           {kRuns, 0, 0},
+           {kRuns, 0, 0},
+           {kDone, 0, 0}}}},
+        {"verified missing",
+         [](Harness& h, const std::string& id) { h.Verified({id}); },
+         {{{kRuns, 1, 0},
+           {kRuns, 1, 0},
+           {kRuns, 1, 0},
+           {kRuns, 1, 0},
+           {kRuns, 0, 0},
+           {kDone, 0, 0}}}},
+        {"caller gone",
+         [](Harness& h, const std::string& id) { h.CallerGone(id); },
+         {{{kCut, 0, 1},
+           {kCut, 0, 1},
+           {kCut, 0, 1},
+           {kCut, 0, 1},
+           {kCut, 0, 0},
+           {kDone, 0, 0}}}},
+    };
+    for (const Case& c : cases) {
+      for (const auto& [state, name] : kStateNames.rows()) {
+        Harness h;
+        const std::string id = Bring(h, state);
+        const size_t submits = h.submits.size();
+        const size_t cancels = h.cancels.size();
+        c.event(h, id);
+        const Expected& want = c.expected[static_cast<size_t>(state)];
+        const std::string at =
+            std::string(c.name) + " in state " + std::string(name);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            at, std::string(kOutcomeNames.Name(want.outcome)),
+            std::string(kOutcomeNames.Name(h.OutcomeOf(id))));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(at, want.submits,
+                                     h.submits.size() - submits);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(at, want.cancels,
+                                     h.cancels.size() - cancels);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(at, want.outcome == kRuns ? size_t{0} : 1,
+                                     h.Finals(id));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(at, want.outcome == kRuns ? size_t{1} : 0,
+                                     h.requests().active());
+      }
+    }
+  }
+
+  // Guards invariant 3: not_run is reported only while no submission can have
+  // started, whatever the order of certain and ambiguous events.
+  void NotRunOnlyWhenCertain() {
+    struct Case {
+      const char* name;
+      // c: certain failure, a: ambiguous failure, n: no_chain refusal,
+      // o: overloaded refusal, y: accepted, l: scheduler lost.
+      const char* events;
+      Outcome outcome;
+    };
+    const Case cases[] = {
+        {"no chain", "", Outcome::kNotRun},
+        {"certain failures", "cc", Outcome::kNotRun},
+        {"refusals", "nn", Outcome::kNotRun},
+        {"overloaded twice", "oo", Outcome::kNotRun},
+        {"certain, then refused", "cn", Outcome::kNotRun},
+        {"ambiguous first", "an", Outcome::kIncomplete},
+        {"ambiguous, then certain", "ac", Outcome::kIncomplete},
+        {"certain, then ambiguous", "ca", Outcome::kIncomplete},
+        {"overloaded, then ambiguous", "oa", Outcome::kIncomplete},
+        {"ambiguous, then overloaded twice", "aoo", Outcome::kIncomplete},
+        {"accepted, then lost", "yl", Outcome::kIncomplete},
+        {"lost before an answer", "l", Outcome::kIncomplete},
+    };
+    for (const Case& c : cases) {
+      Harness h;
+      if (*c.events == '\0')
+        h.chains.clear();
+      const std::string id = h.Accept();
+      for (const char* event = c.events; *event != '\0'; ++event) {
+        // Later submissions go out with the retry.
+        if (event != c.events)
+          h.Advance(milliseconds(200));
+        if (event[1] == '\0')
+          h.chains.clear();
+        if (*event == 'c' || *event == 'a')
+          h.Failed(id, *event == 'c');
+        else if (*event == 'n' || *event == 'o')
+          h.Refused(id, *event == 'n' ? "no_chain" : "overloaded");
+        else if (*event == 'y')
+          h.Accepted(id);
+        else
+          h.Lost();
+      }
+      h.Advance(seconds(30));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          c.name, std::string(kOutcomeNames.Name(c.outcome)),
+          std::string(kOutcomeNames.Name(h.OutcomeOf(id))));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(c.name, size_t{1}, h.Finals(id));
+      if (c.outcome == Outcome::kNotRun)
+        CPPUNIT_ASSERT_MESSAGE(c.name,
+                               h.updates.back().retry_after > Duration(0));
+    }
+  }
+
+  // Guards against a caller that is told several times, or never, that its
+  // request runs.
+  void CallerLearnsOfAcceptanceOnce() {
+    Harness h;
+    const std::string id = h.Accept();
+    CPPUNIT_ASSERT(h.updates.empty());
+    h.Accepted(id);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, h.updates.size());
+    h.Lost();
+    h.Accepted(id);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, h.updates.size());
+  }
+
+  // Guards invariant 2 against repeated, overlapping and missing updates.
+  void TokensJoinOnceInOrder() {
+    struct Case {
+      const char* name;
+      int index;
+      std::vector<std::string> tokens;
+      size_t have;
+      bool restarts;
+    };
+    const Case cases[] = {
+        {"next", 2, {"t2"}, 3, false},
+        {"duplicate", 0, {"t0", "t1"}, 2, false},
+        {"overlap", 1, {"t1", "t2"}, 3, false},
+        {"empty", 2, {}, 2, false},
+        {"gap", 3, {"t3"}, 2, true},
+    };
+    for (const Case& c : cases) {
+      Harness h;
+      const std::string id = Bring(h, State::kStreaming);
+      const uint64_t before = h.lineage();
+      h.Deliver(h.Update(id, c.index, c.tokens));
+      const std::vector<std::string> all{"t0", "t1", "t2", "t3"};
+      const std::vector<std::string> want(
+          all.begin(), all.begin() + static_cast<int64_t>(c.have));
+      CPPUNIT_ASSERT_MESSAGE(c.name, h.Received(id) == want);
+      CPPUNIT_ASSERT_MESSAGE(c.name, h.View(id).tokens == want);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(c.name, c.restarts, h.lineage() != before);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(c.name, c.restarts ? size_t{1} : 0,
+                                   h.cancels.size());
+    }
+  }
+
+  // Guards against a resubmission that generates received tokens again.
+  void RestartKeepsReceivedTokens() {
+    Harness h;
+    const std::string id = Bring(h, State::kStreaming);
+    const uint64_t first = h.lineage();
+    h.Lost();
+    const SubmitRequest& again = h.submits.back();
+    CPPUNIT_ASSERT(again.submission.lineage != first);
+    CPPUNIT_ASSERT(
+        (again.submission.tokens == std::vector<std::string>{"t0", "t1"}));
+    CPPUNIT_ASSERT_EQUAL(std::string("c1"), again.route.chain);
+    h.Accepted(id);
+    h.Deliver(h.Update(id, 2, {"t2", "t3"}, UpdateState::kFinished));
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, h.Received(id).size());
+    CPPUNIT_ASSERT(h.OutcomeOf(id) == Outcome::kFinished);
+  }
+
+  // Guards against tokens or failures of an abandoned run that arrive late.
+  void StaleLineagesAreDropped() {
+    for (const UpdateState state :
+         {UpdateState::kRunning, UpdateState::kFinished, UpdateState::kFailed,
+          UpdateState::kQuarantined}) {
+      Harness h;
+      const std::string id = Bring(h, State::kStreaming);
+      const TokenUpdate stale = h.Update(id, 2, {"x2", "x3"}, state);
+      h.Lost();
+      h.Accepted(id);
+      const size_t submits = h.submits.size();
+      h.Deliver(stale);
+      CPPUNIT_ASSERT_EQUAL(size_t{2}, h.Received(id).size());
+      CPPUNIT_ASSERT(h.OutcomeOf(id) == Outcome::kRunning);
+      CPPUNIT_ASSERT_EQUAL(submits, h.submits.size());
+      CPPUNIT_ASSERT_EQUAL(uint64_t{1}, h.requests().dropped_updates());
+    }
+  }
+
+  // Guards the restart of a request inside its scheduler: the chain of
+  // `replaces` must reach the current lineage, and only once.
+  void ReplacesContinuesTheRequest() {
+    Harness h;
+    const std::string id = Bring(h, State::kStreaming);
+    const uint64_t first = h.lineage();
+    TokenUpdate update = h.Update(id, 2, {"t2"});
+    update.lineage = first + 1000;
+    update.replaces = first + 1;
+    h.Deliver(update);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, h.Received(id).size());
+    update.replaces = 0;
+    h.Deliver(update);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, h.Received(id).size());
+    update.replaces = first;
+    h.Deliver(update);
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, h.Received(id).size());
+    h.Deliver(h.Update(id, 3, {"x3"}, UpdateState::kFinished));
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, h.Received(id).size());
+    update.index = 3;
+    update.tokens = {"t3"};
+    update.state = UpdateState::kFinished;
+    h.Deliver(update);
+    CPPUNIT_ASSERT(h.OutcomeOf(id) == Outcome::kFinished);
+  }
+
+  // Guards against an answer to `submit` that arrives after the scheduler
+  // already delivered: a failed call must then not start a second run.
+  void AcceptanceAfterReplacedLineage() {
+    Harness h;
+    const std::string id = h.Accept();
+    h.Deliver(h.Update(id, 0, {"t0"}));
+    h.Failed(id, false);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, h.submits.size());
+    TokenUpdate update = h.Update(id, 1, {"t1"});
+    update.replaces = update.lineage;
+    update.lineage += 1000;
+    h.Deliver(update);
+    h.Accepted(id);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, h.submits.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, h.Received(id).size());
+  }
+
+  // Guards against a scheduler that goes on with a request that moved, and
+  // against its tokens.
+  void OtherSchedulersAreDisowned() {
+    for (const auto& [state, name] : kStateNames.rows()) {
+      Harness h;
+      const std::string id = Bring(h, state);
+      const size_t before = h.Received(id).size();
+      const auto disowned =
+          h.Deliver(h.Update(id, static_cast<int>(before), {"x"}), "s9");
+      CPPUNIT_ASSERT_MESSAGE(std::string(name), !disowned.empty());
+      CPPUNIT_ASSERT_EQUAL(before, h.Received(id).size());
+    }
+    Harness h;
+    Bring(h, State::kAccepted);
+    TokenUpdate unknown = h.Update("e0-2a-999", 0, {"x"});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, h.Deliver(unknown).size());
+  }
+
+  // Guards the meaning of the final states that a scheduler reports.
+  void FailedUpdates() {
+    struct Case {
+      UpdateState state;
+      const char* reason;
+      Outcome outcome;
+      // Chain of the next submission; empty when there is none.
+      const char* next;
+    };
+    const Case cases[] = {
+        {UpdateState::kFinished, "", Outcome::kFinished, ""},
+        {UpdateState::kQuarantined, "quarantined", Outcome::kIncomplete, ""},
+        {UpdateState::kFailed, "chain_lost", Outcome::kRunning, "c1"},
+        {UpdateState::kFailed, "moved", Outcome::kRunning, "c0"},
+    };
+    for (const Case& c : cases) {
+      Harness h;
+      const std::string id = Bring(h, State::kStreaming);
+      TokenUpdate update = h.Update(id, 2, {"t2"}, c.state);
+      update.reason = c.reason;
+      h.Deliver(update);
+      CPPUNIT_ASSERT(h.OutcomeOf(id) == c.outcome);
+      CPPUNIT_ASSERT_EQUAL(size_t{3}, h.Received(id).size());
+      const bool again = h.submits.size() == 2;
+      CPPUNIT_ASSERT_EQUAL(std::string(c.next),
+                           again ? h.submits.back().route.chain : "");
+    }
+  }
+
+  // Guards against a request that waits for ever for a scheduler that dropped
+  // it, and against verifying all the time.
+  void SilentRequestsAreVerified() {
+    Harness h;
+    const std::string id = Bring(h, State::kStreaming);
+    h.Advance(milliseconds(950));
+    CPPUNIT_ASSERT(h.verifies.empty());
+    h.Advance(milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, h.verifies.size());
+    CPPUNIT_ASSERT(h.verifies[0].requests == std::vector<std::string>{id});
+    h.Advance(seconds(5));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, h.verifies.size());
+    h.Verified({});
+    h.Advance(milliseconds(1200));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, h.verifies.size());
+    h.Verified({id});
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, h.submits.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("c0"), h.submits.back().route.chain);
+  }
+
+  // Guards the wait of accepted work for a chain, and its end.
+  void WaitsForAChain() {
+    for (const bool returns : {true, false}) {
+      Harness h;
+      const std::string id = Bring(h, State::kUnrouted);
+      h.Advance(seconds(9));
+      CPPUNIT_ASSERT(h.OutcomeOf(id) == Outcome::kRunning);
+      if (returns)
+        h.chains = {"c0"};
+      h.Advance(seconds(2));
+      CPPUNIT_ASSERT(h.OutcomeOf(id) ==
+                     (returns ? Outcome::kRunning : Outcome::kIncomplete));
+      CPPUNIT_ASSERT_EQUAL(returns ? size_t{2} : 1, h.submits.size());
+    }
+  }
+
+  // Guards against a request that is submitted without end while every chain
+  // fails it.
+  void AttemptsAreBounded() {
+    Harness h;
+    const std::string id = h.Accept();
+    for (int i = 0; i < 20 && h.OutcomeOf(id) == Outcome::kRunning; ++i) {
+      h.Accepted(id);
+      h.Lost();
+      h.Advance(milliseconds(200));
+    }
+    CPPUNIT_ASSERT(h.OutcomeOf(id) == Outcome::kIncomplete);
+    CPPUNIT_ASSERT_EQUAL(size_t{6}, h.submits.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("attempts_exhausted"), h.View(id).reason);
+  }
+
+  // Guards against outcomes that are forgotten early, or kept for ever.
+  void OutcomesAreKeptForAWhile() {
+    Harness h;
+    const std::string done = Bring(h, State::kFinished);
+    const std::string runs = h.Accept();
+    h.Accepted(runs);
+    h.Advance(seconds(59));
+    CPPUNIT_ASSERT(h.OutcomeOf(done) == Outcome::kFinished);
+    h.Advance(seconds(2));
+    CPPUNIT_ASSERT(h.requests().Find(done) == nullptr);
+    CPPUNIT_ASSERT(h.OutcomeOf(runs) == Outcome::kRunning);
+  }
+
+  // Guards the second SIGTERM: everything gets an outcome, and only what
+  // cannot have started is not_run.
+  void AbortEndsEverything() {
+    for (const auto& [state, name] : kStateNames.rows()) {
+      Harness h;
+      const std::string id = Bring(h, state);
+      h.Abort();
+      CPPUNIT_ASSERT_MESSAGE(std::string(name),
+                             h.OutcomeOf(id) == (state == State::kFinished
+                                                     ? Outcome::kFinished
+                                                     : Outcome::kIncomplete));
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, h.Finals(id));
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, h.requests().active());
+    }
+  }
+
+  void RandomSchedules();
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryTest);
+
+// A scheduler that answers, loses, repeats, delays and reorders at random. It
+// generates the tokens t0, t1, ... of each run.
+class RandomScheduler {
+ public:
+  RandomScheduler(Harness& harness, uint64_t seed)
+      : m_h(harness), m_random(seed) {}
+
+  void Step() {
+    for (; m_seen < m_h.submits.size(); ++m_seen)
+      Receive(m_h.submits[m_seen].submission);
+    const uint64_t choice = m_random.Below(100);
+    if (choice < 3)
+      m_h.Lost();
+    else if (choice < 6)
+      m_h.chains = m_h.chains.empty() ? std::vector<std::string>{"c0", "c1"}
+                                      : std::vector<std::string>{};
+    else if (!m_runs.empty())
+      Advance(m_runs[m_random.Below(m_runs.size())]);
+    if (!m_late.empty() && m_random.Below(4) == 0) {
+      const size_t pick = m_random.Below(m_late.size());
+      m_h.Deliver(m_late[pick]);
+      if (m_random.Below(2) == 0)
+        m_late.erase(m_late.begin() + static_cast<int64_t>(pick));
+    }
+    Answer();
+    m_h.Advance(milliseconds(50));
+  }
+  // Requests that some run started.
+  std::set<std::string> ran;
+
+ private:
+  struct Run {
+    Submission submission;
+    uint64_t lineage = 0;
+    uint64_t replaces = 0;
+    int next = 0;
+  };
+
+  void Receive(const Submission& submission) {
+    const uint64_t fate = m_random.Below(10);
+    const std::string id = submission.request;
+    if (fate == 0)
+      return m_h.Failed(id, true);
+    if (fate == 1)
+      return m_h.Refused(id,
+                         m_random.Below(2) == 0 ? "overloaded" : "no_chain");
+    if (fate > 2) {
+      ran.insert(id);
+      m_runs.push_back({submission, submission.lineage, 0,
+                        static_cast<int>(submission.tokens.size())});
+    }
+    if (fate == 2 || fate == 3)
+      m_h.Failed(id, false);
+    else
+      m_h.Accepted(id);
+  }
+
+  void Advance(Run& run) {
+    TokenUpdate update;
+    update.request = run.submission.request;
+    if (m_random.Below(12) == 0) {
+      run.replaces = run.lineage;
+      run.lineage = 0x7000'0000'0000'0000 + ++m_lineages;
+    }
+    update.lineage = run.lineage;
+    update.replaces = run.replaces;
+    update.index = run.next;
+    if (run.next >= run.submission.max_tokens)
+      return;
+    update.tokens.push_back("t" + std::to_string(run.next++));
+    if (run.next == run.submission.max_tokens)
+      update.state = UpdateState::kFinished;
+    else if (m_random.Below(20) == 0)
+      update.state = UpdateState::kFailed;
+    const uint64_t fate = m_random.Below(10);
+    if (fate > 0)
+      m_h.Deliver(update);
+    if (fate < 3)
+      m_late.push_back(update);
+  }
+
+  // Answers verifications: what has no run, or ended, is missing.
+  void Answer() {
+    for (; m_verified < m_h.verifies.size(); ++m_verified) {
+      std::vector<std::string> missing;
+      for (const std::string& id : m_h.verifies[m_verified].requests)
+        if (m_random.Below(3) > 0)
+          missing.push_back(id);
+      m_h.Verified(missing);
+    }
+  }
+
+  Harness& m_h;
+  Random m_random;
+  size_t m_seen = 0;
+  size_t m_verified = 0;
+  uint64_t m_lineages = 0;
+  std::vector<Run> m_runs;
+  std::vector<TokenUpdate> m_late;
+};
+
+// Guards the invariants of a request under any order of events: one outcome,
+// tokens in order and once, a finished answer is whole, not_run never ran.
+void EntryTest::RandomSchedules() {
+  int outcomes[4] = {};
+  for (uint64_t seed = 1; seed <= 400; ++seed) {
+    const std::string at = "seed " + std::to_string(seed);
+    Harness h;
+    RandomScheduler scheduler(h, seed);
+    std::vector<std::string> ids;
+    for (int step = 0; step < 2000; ++step) {
+      if (step < 60 && step % 10 == 0)
+        ids.push_back(h.Accept());
+      if (step == 700)
+        h.chains = {"c0", "c1"};
+      scheduler.Step();
+      if (step > 60 && h.requests().active() == 0)
+        break;
+    }
+    for (const std::string& id : ids) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(at, size_t{1}, h.Finals(id));
+      const auto received = h.Received(id);
+      for (size_t i = 0; i < received.size(); ++i)
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(at, "t" + std::to_string(i), received[i]);
+      for (const CallerUpdate& update : h.updates) {
+        if (update.request != id || update.outcome == Outcome::kRunning)
+          continue;
+        ++outcomes[static_cast<size_t>(update.outcome) % 4];
+        if (update.outcome == Outcome::kFinished)
+          CPPUNIT_ASSERT_EQUAL_MESSAGE(at, size_t{4}, received.size());
+        if (update.outcome == Outcome::kNotRun)
+          CPPUNIT_ASSERT_MESSAGE(at, !scheduler.ran.contains(id));
+      }
+    }
+  }
+  // The runs must reach every outcome, or they show little.
+  CPPUNIT_ASSERT(outcomes[static_cast<size_t>(Outcome::kFinished)] > 100);
+  CPPUNIT_ASSERT(outcomes[static_cast<size_t>(Outcome::kIncomplete)] > 20);
+  CPPUNIT_ASSERT(outcomes[static_cast<size_t>(Outcome::kNotRun)] > 20);
+}
+
+}  // namespace
+}  // namespace trefoilwick
