--- /dev/null
+++ b/tools/bench_capacity.cc
@@ -0,0 +1,282 @@
+// Measures of the path and of capacity: added latency, CPU, throughput and
+// backend calls.
+#include <algorithm>
+#include <sstream>
+#include <thread>
+
+#include "answer.h"
+#include "bench_direct.h"
+#include "bench_experiment.h"
+
+namespace trefoilwick::bench {
+
+using nlohmann::json;
+
+namespace {
+
+// Part of a load phase before its window of measurement.
+constexpr double kWarmUp = 0.3;
+constexpr double kIdleSeconds = 1.5;
+
+std::vector<double> Gaps(const Record& record) {
+  std::vector<double> gaps;
+  for (size_t i = 1; i < record.times.size(); ++i)
+    gaps.push_back(record.times[i] - record.times[i - 1]);
+  return gaps;
+}
+
+void Append(std::vector<double>& all, const std::vector<double>& more) {
+  all.insert(all.end(), more.begin(), more.end());
+}
+
+// The index of the chain that ran a request, from the engines' journals.
+std::map<std::string, size_t> ChainsOfRequests(
+    const Fleet& fleet,
+    const std::vector<ChainInfo>& chains) {
+  std::map<std::string, size_t> found;
+  for (size_t i = 0; i < chains.size(); ++i) {
+    const Process& stage = fleet.Find(chains[i].stages.front());
+    std::istringstream lines(
+        Fetch({stage.address, "GET", "/journal?clear=1", "", ""}).body);
+    std::string line;
+    while (std::getline(lines, line)) {
+      const json event = json::parse(line, nullptr, false);
+      if (event.is_object())
+        found[event.value("request", "")] = i;
+    }
+  }
+  return found;
+}
+
+// Median gap of the direct run of each job on each chain.
+struct Samples {
+  std::vector<double> first_path;
+  std::vector<double> first_direct;
+  std::vector<double> gaps_path;
+  std::vector<double> gaps_direct;
+  std::vector<double> first_added;
+  std::vector<double> gap_added;
+};
+
+void Pair(const Record& path, const Record& direct, Samples& samples) {
+  samples.first_path.push_back(path.first_token());
+  samples.first_direct.push_back(direct.first_token());
+  samples.first_added.push_back(path.first_token() - direct.first_token());
+  const auto path_gaps = Gaps(path);
+  const auto direct_gaps = Gaps(direct);
+  Append(samples.gaps_path, path_gaps);
+  Append(samples.gaps_direct, direct_gaps);
+  for (size_t i = 0; i < std::min(path_gaps.size(), direct_gaps.size()); ++i)
+    samples.gap_added.push_back(path_gaps[i] - direct_gaps[i]);
+}
+
+double DifferenceMs(const std::vector<double>& a,
+                    const std::vector<double>& b,
+                    double part) {
+  return (Quantile(a, part) - Quantile(b, part)) * 1e3;
+}
+
+json Quantiles(const std::vector<double>& values) {
+  return {{"samples", values.size()},
+          {"p50_ms", Quantile(values, 0.5) * 1e3},
+          {"p95_ms", Quantile(values, 0.95) * 1e3},
+          {"p99_ms", Quantile(values, 0.99) * 1e3}};
+}
+
+void ReportAdded(Report& report, const Samples& s) {
+  const std::string note = "difference of the quantiles, one request at a time";
+  report.Add("first token: added per request, p50",
+             DifferenceMs(s.first_path, s.first_direct, 0.5), "ms", 1, true,
+             note);
+  report.Add("first token: added per request, p99",
+             DifferenceMs(s.first_path, s.first_direct, 0.99), "ms", 5, true,
+             note);
+  report.Add("added per token, p99",
+             DifferenceMs(s.gaps_path, s.gaps_direct, 0.99), "ms", 3, true,
+             note);
+  report.details["first_token_path"] = Quantiles(s.first_path);
+  report.details["first_token_direct"] = Quantiles(s.first_direct);
+  report.details["first_token_added_paired"] = Quantiles(s.first_added);
+  report.details["gap_path"] = Quantiles(s.gaps_path);
+  report.details["gap_direct"] = Quantiles(s.gaps_direct);
+  report.details["gap_added_paired"] = Quantiles(s.gap_added);
+}
+
+double TokensOf(const std::vector<Record>& records) {
+  double tokens = 0;
+  for (const Record& record : records)
+    tokens += static_cast<double>(record.times.size());
+  return tokens;
+}
+
+// Cores that the entries use without requests.
+double IdleEntryCores(const Fleet& fleet) {
+  const double before = fleet.EntryCpuSeconds();
+  std::this_thread::sleep_for(std::chrono::duration<double>(kIdleSeconds));
+  return (fleet.EntryCpuSeconds() - before) / kIdleSeconds;
+}
+
+std::vector<Job> DirectJobs(Context& context) {
+  const Work& urgent = context.scenario.FindWork(Rank::kUrgent);
+  Work work = urgent;
+  work.answer = {20, 0, 20};
+  // Arrivals at any rate: the jobs are run one at a time.
+  auto jobs = MakeJobs(
+      context.scenario,
+      {{work, 4000.0 * context.direct_jobs, 0, 1, context.scenario.accounts}},
+      context.seed);
+  jobs.resize(std::min(jobs.size(), static_cast<size_t>(context.direct_jobs)));
+  return jobs;
+}
+
+// Throughput and bound for the mix that was served in the window.
+void ReportThroughput(Context& context,
+                      const std::vector<Record>& records,
+                      double begin,
+                      double end) {
+  double tokens = 0;
+  double prompt = 0;
+  for (const Record& record : records) {
+    tokens += TokensIn(record, begin, end);
+    if (!record.times.empty() && record.times[0] >= begin &&
+        record.times[0] < end)
+      prompt += static_cast<double>(SplitWords(record.job.prompt).size());
+  }
+  const double bound =
+      tokens == 0 ? 0 : FleetBound(context.fleet, prompt / tokens);
+  const double throughput = tokens / (end - begin);
+  Report& report = context.report;
+  report.details["bound_tokens_per_second"] = bound;
+  report.details["tokens_per_second"] = throughput;
+  report.Add("throughput / bound", bound == 0 ? 0 : throughput / bound, "",
+             0.95, false);
+}
+
+}  // namespace
+
+void RunAdded(Context& context) {
+  const auto jobs = DirectJobs(context);
+  const auto chains = context.fleet.Chains();
+  const double idle = IdleEntryCores(context.fleet);
+  RunOptions options;
+  options.concurrency = 1;
+  options.seconds = 60;
+  // Connections and claims are not part of the measure.
+  RunJobs(context, {jobs.begin(), jobs.begin() + 3}, options);
+  const auto direct = RunDirect(context.fleet, chains, jobs);
+  ChainsOfRequests(context.fleet, chains);
+  const double cpu = context.fleet.EntryCpuSeconds();
+  const auto start = std::chrono::steady_clock::now();
+  const auto records = RunJobs(context, jobs, options);
+  const double wall =
+      std::chrono::duration<double>(std::chrono::steady_clock::now() - start)
+          .count();
+  const double used = context.fleet.EntryCpuSeconds() - cpu;
+  const auto chain_of = ChainsOfRequests(context.fleet, chains);
+  Samples samples;
+  for (size_t i = 0; i < records.size(); ++i) {
+    const auto chain = chain_of.find(records[i].request_id);
+    if (chain == chain_of.end() || !records[i].finished() ||
+        !direct[chain->second][i].finished())
+      continue;
+    Pair(records[i], direct[chain->second][i], samples);
+  }
+  ReportAdded(context.report, samples);
+  const double tokens = TokensOf(records);
+  context.report.details["entry_idle_cores"] = idle;
+  context.report.details["entry_cpu_us_per_token_light"] = used / tokens * 1e6;
+  context.report.details["entry_cpu_us_per_token_light_without_idle"] =
+      (used - idle * wall) / tokens * 1e6;
+}
+
+void RunSaturation(Context& context) {
+  const double seconds = context.seconds * 1.5;
+  const double offered = 1.3 * MixedBound(context);
+  RunOptions options;
+  options.drain_seconds = 0.1;
+  const double cpu = context.fleet.EntryCpuSeconds();
+  const auto records =
+      RunLoad(context, MixedFlows(context.scenario, offered, seconds), options);
+  const double used = context.fleet.EntryCpuSeconds() - cpu;
+  ReportThroughput(context, records, seconds * kWarmUp, seconds);
+  context.report.details["offered_tokens_per_second"] = offered;
+  context.report.details["entry_cpu_us_per_token"] =
+      used / TokensOf(records) * 1e6;
+}
+
+void RunSteadyLoad(Context& context) {
+  const double seconds = context.seconds * 1.5;
+  const double offered = 0.7 * MixedBound(context);
+  const double cpu = context.fleet.EntryCpuSeconds();
+  const auto records = RunLoad(
+      context, MixedFlows(context.scenario, offered, seconds), RunOptions());
+  const double used = context.fleet.EntryCpuSeconds() - cpu;
+  std::vector<double> first;
+  std::vector<double> gaps;
+  json by_rank = json::object();
+  for (const Work& work : context.scenario.works) {
+    std::vector<double> rank_first;
+    std::vector<double> rank_gaps;
+    for (const Record& record : records) {
+      if (record.job.rank != work.rank || record.times.empty() ||
+          record.job.at < seconds * kWarmUp)
+        continue;
+      rank_first.push_back(record.first_token());
+      Append(rank_gaps, Gaps(record));
+    }
+    by_rank[work.kind] = {{"first_token", Quantiles(rank_first)},
+                          {"between_tokens", Quantiles(rank_gaps)}};
+    Append(first, rank_first);
+    Append(gaps, rank_gaps);
+  }
+  Report& report = context.report;
+  report.Add("first token at 70% load, p95", Quantile(first, 0.95) * 1e3, "ms",
+             340);
+  report.Add("between tokens at 70% load, p95", Quantile(gaps, 0.95) * 1e3,
+             "ms", 31);
+  report.Add("CPU of all entries per token at 70% load",
+             used / TokensOf(records) * 1e6, "us", 200);
+  report.details["offered_tokens_per_second"] = offered;
+  report.details["by_kind"] = by_rank;
+}
+
+void RunCallRate(Context& context) {
+  Work work = context.scenario.FindWork(Rank::kOrdinary);
+  work.answer = {60, 0.2, 120};
+  work.prompt = {10, 0.2, 20};
+  const int low = 4 * static_cast<int>(context.fleet.Chains().size());
+  std::vector<double> rates;
+  for (const int concurrency : {low, 10 * low}) {
+    const double count = 20'000;
+    auto jobs = MakeJobs(context.scenario,
+                         {{work, count * MeanLength(work.answer), 0, 1,
+                           context.scenario.accounts}},
+                         context.seed);
+    RunOptions options;
+    options.concurrency = concurrency;
+    options.seconds = context.seconds;
+    double calls = 0;
+    const double begin = context.seconds * kWarmUp;
+    const double end = context.seconds * 0.95;
+    const auto sample = [&](double sign) {
+      return [&, sign] {
+        calls += sign * context.fleet.Counter("trefoilwick_steps_total");
+      };
+    };
+    options.events = {{begin, sample(-1)}, {end, sample(1)}};
+    const auto records = RunJobs(context, std::move(jobs), options);
+    rates.push_back(calls / (end - begin));
+    double tokens = 0;
+    for (const Record& record : records)
+      tokens += TokensIn(record, begin, end);
+    context.report.details["concurrency"].push_back(
+        {{"requests", concurrency},
+         {"calls_per_second", rates.back()},
+         {"tokens_per_second", tokens / (end - begin)}});
+  }
+  context.report.Add("backend calls/s, 10 times the concurrency / 1 time",
+                     rates[0] == 0 ? 0 : rates[1] / rates[0], "", 1.1, true,
+                     "flat: at most 10% more");
+}
+
+}  // namespace trefoilwick::bench
--- /dev/null
+++ b/tools/bench_client.h
@@ -0,0 +1,71 @@
+// Event-driven HTTP client of the load tool. One thread serves hundreds of
+// streams; the HTTP library's own client costs 400-590 us of CPU a call.
+#pragma once
+
+// Boost.Asio 1.74 uses std::exchange without its header.
+#include <utility>
+
+#include <boost/asio.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace trefoilwick::bench {
+
+enum class CallEnd : uint8_t {
+  // The whole response was read.
+  kComplete,
+  // Nothing was sent: no connection.
+  kNotConnected,
+  // The connection ended early.
+  kBroken,
+};
+
+struct Call {
+  std::string address;
+  std::string method = "POST";
+  std::string path;
+  // Bearer key; empty for none.
+  std::string key;
+  std::string body;
+};
+
+// All are optional. on_end is called once, unless the call is cancelled.
+struct CallHandlers {
+  std::function<void(int status, const std::string& request_id)> on_headers;
+  std::function<void(std::string_view data)> on_data;
+  std::function<void(CallEnd)> on_end;
+};
+
+// Keeps idle connections per address. Not thread-safe: everything runs in
+// handlers of the io_context.
+class Client {
+ public:
+  class Exchange;
+  explicit Client(boost::asio::io_context& io) : m_io(io) {}
+  std::shared_ptr<Exchange> Send(Call call, CallHandlers handlers);
+  // Closes the connection of a call; no handler is called any more.
+  static void Cancel(const std::shared_ptr<Exchange>& exchange);
+
+ private:
+  using Socket = boost::asio::ip::tcp::socket;
+  boost::asio::io_context& m_io;
+  std::map<std::string, std::vector<Socket>> m_idle;
+};
+
+struct Reply {
+  // 0: no answer.
+  int status = 0;
+  std::string body;
+};
+
+// A blocking call with a deadline of a few seconds.
+Reply Fetch(const Call& call);
+
+// "http://host:port" or "host:port" to "host:port".
+std::string AddressOf(const std::string& url);
+
+}  // namespace trefoilwick::bench
--- /dev/null
+++ b/tools/bench_experiment.cc
@@ -0,0 +1,222 @@
+#include "bench_experiment.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <numeric>
+#include <thread>
+
+#include "answer.h"
+#include "trefoilwick/pipeline.h"
+
+namespace trefoilwick::bench {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr double kTimelineStep = 0.1;
+constexpr std::chrono::seconds kOutcomeWait{15};
+
+double PromptTokens(const Length& length) {
+  // Every prompt ends with a word that makes it unique.
+  return MeanLength(length) + 1;
+}
+
+// Asks the other entries for the outcome of requests whose entry went away.
+void ResolveOutcomes(const Context& context, std::vector<Record>& records) {
+  const auto deadline = std::chrono::steady_clock::now() + kOutcomeWait;
+  for (Record& record : records) {
+    if (record.outcome != CallerOutcome::kNoOutcome ||
+        record.request_id.empty())
+      continue;
+    while (record.outcome == CallerOutcome::kNoOutcome &&
+           std::chrono::steady_clock::now() < deadline) {
+      const auto entries = context.fleet.WithRole("entry");
+      if (entries.empty())
+        return;
+      const Reply reply = Fetch({entries.front().address, "GET",
+                                 "/v1/requests/" + record.request_id,
+                                 "key-" + record.job.account, ""});
+      const json body = json::parse(reply.body, nullptr, false);
+      const auto outcome =
+          body.is_object()
+              ? kCallerOutcomeNames.Parse(body.value("outcome", std::string()))
+              : std::nullopt;
+      if (reply.status == 200 && outcome)
+        record.outcome = *outcome;
+      else
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    }
+  }
+}
+
+void CheckRecords(Context& context, const std::vector<Record>& records) {
+  json outcomes = json::object();
+  json reasons = json::object();
+  double wrong = 0;
+  double without = 0;
+  double unanswered = 0;
+  double late = 0;
+  for (const Record& record : records) {
+    const std::string name(kCallerOutcomeNames.Name(record.outcome));
+    outcomes[name] = outcomes.value(name, 0) + 1;
+    if (!record.reason.empty())
+      reasons[record.reason] = reasons.value(record.reason, 0) + 1;
+    wrong += record.wrong ? 1 : 0;
+    without += record.outcome == CallerOutcome::kNoOutcome ? 1 : 0;
+    unanswered += record.outcome == CallerOutcome::kNoAnswer ? 1 : 0;
+    late = std::max(late, record.sent - record.job.at);
+  }
+  context.report.details["runs"].push_back(
+      {{"requests", records.size()},
+       {"outcomes", outcomes},
+       {"reasons", reasons},
+       {"largest_delay_of_sending_s", late}});
+  context.report.Add("wrong answers", wrong, "", 0);
+  context.report.Add("accepted requests without an outcome", without, "", 0);
+  if (unanswered > 0)
+    context.report.details["requests_without_an_answer"] = unanswered;
+}
+
+}  // namespace
+
+const std::vector<Experiment>& Experiments() {
+  static const std::vector<Experiment> kExperiments = {
+      {"added", RunAdded, "latency and CPU added to direct calls"},
+      {"saturation", RunSaturation, "throughput against the fleet's bound"},
+      {"steady", RunSteadyLoad, "latency at 70% of the bound"},
+      {"calls", RunCallRate, "backend calls as concurrency grows tenfold"},
+      {"batch-flood", RunBatchFlood, "ten times the capacity of batch work"},
+      {"urgent-flood", RunUrgentFlood, "ten times the capacity of urgent work"},
+      {"large-account", RunLargeAccount, "one account asks 50 times its share"},
+      {"backlog", RunBacklog, "service of backlogged accounts"},
+      {"retries", RunRetries, "a third of the engines answer with errors"},
+      {"stage-loss", RunStageLoss, "a stage is killed"},
+      {"entry-loss", RunEntryLoss, "an entry is killed"},
+      {"center-loss", RunCenterLoss, "a data center is killed"},
+  };
+  return kExperiments;
+}
+
+void Report::Add(const std::string& name,
+                 double figure,
+                 const std::string& unit,
+                 double target,
+                 bool at_most,
+                 const std::string& note) {
+  // Checks of several runs of one experiment add up.
+  for (Measure& measure : measures) {
+    if (measure.name == name) {
+      measure.figure += figure;
+      return;
+    }
+  }
+  measures.push_back({name, figure, unit, target, at_most, note});
+}
+
+double Quantile(std::vector<double> values, double part) {
+  if (values.empty())
+    return 0;
+  const auto at =
+      static_cast<size_t>(std::ceil(part * static_cast<double>(values.size())));
+  const size_t index = std::min(values.size() - 1, at == 0 ? 0 : at - 1);
+  std::nth_element(values.begin(), values.begin() + static_cast<long>(index),
+                   values.end());
+  return values[index];
+}
+
+double Jain(const std::vector<double>& values) {
+  double sum = 0;
+  double squares = 0;
+  for (const double value : values) {
+    sum += value;
+    squares += value * value;
+  }
+  return squares == 0
+             ? 0
+             : sum * sum / (static_cast<double>(values.size()) * squares);
+}
+
+double ChainBound(const Fleet& fleet,
+                  const ChainInfo& chain,
+                  double prompt_per_token) {
+  const double batch = ChainSchedulerOptions().max_batch;
+  double bound = INFINITY;
+  for (const std::string& id : chain.stages) {
+    const EngineCosts& costs = fleet.Find(id).costs;
+    const double us = costs.base_us / batch + costs.per_sequence_us +
+                      costs.per_prefill_token_us * prompt_per_token;
+    bound = std::min(bound, 1e6 / us);
+  }
+  return bound;
+}
+
+double FleetBound(const Fleet& fleet, double prompt_per_token) {
+  double sum = 0;
+  for (const ChainInfo& chain : fleet.Chains())
+    sum += ChainBound(fleet, chain, prompt_per_token);
+  return sum;
+}
+
+double FleetBound(const Context& context, const Work& work) {
+  return FleetBound(context.fleet,
+                    PromptTokens(work.prompt) / MeanLength(work.answer));
+}
+
+double MixedBound(const Context& context) {
+  double prompt_per_token = 0;
+  for (const Work& work : context.scenario.works)
+    prompt_per_token +=
+        work.share * PromptTokens(work.prompt) / MeanLength(work.answer);
+  return FleetBound(context.fleet, prompt_per_token);
+}
+
+std::vector<Record> RunJobs(Context& context,
+                            std::vector<Job> jobs,
+                            const RunOptions& options) {
+  LoadRunner runner(context.scenario.model, context.fleet.OfferedEntries());
+  std::vector<Record> records = runner.Run(std::move(jobs), options);
+  ResolveOutcomes(context, records);
+  CheckRecords(context, records);
+  context.report.timeline = Timeline(records);
+  return records;
+}
+
+std::vector<Record> RunLoad(Context& context,
+                            const std::vector<Flow>& flows,
+                            const RunOptions& options) {
+  return RunJobs(context, MakeJobs(context.scenario, flows, context.seed),
+                 options);
+}
+
+double TokensIn(const Record& record, double begin, double end) {
+  const auto from =
+      std::lower_bound(record.times.begin(), record.times.end(), begin);
+  return static_cast<double>(std::lower_bound(from, record.times.end(), end) -
+                             from);
+}
+
+double ServiceIn(const Record& record, double begin, double end) {
+  double service = TokensIn(record, begin, end);
+  if (!record.times.empty() && record.times[0] >= begin &&
+      record.times[0] < end)
+    service += ChainSchedulerOptions().prefill_cost *
+               static_cast<double>(SplitWords(record.job.prompt).size());
+  return service;
+}
+
+std::vector<double> Timeline(const std::vector<Record>& records) {
+  std::vector<double> counts;
+  for (const Record& record : records) {
+    for (const double time : record.times) {
+      const auto at = static_cast<size_t>(time / kTimelineStep);
+      if (at >= counts.size())
+        counts.resize(at + 1);
+      counts[at] += 1;
+    }
+  }
+  return counts;
+}
+
+}  // namespace trefoilwick::bench
--- /dev/null
+++ b/tools/bench_experiment.h
@@ -0,0 +1,111 @@
+// Experiments and what they share. Each adds measures to the report.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "bench_fleet.h"
+#include "bench_load.h"
+#include "bench_scenario.h"
+
+namespace trefoilwick::bench {
+
+struct Measure {
+  std::string name;
+  double figure = 0;
+  std::string unit;
+  // Of docs/design.md, section 1.6.
+  double target = 0;
+  // Whether the figure must be at most the target, else at least.
+  bool at_most = true;
+  std::string note;
+
+  bool passes() const { return at_most ? figure <= target : figure >= target; }
+};
+
+// Resources used during an experiment.
+struct Usage {
+  double load_average = 0;
+  double machine_cores = 0;
+  double bench_cores = 0;
+};
+
+struct Report {
+  std::string experiment;
+  std::vector<Measure> measures;
+  nlohmann::json details = nlohmann::json::object();
+  // Tokens received in intervals of 100 ms, for the plot.
+  std::vector<double> timeline;
+
+  void Add(const std::string& name,
+           double figure,
+           const std::string& unit,
+           double target,
+           bool at_most = true,
+           const std::string& note = "");
+};
+
+struct Context {
+  Fleet& fleet;
+  Scenario scenario;
+  uint64_t seed = 1;
+  // Length of a load phase.
+  double seconds = 6;
+  // Requests driven one at a time.
+  int direct_jobs = 20;
+  Report report;
+};
+
+// Names and functions of all experiments, in the order of docs/measurements.md.
+struct Experiment {
+  const char* name;
+  void (*run)(Context&);
+  const char* description;
+};
+const std::vector<Experiment>& Experiments();
+
+void RunAdded(Context& context);
+void RunSaturation(Context& context);
+void RunSteadyLoad(Context& context);
+void RunCallRate(Context& context);
+void RunBatchFlood(Context& context);
+void RunUrgentFlood(Context& context);
+void RunLargeAccount(Context& context);
+void RunBacklog(Context& context);
+void RunStageLoss(Context& context);
+void RunEntryLoss(Context& context);
+void RunCenterLoss(Context& context);
+void RunRetries(Context& context);
+
+// `part` is in [0, 1]; 0 when there are no values.
+double Quantile(std::vector<double> values, double part);
+double Jain(const std::vector<double>& values);
+
+// Tokens a second that a chain can give: that of its slowest stage with full
+// batches, when every generated token comes with so many prompt tokens.
+double ChainBound(const Fleet& fleet,
+                  const ChainInfo& chain,
+                  double prompt_per_token);
+double FleetBound(const Fleet& fleet, double prompt_per_token);
+double FleetBound(const Context& context, const Work& work);
+// For the works of the scenario at their shares.
+double MixedBound(const Context& context);
+
+// Runs the flows and checks every answer; adds the checks to the report and
+// keeps the timeline.
+std::vector<Record> RunLoad(Context& context,
+                            const std::vector<Flow>& flows,
+                            const RunOptions& options);
+std::vector<Record> RunJobs(Context& context,
+                            std::vector<Job> jobs,
+                            const RunOptions& options);
+
+// Tokens received in [begin, end), and the service of them: generated tokens
+// and a tenth of the prompt, as the scheduler charges.
+double TokensIn(const Record& record, double begin, double end);
+double ServiceIn(const Record& record, double begin, double end);
+
+std::vector<double> Timeline(const std::vector<Record>& records);
+
+}  // namespace trefoilwick::bench
--- /dev/null
+++ b/tools/bench_faults.cc
@@ -0,0 +1,230 @@
+// Measures of recovery and of retries.
+#include <algorithm>
+#include <cmath>
+#include <thread>
+
+#include "bench_experiment.h"
+
+namespace trefoilwick::bench {
+
+using nlohmann::json;
+
+namespace {
+
+// Window over which throughput is judged.
+constexpr double kWindow = 0.5;
+constexpr double kStep = 0.05;
+// The platform takes a dead instance off its list after this time.
+constexpr std::chrono::seconds kListLag{2};
+
+double Throughput(const std::vector<Record>& records,
+                  double begin,
+                  double end) {
+  double tokens = 0;
+  for (const Record& record : records)
+    tokens += TokensIn(record, begin, end);
+  return tokens / (end - begin);
+}
+
+// Arrivals at even distances and answers of one length, so that the throughput
+// has no noise of its own.
+std::vector<Job> EvenJobs(const Context& context, double load, double seconds) {
+  Work work = context.scenario.FindWork(Rank::kOrdinary);
+  work.answer = {30, 0, 30};
+  work.prompt = {20, 0, 20};
+  const double rate = load * FleetBound(context, work) / work.answer.median;
+  auto jobs = MakeJobs(context.scenario,
+                       {{work, 2 * rate * work.answer.median, 0, seconds,
+                         context.scenario.accounts}},
+                       context.seed);
+  jobs.resize(std::min(jobs.size(), static_cast<size_t>(rate * seconds)));
+  for (size_t i = 0; i < jobs.size(); ++i)
+    jobs[i].at = static_cast<double>(i) / rate;
+  return jobs;
+}
+
+// Time from `at` until the next token of each answer that was in progress.
+std::vector<double> Interruptions(const std::vector<Record>& records,
+                                  double at) {
+  std::vector<double> waits;
+  for (const Record& record : records) {
+    if (record.times.empty() || record.times.front() >= at)
+      continue;
+    const auto next =
+        std::lower_bound(record.times.begin(), record.times.end(), at);
+    if (next != record.times.end())
+      waits.push_back(*next - at);
+  }
+  return waits;
+}
+
+// Time after `at` from which on the throughput of windows stays at 95% of what
+// it was; infinite when it does not.
+double TimeToThroughput(const std::vector<Record>& records,
+                        double at,
+                        double end) {
+  const double before = Throughput(records, at - 2, at);
+  double recovered = INFINITY;
+  for (double t = end - kWindow; t >= at; t -= kStep) {
+    if (Throughput(records, t, t + kWindow) < 0.95 * before)
+      break;
+    recovered = t - at;
+  }
+  return recovered;
+}
+
+void ReportLoss(Context& context,
+                const std::string& what,
+                const std::vector<Process>& lost,
+                double load) {
+  const double kill_at = 3;
+  const double seconds = kill_at + std::max(6.0, context.seconds);
+  double killed = kill_at;
+  RunOptions options;
+  std::chrono::steady_clock::time_point start;
+  options.events = {{0, [&] { start = std::chrono::steady_clock::now(); }},
+                    {kill_at, [&] {
+                       for (const Process& process : lost)
+                         context.fleet.Kill(process);
+                       killed = std::chrono::duration<double>(
+                                    std::chrono::steady_clock::now() - start)
+                                    .count();
+                       std::this_thread::sleep_for(kListLag);
+                       for (const Process& process : lost)
+                         context.fleet.Unlist(process);
+                     }}};
+  const auto records =
+      RunJobs(context, EvenJobs(context, load, seconds), options);
+  const auto waits = Interruptions(records, killed);
+  Report& report = context.report;
+  report.Add(what + " lost: to the next token, p95 of the answers in progress",
+             Quantile(waits, 0.95), "s", 1, true, "since the loss");
+  report.Add(what + " lost: to 95% of throughput",
+             TimeToThroughput(records, killed, seconds - 0.5), "s", 3, true,
+             "since the loss");
+  std::vector<double> first;
+  for (const Record& record : records)
+    if (record.job.at >= killed && record.job.at < killed + 2 &&
+        !record.times.empty())
+      first.push_back(record.first_token());
+  report.details["in_progress"] = waits.size();
+  report.details["next_token_max_s"] = Quantile(waits, 1);
+  report.details["next_token_p50_s"] = Quantile(waits, 0.5);
+  report.details["new_requests_first_token_p95_s"] = Quantile(first, 0.95);
+  report.details["tokens_per_second_before"] =
+      Throughput(records, kill_at - 2, kill_at);
+  report.details["tokens_per_second_at_end"] =
+      Throughput(records, seconds - 2, seconds - 0.5);
+}
+
+// Every third engine of each range of layers.
+std::vector<Process> ThirdOfEngines(const Fleet& fleet) {
+  std::map<std::vector<int>, size_t> seen;
+  std::vector<Process> chosen;
+  for (const Process& engine : fleet.WithRole("engine"))
+    if (seen[engine.layers]++ % 3 == 2)
+      chosen.push_back(engine);
+  return chosen;
+}
+
+struct Calls {
+  double steps = 0;
+  double items = 0;
+  double failures = 0;
+  double submissions = 0;
+};
+
+Calls ReadCalls(const Fleet& fleet) {
+  return {fleet.Counter("trefoilwick_steps_total"),
+          fleet.Counter("trefoilwick_step_items_total"),
+          fleet.Counter("trefoilwick_step_failures_total"),
+          fleet.Counter("trefoilwick_submissions_total")};
+}
+
+}  // namespace
+
+void RunStageLoss(Context& context) {
+  const auto chains = context.fleet.Chains();
+  if (chains.empty())
+    return;
+  // A spare exists for the first ranges of layers.
+  ReportLoss(context, "stage", {context.fleet.Find(chains[0].stages[1])}, 0.5);
+}
+
+void RunEntryLoss(Context& context) {
+  const auto chains = context.fleet.Chains();
+  if (chains.empty())
+    return;
+  ReportLoss(context, "entry", {context.fleet.Find(chains.back().owner)}, 0.5);
+}
+
+void RunCenterLoss(Context& context) {
+  // The first data center has the platform's services, which stay.
+  std::string center;
+  for (const ChainInfo& chain : context.fleet.Chains())
+    center = std::max(center, chain.data_center);
+  std::string platform = context.fleet.Find("list").data_center;
+  for (const ChainInfo& chain : context.fleet.Chains())
+    if (chain.data_center != platform)
+      center = chain.data_center;
+  std::vector<Process> lost;
+  for (const Process& process : context.fleet.processes())
+    if (process.data_center == center && !context.fleet.IsDead(process.id) &&
+        (process.role == "engine" || process.role == "entry"))
+      lost.push_back(process);
+  ReportLoss(context, "data center", lost, 0.4);
+}
+
+void RunRetries(Context& context) {
+  const double seconds = context.seconds * 1.5;
+  const double fault_at = seconds * 0.3;
+  const auto failing = ThirdOfEngines(context.fleet);
+  Calls start;
+  Calls before;
+  Calls after;
+  RunOptions options;
+  options.events = {{0, [&] { start = ReadCalls(context.fleet); }},
+                    {fault_at,
+                     [&] {
+                       before = ReadCalls(context.fleet);
+                       for (const Process& engine : failing)
+                         context.fleet.Fault(engine, R"({"error_share":1})");
+                     }},
+                    {seconds - 0.2, [&] { after = ReadCalls(context.fleet); }}};
+  const auto records =
+      RunJobs(context, EvenJobs(context, 0.3, seconds), options);
+  for (const Process& engine : failing)
+    context.fleet.Fault(engine, R"({"reset":true})");
+  const double steps = after.steps - before.steps;
+  const double failures = after.failures - before.failures;
+  double arrivals = 0;
+  double finished = 0;
+  for (const Record& record : records) {
+    if (record.job.at < fault_at || record.job.at >= seconds - 0.2)
+      continue;
+    arrivals += 1;
+    finished += record.finished() ? 1 : 0;
+  }
+  Report& report = context.report;
+  report.Add("a third of the engines fail: step calls / first calls",
+             steps <= failures ? 0 : steps / (steps - failures), "", 1.1);
+  report.Add(
+      "a third of the engines fail: submissions / requests",
+      arrivals == 0 ? 0 : (after.submissions - before.submissions) / arrivals,
+      "", 1.1);
+  const double before_tokens = Throughput(records, 0.5, fault_at);
+  const double after_tokens = Throughput(records, fault_at, seconds - 0.2);
+  const double items_before = (before.items - start.items) / fault_at;
+  const double items_after =
+      (after.items - before.items) / (seconds - 0.2 - fault_at);
+  report.details["engines_failing"] = failing.size();
+  report.details["step_failures"] = failures;
+  report.details["steps"] = steps;
+  report.details["finished_share"] = arrivals == 0 ? 0 : finished / arrivals;
+  report.details["items_per_token_before"] = items_before / before_tokens;
+  report.details["items_per_token_during"] = items_after / after_tokens;
+  report.details["tokens_per_second_before"] = before_tokens;
+  report.details["tokens_per_second_during"] = after_tokens;
+}
+
+}  // namespace trefoilwick::bench
--- /dev/null
+++ b/tools/bench_fleet.h
@@ -0,0 +1,81 @@
+// The running fleet as scripts/fleet recorded it: addresses, processes and
+// engine options, CPU times and counters.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace trefoilwick::bench {
+
+struct EngineCosts {
+  double base_us = 0;
+  double per_sequence_us = 0;
+  double per_prefill_token_us = 0;
+};
+
+struct Process {
+  std::string id;
+  std::string role;
+  std::string data_center;
+  std::string address;
+  int pid = 0;
+  std::vector<int> layers;
+  EngineCosts costs;
+};
+
+struct ChainInfo {
+  std::string id;
+  std::string data_center;
+  std::string owner;
+  std::vector<std::string> stages;
+};
+
+class Fleet {
+ public:
+  // Reads the directory that scripts/fleet wrote. Throws std::runtime_error.
+  explicit Fleet(const std::string& directory);
+
+  const std::vector<Process>& processes() const { return m_processes; }
+  std::vector<Process> WithRole(const std::string& role) const;
+  const Process& Find(const std::string& id) const;
+  // Chains as the first entry that answers sees them.
+  std::vector<ChainInfo> Chains() const;
+  // Addresses that /v1/entries offers; empty when no entry answers.
+  std::vector<std::string> OfferedEntries() const;
+  // Sum over the live entries of a counter of /metrics.
+  double Counter(const std::string& name) const;
+  // User and system time of all entry processes.
+  double EntryCpuSeconds() const;
+  bool Fault(const Process& process, const std::string& json) const;
+  // SIGKILL; the process is no longer counted as live.
+  void Kill(const Process& process);
+  // Removes instances from the instance list, as the platform does.
+  void Unlist(const Process& process) const;
+  bool IsDead(const std::string& id) const { return m_dead.count(id) > 0; }
+
+ private:
+  void ReadEnv(const std::string& path);
+  void ReadProcesses(const std::string& path);
+  void ReadInstances();
+
+  std::map<std::string, std::string> m_env;
+  std::vector<Process> m_processes;
+  std::set<std::string> m_dead;
+};
+
+// User and system time of a process; 0 when it has ended.
+double ProcessCpuSeconds(int pid);
+double OwnCpuSeconds();
+// One-minute load average of the machine.
+double LoadAverage();
+// Cores in use on the whole machine since an earlier reading.
+struct MachineCpu {
+  double busy = 0;
+  double total = 0;
+};
+MachineCpu ReadMachineCpu();
+double BusyCores(const MachineCpu& before, const MachineCpu& after);
+
+}  // namespace trefoilwick::bench
--- /dev/null
+++ b/tools/bench_floods.cc
@@ -0,0 +1,267 @@
+// Measures under floods: ranks, floors and fairness between accounts.
+#include <algorithm>
+
+#include "bench_experiment.h"
+
+namespace trefoilwick::bench {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr double kFloodFactor = 10;
+constexpr double kLargeShare = 50;
+
+// Work of the flood: long answers, so that ten times the capacity is some
+// hundred requests a second and the entries' cost of refusals stays small.
+Work LongAnswers(Work work) {
+  work.answer = {200, 0.4, 600};
+  return work;
+}
+
+struct Service {
+  double by_rank[3] = {0, 0, 0};
+  double total() const { return by_rank[0] + by_rank[1] + by_rank[2]; }
+  double of(Rank rank) const { return by_rank[static_cast<size_t>(rank)]; }
+};
+
+Service ServiceOf(const std::vector<Record>& records,
+                  double begin,
+                  double end) {
+  Service service;
+  for (const Record& record : records)
+    service.by_rank[static_cast<size_t>(record.job.rank)] +=
+        ServiceIn(record, begin, end);
+  return service;
+}
+
+json ServiceJson(const Service& service, double seconds) {
+  json rates = json::object();
+  for (const Rank rank : {Rank::kUrgent, Rank::kOrdinary, Rank::kBatch})
+    rates[std::string(kRankNames.Name(rank))] = service.of(rank) / seconds;
+  return rates;
+}
+
+// Whether the answer came within the targets of the kind, as the daemon counts
+// it.
+bool OnTime(const Record& record, const Work& work) {
+  if (!record.finished() || record.first_token() * 1e3 > work.first_token_ms)
+    return false;
+  const auto gaps = static_cast<double>(record.times.size() - 1);
+  return (record.times.back() - record.times.front()) * 1e3 <=
+         work.between_tokens_ms * gaps;
+}
+
+double OnTimeShare(const std::vector<Record>& records,
+                   const Work& work,
+                   double begin,
+                   double end) {
+  double all = 0;
+  double on_time = 0;
+  for (const Record& record : records) {
+    if (record.job.kind != work.kind || record.job.at < begin ||
+        record.job.at >= end)
+      continue;
+    all += 1;
+    on_time += OnTime(record, work) ? 1 : 0;
+  }
+  return all == 0 ? 0 : on_time / all;
+}
+
+// Part of its floor that a rank was served, or of its demand if that is less.
+double KeptFloor(const Service& service,
+                 const Work& work,
+                 double offered,
+                 double seconds) {
+  const double due = std::min(work.floor * service.total(), offered * seconds);
+  return due == 0 ? 1 : std::min(1.0, service.of(work.rank) / due);
+}
+
+struct Phase {
+  double flood_at;
+  double begin;
+  double end;
+  double seconds() const { return end - begin; }
+};
+
+// The window starts well after the flood: the floors are judged over 10 s.
+Phase PhaseOf(const Context& context) {
+  const double seconds = context.seconds * 1.5;
+  return {seconds * 0.2, seconds * 0.4, seconds};
+}
+
+Flow FlowOf(const Context& context,
+            const Work& work,
+            double tokens,
+            double begin,
+            double end) {
+  return {work, tokens, begin, end, context.scenario.accounts};
+}
+
+std::vector<double> Latencies(const std::vector<Record>& records,
+                              const std::string& without,
+                              double (Record::*of)() const) {
+  std::vector<double> values;
+  for (const Record& record : records)
+    if (record.job.account != without && record.finished())
+      values.push_back((record.*of)());
+  return values;
+}
+
+double Share(const std::vector<Record>& records,
+             const std::string& without,
+             CallerOutcome outcome) {
+  double all = 0;
+  double matching = 0;
+  for (const Record& record : records) {
+    if (record.job.account == without)
+      continue;
+    all += 1;
+    matching += record.outcome == outcome ? 1 : 0;
+  }
+  return all == 0 ? 0 : matching / all;
+}
+
+}  // namespace
+
+void RunBatchFlood(Context& context) {
+  const Work& urgent = context.scenario.FindWork(Rank::kUrgent);
+  const Work& ordinary = context.scenario.FindWork(Rank::kOrdinary);
+  const Work batch = LongAnswers(context.scenario.FindWork(Rank::kBatch));
+  const Phase phase = PhaseOf(context);
+  const double bound = MixedBound(context);
+  const double offered = 0.3 * bound;
+  RunOptions options;
+  options.drain_seconds = 1;
+  const auto records =
+      RunLoad(context,
+              {FlowOf(context, urgent, offered, 0, phase.end),
+               FlowOf(context, ordinary, offered, 0, phase.end),
+               FlowOf(context, batch, kFloodFactor * FleetBound(context, batch),
+                      phase.flood_at, phase.end)},
+              options);
+  const Service service = ServiceOf(records, phase.begin, phase.end);
+  Report& report = context.report;
+  report.Add("batch floods 10x: urgent within target",
+             OnTimeShare(records, urgent, phase.flood_at, phase.end), "", 0.99,
+             false);
+  report.Add("batch floods 10x: ordinary keeps of its floor",
+             KeptFloor(service, ordinary, offered, phase.seconds()), "", 0.98,
+             false);
+  report.details["urgent_within_target_before"] =
+      OnTimeShare(records, urgent, 0, phase.flood_at);
+  report.details["ordinary_within_target"] =
+      OnTimeShare(records, ordinary, phase.flood_at, phase.end);
+  report.details["offered_tokens_per_second"] = offered;
+  report.details["service_per_second"] = ServiceJson(service, phase.seconds());
+  report.details["bound_tokens_per_second"] = bound;
+}
+
+void RunUrgentFlood(Context& context) {
+  const Work urgent = LongAnswers(context.scenario.FindWork(Rank::kUrgent));
+  const Work& ordinary = context.scenario.FindWork(Rank::kOrdinary);
+  const Work& batch = context.scenario.FindWork(Rank::kBatch);
+  const Phase phase = PhaseOf(context);
+  const double bound = MixedBound(context);
+  const double offered_ordinary = 1.5 * ordinary.floor * bound;
+  const double offered_batch = 3 * batch.floor * bound;
+  RunOptions options;
+  options.drain_seconds = 1;
+  const auto records = RunLoad(
+      context,
+      {FlowOf(context, ordinary, offered_ordinary, 0, phase.end),
+       FlowOf(context, batch, offered_batch, 0, phase.end),
+       FlowOf(context, urgent, kFloodFactor * FleetBound(context, urgent),
+              phase.flood_at, phase.end)},
+      options);
+  const Service service = ServiceOf(records, phase.begin, phase.end);
+  Report& report = context.report;
+  report.Add("urgent floods 10x: ordinary keeps of its floor",
+             KeptFloor(service, ordinary, offered_ordinary, phase.seconds()),
+             "", 0.98, false);
+  report.Add("urgent floods 10x: batch keeps of its floor",
+             KeptFloor(service, batch, offered_batch, phase.seconds()), "",
+             0.98, false);
+  report.details["service_per_second"] = ServiceJson(service, phase.seconds());
+  report.details["bound_tokens_per_second"] = bound;
+}
+
+// Small accounts ask for a fifth of the capacity; then one more account asks
+// for 50 times its share.
+void RunLargeAccount(Context& context) {
+  const Work& work = context.scenario.FindWork(Rank::kOrdinary);
+  std::vector<LoadAccount> small;
+  double weights = 0;
+  for (const LoadAccount& account : context.scenario.accounts) {
+    if (account.rank_limit > work.rank)
+      continue;
+    weights += account.weight;
+    small.push_back(account);
+  }
+  LoadAccount large = small.back();
+  small.pop_back();
+  const double bound = FleetBound(context, work);
+  const double asked = kLargeShare * bound * large.weight / weights;
+  const Flow others{work, 0.2 * bound, 0, context.seconds, small};
+  const Flow flood{LongAnswers(work), asked, 0, context.seconds, {large}};
+  RunOptions options;
+  options.drain_seconds = 2;
+  const auto before = RunLoad(context, {others}, options);
+  const auto during = RunLoad(context, {others, flood}, options);
+  Report& report = context.report;
+  const auto ratio = [&](double (Record::*of)() const) {
+    const double unloaded = Quantile(Latencies(before, large.name, of), 0.95);
+    return unloaded == 0
+               ? 0
+               : Quantile(Latencies(during, large.name, of), 0.95) / unloaded;
+  };
+  const std::string note =
+      large.tokens_per_second > 0 ? "the table limits the account" : "no limit";
+  report.Add("small accounts' first token p95 / unloaded",
+             ratio(&Record::first_token), "", 1.2, true, note);
+  report.Add("small accounts' whole answer p95 / unloaded",
+             ratio(&Record::total), "", 1.2, true, note);
+  for (const auto* run : {&before, &during})
+    report.details["small_accounts"].push_back(
+        {{"first_token_p95_ms",
+          Quantile(Latencies(*run, large.name, &Record::first_token), 0.95) *
+              1e3},
+         {"answer_p95_ms",
+          Quantile(Latencies(*run, large.name, &Record::total), 0.95) * 1e3},
+         {"finished", Share(*run, large.name, CallerOutcome::kFinished)}});
+  report.details["asked_tokens_per_second"] = asked;
+}
+
+// Every account that may ask for ordinary work asks for the whole capacity.
+void RunBacklog(Context& context) {
+  const Work& work = context.scenario.FindWork(Rank::kOrdinary);
+  const double seconds = context.seconds * 1.5;
+  const double bound = FleetBound(context, work);
+  std::vector<Flow> flows;
+  std::vector<LoadAccount> accounts;
+  for (const LoadAccount& account : context.scenario.accounts) {
+    if (account.rank_limit > work.rank)
+      continue;
+    accounts.push_back(account);
+    flows.push_back({work, 0.5 * bound, 0, seconds, {account}});
+  }
+  RunOptions options;
+  options.drain_seconds = 0.1;
+  const auto records = RunLoad(context, flows, options);
+  std::vector<double> normalised;
+  json services = json::object();
+  for (const LoadAccount& account : accounts) {
+    double service = 0;
+    for (const Record& record : records)
+      if (record.job.account == account.name)
+        service += ServiceIn(record, 0.3 * seconds, seconds);
+    normalised.push_back(service / account.weight);
+    services[account.name] = {{"weight", account.weight},
+                              {"service_per_second", service / seconds / 0.7}};
+  }
+  context.report.Add("Jain index of weighted service, backlogged accounts",
+                     Jain(normalised), "", 0.99, false);
+  context.report.details["accounts"] = services;
+}
+
+}  // namespace trefoilwick::bench
--- /dev/null
+++ b/tools/bench_load.cc
@@ -0,0 +1,277 @@
+#include "bench_load.h"
+
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+
+#include "answer.h"
+
+namespace trefoilwick::bench {
+
+using nlohmann::json;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr int kMaxRedirects = 8;
+
+CallerOutcome OutcomeOf(const std::string& name) {
+  if (name == "not_run")
+    return CallerOutcome::kNotRun;
+  if (name == "incomplete")
+    return CallerOutcome::kIncomplete;
+  return CallerOutcome::kUnknown;
+}
+
+std::string BodyOf(const std::string& model, const Job& job) {
+  return json{{"model", model},
+              {"kind", job.kind},
+              {"prompt", job.prompt},
+              {"max_tokens", job.tokens},
+              {"stream", true}}
+      .dump();
+}
+
+Clock::duration Seconds(double seconds) {
+  return std::chrono::duration_cast<Clock::duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+}  // namespace
+
+// One streamed completion: reads its events and checks every token.
+class LoadRunner::Stream : public std::enable_shared_from_this<Stream> {
+ public:
+  Stream(LoadRunner& runner, size_t index)
+      : m_runner(runner),
+        m_index(index),
+        m_hash(StartAnswerHash(record().job.account)) {
+    for (const std::string& word : SplitWords(record().job.prompt))
+      m_hash = ExtendAnswerHash(m_hash, word);
+  }
+
+  void Start() {
+    record().address = m_runner.PickEntry();
+    record().sent = m_runner.Now();
+    Call call;
+    call.address = record().address;
+    call.path = "/v1/completions";
+    call.key = "key-" + record().job.account;
+    call.body = BodyOf(m_runner.m_model, record().job);
+    CallHandlers handlers;
+    handlers.on_headers = [self = shared_from_this()](int status,
+                                                      const std::string& id) {
+      self->record().status = status;
+      self->record().request_id = id;
+    };
+    handlers.on_data = [self = shared_from_this()](std::string_view data) {
+      self->OnData(data);
+    };
+    handlers.on_end = [self = shared_from_this()](CallEnd end) {
+      self->OnEnd(end);
+    };
+    m_exchange = m_runner.m_client.Send(std::move(call), std::move(handlers));
+  }
+
+  void Cancel() {
+    Client::Cancel(m_exchange);
+    record().outcome = CallerOutcome::kCancelled;
+    record().ended = m_runner.Now();
+  }
+
+ private:
+  Record& record() { return m_runner.m_records[m_index]; }
+
+  void OnData(std::string_view data) {
+    m_text += data;
+    if (record().status != 200)
+      return;
+    size_t begin = 0;
+    for (size_t end = 0;
+         (end = m_text.find("\n\n", begin)) != std::string::npos;
+         begin = end + 2)
+      OnEvent(std::string_view(m_text).substr(begin, end - begin));
+    m_text.erase(0, begin);
+  }
+
+  void OnEvent(std::string_view event) {
+    if (event == "data: [DONE]") {
+      record().outcome = CallerOutcome::kFinished;
+      return;
+    }
+    if (event.rfind("event: error", 0) == 0) {
+      OnProblem(std::string(event.substr(event.find("data: ") + 6)));
+      return;
+    }
+    const json body = json::parse(event.substr(6), nullptr, false);
+    if (!body.is_object() || !body.contains("choices")) {
+      record().wrong = true;
+      return;
+    }
+    std::string token = body["choices"][0].value("text", "");
+    if (!token.empty() && token.front() == ' ')
+      token.erase(0, 1);
+    CheckToken(token, body.value("token_index", -1));
+  }
+
+  void CheckToken(const std::string& token, int index) {
+    Record& r = record();
+    if (token != TokenOfHash(m_hash) ||
+        index != static_cast<int>(r.times.size()) || r.finished())
+      r.wrong = true;
+    m_hash = ExtendAnswerHash(m_hash, token);
+    r.times.push_back(m_runner.Now());
+  }
+
+  void OnProblem(const std::string& text) {
+    const json body = json::parse(text, nullptr, false);
+    if (!body.is_object())
+      return;
+    record().outcome = OutcomeOf(body.value("outcome", ""));
+    record().reason = body.value("type", "");
+  }
+
+  void OnEnd(CallEnd end) {
+    Record& r = record();
+    if (end == CallEnd::kNotConnected && r.redirects < kMaxRedirects) {
+      // Certainly not sent: callers go on to the next address they know.
+      ++r.redirects;
+      m_runner.m_unreachable.insert(r.address);
+      Start();
+      return;
+    }
+    if (r.status != 0 && r.status != 200)
+      OnProblem(m_text);
+    if (r.outcome == CallerOutcome::kPending)
+      r.outcome =
+          r.status == 0 ? CallerOutcome::kNoAnswer : CallerOutcome::kNoOutcome;
+    if (r.finished() && r.times.size() != static_cast<size_t>(r.job.tokens))
+      r.wrong = true;
+    r.ended = m_runner.Now();
+    m_runner.OnEnd(m_index);
+  }
+
+  LoadRunner& m_runner;
+  size_t m_index;
+  uint64_t m_hash;
+  std::string m_text;
+  std::shared_ptr<Client::Exchange> m_exchange;
+};
+
+LoadRunner::LoadRunner(std::string model, std::vector<std::string> entries)
+    : m_model(std::move(model)),
+      m_entries(std::move(entries)),
+      m_client(m_io),
+      m_arrivals(m_io),
+      m_end(m_io) {}
+
+LoadRunner::~LoadRunner() = default;
+
+double LoadRunner::Now() const {
+  return std::chrono::duration<double>(Clock::now() - m_start).count();
+}
+
+const std::string& LoadRunner::PickEntry() {
+  for (size_t i = 0; i < m_entries.size(); ++i) {
+    const std::string& entry = m_entries[m_next_entry++ % m_entries.size()];
+    if (m_unreachable.count(entry) == 0)
+      return entry;
+  }
+  return m_entries[m_next_entry++ % m_entries.size()];
+}
+
+void LoadRunner::Send(size_t index) {
+  auto stream = std::make_shared<Stream>(*this, index);
+  m_streams[index] = stream;
+  stream->Start();
+}
+
+// Sends what is due and waits for the next arrival.
+void LoadRunner::Arrive() {
+  const double now = Now();
+  while (m_next < m_records.size() && m_records[m_next].job.at <= now)
+    Send(m_next++);
+  if (m_next == m_records.size()) {
+    m_end.expires_after(Seconds(m_options.drain_seconds));
+    m_end.async_wait([this](boost::system::error_code error) {
+      if (!error)
+        Finish();
+    });
+    if (m_streams.empty())
+      Finish();
+    return;
+  }
+  m_arrivals.expires_at(m_start + Seconds(m_records[m_next].job.at));
+  m_arrivals.async_wait([this](boost::system::error_code error) {
+    if (!error)
+      Arrive();
+  });
+}
+
+void LoadRunner::OnEnd(size_t index) {
+  // Posted: the stream is still running one of its handlers.
+  boost::asio::post(m_io, [this, index] {
+    m_streams.erase(index);
+    if (m_over)
+      return;
+    if (m_options.concurrency > 0 && m_next < m_records.size()) {
+      m_records[m_next].job.at = Now();
+      Send(m_next++);
+    } else if (m_next == m_records.size() && m_streams.empty()) {
+      Finish();
+    }
+  });
+}
+
+void LoadRunner::Finish() {
+  m_over = true;
+  for (auto& [index, stream] : m_streams)
+    stream->Cancel();
+  m_end.cancel();
+  m_arrivals.cancel();
+  m_io.stop();
+}
+
+std::vector<Record> LoadRunner::Run(std::vector<Job> jobs,
+                                    const RunOptions& options) {
+  m_options = options;
+  m_over = false;
+  m_next = 0;
+  m_unreachable.clear();
+  m_records.clear();
+  m_records.reserve(jobs.size());
+  for (Job& job : jobs) {
+    m_records.emplace_back();
+    m_records.back().job = std::move(job);
+  }
+  m_start = Clock::now();
+  std::thread events([this] {
+    for (const Event& event : m_options.events) {
+      std::this_thread::sleep_until(m_start + Seconds(event.at));
+      event.run();
+    }
+  });
+  m_io.restart();
+  if (options.concurrency > 0) {
+    for (int i = 0; i < options.concurrency; ++i) {
+      m_records[m_next].job.at = Now();
+      Send(m_next++);
+    }
+    m_end.expires_after(Seconds(options.seconds));
+    m_end.async_wait([this](boost::system::error_code error) {
+      if (!error)
+        Finish();
+    });
+  } else {
+    boost::asio::post(m_io, [this] { Arrive(); });
+  }
+  m_io.run();
+  events.join();
+  m_streams.clear();
+  std::vector<Record> records = std::move(m_records);
+  // Requests that were never sent.
+  records.resize(m_next);
+  return records;
+}
+
+}  // namespace trefoilwick::bench
--- /dev/null
+++ b/tools/bench_load.h
@@ -0,0 +1,121 @@
+// Runs a schedule of completions against the entries and records what every
+// caller saw. Latency counts from the scheduled time of arrival, so a slow
+// system or a slow load tool cannot hide waiting time.
+#pragma once
+
+// Boost.Asio 1.74 uses std::exchange without its header.
+#include <utility>
+
+#include <boost/asio.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "bench_client.h"
+#include "bench_scenario.h"
+
+namespace trefoilwick::bench {
+
+enum class CallerOutcome : uint8_t {
+  kPending,
+  kFinished,
+  // Refused; nothing ran.
+  kNotRun,
+  kIncomplete,
+  kUnknown,
+  // Accepted (an answer began), but no outcome was given: a fault unless the
+  // entry was killed.
+  kNoOutcome,
+  // No answer began.
+  kNoAnswer,
+  // Still in progress at the end of the run; the caller left.
+  kCancelled,
+};
+inline constexpr auto kCallerOutcomeNames = MakeEnumTable<CallerOutcome>({
+    {CallerOutcome::kPending, "pending"},
+    {CallerOutcome::kFinished, "finished"},
+    {CallerOutcome::kNotRun, "not_run"},
+    {CallerOutcome::kIncomplete, "incomplete"},
+    {CallerOutcome::kUnknown, "unknown"},
+    {CallerOutcome::kNoOutcome, "no_outcome"},
+    {CallerOutcome::kNoAnswer, "no_answer"},
+    {CallerOutcome::kCancelled, "cancelled"},
+});
+
+// All times are in seconds after the start of the run.
+struct Record {
+  Job job;
+  double sent = 0;
+  double ended = 0;
+  // One per token.
+  std::vector<double> times;
+  CallerOutcome outcome = CallerOutcome::kPending;
+  // A token differs from tools/answer.h, or their number from the request.
+  bool wrong = false;
+  std::string request_id;
+  std::string address;
+  std::string reason;
+  int status = 0;
+  // Entries that could not be reached before.
+  int redirects = 0;
+
+  bool finished() const { return outcome == CallerOutcome::kFinished; }
+  double first_token() const { return times.front() - job.at; }
+  double total() const { return times.back() - job.at; }
+};
+
+struct Event {
+  double at = 0;
+  std::function<void()> run;
+};
+
+struct RunOptions {
+  // Wait for requests in progress after the last arrival; the rest is
+  // cancelled.
+  double drain_seconds = 5;
+  // Not 0: the arrival times are ignored and so many requests are kept in
+  // progress for `seconds`.
+  int concurrency = 0;
+  double seconds = 0;
+  // Run on a thread of their own, since they may block.
+  std::vector<Event> events;
+};
+
+class LoadRunner {
+ public:
+  LoadRunner(std::string model, std::vector<std::string> entries);
+  ~LoadRunner();
+  std::vector<Record> Run(std::vector<Job> jobs, const RunOptions& options);
+  // Start of the run that is in progress.
+  std::chrono::steady_clock::time_point start() const { return m_start; }
+
+ private:
+  class Stream;
+  double Now() const;
+  void Arrive();
+  void Send(size_t index);
+  void OnEnd(size_t index);
+  const std::string& PickEntry();
+  void Finish();
+
+  std::string m_model;
+  std::vector<std::string> m_entries;
+  std::set<std::string> m_unreachable;
+  size_t m_next_entry = 0;
+  boost::asio::io_context m_io;
+  Client m_client;
+  boost::asio::steady_timer m_arrivals;
+  boost::asio::steady_timer m_end;
+  std::chrono::steady_clock::time_point m_start;
+  std::vector<Record> m_records;
+  std::map<size_t, std::shared_ptr<Stream>> m_streams;
+  size_t m_next = 0;
+  RunOptions m_options;
+  bool m_over = false;
+};
+
+}  // namespace trefoilwick::bench
--- /dev/null
+++ b/tools/bench_scenario.cc
@@ -0,0 +1,232 @@
+#include "bench_scenario.h"
+
+#include <openssl/sha.h>
+
+#include <toml++/toml.h>
+#include <algorithm>
+#include <cmath>
+#include <random>
+#include <sstream>
+#include <stdexcept>
+
+namespace trefoilwick::bench {
+namespace {
+
+constexpr int kVocabulary = 5000;
+constexpr int kMeanSamples = 20'000;
+
+std::string Sha256Hex(const std::string& text) {
+  unsigned char digest[SHA256_DIGEST_LENGTH];
+  SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(),
+         digest);
+  std::string hex;
+  for (const unsigned char byte : digest) {
+    char pair[3];
+    std::snprintf(pair, sizeof(pair), "%02x", byte);
+    hex += pair;
+  }
+  return hex;
+}
+
+double Number(const toml::table& table, const char* name, double fallback) {
+  return table[name].value_or(fallback);
+}
+
+std::string Text(const toml::table& table, const char* name) {
+  const auto value = table[name].value<std::string>();
+  if (!value) {
+    std::ostringstream message;
+    message << table.source() << ": " << name << ": a string is required";
+    throw std::runtime_error(message.str());
+  }
+  return *value;
+}
+
+Rank RankOf(const std::string& name) {
+  const auto rank = kRankNames.Parse(name);
+  if (!rank)
+    throw std::runtime_error("unknown rank " + name);
+  return *rank;
+}
+
+Length ReadLength(const toml::table& table, const char* name) {
+  const toml::table* row = table[name].as_table();
+  if (row == nullptr)
+    throw std::runtime_error(std::string(name) + ": a table is required");
+  return {Number(*row, "median", 1), Number(*row, "sigma", 0),
+          static_cast<int>(Number(*row, "max", 1))};
+}
+
+Work ReadWork(const toml::table& row) {
+  Work work;
+  work.kind = Text(row, "kind");
+  work.rank = RankOf(Text(row, "rank"));
+  work.weight = Number(row, "weight", 1);
+  work.floor = Number(row, "floor", 0);
+  work.first_token_ms = static_cast<int>(Number(row, "first_token_ms", 1000));
+  work.between_tokens_ms =
+      static_cast<int>(Number(row, "between_tokens_ms", 100));
+  work.share = Number(row, "share", 0);
+  work.prompt = ReadLength(row, "prompt");
+  work.answer = ReadLength(row, "answer");
+  return work;
+}
+
+LoadAccount ReadAccount(const toml::table& row) {
+  LoadAccount account;
+  account.name = Text(row, "name");
+  account.weight = Number(row, "weight", 1);
+  account.rank_limit = RankOf(Text(row, "rank_limit"));
+  account.share = Number(row, "share", 0);
+  account.tokens_per_second = Number(row, "tokens_per_second", 0);
+  return account;
+}
+
+template <typename T, typename Read>
+std::vector<T> ReadRows(const toml::table& table, const char* name, Read read) {
+  std::vector<T> rows;
+  const toml::array* array = table[name].as_array();
+  if (array == nullptr)
+    throw std::runtime_error(std::string(name) + ": rows are required");
+  for (const toml::node& node : *array)
+    if (const toml::table* row = node.as_table())
+      rows.push_back(read(*row));
+  return rows;
+}
+
+int Sample(const Length& length, std::mt19937_64& random) {
+  std::lognormal_distribution<double> sizes(std::log(length.median),
+                                            length.sigma);
+  return std::clamp(static_cast<int>(std::lround(sizes(random))), 1,
+                    length.max);
+}
+
+std::string Words(int count, uint64_t tag, std::mt19937_64& random) {
+  std::string text;
+  for (int i = 0; i < count; ++i)
+    text += "t" + std::to_string(random() % kVocabulary) + " ";
+  return text + "q" + std::to_string(tag);
+}
+
+std::string MakePrompt(const Scenario& scenario,
+                       const Length& length,
+                       uint64_t tag,
+                       std::mt19937_64& random) {
+  const int words = Sample(length, random);
+  const bool shared =
+      std::uniform_real_distribution<>(0, 1)(random) < scenario.prefix_share;
+  if (!shared || words <= scenario.prefix_words)
+    return Words(words, tag, random);
+  std::mt19937_64 prefix(
+      random() % static_cast<uint64_t>(std::max(1, scenario.prefix_count)));
+  return Words(scenario.prefix_words, 0, prefix) + " " +
+         Words(words - scenario.prefix_words, tag, random);
+}
+
+void AppendFlow(const Scenario& scenario,
+                const Flow& flow,
+                std::mt19937_64& random,
+                std::vector<Job>& jobs) {
+  std::vector<LoadAccount> accounts;
+  std::vector<double> shares;
+  for (const LoadAccount& account : flow.accounts) {
+    if (account.rank_limit > flow.work.rank)
+      continue;
+    accounts.push_back(account);
+    shares.push_back(account.share);
+  }
+  const double rate = flow.tokens_per_second / MeanLength(flow.work.answer);
+  if (accounts.empty() || rate <= 0)
+    return;
+  std::exponential_distribution<double> gaps(rate);
+  std::discrete_distribution<size_t> chosen(shares.begin(), shares.end());
+  for (double at = flow.begin + gaps(random); at < flow.end;
+       at += gaps(random)) {
+    Job job;
+    job.at = at;
+    job.account = accounts[chosen(random)].name;
+    job.kind = flow.work.kind;
+    job.rank = flow.work.rank;
+    job.prompt =
+        MakePrompt(scenario, flow.work.prompt, jobs.size() + 1, random);
+    job.tokens = Sample(flow.work.answer, random);
+    jobs.push_back(std::move(job));
+  }
+}
+
+}  // namespace
+
+const Work& Scenario::FindWork(Rank rank) const {
+  for (const Work& work : works)
+    if (work.rank == rank)
+      return work;
+  throw std::runtime_error("the scenario has no work of this rank");
+}
+
+Scenario ReadScenario(const std::string& path) {
+  const toml::table table = toml::parse_file(path);
+  Scenario scenario;
+  scenario.name = Text(table, "name");
+  scenario.model = Text(table, "model");
+  if (const toml::table* prefix = table["prefix"].as_table()) {
+    scenario.prefix_share = Number(*prefix, "share", 0);
+    scenario.prefix_count = static_cast<int>(Number(*prefix, "count", 1));
+    scenario.prefix_words = static_cast<int>(Number(*prefix, "words", 0));
+  }
+  scenario.works = ReadRows<Work>(table, "work", ReadWork);
+  scenario.accounts = ReadRows<LoadAccount>(table, "account", ReadAccount);
+  return scenario;
+}
+
+std::string TableText(const Scenario& scenario) {
+  std::ostringstream out;
+  for (const Work& work : scenario.works) {
+    out << "[[kind]]\nname = \"" << work.kind << "\"\nrank = \""
+        << kRankNames.Name(work.rank) << "\"\nweight = " << work.weight
+        << "\nfloor = " << work.floor << "\nmodel = \"" << scenario.model
+        << "\"\nfirst_token_ms = " << work.first_token_ms
+        << "\nbetween_tokens_ms = " << work.between_tokens_ms << "\n\n";
+  }
+  for (const LoadAccount& account : scenario.accounts) {
+    out << "[[account]]\nname = \"" << account.name
+        << "\"\nweight = " << account.weight << "\nrank_limit = \""
+        << kRankNames.Name(account.rank_limit) << "\"\nkey_sha256 = \""
+        << Sha256Hex("key-" + account.name) << "\"\n";
+    if (account.tokens_per_second > 0)
+      out << "tokens_per_second = " << account.tokens_per_second << "\n";
+    out << "\n";
+  }
+  return out.str();
+}
+
+std::vector<Job> MakeJobs(const Scenario& scenario,
+                          const std::vector<Flow>& flows,
+                          uint64_t seed) {
+  std::vector<Job> jobs;
+  std::mt19937_64 random(seed);
+  for (const Flow& flow : flows)
+    AppendFlow(scenario, flow, random, jobs);
+  std::stable_sort(jobs.begin(), jobs.end(),
+                   [](const Job& a, const Job& b) { return a.at < b.at; });
+  return jobs;
+}
+
+std::vector<Flow> MixedFlows(const Scenario& scenario,
+                             double tokens_per_second,
+                             double seconds) {
+  std::vector<Flow> flows;
+  for (const Work& work : scenario.works)
+    flows.push_back(
+        {work, tokens_per_second * work.share, 0, seconds, scenario.accounts});
+  return flows;
+}
+
+double MeanLength(const Length& length) {
+  std::mt19937_64 random(1);
+  double sum = 0;
+  for (int i = 0; i < kMeanSamples; ++i)
+    sum += Sample(length, random);
+  return sum / kMeanSamples;
+}
+
+}  // namespace trefoilwick::bench
--- /dev/null
+++ b/tools/bench_scenario.h
@@ -0,0 +1,94 @@
+// Load descriptions: what is asked for, by whom and when.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "trefoilwick/kernel.h"
+#include "trefoilwick/table.h"
+
+namespace trefoilwick::bench {
+
+// Log-normal length, cut at `max`.
+struct Length {
+  double median = 1;
+  double sigma = 0;
+  int max = 1;
+};
+
+struct Work {
+  std::string kind;
+  Rank rank = Rank::kOrdinary;
+  double weight = 1;
+  double floor = 0;
+  int first_token_ms = 0;
+  int between_tokens_ms = 0;
+  // Part of the offered tokens.
+  double share = 1;
+  Length prompt;
+  Length answer;
+};
+
+struct LoadAccount {
+  std::string name;
+  double weight = 1;
+  Rank rank_limit = Rank::kOrdinary;
+  double share = 1;
+  // 0: no limit.
+  double tokens_per_second = 0;
+};
+
+struct Scenario {
+  std::string name;
+  std::string model;
+  double prefix_share = 0;
+  int prefix_count = 1;
+  int prefix_words = 0;
+  std::vector<Work> works;
+  std::vector<LoadAccount> accounts;
+
+  const Work& FindWork(Rank rank) const;
+};
+
+// Throws std::runtime_error with the place of a mistake.
+Scenario ReadScenario(const std::string& path);
+
+// The operators' table that the scenario needs. The bearer key of an account is
+// "key-" and its name.
+std::string TableText(const Scenario& scenario);
+
+struct Job {
+  // Seconds after the start of the run.
+  double at = 0;
+  std::string account;
+  std::string kind;
+  Rank rank = Rank::kOrdinary;
+  std::string prompt;
+  int tokens = 1;
+};
+
+// One stream of arrivals: Poisson, with `tokens_per_second` in the mean.
+struct Flow {
+  Work work;
+  double tokens_per_second = 0;
+  double begin = 0;
+  double end = 1;
+  // Accounts and their shares; those that may not ask for the rank of the work
+  // are left out.
+  std::vector<LoadAccount> accounts;
+};
+
+// Sorted by time. The same seed gives the same jobs.
+std::vector<Job> MakeJobs(const Scenario& scenario,
+                          const std::vector<Flow>& flows,
+                          uint64_t seed);
+
+// Every work of the scenario at its share of `tokens_per_second`.
+std::vector<Flow> MixedFlows(const Scenario& scenario,
+                             double tokens_per_second,
+                             double seconds);
+
+// Mean of the length's distribution with its cut, by sampling.
+double MeanLength(const Length& length);
+
+}  // namespace trefoilwick::bench
