--- a/tools/bench_client.cc
+++ b/tools/bench_client.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr std::chrono::seconds kFetchDeadline{5};
+constexpr uint64_t kMaxBodyBytes = 1ULL << 40;
 
 std::optional<asio::ip::tcp::endpoint> EndpointOf(const std::string& address) {
   const size_t colon = address.rfind(':');
@@ -91,7 +92,7 @@
 
   void Write() {
     m_parser.emplace();
-    m_parser->body_limit(boost::none);
+    m_parser->body_limit(kMaxBodyBytes);
     http::async_write(
         m_socket, m_request,
         [self = shared_from_this()](error_code error, size_t /*bytes*/) {
