--- a/tools/bench_capacity.cc
+++ b/tools/bench_capacity.cc
@@ -208,8 +208,10 @@
   const double seconds = context.seconds * 1.5;
   const double offered = 0.7 * MixedBound(context);
   const double cpu = context.fleet.EntryCpuSeconds();
-  const auto records = RunLoad(
-      context, MixedFlows(context.scenario, offered, seconds), RunOptions());
+  RunOptions options;
+  options.drain_seconds = context.seconds;
+  const auto records =
+      RunLoad(context, MixedFlows(context.scenario, offered, seconds), options);
   const double used = context.fleet.EntryCpuSeconds() - cpu;
   std::vector<double> first;
   std::vector<double> gaps;
