--- a/src/entry.cc
+++ b/src/entry.cc
@@ -64,8 +64,7 @@
 std::string EntryRequests::Accept(TimePoint now,
                                   Submission submission,
                                   std::string model) {
-  const std::string id =
-      FormatRequestId({m_entry, m_incarnation, m_next_sequence++});
+  std::string id = FormatRequestId({m_entry, m_incarnation, m_next_sequence++});
   submission.request = id;
   submission.entry = m_entry;
   Entry entry;
--- a/test/fault_matrix_world.h
+++ b/test/fault_matrix_world.h
@@ -267,6 +267,7 @@
   // Scenario.
   void Schedule();
   bool Settled();
+  bool ViewsAgree() const;
   void CheckEnd();
   void CheckOutcomes();
   void CheckTables();
