Run a request alone after a chain reported it as suspect

Cause: TokenUpdate::suspect asks the entry to set `isolated` on the next submission, but EntryRequests ignored it. A request that crashed a first stage, whose chain is then dissolved, went on among others at the next chain and took one server after the other. Change: a failed update with `suspect` sets `isolated` for all later submissions of the request.

--- a/src/entry.cc
+++ b/src/entry.cc
@@ -233,6 +233,8 @@
       Finish(now, id, entry, Outcome::kIncomplete, "quarantined");
       return;
     case UpdateState::kFailed:
+      // It may have crashed a server, so it runs alone from now on.
+      entry.submission.isolated |= update.suspect;
       Resubmit(now, id, entry, update.reason != "moved");
       return;
   }
--- a/test/entry_test.cc
+++ b/test/entry_test.cc
@@ -75,6 +75,7 @@
   CPPUNIT_TEST(AcceptanceAfterReplacedLineage);
   CPPUNIT_TEST(OtherSchedulersAreDisowned);
   CPPUNIT_TEST(FailedUpdates);
+  CPPUNIT_TEST(SuspectRunsAlone);
   CPPUNIT_TEST(SilentRequestsAreVerified);
   CPPUNIT_TEST(WaitsForAChain);
   CPPUNIT_TEST(AttemptsAreBounded);
@@ -433,6 +434,20 @@
     }
   }
 
+  // Guards against a crashing request that goes on among others at the next
+  // chain, and takes one server after the other.
+  void SuspectRunsAlone() {
+    Harness h;
+    const std::string id = Bring(h, State::kStreaming);
+    TokenUpdate update = h.Update(id, 2, {}, UpdateState::kFailed);
+    update.suspect = true;
+    h.Deliver(update);
+    CPPUNIT_ASSERT(h.submits.back().submission.isolated);
+    h.Accepted(id);
+    h.Deliver(h.Update(id, 2, {}, UpdateState::kFailed));
+    CPPUNIT_ASSERT(h.submits.back().submission.isolated);
+  }
+
   // Guards against a request that waits for ever for a scheduler that dropped
   // it, and against verifying all the time.
   void SilentRequestsAreVerified() {
