--- a/test/fault_matrix_test.cc
+++ b/test/fault_matrix_test.cc
@@ -18,9 +18,8 @@
 namespace trefoilwick::matrix {
 namespace {
 
-// Runs of one cell, each with its own seed; more of them with --print.
-constexpr uint64_t kSeeds = 2;
-constexpr uint64_t kSeedsToPrint = 4;
+// Runs of one cell, each with its own seed.
+constexpr uint64_t kSeedsPerCell = 4;
 constexpr int kThreads = 4;
 // Pairs in the ordinary run, which should take a few seconds.
 constexpr uint64_t kPairs = 60;
@@ -190,7 +189,7 @@
     std::vector<Job> jobs;
     for (const auto& [fault, name] : kFaultNames.rows())
       for (const auto& [step, step_name] : kStepNames.rows())
-        for (uint64_t seed = 1; seed <= SeedsPerCell(); ++seed)
+        for (uint64_t seed = 1; seed <= kSeedsPerCell; ++seed)
           if (WhyNot(fault, step).empty())
             jobs.push_back({seed, {{fault, step}}});
     const std::vector<Result> results = RunAll(jobs);
@@ -244,10 +243,6 @@
   }
 
  private:
-  static uint64_t SeedsPerCell() {
-    return HasArg("--print") ? kSeedsToPrint : kSeeds;
-  }
-
   void Add(const Result& result) {
     for (size_t i = 0; i < m_totals.size(); ++i)
       m_totals[i] += result.checker.counts[i];
@@ -314,7 +309,7 @@
         if (const auto why = WhyNot(fault, step); !why.empty())
           std::cout << "  " << CellName({fault, step}) << ": " << why << "\n";
     std::cout << "\n"
-              << passed << " cells pass, " << SeedsPerCell() << " runs each. ";
+              << passed << " cells pass, " << kSeedsPerCell << " runs each. ";
     PrintTotals();
   }
 
