--- a/tools/bench_capacity.cc
+++ b/tools/bench_capacity.cc
@@ -116,6 +116,32 @@
   return (fleet.EntryCpuSeconds() - before) / kIdleSeconds;
 }
 
+// Load and latency of each chain, which shows how evenly they were chosen.
+json ByChain(const Context& context,
+             const std::vector<Record>& records,
+             double seconds) {
+  const auto chains = context.fleet.Chains();
+  const auto chain_of = ChainsOfRequests(context.fleet, chains);
+  json rows = json::array();
+  for (size_t i = 0; i < chains.size(); ++i) {
+    std::vector<double> gaps;
+    double tokens = 0;
+    for (const Record& record : records) {
+      const auto chain = chain_of.find(record.request_id);
+      if (chain == chain_of.end() || chain->second != i)
+        continue;
+      tokens += static_cast<double>(record.times.size());
+      Append(gaps, Gaps(record));
+    }
+    const double bound = ChainBound(context.fleet, chains[i], 0);
+    rows.push_back({{"chain", chains[i].id},
+                    {"tokens_per_second", tokens / seconds},
+                    {"bound_without_prompts", bound},
+                    {"between_tokens", Quantiles(gaps)}});
+  }
+  return rows;
+}
+
 std::vector<Job> DirectJobs(Context& context) {
   const Work& urgent = context.scenario.FindWork(Rank::kUrgent);
   Work work = urgent;
@@ -208,6 +234,7 @@
   const double seconds = context.seconds * 1.5;
   const double offered = 0.7 * MixedBound(context);
   const double cpu = context.fleet.EntryCpuSeconds();
+  ChainsOfRequests(context.fleet, context.fleet.Chains());
   RunOptions options;
   options.drain_seconds = context.seconds;
   const auto records =
@@ -240,6 +267,7 @@
              used / TokensOf(records) * 1e6, "us", 200);
   report.details["offered_tokens_per_second"] = offered;
   report.details["by_kind"] = by_rank;
+  report.details["by_chain"] = ByChain(context, records, seconds);
 }
 
 void RunCallRate(Context& context) {
--- a/tools/bench_client.cc
+++ b/tools/bench_client.cc
@@ -115,7 +115,7 @@
           const auto& response = self->m_parser->get();
           if (!self->m_ended && self->m_handlers.on_headers)
             self->m_handlers.on_headers(
-                response.result_int(),
+                static_cast<int>(response.result_int()),
                 std::string(response.base()["X-Request-Id"]));
           self->Read();
         });
--- a/tools/bench_direct.cc
+++ b/tools/bench_direct.cc
@@ -173,6 +173,7 @@
   io.run();
   IgnoreEpochs(fleet, chains, false);
   std::vector<std::vector<Record>> records;
+  records.reserve(drivers.size());
   for (const auto& driver : drivers)
     records.push_back(driver->TakeRecords());
   return records;
--- a/tools/bench_experiment.cc
+++ b/tools/bench_experiment.cc
@@ -82,7 +82,7 @@
 }  // namespace
 
 const std::vector<Experiment>& Experiments() {
-  static const std::vector<Experiment> kExperiments = {
+  static const std::vector<Experiment> experiments = {
       {"added", RunAdded, "latency and CPU added to direct calls"},
       {"saturation", RunSaturation, "throughput against the fleet's bound"},
       {"steady", RunSteadyLoad, "latency at 70% of the bound"},
@@ -96,7 +96,7 @@
       {"entry-loss", RunEntryLoss, "an entry is killed"},
       {"center-loss", RunCenterLoss, "a data center is killed"},
   };
-  return kExperiments;
+  return experiments;
 }
 
 void Report::Add(const std::string& name,
--- a/tools/bench_floods.cc
+++ b/tools/bench_floods.cc
@@ -77,6 +77,14 @@
   return due == 0 ? 1 : std::min(1.0, service.of(work.rank) / due);
 }
 
+// Service a second of each rank, second by second.
+json ServiceBySecond(const std::vector<Record>& records, double end) {
+  json rows = json::array();
+  for (double at = 0; at + 1 <= end; at += 1)
+    rows.push_back(ServiceJson(ServiceOf(records, at, at + 1), 1));
+  return rows;
+}
+
 struct Phase {
   double flood_at;
   double begin;
@@ -155,6 +163,7 @@
       OnTimeShare(records, ordinary, phase.flood_at, phase.end);
   report.details["offered_tokens_per_second"] = offered;
   report.details["service_per_second"] = ServiceJson(service, phase.seconds());
+  report.details["service_by_second"] = ServiceBySecond(records, phase.end);
   report.details["bound_tokens_per_second"] = bound;
 }
 
@@ -184,6 +193,7 @@
              KeptFloor(service, batch, offered_batch, phase.seconds()), "",
              0.98, false);
   report.details["service_per_second"] = ServiceJson(service, phase.seconds());
+  report.details["service_by_second"] = ServiceBySecond(records, phase.end);
   report.details["bound_tokens_per_second"] = bound;
 }
 
