Hold micro-batches to the urgent time between tokens; notice lost callers

Change: while urgent requests run, the size of micro-batches follows the round time, and batch-rank members over the limit are put back; streams without tokens get a comment every 500 ms; error replies end the try, not the content.

--- a/src/daemon_chain_host.cc
+++ b/src/daemon_chain_host.cc
@@ -490,8 +490,7 @@
     call.path = "/healthz";
     call.fresh_connection = true;
     CallWithDeadline(
-        std::move(call), kCheckDeadline,
-        [this, id = server.id](const HttpResult& result) {
+        call, kCheckDeadline, [this, id = server.id](const HttpResult& result) {
           if (result.failure || result.status != 200) {
             m_health.OnCrash(m_clock.Now(), id);
             return;
--- a/src/daemon_completions.cc
+++ b/src/daemon_completions.cc
@@ -17,6 +17,10 @@
 // A streaming caller that lost its connection may resume within this time;
 // afterwards the request is cancelled, so that servers are free in a second.
 constexpr std::chrono::milliseconds kResumeGrace{500};
+// The library notices a lost caller only when it writes. A stream without
+// tokens, as while its request is queued, gets a comment this often.
+constexpr std::chrono::milliseconds kKeepAlive{500};
+constexpr char kKeepAliveEvent[] = ": waiting\n\n";
 
 struct CompletionInput {
   std::string model;
@@ -188,10 +192,23 @@
         });
     m_id = accepted.request;
     m_sink = accepted.sink;
+    if (m_input.stream)
+      ScheduleKeepAlive();
     m_exchange.SetRequestId(m_id);
   }
 
  private:
+  void ScheduleKeepAlive() {
+    m_runtime.entry_loop.PostAfter(kKeepAlive, [self = shared_from_this()] {
+      if (self->m_ended)
+        return;
+      if (self->m_stream.open() &&
+          self->m_runtime.clock.Now() - self->m_last_token >= kKeepAlive)
+        self->m_stream.Write(kKeepAliveEvent);
+      self->ScheduleKeepAlive();
+    });
+  }
+
   void OnUpdate(const CallerUpdate& update) {
     if (!update.tokens.empty())
       RecordTokens(update.tokens.size());
@@ -206,6 +223,7 @@
       if (ended)
         ReplyWhole(update);
     }
+    m_ended = ended;
     if (ended)
       RecordEnd(update.outcome);
   }
@@ -306,6 +324,7 @@
   uint64_t m_sink = 0;
   std::vector<std::string> m_tokens;
   int m_generated = 0;
+  bool m_ended = false;
   Duration m_first_token{0};
   TimePoint m_last_token{};
 };
--- a/src/pipeline.cc
+++ b/src/pipeline.cc
@@ -330,9 +330,7 @@
 }
 
 size_t ChainScheduler::Impl::Capacity() const {
-  return batches.empty()
-             ? 0
-             : (batches.size() - 1) * static_cast<size_t>(options.max_batch);
+  return batches.empty() ? 0 : (batches.size() - 1) * BatchLimit();
 }
 
 ChainScheduler::Builder& ChainScheduler::Builder::SchedulerId(uint16_t id) {
@@ -370,6 +368,7 @@
   impl->prefix = m_incarnation ^
                  static_cast<uint32_t>(StableHash(m_chain.id, m_scheduler_id));
   impl->options = o;
+  impl->batch_limit = o.max_batch;
   impl->random = Random(StableHash(m_chain.id, impl->prefix));
   impl->now = now;
   impl->BuildStages(m_chain);
--- a/src/pipeline_faults.cc
+++ b/src/pipeline_faults.cc
@@ -158,12 +158,13 @@
   for (const auto& batch : batches)
     if (batch->stage == static_cast<int>(at) &&
         (batch->in_flight || batch->repeated))
-      MarkSuspects(*batch, server);
+      MarkSuspects(*batch, server, failure);
   AbortRounds();
 }
 
 void ChainScheduler::Impl::MarkSuspects(Batch& batch,
-                                        const std::string& server) {
+                                        const std::string& server,
+                                        CallFailure failure) {
   for (size_t i = 0; i < batch.items.size(); ++i) {
     const int end = batch.items[i].position + batch.items[i].count;
     if (batch.fingerprints[i] != 0)
@@ -172,7 +173,12 @@
     if (!owner)
       continue;
     if (batch.isolated) {
-      QuarantineRequest(*owner, server);
+      // A server that answers with an error has not crashed: the content is
+      // not held against other requests.
+      if (failure == CallFailure::kError)
+        Fail(*owner, UpdateState::kFailed, "server_error");
+      else
+        QuarantineRequest(*owner, server);
       return;
     }
     owner->isolated = true;
@@ -277,7 +283,7 @@
     const BackendServer server =
         stages[static_cast<size_t>(batch->stage)].server;
     if (!Contains(next, server))
-      MarkSuspects(*batch, server.id);
+      MarkSuspects(*batch, server.id, CallFailure::kLost);
   }
 }
 
--- a/src/pipeline_impl.h
+++ b/src/pipeline_impl.h
@@ -149,6 +149,11 @@
   TimePoint claimed_at{};
   // Moving average of the time of a round; see ExpectedWait.
   double round_us = 50'000;
+  // Requests in one micro-batch now; below max_batch while rounds are too slow
+  // for the targets of urgent requests.
+  double batch_limit = 0;
+  // When an urgent request last finished a round.
+  TimePoint last_urgent{};
   // Tokens that the queued requests of each rank have left.
   std::array<double, kRankCount> queued_rounds{};
   // Requests accepted, as exponentially decayed counts.
@@ -180,6 +185,9 @@
   void FlushDeparted();
   size_t BatchedCount() const;
   size_t Capacity() const;
+  size_t BatchLimit() const;
+  void AdjustBatchLimit(const Batch& batch, Duration round);
+  void ShrinkToLimit(Batch& batch);
   size_t Preemptible() const;
   bool HasWork() const { return !requests.empty(); }
 
@@ -217,7 +225,9 @@
   void LoseEpoch(uint64_t newest);
   void OnStepFailure(Batch& batch, CallFailure failure, uint64_t newest);
   void FailStage(size_t at, CallFailure failure);
-  void MarkSuspects(Batch& batch, const std::string& server);
+  void MarkSuspects(Batch& batch,
+                    const std::string& server,
+                    CallFailure failure);
   void QuarantineRequest(Request& request, const std::string& server);
   void SuspectByPrint(Request& request);
   void DropOldPrints();
--- a/src/pipeline_rounds.cc
+++ b/src/pipeline_rounds.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
 
 #include "pipeline_impl.h"
@@ -11,6 +12,14 @@
 // given up.
 constexpr int kMaxLostLineages = 8;
 constexpr double kRoundWeight = 0.1;
+// Share of the target for the time between tokens above which rounds are too
+// slow, and below which micro-batches may grow. The gap keeps the limit from
+// swinging, since a change shows only after the rounds in flight.
+constexpr double kSlowRound = 0.92;
+constexpr double kFastRound = 0.8;
+constexpr double kLimitStep = 0.2;
+// The limit stays this long after the last urgent token.
+constexpr std::chrono::seconds kUrgentMemory{2};
 
 // The result of an item; the order of results is normally that of the items.
 StepResultItem* FindResult(std::vector<StepResultItem>& results,
@@ -67,11 +76,12 @@
 
 // Fills a micro-batch up to an equal part of all requests.
 void ChainScheduler::Impl::Admit(Batch& batch) {
+  ShrinkToLimit(batch);
   if (rejoin.empty() && queue.size() == 0)
     return;
   const size_t count = batches.size() - 1;
   const size_t part = (BatchedCount() + queue.size() + count - 1) / count;
-  const size_t target = std::min(part, static_cast<size_t>(options.max_batch));
+  const size_t target = std::min(part, BatchLimit());
   while (batch.members.size() < target && !rejoin.empty()) {
     Request& request = *rejoin.front();
     rejoin.pop_front();
@@ -86,6 +96,47 @@
   Preempt(batch);
 }
 
+size_t ChainScheduler::Impl::BatchLimit() const {
+  return static_cast<size_t>(std::clamp(std::lround(batch_limit), long{1},
+                                        static_cast<long>(options.max_batch)));
+}
+
+// A round of any micro-batch waits for the steps of all the others, so the time
+// between tokens grows with the size of all micro-batches. While urgent
+// requests run, the size is held where rounds meet their target; throughput is
+// what that costs.
+void ChainScheduler::Impl::AdjustBatchLimit(const Batch& batch,
+                                            Duration round) {
+  Duration target = Duration::max();
+  bool prefills = false;
+  for (const Request* member : batch.members) {
+    if (member->submission.rank == Rank::kUrgent)
+      target = std::min(target, member->submission.between_tokens_target);
+    prefills = prefills || !member->decodes();
+  }
+  const double most = options.max_batch;
+  if (target == Duration::max()) {
+    if (now - last_urgent > kUrgentMemory)
+      batch_limit = std::min(most, batch_limit + kLimitStep);
+    return;
+  }
+  last_urgent = now;
+  // Prompts make a round long without saying anything about the next ones.
+  if (prefills)
+    return;
+  if (round > target * kSlowRound)
+    batch_limit = std::max(1.0, batch_limit - kLimitStep);
+  else if (round < target * kFastRound)
+    batch_limit = std::min(most, batch_limit + kLimitStep / 4);
+}
+
+// Puts batch-rank members back in the queue while the micro-batch is over its
+// limit for the sake of urgent requests.
+void ChainScheduler::Impl::ShrinkToLimit(Batch& batch) {
+  while (batch.members.size() > BatchLimit() && PreemptOne(batch)) {
+  }
+}
+
 // Replaces batch-rank members by urgent requests when no place is free.
 void ChainScheduler::Impl::Preempt(Batch& batch) {
   while (rejoin.empty() && queue.size(Rank::kUrgent) > 0 &&
@@ -314,10 +365,11 @@
 // The round passed all stages; `activation` holds the sampled tokens.
 void ChainScheduler::Impl::FinishRound(Batch& batch) {
   batch.stage = -1;
-  if (!batch.items.empty())
-    round_us +=
-        kRoundWeight *
-        (static_cast<double>((now - batch.round_start).count()) - round_us);
+  if (!batch.items.empty()) {
+    const Duration round = now - batch.round_start;
+    AdjustBatchLimit(batch, round);
+    round_us += kRoundWeight * (static_cast<double>(round.count()) - round_us);
+  }
   // Ending a request clears its owner entry, so each is read in its turn.
   for (size_t i = 0; i < batch.items.size(); ++i)
     if (Request* owner = batch.owners[i])
--- a/test/pipeline_measure_test.cc
+++ b/test/pipeline_measure_test.cc
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(ThroughputNearsTheSlowestStage);
   CPPUNIT_TEST(RecoversFromALostStage);
   CPPUNIT_TEST(FloodsLeaveFloorsAndTargets);
+  CPPUNIT_TEST(BatchFloodLeavesTimeBetweenTokens);
   CPPUNIT_TEST(LargeCallerLeavesSmallOnes);
   CPPUNIT_TEST(CpuPerToken);
   CPPUNIT_TEST(CpuPerSubmission);
@@ -216,6 +217,59 @@
     }
   }
 
+  // Guards against micro-batches that batch work fills until the rounds of a
+  // slow chain are longer than urgent work may take between tokens. The steps
+  // are those of the slowest engine of the local fleet: 8 ms for a full batch.
+  void BatchFloodLeavesTimeBetweenTokens() {
+    FakeOptions options;
+    options.stages = 4;
+    options.base_us = {3733};
+    options.item_us = 267;
+    FakeChain chain(options);
+    chain.check_tokens = false;
+    int sent = 0;
+    for (int i = 0; i < 3000; ++i) {
+      if (i % 5 == 0) {
+        Submission batch = Work(120);
+        batch.kind_floor = 0.05;
+        batch.account = "desk";
+        for (int n = 0; n < 8; ++n)
+          chain.Submit("b" + std::to_string(sent++), batch);
+      }
+      if (i % 20 == 0) {
+        Submission urgent = Work(40);
+        urgent.rank = Rank::kUrgent;
+        urgent.account = "club";
+        urgent.first_token_target = milliseconds(340);
+        urgent.between_tokens_target = milliseconds(31);
+        chain.Submit("u" + std::to_string(sent++), urgent);
+      }
+      chain.RunFor(milliseconds(10));
+    }
+    int urgent = 0;
+    int on_time = 0;
+    double batch_tokens = 0;
+    for (const auto& [id, r] : chain.requests()) {
+      if (id[0] == 'b')
+        batch_tokens += static_cast<double>(r.tokens.size());
+      // The first two seconds are left to the limit to settle.
+      if (id[0] != 'u' || r.ended == TimePoint{} ||
+          r.submitted < TimePoint(seconds(2)))
+        continue;
+      ++urgent;
+      on_time += r.first_token - r.submitted <= milliseconds(340) &&
+                         r.ended - r.first_token <= milliseconds(31) * 39
+                     ? 1
+                     : 0;
+    }
+    std::cerr << "\nbatch flood on a slow chain: urgent on time " << on_time
+              << " of " << urgent << ", batch " << batch_tokens / 30
+              << " tokens/s";
+    CPPUNIT_ASSERT(urgent > 100);
+    CPPUNIT_ASSERT(on_time >= 0.99 * urgent);
+    CPPUNIT_ASSERT_EQUAL(std::string(), chain.violation);
+  }
+
   // Guards against small accounts that wait behind one that asks for 50 times
   // its share.
   void LargeCallerLeavesSmallOnes() {
