Remove duplicate and dead code in the daemon

Cause: read-through: the same problem answer was spelled out in thirteen places, two copies of the handling of probe answers, unused members, and a map that kept requests of entries that were gone. Conclusion: behaviour of the interface is unchanged.

--- a/src/chain_host.h
+++ b/src/chain_host.h
@@ -60,18 +60,10 @@
   std::vector<ChainLoadReport> Loads() const;
 
  private:
-  struct PendingCall {
-    std::string chain;
-    // Distinguishes schedulers that held the same chain one after the other.
-    uint64_t generation = 0;
-    uint64_t id = 0;
-    TimePoint started{};
-    CancelCall cancel;
-  };
   struct Owned {
+    // Distinguishes schedulers that held the same chain one after the other.
     uint64_t generation = 0;
     std::unique_ptr<ChainScheduler> scheduler;
-    std::set<std::string> dissolved_requests;
   };
 
   void Reform();
@@ -91,6 +83,7 @@
                      uint64_t generation,
                      const SendClaim& claim,
                      const HttpResult& result);
+  bool Holds(const std::string& request) const;
   void OnCrasher(const ReportCrasher& report);
   // Delivers updates; those that end a quarantined request wait until every
   // instance knows of it, so that its caller cannot send it again elsewhere.
--- a/src/control_host.h
+++ b/src/control_host.h
@@ -46,6 +46,8 @@
   void Pump();
   void PumpMembership();
   void PumpSpread();
+  // From a thread of the peer pool.
+  void OnProbeAnswer(uint64_t probe, const absl::StatusOr<std::string>& reply);
   void Probe(const SendProbe& probe);
   void ProbeVia(const SendIndirectProbe& probe);
   void OnMemberChanged(const Member& member);
--- a/src/daemon_admin.cc
+++ b/src/daemon_admin.cc
@@ -93,12 +93,8 @@
       !body["toml"].is_string() || !body.contains("base") ||
       !body["base"].is_number_integer() || !body.contains("attempt") ||
       !body["attempt"].is_string()) {
-    exchange.ReplyProblem({400,
-                           "bad_request",
-                           "toml, base and attempt are required",
-                           Outcome::kNotRun,
-                           Duration(0),
-                           {}});
+    exchange.ReplyProblem(
+        NotRun(400, "bad_request", "toml, base and attempt are required"));
     return;
   }
   const std::string file = body.value("file", "table.toml");
@@ -285,12 +281,8 @@
   }
   const auto format = kReportFormatNames.Parse(name.empty() ? "text" : name);
   if (!format) {
-    exchange.ReplyProblem({400,
-                           "bad_format",
-                           "use text, json, svg or raw",
-                           Outcome::kNotRun,
-                           Duration(0),
-                           {}});
+    exchange.ReplyProblem(
+        NotRun(400, "bad_format", "use text, json, svg or raw"));
     return;
   }
   constexpr std::array<const char*, 3> kTypes = {
--- a/src/daemon_chain_host.cc
+++ b/src/daemon_chain_host.cc
@@ -195,24 +195,30 @@
 std::vector<std::string> ChainHost::Missing(
     const std::vector<std::string>& requests) {
   std::vector<std::string> missing;
-  for (const std::string& request : requests) {
-    // The scheduler is asked itself: it may have dropped a request on its own,
-    // as when it held the request's entry for gone.
-    auto it = m_request_chain.find(request);
-    auto owned =
-        it == m_request_chain.end() ? m_owned.end() : m_owned.find(it->second);
-    if (owned == m_owned.end() || !owned->second.scheduler->Holds(request))
+  for (const std::string& request : requests)
+    if (!Holds(request))
       missing.push_back(request);
-  }
   return missing;
 }
 
+// Asks the scheduler itself: it may have dropped a request on its own, as when
+// it held the request's entry for gone.
+bool ChainHost::Holds(const std::string& request) const {
+  auto it = m_request_chain.find(request);
+  if (it == m_request_chain.end())
+    return false;
+  auto owned = m_owned.find(it->second);
+  return owned != m_owned.end() && owned->second.scheduler->Holds(request);
+}
+
 void ChainHost::OnEntryGone(const std::string& entry) {
   std::vector<std::string> chains;
   for (auto& [id, owned] : m_owned) {
     owned.scheduler->CancelEntry(m_clock.Now(), entry);
     chains.push_back(id);
   }
+  std::erase_if(m_request_chain,
+                [this](const auto& held) { return !Holds(held.first); });
   for (const std::string& chain : chains)
     Pump(chain);
 }
--- a/src/daemon_completions.cc
+++ b/src/daemon_completions.cc
@@ -329,11 +329,6 @@
   TimePoint m_last_token{};
 };
 
-Problem NotRun(int status, std::string type, std::string detail) {
-  return {status,           std::move(type), std::move(detail),
-          Outcome::kNotRun, Duration(0),     {}};
-}
-
 // Finds the kind of work of a request, or the problem with it.
 std::optional<Problem> ResolveKind(const Caller& caller,
                                    const CompletionInput& input,
--- a/src/daemon_control_host.cc
+++ b/src/daemon_control_host.cc
@@ -207,24 +207,27 @@
   }
 }
 
+void ControlHost::OnProbeAnswer(uint64_t probe,
+                                const absl::StatusOr<std::string>& reply) {
+  m_runtime.control_loop.Post([this, probe, reply] {
+    const TimePoint now = m_runtime.clock.Now();
+    auto decoded = reply.ok() ? DecodeGossip(*reply)
+                              : absl::StatusOr<GossipMessage>(reply.status());
+    if (decoded.ok())
+      m_membership.OnProbeReply(now, probe, *decoded);
+    else
+      m_membership.OnProbeFailure(now, probe);
+    Pump();
+  });
+}
+
 void ControlHost::Probe(const SendProbe& probe) {
   const PeerCall call{probe.target.peer_address, kProbeTimeout,
                       probe.fresh_connection};
   const uint64_t id = probe.probe;
   const bool posted = m_runtime.peer_pool.TryPost(
       [this, call, id, message = EncodeGossip(probe.message)] {
-        auto reply = m_runtime.peers.Probe(call, message);
-        m_runtime.control_loop.Post([this, id, reply = std::move(reply)] {
-          const TimePoint now = m_runtime.clock.Now();
-          auto decoded = reply.ok()
-                             ? DecodeGossip(*reply)
-                             : absl::StatusOr<GossipMessage>(reply.status());
-          if (decoded.ok())
-            m_membership.OnProbeReply(now, id, *decoded);
-          else
-            m_membership.OnProbeFailure(now, id);
-          Pump();
-        });
+        OnProbeAnswer(id, m_runtime.peers.Probe(call, message));
       });
   if (!posted)
     m_membership.OnProbeFailure(m_runtime.clock.Now(), id);
@@ -236,18 +239,7 @@
   [[maybe_unused]] const bool posted = m_runtime.peer_pool.TryPost(
       [this, call, id, target = probe.target.peer_address,
        message = EncodeGossip(probe.message)] {
-        auto reply = m_runtime.peers.ProbeVia(call, target, message);
-        m_runtime.control_loop.Post([this, id, reply = std::move(reply)] {
-          const TimePoint now = m_runtime.clock.Now();
-          auto decoded = reply.ok()
-                             ? DecodeGossip(*reply)
-                             : absl::StatusOr<GossipMessage>(reply.status());
-          if (decoded.ok())
-            m_membership.OnProbeReply(now, id, *decoded);
-          else
-            m_membership.OnProbeFailure(now, id);
-          Pump();
-        });
+        OnProbeAnswer(id, m_runtime.peers.ProbeVia(call, target, message));
       });
 }
 
--- a/src/daemon_http.cc
+++ b/src/daemon_http.cc
@@ -52,12 +52,8 @@
   const auto& headers = request.headers();
   const bool chunked = headers.has("Transfer-Encoding");
   if (chunked) {
-    return Problem{411,
-                   "length_required",
-                   "requests with Transfer-Encoding are not accepted",
-                   Outcome::kNotRun,
-                   Duration(0),
-                   {}};
+    return NotRun(411, "length_required",
+                  "requests with Transfer-Encoding are not accepted");
   }
   if (!headers.has("Content-Length"))
     return std::nullopt;
@@ -66,20 +62,12 @@
                       std::all_of(value.begin(), value.end(),
                                   [](char c) { return c >= '0' && c <= '9'; });
   if (!digits) {
-    return Problem{400,
-                   "bad_content_length",
-                   "Content-Length is not a number of bytes",
-                   Outcome::kNotRun,
-                   Duration(0),
-                   {}};
+    return NotRun(400, "bad_content_length",
+                  "Content-Length is not a number of bytes");
   }
   if (std::stoull(value) > max_body_bytes) {
-    return Problem{413,
-                   "body_too_large",
-                   "the limit is " + std::to_string(max_body_bytes) + " bytes",
-                   Outcome::kNotRun,
-                   Duration(0),
-                   {}};
+    return NotRun(413, "body_too_large",
+                  "the limit is " + std::to_string(max_body_bytes) + " bytes");
   }
   return std::nullopt;
 }
@@ -122,12 +110,8 @@
     auto state = weak.lock();
     if (!state || state->body_read.load())
       return;
-    Exchange(state).ReplyProblem({408,
-                                  "body_timeout",
-                                  "the request body did not arrive in time",
-                                  Outcome::kNotRun,
-                                  Duration(0),
-                                  {}});
+    Exchange(state).ReplyProblem(
+        NotRun(408, "body_timeout", "the request body did not arrive in time"));
   };
 }
 
@@ -234,22 +218,13 @@
     return;
   }
   if (exchange.raw().relative_uri().to_string().size() > kMaxUriBytes) {
-    exchange.ReplyProblem({400,
-                           "uri_too_long",
-                           "the request target is too long",
-                           Outcome::kNotRun,
-                           Duration(0),
-                           {}});
+    exchange.ReplyProblem(
+        NotRun(400, "uri_too_long", "the request target is too long"));
     return;
   }
   const std::string& method = exchange.method();
   if (method != "GET" && method != "POST") {
-    exchange.ReplyProblem({405,
-                           "method_not_allowed",
-                           "use GET or POST",
-                           Outcome::kNotRun,
-                           Duration(0),
-                           {}});
+    exchange.ReplyProblem(NotRun(405, "method_not_allowed", "use GET or POST"));
     return;
   }
   if (auto problem =
@@ -273,12 +248,7 @@
           const auto bytes = task.get();
           exchange.SetBody(std::string(bytes.begin(), bytes.end()));
         } catch (const std::exception& error) {
-          exchange.ReplyProblem({400,
-                                 "body_unreadable",
-                                 error.what(),
-                                 Outcome::kNotRun,
-                                 Duration(0),
-                                 {}});
+          exchange.ReplyProblem(NotRun(400, "body_unreadable", error.what()));
           return;
         }
         Dispatch(std::move(exchange));
@@ -304,12 +274,8 @@
         Sha256Hex(header.substr(kPrefix.size())));
   }
   if (!caller.account) {
-    exchange.ReplyProblem({401,
-                           "unknown_key",
-                           "the bearer key names no client account",
-                           Outcome::kNotRun,
-                           Duration(0),
-                           {}});
+    exchange.ReplyProblem(
+        NotRun(401, "unknown_key", "the bearer key names no client account"));
     return std::nullopt;
   }
   return caller;
@@ -432,22 +398,13 @@
       }
     }
   }
-  exchange.ReplyProblem({404,
-                         "not_found",
-                         "no such resource",
-                         Outcome::kNotRun,
-                         Duration(0),
-                         {}});
+  exchange.ReplyProblem(NotRun(404, "not_found", "no such resource"));
 }
 
 void HttpFront::DispatchAdmin(const Exchange& exchange) {
   if (!IsOperator(exchange)) {
-    exchange.ReplyProblem({401,
-                           "operator_key_required",
-                           "the bearer key is not the operators' key",
-                           Outcome::kNotRun,
-                           Duration(0),
-                           {}});
+    exchange.ReplyProblem(NotRun(401, "operator_key_required",
+                                 "the bearer key is not the operators' key"));
     return;
   }
   const auto& path = exchange.path();
@@ -472,12 +429,7 @@
     StartLeaving(m_runtime);
     exchange.Reply(200, {{"leaving", true}});
   } else {
-    exchange.ReplyProblem({404,
-                           "not_found",
-                           "no such resource",
-                           Outcome::kNotRun,
-                           Duration(0),
-                           {}});
+    exchange.ReplyProblem(NotRun(404, "not_found", "no such resource"));
   }
 }
 
--- a/src/daemon_services.cc
+++ b/src/daemon_services.cc
@@ -18,11 +18,6 @@
 constexpr int kMaxServiceAttempts = 3;
 constexpr size_t kMaxBatchItems = 10'000;
 
-Problem NotRun(int status, std::string type, std::string detail) {
-  return {status,           std::move(type), std::move(detail),
-          Outcome::kNotRun, Duration(0),     {}};
-}
-
 std::string JoinPath(const std::vector<std::string>& path, size_t first) {
   std::string out;
   for (size_t i = first; i < path.size(); ++i)
--- a/src/http_front.h
+++ b/src/http_front.h
@@ -27,6 +27,16 @@
   std::vector<std::string> alternatives;
 };
 
+// A problem of a request that was certainly not run and that a repeat does not
+// help.
+inline Problem NotRun(int status, std::string type, std::string detail) {
+  Problem problem;
+  problem.status = status;
+  problem.type = std::move(type);
+  problem.detail = std::move(detail);
+  return problem;
+}
+
 // One HTTP request with its body and the answer that is owed. Copies share the
 // request; the first answer counts, later ones are dropped.
 class Exchange {
