--- a/tools/bench_load.cc
+++ b/tools/bench_load.cc
@@ -96,7 +96,7 @@
 
   void OnEvent(std::string_view event) {
     // Comments keep a stream alive that has no tokens yet.
-    if (event.rfind(":", 0) == 0)
+    if (event.rfind(':', 0) == 0)
       return;
     if (event == "data: [DONE]") {
       record().outcome = CallerOutcome::kFinished;
