--- /dev/null
+++ b/include/trefoilwick/coordination.h
@@ -0,0 +1,201 @@
+// Who coordinates a deployment, and what the instances tell each other: the
+// server list, the version of the configuration, members and loads. One
+// instance holds a lease in the platform's store; it reads the list for all
+// and gives orders to servers. Without I/O: events go in, actions come out.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "trefoilwick/layer_path.h"
+
+namespace trefoilwick {
+
+struct ClusterMember {
+  std::string ip;
+  std::string data_center;
+  // Takes new requests.
+  bool accepting = true;
+  // Processor share, in thousandths of a core.
+  int cpu_milli = 0;
+};
+
+// The lease row as the store holds it.
+struct LeaseRow {
+  // Store version of the row; 0 when there is none.
+  int64_t row_version = 0;
+  // Increases with every holder: the fencing token of its orders.
+  int64_t fence = 0;
+  std::string holder_ip;
+  int64_t holder_incarnation = 0;
+};
+
+struct SendDatagram {
+  std::string ip;
+  std::string bytes;
+};
+struct ReadLease {};
+// Write the lease if the row still has `expected_version`.
+struct WriteLease {
+  LeaseRow row;
+  int64_t expected_version = 0;
+};
+struct ReadServerList {};
+// A newer configuration is announced; read it from the store.
+struct ReadConfiguration {};
+using CoordinationAction = std::variant<SendDatagram,
+                                        ReadLease,
+                                        WriteLease,
+                                        ReadServerList,
+                                        ReadConfiguration>;
+
+enum class LeaseWriteResult : uint8_t { kWritten, kConflict, kUnknown };
+
+class Coordination {
+ public:
+  class Builder;
+
+  // Call every kTickInterval.
+  static constexpr Duration kTickInterval = std::chrono::milliseconds(50);
+
+  void OnTick(TimePoint now);
+  void OnDatagram(TimePoint now, const std::string& bytes);
+  // Null: the store did not answer.
+  void OnLease(TimePoint now, const std::optional<LeaseRow>& row);
+  void OnLeaseWritten(TimePoint now,
+                      LeaseWriteResult result,
+                      const LeaseRow& row);
+  // `asked` is when the call was sent: the list is at least that fresh.
+  void OnServerList(TimePoint now,
+                    TimePoint asked,
+                    int64_t version,
+                    ServerMap servers);
+  void OnServerListFailed(TimePoint now);
+  void OnConfiguration(int64_t version) { m_config_version = version; }
+  void OnConfigurationFailed(TimePoint now);
+  // The process stood still: nothing believed before may be used.
+  void OnSuspended(TimePoint now);
+  // A server refused an order because of a higher fencing token.
+  void OnFenced(TimePoint now);
+
+  // What this instance has in progress, by server.
+  void SetLocalLoads(LoadMap loads) { m_local_loads = std::move(loads); }
+  void SetAccepting(bool accepting) { m_accepting = accepting; }
+  // A server that does not answer; `learned` from another instance when set.
+  void MarkLost(TimePoint now, const std::string& server);
+  void MarkFound(const std::string& server);
+
+  std::vector<CoordinationAction> TakeActions();
+
+  bool is_coordinator() const { return m_is_coordinator; }
+  // Announcements of a coordinator that reaches the store arrive.
+  bool HearsCoordinator(TimePoint now) const;
+  int64_t fence() const { return m_fence; }
+  const std::string& coordinator_ip() const { return m_coordinator_ip; }
+  const std::shared_ptr<const ServerMap>& servers() const { return m_servers; }
+  bool has_servers() const { return m_list_version > 0; }
+  // Age of the server list.
+  Duration ListAge(TimePoint now) const { return now - m_list_fresh_at; }
+  int64_t list_version() const { return m_list_version; }
+  // Members that are alive, this one included.
+  std::vector<ClusterMember> Members(TimePoint now) const;
+  // Loads of all instances, this one included.
+  LoadMap Loads(TimePoint now) const;
+  // Servers believed lost.
+  std::set<std::string> Lost(TimePoint now) const;
+  // Servers lost for longer than a probe error would last.
+  std::set<std::string> LostFor(TimePoint now, Duration at_least) const;
+
+ private:
+  friend class Builder;
+  Coordination() = default;
+  struct Peer {
+    ClusterMember member;
+    int64_t list_version = 0;
+    TimePoint heard;
+    LoadMap loads;
+  };
+  struct LostMark {
+    TimePoint since;
+    TimePoint until;
+  };
+
+  void SendReport(TimePoint now);
+  void SendBeats(TimePoint now);
+  void SendList(TimePoint now, const std::string& ip);
+  void TryTakeOver(TimePoint now);
+  void Follow(TimePoint now, const LeaseRow& row);
+  void StepDown(TimePoint now);
+  void ReadListIfStale(TimePoint now);
+  void NoteConfigVersion(TimePoint now, int64_t version);
+  Duration TakeOverDelay() const;
+
+  std::string m_ip;
+  std::string m_data_center;
+  int m_cpu_milli = 0;
+  int64_t m_incarnation = 0;
+  bool m_accepting = true;
+
+  bool m_is_coordinator = false;
+  bool m_lease_call_pending = false;
+  bool m_knows_lease = false;
+  int64_t m_fence = 0;
+  LeaseRow m_lease;
+  std::string m_coordinator_ip;
+  TimePoint m_beat_heard;
+  TimePoint m_next_lease_call;
+  TimePoint m_store_answered;
+  TimePoint m_next_report;
+  TimePoint m_next_beat;
+
+  std::shared_ptr<const ServerMap> m_servers =
+      std::make_shared<const ServerMap>();
+  int64_t m_list_version = 0;
+  TimePoint m_list_fresh_at;
+  bool m_list_call_pending = false;
+  TimePoint m_next_list_call;
+
+  int64_t m_config_version = 0;
+  TimePoint m_next_config_call;
+
+  LoadMap m_local_loads;
+  // Loads of all instances as the coordinator sums them, and this instance's
+  // part of that sum, which is what it reported last.
+  LoadMap m_cluster_loads;
+  LoadMap m_loads_in_sum;
+  LoadMap m_reported_loads;
+  std::map<std::string, Peer> m_peers;
+  std::vector<ClusterMember> m_members;
+  std::map<std::string, LostMark> m_lost;
+  std::vector<CoordinationAction> m_actions;
+};
+
+class Coordination::Builder {
+ public:
+  Builder& SetAddress(std::string ip, std::string data_center);
+  Builder& SetProcessorShare(int cpu_milli);
+  // Start of this process, microseconds since the Unix epoch.
+  Builder& SetIncarnation(int64_t incarnation);
+  Coordination Build(TimePoint now) const;
+
+ private:
+  std::string m_ip;
+  std::string m_data_center;
+  int m_cpu_milli = 0;
+  int64_t m_incarnation = 0;
+};
+
+namespace detail {
+
+// Largest datagram between instances, below the limit of IPv4.
+inline constexpr size_t kMaxDatagramBytes = 60'000;
+
+}  // namespace detail
+
+}  // namespace trefoilwick
--- /dev/null
+++ b/include/trefoilwick/forwarding.h
@@ -0,0 +1,187 @@
+// Decides what becomes of one client attempt: whether it may be sent (again)
+// to a backend server, and which answer is true. Without I/O.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "trefoilwick/route_table.h"
+
+namespace trefoilwick {
+
+// What is known about the request at a backend server.
+enum class SendState : uint8_t {
+  // No byte has left for any server, or every server said that it did not run.
+  kNotRun,
+  // Bytes have left and there is no answer yet.
+  kOffered,
+  // A server began to answer.
+  kAnswering,
+  // It may have run and its answer is lost.
+  kUnknown,
+  kEnded,
+};
+inline constexpr auto kSendStateNames = MakeEnumTable<SendState>({
+    {SendState::kNotRun, "not_run"},
+    {SendState::kOffered, "offered"},
+    {SendState::kAnswering, "answering"},
+    {SendState::kUnknown, "unknown"},
+    {SendState::kEnded, "ended"},
+});
+
+// Choose a server that is not in ForwardState::tried() and send.
+struct SendToServer {
+  bool operator==(const SendToServer&) const = default;
+};
+// Tell the client that the request has not run and never will (503).
+struct RefuseNotRun {
+  bool operator==(const RefuseNotRun&) const = default;
+};
+// Tell the client that the outcome is not known: 504 at a deadline, else 502.
+struct FailUnknown {
+  bool timed_out = false;
+  bool operator==(const FailUnknown&) const = default;
+};
+// Pass on the server's answer as it is.
+struct RelayAnswer {
+  bool operator==(const RelayAnswer&) const = default;
+};
+// Close the client's connection in the middle of an answer, so that it is
+// visibly incomplete.
+struct BreakAnswer {
+  bool operator==(const BreakAnswer&) const = default;
+};
+// Nothing to do now.
+struct KeepWaiting {
+  bool operator==(const KeepWaiting&) const = default;
+};
+using ForwardDecision = std::variant<SendToServer,
+                                     RefuseNotRun,
+                                     FailUnknown,
+                                     RelayAnswer,
+                                     BreakAnswer,
+                                     KeepWaiting>;
+
+// How one exchange with a server ended or went on.
+enum class ServerEvent : uint8_t {
+  // The connection could not be established: no byte was sent.
+  kConnectFailed,
+  // The server says that it did not run the request.
+  kRefused,
+  // The complete answer is here and is a success, or a failure of the client.
+  kAnswered,
+  // The complete answer is here and is a failure of the server (5xx).
+  kServerFailed,
+  // The beginning of a success is here, and more follows.
+  kAnswerBegun,
+  // The connection ended, or sent what is no answer, before the end.
+  kBroken,
+};
+
+class ForwardState {
+ public:
+  class Builder;
+
+  SendState state() const { return m_state; }
+  // Servers that were tried, whether or not they ran the request.
+  const std::set<std::string>& tried() const { return m_tried; }
+  // Servers that bytes of the request went to.
+  int sends() const { return m_sends; }
+
+  // A server was chosen and the first byte is about to leave.
+  void OnSend(const std::string& server);
+  ForwardDecision OnServerEvent(const std::string& server, ServerEvent event);
+  // No server can be used now.
+  ForwardDecision OnNoServer();
+  // The client's deadline or the time-out of the route has passed.
+  ForwardDecision OnDeadline();
+  // True when the request may be sent to one more server, `retry_allowed`
+  // being the answer of the retry budget.
+  bool MaySendAgain() const;
+  // A second server continues a stream that this one began.
+  bool MayResume() const;
+
+ private:
+  friend class Builder;
+  ForwardDecision GiveUp(bool timed_out);
+
+  RouteKind m_kind = RouteKind::kNonIdempotent;
+  bool m_may_repeat = false;
+  int m_max_attempts = 1;
+  SendState m_state = SendState::kNotRun;
+  // Some server may have run the request.
+  bool m_may_have_run = false;
+  // A part of an answer went to the client.
+  bool m_relaying = false;
+  int m_sends = 0;
+  int m_connect_failures = 0;
+  std::set<std::string> m_tried;
+};
+
+class ForwardState::Builder {
+ public:
+  Builder& SetRoute(const Route& route);
+  ForwardState Build() const { return m_state; }
+
+ private:
+  ForwardState m_state;
+};
+
+// Cuts the body of an event stream into complete events and keeps the id of
+// the last one, so that another server can continue after it.
+class EventSplitter {
+ public:
+  // Returns the bytes of the events that became complete. After Resume(),
+  // events that were already passed on are left out.
+  std::string Feed(std::string_view bytes);
+  // The bytes of an event that is not complete.
+  const std::string& partial() const { return m_partial; }
+  std::string TakePartial();
+  // Continue on the stream of another server: drops the partial event.
+  void Resume();
+  int64_t last_id() const { return m_last_id; }
+  bool any() const { return m_last_id >= 0; }
+  // False once an event was out of order: the rest must not be passed on.
+  bool in_order() const { return m_in_order; }
+
+ private:
+  bool Accept(std::string_view event);
+
+  std::string m_partial;
+  int64_t m_last_id = -1;
+  bool m_resumed = false;
+  bool m_in_order = true;
+};
+
+// Limits calls beyond the first of each request, over a sliding window.
+// Load pattern: many servers fail at once and every request wants another.
+class RetryWindow {
+ public:
+  // `ratio` of the requests of the window plus `slack` may be sent again.
+  RetryWindow(double ratio, double slack, Duration window)
+      : m_ratio(ratio), m_slack(slack), m_window(window) {}
+  void OnRequest(TimePoint now);
+  // Takes one from the budget; false when it is spent.
+  bool TryRetry(TimePoint now);
+
+ private:
+  static constexpr int kSlices = 10;
+  struct Slice {
+    int64_t index = -1;
+    double requests = 0;
+    double retries = 0;
+  };
+  Slice& At(TimePoint now);
+  int64_t IndexOf(TimePoint now) const;
+
+  double m_ratio;
+  double m_slack;
+  Duration m_window;
+  Slice m_slices[kSlices];
+};
+
+}  // namespace trefoilwick
--- /dev/null
+++ b/include/trefoilwick/gateway.h
@@ -0,0 +1,227 @@
+// The entry towards clients and backend servers: accepts requests over HTTP,
+// chooses where they run, passes answers on and explains each decision in the
+// log. One Asio thread. How a deployment spells its headers and calls is left
+// to a WireDialect.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "trefoilwick/coordination.h"
+#include "trefoilwick/forwarding.h"
+#include "trefoilwick/http_call.h"
+#include "trefoilwick/layer_path.h"
+#include "trefoilwick/route_table.h"
+
+namespace trefoilwick {
+
+using HeaderFields = boost::beast::http::fields;
+
+// A request as the client sent it.
+struct ClientRequest {
+  std::string method;
+  // Path and query, unchanged.
+  std::string target;
+  std::string host;
+  // Headers to pass on unchanged; no header of a single connection, and none
+  // that the dialect sets itself.
+  HeaderFields passed_headers;
+  // Chosen by the client, unique for each of its attempts.
+  std::string attempt_id;
+  // Names the client account; empty when absent.
+  std::string key;
+  // How long the client waits; null when it did not say.
+  std::optional<Duration> patience;
+  // 0 when unknown.
+  double prompt_tokens = 0;
+  double most_answer_tokens = 0;
+  // The client's estimate of the length of the answer; 0 when absent.
+  double answer_hint = 0;
+  // Last event that the client already has; -1 when none.
+  int64_t last_event_id = -1;
+  std::string body;
+};
+
+// What a request is sent with.
+struct SendPlan {
+  // Server that receives the request.
+  const BackendServer* server = nullptr;
+  // Empty for a server that needs no path.
+  LayerPath path;
+  Duration time_left{0};
+  // Empty when the route is public.
+  std::string account;
+  // 0 is the most urgent.
+  int rank = 0;
+  // Continue the stream after this event; -1 to start it.
+  int64_t resume_after = -1;
+};
+
+// What the head of a server's answer says.
+struct AnswerHead {
+  int status = 0;
+  // Empty when the server did not echo it.
+  std::string attempt_id;
+  // The server states that it did not run the request.
+  bool not_run = false;
+  // Marked as the server's own answer.
+  bool authentic = false;
+  bool is_event_stream = false;
+  // Time that the server keeps an idle connection, when it says so.
+  std::optional<Duration> keep_alive;
+  // Address of the server on the path that is at fault; may be empty.
+  std::string fault_address;
+  // To pass on; without framing and headers of a single connection.
+  HeaderFields passed_headers;
+};
+
+enum class OrderResult : uint8_t {
+  // Begun, done, or already so.
+  kAccepted,
+  // Does not fit the state of the server.
+  kConflict,
+  // A higher fencing token was seen.
+  kFenced,
+  // The server does not know the request of a repath.
+  kNoSuchRequest,
+  kRefused,
+  kUnknown,
+};
+
+// State of a server as it says itself.
+struct ServerReport {
+  // Orders that it has begun since its start.
+  int64_t order_seq = 0;
+  // An order is in progress.
+  bool busy = false;
+  // Addresses of servers that requests, of which it is the first server, wait
+  // for, by attempt id.
+  std::map<std::string, std::string> stalled;
+};
+
+// Translates between the product's types and a deployment's HTTP headers and
+// calls. Holds no decision.
+class WireDialect {
+ public:
+  virtual ~WireDialect() = default;
+  virtual absl::StatusOr<ClientRequest> ReadRequest(
+      const boost::beast::http::request_header<>& head) const = 0;
+  // Everything but the body.
+  virtual HttpRequest WriteRequest(const ClientRequest& request,
+                                   const SendPlan& plan,
+                                   const ServerMap& servers) const = 0;
+  virtual AnswerHead ReadAnswer(
+      const boost::beast::http::response_header<>& head) const = 0;
+  // Headers of an answer of our own.
+  virtual void MarkOwnAnswer(const std::string& attempt_id,
+                             HeaderFields& headers) const = 0;
+  virtual HttpRequest PlaceOrder(const PlacementOrder& order,
+                                 int64_t fence,
+                                 int64_t order_seq) const = 0;
+  virtual HttpRequest RepathOrder(const std::string& attempt_id,
+                                  const LayerPath& path,
+                                  int64_t fence,
+                                  const ServerMap& servers) const = 0;
+  virtual OrderResult ReadOrderResult(const CallResult& result) const = 0;
+  // Asks a server for its state.
+  virtual HttpRequest ReportRequest() const = 0;
+  // Null when the answer is no report.
+  virtual std::optional<ServerReport> ReadReport(
+      const CallResult& result) const = 0;
+  // Data center of the caller of the directory; null when `target` is none of
+  // its calls.
+  virtual std::optional<std::string> ReadDirectoryCall(
+      const std::string& target) const = 0;
+  virtual std::string WriteDirectoryAnswer(
+      const std::vector<std::string>& addresses,
+      Duration time_to_live) const = 0;
+};
+
+// The platform's store as the gateway uses it.
+class ClusterStore {
+ public:
+  virtual ~ClusterStore() = default;
+  // Null when the store did not answer.
+  virtual void ReadLease(
+      std::function<void(std::optional<LeaseRow>)> handler) = 0;
+  virtual void WriteLease(
+      const LeaseRow& row,
+      int64_t expected_version,
+      std::function<void(LeaseWriteResult, LeaseRow)> handler) = 0;
+  // Version and servers; null when the store did not answer.
+  using ServerListHandler =
+      std::function<void(std::optional<std::pair<int64_t, ServerMap>>)>;
+  virtual void ReadServers(ServerListHandler handler) = 0;
+  // The newest configuration; null when the store did not answer or has none.
+  using ConfigurationHandler =
+      std::function<void(std::shared_ptr<const RouteTable>)>;
+  virtual void ReadConfiguration(ConfigurationHandler handler) = 0;
+  // Waits up to `wait` for a configuration newer than the last one read.
+  virtual void WatchConfiguration(Duration wait,
+                                  ConfigurationHandler handler) = 0;
+  // Forgets connections that may have gone silent.
+  virtual void DropConnections() = 0;
+};
+
+// Settings of one instance.
+struct GatewaySettings {
+  std::string ip;
+  std::string data_center;
+  int cpu_milli = 1000;
+  // IP:PORT; empty when the instance does not serve it.
+  std::string client_address;
+  std::string ready_address;
+  std::string directory_address;
+  std::string metrics_address;
+  // UDP port for messages between instances.
+  uint16_t peer_port = 0;
+  size_t max_connections = 1000;
+  size_t memory_bytes = 128 << 20;
+  // Time from SIGTERM to SIGKILL.
+  Duration grace = std::chrono::seconds(8);
+  double retry_ratio = 0.2;
+  double retry_slack = 100;
+  Duration retry_window = std::chrono::seconds(10);
+  Duration directory_ttl = std::chrono::seconds(2);
+};
+
+namespace detail {
+class GatewayCore;
+}
+
+class Gateway {
+ public:
+  class Builder;
+  ~Gateway();
+  Gateway(Gateway&&) noexcept;
+  // Opens the listeners and begins to coordinate.
+  absl::Status Start();
+  // Stops taking work and ends when the requests in progress have ended.
+  void Leave();
+
+ private:
+  friend class Builder;
+  explicit Gateway(std::unique_ptr<detail::GatewayCore> core);
+  std::unique_ptr<detail::GatewayCore> m_core;
+};
+
+class Gateway::Builder {
+ public:
+  explicit Builder(boost::asio::io_context& io) : m_io(io) {}
+  Builder& SetSettings(GatewaySettings settings);
+  Builder& SetDialect(const WireDialect* dialect);
+  Builder& SetStore(ClusterStore* store);
+  Gateway Build() const;
+
+ private:
+  boost::asio::io_context& m_io;
+  GatewaySettings m_settings;
+  const WireDialect* m_dialect = nullptr;
+  ClusterStore* m_store = nullptr;
+};
+
+}  // namespace trefoilwick
--- /dev/null
+++ b/include/trefoilwick/http_call.h
@@ -0,0 +1,91 @@
+// HTTP/1.1 calls on one Asio thread: short calls with a deadline, and
+// connections that are kept for the next call to the same address.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "trefoilwick/kernel.h"
+
+namespace trefoilwick {
+
+using HttpRequest =
+    boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse =
+    boost::beast::http::response<boost::beast::http::string_body>;
+
+// Monotonic time that also counts while the machine is suspended.
+class BootClock final : public Clock {
+ public:
+  TimePoint Now() const override;
+  int64_t UnixMillis() const override;
+};
+
+// Parses "IP:PORT"; null when the text is no such address.
+std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(
+    const std::string& address);
+
+// No delay, and an end to connections whose peer does not acknowledge.
+// `silence` bounds the time without acknowledgement.
+void SetSocketOptions(boost::asio::ip::tcp::socket& socket, Duration silence);
+
+enum class CallError : uint8_t {
+  kNone,
+  // No byte of the request was sent.
+  kNotSent,
+  // The request may have been carried out.
+  kUnknown,
+};
+
+struct CallResult {
+  CallError error = CallError::kNone;
+  HttpResponse response;
+};
+using CallHandler = std::function<void(CallResult)>;
+
+// Calls to one address, several at a time, each on a connection of its own.
+// The address may be changed between calls.
+class HttpCaller {
+ public:
+  HttpCaller(boost::asio::io_context& io, Duration connect_timeout)
+      : m_io(io), m_connect_timeout(connect_timeout) {}
+  // `handler` is called once, never from within Call().
+  void Call(const std::string& address,
+            HttpRequest request,
+            Duration timeout,
+            CallHandler handler);
+  // Closes kept connections: they may have gone silent.
+  void DropKept() { m_kept.clear(); }
+
+ private:
+  class Exchange;
+  struct Kept {
+    std::unique_ptr<boost::asio::ip::tcp::socket> socket;
+    TimePoint since;
+  };
+
+  boost::asio::io_context& m_io;
+  Duration m_connect_timeout;
+  std::map<std::string, std::vector<Kept>> m_kept;
+};
+
+// Connects to `address` and closes at once: true when somebody accepted.
+// `refused` tells a refusal from silence.
+enum class ConnectResult : uint8_t { kAccepted, kRefused, kSilent };
+void TryConnect(boost::asio::io_context& io,
+                const std::string& address,
+                Duration timeout,
+                std::function<void(ConnectResult)> handler);
+
+}  // namespace trefoilwick
--- /dev/null
+++ b/include/trefoilwick/layer_path.h
@@ -0,0 +1,122 @@
+// Paths of a request over backend servers that each hold some layers of a
+// model, and the placement of layers on servers. Pure decisions, without I/O.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "trefoilwick/route_table.h"
+
+namespace trefoilwick {
+
+// Layers [from, to).
+struct LayerRange {
+  int from = 0;
+  int to = 0;
+  int size() const { return to - from; }
+  bool Contains(int layer) const { return layer >= from && layer < to; }
+  bool operator==(const LayerRange&) const = default;
+};
+
+enum class ServerState : uint8_t { kReady, kDraining };
+
+// What the server list says of one backend server.
+struct BackendServer {
+  std::string id;
+  std::string service;
+  // IP:PORT.
+  std::string address;
+  std::string data_center;
+  ServerState state = ServerState::kReady;
+  // Accelerator kind; empty for plain services.
+  std::string kind;
+  // Layers that it holds, if any.
+  std::optional<LayerRange> layers;
+  // Unix milliseconds of its start.
+  int64_t born = 0;
+  bool operator==(const BackendServer&) const = default;
+};
+
+// One snapshot of the server list, by id.
+using ServerMap = std::map<std::string, BackendServer>;
+
+// Work that is on a server now.
+struct ServerLoad {
+  // KV cache in use or reserved, in tokens times layers.
+  double token_layers = 0;
+  // Requests whose path includes the server.
+  int sequences = 0;
+};
+using LoadMap = std::map<std::string, ServerLoad>;
+
+struct PathPart {
+  std::string server;
+  LayerRange layers;
+  bool operator==(const PathPart&) const = default;
+};
+using LayerPath = std::vector<PathPart>;
+
+// True when the parts run every layer of [0, layers) once, in order, on
+// distinct servers that hold them.
+bool IsWholePath(const LayerPath& path, int layers, const ServerMap& servers);
+
+// Tokens times layers that fit beside the held layers; 0 when nothing does.
+double KvCapacity(const EngineModel& engine, const BackendServer& server);
+
+struct PathRequest {
+  std::string service;
+  // Prompt and expected answer, in tokens.
+  double tokens = 0;
+  double prompt_tokens = 0;
+  std::string data_center;
+  // Servers not to use.
+  std::set<std::string> excluded;
+  // Set for a request in progress: its first server stays the first.
+  std::string first_server;
+};
+
+struct PathChoice {
+  LayerPath path;
+  // Estimated milliseconds for one token round the path.
+  double token_ms = 0;
+  // Largest share of KV memory in use on a part, this request included.
+  double peak_use = 0;
+};
+
+// The cheapest whole path by estimated time, with a penalty on servers that
+// are nearly full and on links between data centers. `most_use` bounds the
+// share of KV memory in use on each part. Null when there is no such path.
+// Load pattern: steady traffic that must spread over unequal servers, and
+// bursts that fill the memory of some of them.
+std::optional<PathChoice> ChoosePath(const EngineModel& engine,
+                                     const ServerMap& servers,
+                                     const LoadMap& loads,
+                                     const PathRequest& request,
+                                     double most_use);
+
+// One order to a server: hold exactly `layers`.
+struct PlacementOrder {
+  std::string server;
+  LayerRange layers;
+  bool operator==(const PlacementOrder&) const = default;
+};
+
+// Orders that make every data center with enough memory hold each layer of
+// the service, with KV memory left in proportion. Servers that already hold
+// layers keep them unless a layer would be held by none. `down` are servers
+// believed lost. Deterministic: every instance computes the same orders from
+// the same list.
+// Load pattern: servers that start empty, come back empty, or are lost.
+std::vector<PlacementOrder> PlanPlacement(const EngineModel& engine,
+                                          const ServerMap& servers,
+                                          const std::string& service,
+                                          const std::set<std::string>& down);
+
+// Layers that a server of this kind may hold at most.
+int MostLayers(const EngineModel& engine, const std::string& kind);
+
+}  // namespace trefoilwick
--- /dev/null
+++ b/include/trefoilwick/route_table.h
@@ -0,0 +1,154 @@
+// Routes, services, client accounts and limits that the operators set, as an
+// immutable snapshot with the look-ups of the request path.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "trefoilwick/kernel.h"
+
+namespace trefoilwick {
+
+// What may be repeated. A stream that cannot be resumed runs at most once.
+enum class RouteKind : uint8_t { kIdempotent, kNonIdempotent, kStream };
+inline constexpr auto kRouteKindNames = MakeEnumTable<RouteKind>({
+    {RouteKind::kIdempotent, "idempotent"},
+    {RouteKind::kNonIdempotent, "non_idempotent"},
+    {RouteKind::kStream, "stream"},
+});
+
+struct WeightedService {
+  std::string service;
+  double weight = 1;
+};
+
+// A kind of work: requests of one host whose path begins with `prefix`.
+struct Route {
+  std::string name;
+  std::string host;
+  std::string prefix;
+  RouteKind kind = RouteKind::kNonIdempotent;
+  // Longest time until the final answer.
+  Duration timeout{0};
+  // Time to the (first part of the) answer that the operators aim for.
+  Duration latency_target{0};
+  // Longest pause between events of a stream that still counts as on time.
+  Duration gap_target{0};
+  // 0 is the most urgent.
+  int rank = 0;
+  std::vector<WeightedService> services;
+  // Backend servers that one request may be sent to.
+  int max_attempts = 1;
+  bool is_public = false;
+  bool resumable = false;
+
+  // True when a request may run on a second server after it may have run.
+  bool MayRepeat() const {
+    return kind == RouteKind::kIdempotent ||
+           (kind == RouteKind::kStream && resumable);
+  }
+};
+
+// Memory and relative speed of one kind of accelerator. Scales multiply times.
+struct AcceleratorKind {
+  double memory_mb = 0;
+  double step_scale = 1;
+  double prefill_scale = 1;
+};
+
+// Cost model of the servers of one model, whose layers are spread over them.
+struct EngineModel {
+  int layers = 0;
+  // Requests that a server runs at once.
+  int max_sequences = 0;
+  double layer_mb = 0;
+  // KV cache of one token over all layers.
+  double kv_bytes_per_token = 0;
+  // Bytes that one token carries from a server to the next.
+  double activation_bytes = 0;
+  double step_ms = 0;
+  double step_ms_per_sequence = 0;
+  double step_ms_per_k_context = 0;
+  double prefill_tokens_per_ms = 1;
+  // Time to load all layers.
+  double load_ms = 0;
+  int loads_at_once = 1;
+  // Rate of the link between two data centers, shared by all transfers.
+  double pipe_mbps = 0;
+  // Mean lengths in tokens.
+  double usual_prompt = 0;
+  double usual_answer = 0;
+  std::map<std::string, AcceleratorKind> kinds;
+};
+
+struct Service {
+  std::string name;
+  std::string health_path;
+  int max_connections = 0;
+  std::optional<EngineModel> engine;
+};
+
+// Bounds on what a client may send and how long it may take.
+struct ClientLimits {
+  size_t max_header_bytes = 16384;
+  size_t max_body_bytes = 1 << 20;
+  Duration header_timeout = std::chrono::seconds(10);
+  Duration idle_timeout = std::chrono::seconds(15);
+};
+
+struct ClientAccount {
+  std::string name;
+  std::vector<std::string> keys;
+  // Takes precedence over the rank of the route.
+  std::optional<int> rank;
+};
+
+// One version of everything above. Immutable once built.
+class RouteTable {
+ public:
+  class Builder;
+
+  int64_t version() const { return m_version; }
+  const ClientLimits& limits() const { return m_limits; }
+  bool has_accounts() const { return !m_accounts.empty(); }
+  const std::vector<Route>& routes() const { return m_routes; }
+  const std::map<std::string, Service>& services() const { return m_services; }
+
+  // The route with the longest prefix of `path` among those of `host`, or null.
+  // `host` is compared without case and without a port.
+  const Route* FindRoute(std::string_view host, std::string_view path) const;
+  // Null when no account holds the key.
+  const ClientAccount* FindAccount(const std::string& key) const;
+  const Service* FindService(const std::string& name) const;
+
+ private:
+  int64_t m_version = 0;
+  ClientLimits m_limits;
+  std::vector<Route> m_routes;
+  std::map<std::string, Service> m_services;
+  std::vector<ClientAccount> m_accounts;
+  // Host -> prefix -> index in m_routes.
+  std::unordered_map<std::string, std::unordered_map<std::string, size_t>>
+      m_by_host;
+  std::unordered_map<std::string, size_t> m_by_key;
+};
+
+class RouteTable::Builder {
+ public:
+  explicit Builder(int64_t version) { m_table.m_version = version; }
+  Builder& SetLimits(const ClientLimits& limits);
+  Builder& AddRoute(Route route);
+  Builder& AddService(Service service);
+  Builder& AddAccount(ClientAccount account);
+  RouteTable Build();
+
+ private:
+  RouteTable m_table;
+};
+
+}  // namespace trefoilwick
--- /dev/null
+++ b/src/cluster.thrift
@@ -0,0 +1,72 @@
+// Messages between instances that share the coordination of a deployment.
+// Compact protocol, one message a datagram.
+namespace cpp trefoilwick.wire
+
+struct Load {
+  1: string server
+  2: i64 token_layers
+  3: i32 sequences
+}
+
+// From an instance to the coordinator.
+struct Report {
+  1: string ip
+  2: string data_center
+  3: i64 incarnation
+  4: bool accepting
+  5: i32 cpu_milli
+  6: i64 config_version
+  7: i64 list_version
+  8: list<Load> loads
+  9: list<string> down
+  10: bool store_reachable
+}
+
+struct Member {
+  1: string ip
+  2: string data_center
+  3: bool accepting
+  4: i32 cpu_milli
+}
+
+// From the coordinator to every instance.
+struct Beat {
+  1: i64 fence
+  2: string ip
+  3: i64 config_version
+  4: i64 list_version
+  // Milliseconds since the server list was read.
+  5: i32 list_age_ms
+  6: list<Member> members
+  7: list<Load> loads
+  8: list<string> down
+  9: bool store_reachable
+}
+
+struct Server {
+  1: string id
+  2: string service_name
+  3: string address
+  4: string data_center
+  5: bool draining
+  6: string kind
+  7: i32 layer_from
+  8: i32 layer_to
+  9: i64 born
+}
+
+// The server list, from the coordinator to an instance that has an older one.
+struct ServerList {
+  1: i64 fence
+  2: i64 version
+  3: i32 age_ms
+  4: list<Server> servers
+}
+
+struct Message {
+  1: optional Report report
+  2: optional Beat beat
+  3: optional ServerList servers
+  // Servers that an instance found unreachable just now.
+  4: optional list<string> lost
+}
--- /dev/null
+++ b/src/cluster_codec.h
@@ -0,0 +1,56 @@
+// Codec of the messages between instances: Thrift compact protocol
+// (src/cluster.thrift), one message a datagram.
+#pragma once
+
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "trefoilwick/coordination.h"
+
+namespace trefoilwick::detail {
+
+struct InstanceReport {
+  ClusterMember member;
+  int64_t incarnation = 0;
+  int64_t config_version = 0;
+  int64_t list_version = 0;
+  LoadMap loads;
+};
+
+struct CoordinatorBeat {
+  int64_t fence = 0;
+  std::string ip;
+  int64_t config_version = 0;
+  int64_t list_version = 0;
+  Duration list_age{0};
+  std::vector<ClusterMember> members;
+  LoadMap loads;
+  std::set<std::string> lost;
+  bool store_reachable = true;
+};
+
+struct ServerListMessage {
+  int64_t fence = 0;
+  int64_t version = 0;
+  Duration age{0};
+  ServerMap servers;
+};
+
+struct LostServers {
+  std::vector<std::string> servers;
+};
+
+using ClusterMessage = std::
+    variant<InstanceReport, CoordinatorBeat, ServerListMessage, LostServers>;
+
+std::string EncodeReport(const InstanceReport& report);
+std::string EncodeBeat(const CoordinatorBeat& beat);
+std::string EncodeServerList(const ServerListMessage& list);
+std::string EncodeLost(const std::vector<std::string>& servers);
+// Null when the bytes are no message.
+std::optional<ClusterMessage> DecodeClusterMessage(const std::string& bytes);
+
+}  // namespace trefoilwick::detail
--- /dev/null
+++ b/src/coordination.cc
@@ -0,0 +1,437 @@
+#include "trefoilwick/coordination.h"
+
+#include <algorithm>
+
+#include "cluster_codec.h"
+
+namespace trefoilwick {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kReportInterval = milliseconds(250);
+constexpr Duration kBeatInterval = milliseconds(250);
+// A coordinator that was not heard for this long may be replaced.
+constexpr Duration kCoordinatorSilence = milliseconds(900);
+// Instances that notice the silence together try one after the other.
+constexpr Duration kTakeOverStep = milliseconds(60);
+constexpr Duration kLeaseRenewal = seconds(2);
+constexpr Duration kLeaseRetry = milliseconds(700);
+// A coordinator without the store for this long says so in its beats.
+constexpr Duration kStoreSilence = milliseconds(2500);
+constexpr Duration kListInterval = milliseconds(650);
+// A follower reads the list itself when the coordinator's news are late.
+constexpr Duration kListStale = milliseconds(1100);
+constexpr Duration kListRetry = milliseconds(900);
+constexpr Duration kConfigRetry = milliseconds(500);
+constexpr Duration kMemberSilence = milliseconds(1500);
+constexpr Duration kLostLife = seconds(4);
+
+// Adds `more` times `sign` to `sum`; entries that reach zero are dropped.
+void AddLoads(LoadMap& sum, const LoadMap& more, int sign) {
+  for (const auto& [server, load] : more) {
+    ServerLoad& here = sum[server];
+    here.token_layers =
+        std::max(0.0, here.token_layers + sign * load.token_layers);
+    here.sequences = std::max(0, here.sequences + sign * load.sequences);
+  }
+}
+
+}  // namespace
+
+Coordination::Builder& Coordination::Builder::SetAddress(
+    std::string ip,
+    std::string data_center) {
+  m_ip = std::move(ip);
+  m_data_center = std::move(data_center);
+  return *this;
+}
+
+Coordination::Builder& Coordination::Builder::SetProcessorShare(
+    int cpu_milli) {
+  m_cpu_milli = cpu_milli;
+  return *this;
+}
+
+Coordination::Builder& Coordination::Builder::SetIncarnation(
+    int64_t incarnation) {
+  m_incarnation = incarnation;
+  return *this;
+}
+
+Coordination Coordination::Builder::Build(TimePoint now) const {
+  Coordination out;
+  out.m_ip = m_ip;
+  out.m_data_center = m_data_center;
+  out.m_cpu_milli = m_cpu_milli;
+  out.m_incarnation = m_incarnation;
+  out.m_beat_heard = now;
+  // Instances start together: spread their first calls.
+  out.m_next_lease_call = now + Duration(StableHash(m_ip) % 200'000);
+  out.m_store_answered = now;
+  out.m_next_report = now;
+  out.m_next_beat = now;
+  out.m_list_fresh_at = now - seconds(3600);
+  out.m_next_list_call = now + milliseconds(350);
+  out.m_next_config_call = now;
+  return out;
+}
+
+Duration Coordination::TakeOverDelay() const {
+  int before = 0;
+  for (const ClusterMember& member : m_members)
+    if (member.ip != m_coordinator_ip &&
+        (member.cpu_milli > m_cpu_milli ||
+         (member.cpu_milli == m_cpu_milli && member.ip < m_ip)))
+      ++before;
+  return kTakeOverStep * std::min(before, 20);
+}
+
+bool Coordination::HearsCoordinator(TimePoint now) const {
+  return !m_is_coordinator && !m_members.empty() &&
+         now - m_beat_heard <= kCoordinatorSilence;
+}
+
+void Coordination::OnTick(TimePoint now) {
+  std::erase_if(m_lost,
+                [&](const auto& entry) { return entry.second.until <= now; });
+  if (m_is_coordinator) {
+    if (now >= m_next_lease_call && !m_lease_call_pending) {
+      m_lease_call_pending = true;
+      m_next_lease_call = now + kLeaseRenewal;
+      m_actions.emplace_back(WriteLease{m_lease, m_lease.row_version});
+    }
+    if (now >= m_next_beat)
+      SendBeats(now);
+  } else {
+    TryTakeOver(now);
+    if (now >= m_next_report && !m_coordinator_ip.empty())
+      SendReport(now);
+  }
+  ReadListIfStale(now);
+}
+
+void Coordination::TryTakeOver(TimePoint now) {
+  if (m_lease_call_pending || now < m_next_lease_call || !m_accepting)
+    return;
+  const bool silent =
+      now - m_beat_heard > kCoordinatorSilence + TakeOverDelay();
+  if (m_knows_lease && !silent)
+    return;
+  m_lease_call_pending = true;
+  m_next_lease_call = now + kLeaseRetry;
+  m_actions.emplace_back(ReadLease{});
+}
+
+void Coordination::OnLease(TimePoint now, const std::optional<LeaseRow>& row) {
+  m_lease_call_pending = false;
+  if (!row)
+    return;
+  m_store_answered = now;
+  const bool first = !m_knows_lease;
+  const bool changed = row->fence != m_fence;
+  if (row->row_version > 0 && row->holder_ip != m_ip && (first || changed)) {
+    // Give the holder the time to be heard before it is replaced.
+    Follow(now, *row);
+    return;
+  }
+  m_knows_lease = true;
+  const bool silent = now - m_beat_heard > kCoordinatorSilence;
+  const bool mine_before = row->holder_ip == m_ip;
+  if (row->row_version > 0 && !silent && !mine_before)
+    return;
+  LeaseRow mine;
+  mine.fence = row->fence + 1;
+  mine.holder_ip = m_ip;
+  mine.holder_incarnation = m_incarnation;
+  m_lease_call_pending = true;
+  m_actions.emplace_back(WriteLease{mine, row->row_version});
+}
+
+void Coordination::Follow(TimePoint now, const LeaseRow& row) {
+  m_knows_lease = true;
+  m_is_coordinator = false;
+  m_fence = row.fence;
+  m_lease = row;
+  m_coordinator_ip = row.holder_ip;
+  m_beat_heard = now;
+  m_next_report = now;
+}
+
+void Coordination::StepDown(TimePoint now) {
+  m_is_coordinator = false;
+  m_coordinator_ip.clear();
+  m_next_lease_call = now;
+  m_knows_lease = false;
+  m_beat_heard = now;
+}
+
+void Coordination::OnLeaseWritten(TimePoint now,
+                                  LeaseWriteResult result,
+                                  const LeaseRow& row) {
+  m_lease_call_pending = false;
+  switch (result) {
+    case LeaseWriteResult::kWritten:
+      m_store_answered = now;
+      m_lease = row;
+      m_fence = row.fence;
+      m_next_lease_call = now + kLeaseRenewal;
+      if (!m_is_coordinator) {
+        m_is_coordinator = true;
+        m_knows_lease = true;
+        m_coordinator_ip = m_ip;
+        m_peers.clear();
+        m_next_beat = now;
+        m_next_list_call = now;
+        m_cluster_loads.clear();
+      }
+      return;
+    case LeaseWriteResult::kConflict:
+      m_store_answered = now;
+      // The row shows who holds it now, or one of our own writes whose answer
+      // was lost.
+      if (row.holder_ip == m_ip && row.holder_incarnation == m_incarnation &&
+          row.fence >= m_fence) {
+        m_lease = row;
+        m_fence = row.fence;
+        m_next_lease_call = now;
+        return;
+      }
+      if (row.row_version > 0)
+        Follow(now, row);
+      else
+        StepDown(now);
+      return;
+    case LeaseWriteResult::kUnknown:
+      m_next_lease_call = now + kLeaseRetry;
+      return;
+  }
+}
+
+void Coordination::OnFenced(TimePoint now) {
+  if (m_is_coordinator)
+    StepDown(now);
+}
+
+void Coordination::OnSuspended(TimePoint now) {
+  m_list_fresh_at = now - seconds(3600);
+  m_next_list_call = now;
+  m_peers.clear();
+  m_lost.clear();
+  if (m_is_coordinator)
+    StepDown(now);
+}
+
+void Coordination::ReadListIfStale(TimePoint now) {
+  if (m_list_call_pending || now < m_next_list_call)
+    return;
+  const bool stale = ListAge(now) > kListStale;
+  if (!m_is_coordinator && !stale)
+    return;
+  m_list_call_pending = true;
+  m_next_list_call = now + kListInterval;
+  m_actions.emplace_back(ReadServerList{});
+}
+
+void Coordination::OnServerList(TimePoint now,
+                                TimePoint asked,
+                                int64_t version,
+                                ServerMap servers) {
+  m_list_call_pending = false;
+  m_store_answered = now;
+  m_list_fresh_at = std::max(m_list_fresh_at, asked);
+  if (version < m_list_version ||
+      (m_list_version > 0 && servers == *m_servers))
+    return;
+  m_list_version = version;
+  m_servers = std::make_shared<const ServerMap>(std::move(servers));
+  if (m_is_coordinator)
+    SendBeats(now);
+}
+
+void Coordination::OnServerListFailed(TimePoint now) {
+  m_list_call_pending = false;
+  m_next_list_call = now + kListRetry;
+}
+
+void Coordination::OnConfigurationFailed(TimePoint now) {
+  m_next_config_call = now + kConfigRetry;
+}
+
+void Coordination::NoteConfigVersion(TimePoint now, int64_t version) {
+  if (version <= m_config_version || now < m_next_config_call)
+    return;
+  m_next_config_call = now + kConfigRetry;
+  m_actions.emplace_back(ReadConfiguration{});
+}
+
+void Coordination::MarkLost(TimePoint now, const std::string& server) {
+  const bool is_new = !m_lost.contains(server);
+  LostMark& mark = m_lost[server];
+  if (is_new)
+    mark.since = now;
+  mark.until = now + kLostLife;
+  if (!is_new)
+    return;
+  const std::string bytes = detail::EncodeLost({server});
+  for (const ClusterMember& member : Members(now))
+    if (member.ip != m_ip)
+      m_actions.emplace_back(SendDatagram{member.ip, bytes});
+}
+
+void Coordination::MarkFound(const std::string& server) {
+  m_lost.erase(server);
+}
+
+std::set<std::string> Coordination::Lost(TimePoint now) const {
+  return LostFor(now, Duration(0));
+}
+
+std::set<std::string> Coordination::LostFor(TimePoint now,
+                                            Duration at_least) const {
+  std::set<std::string> out;
+  for (const auto& [server, mark] : m_lost)
+    if (mark.until > now && now - mark.since >= at_least)
+      out.insert(server);
+  return out;
+}
+
+std::vector<ClusterMember> Coordination::Members(TimePoint now) const {
+  std::vector<ClusterMember> out;
+  out.push_back({m_ip, m_data_center, m_accepting, m_cpu_milli});
+  if (m_is_coordinator) {
+    for (const auto& [ip, peer] : m_peers)
+      if (now - peer.heard <= kMemberSilence)
+        out.push_back(peer.member);
+    return out;
+  }
+  for (const ClusterMember& member : m_members)
+    if (member.ip != m_ip)
+      out.push_back(member);
+  return out;
+}
+
+LoadMap Coordination::Loads(TimePoint now) const {
+  LoadMap out;
+  if (m_is_coordinator) {
+    for (const auto& [ip, peer] : m_peers)
+      if (now - peer.heard <= kMemberSilence)
+        AddLoads(out, peer.loads, 1);
+  } else {
+    out = m_cluster_loads;
+    AddLoads(out, m_loads_in_sum, -1);
+  }
+  AddLoads(out, m_local_loads, 1);
+  return out;
+}
+
+void Coordination::SendReport(TimePoint now) {
+  m_next_report = now + kReportInterval;
+  detail::InstanceReport report;
+  report.member = {m_ip, m_data_center, m_accepting, m_cpu_milli};
+  report.incarnation = m_incarnation;
+  report.config_version = m_config_version;
+  report.list_version = m_list_version;
+  report.loads = m_local_loads;
+  m_reported_loads = m_local_loads;
+  m_actions.emplace_back(
+      SendDatagram{m_coordinator_ip, detail::EncodeReport(report)});
+}
+
+void Coordination::SendBeats(TimePoint now) {
+  m_next_beat = now + kBeatInterval;
+  detail::CoordinatorBeat beat;
+  beat.fence = m_fence;
+  beat.ip = m_ip;
+  beat.config_version = m_config_version;
+  beat.list_version = m_list_version;
+  beat.list_age = ListAge(now);
+  beat.members = Members(now);
+  beat.loads = Loads(now);
+  beat.lost = Lost(now);
+  beat.store_reachable = now - m_store_answered < kStoreSilence;
+  const std::string bytes = detail::EncodeBeat(beat);
+  for (const auto& [ip, peer] : m_peers) {
+    if (now - peer.heard > kMemberSilence)
+      continue;
+    m_actions.emplace_back(SendDatagram{ip, bytes});
+    if (peer.list_version < m_list_version)
+      SendList(now, ip);
+  }
+}
+
+void Coordination::SendList(TimePoint now, const std::string& ip) {
+  detail::ServerListMessage list{m_fence, m_list_version, ListAge(now),
+                                 *m_servers};
+  std::string bytes = detail::EncodeServerList(list);
+  // A list that does not fit is read from the store by each instance.
+  if (bytes.size() <= detail::kMaxDatagramBytes)
+    m_actions.emplace_back(SendDatagram{ip, std::move(bytes)});
+}
+
+void Coordination::OnDatagram(TimePoint now, const std::string& bytes) {
+  const auto message = detail::DecodeClusterMessage(bytes);
+  if (!message)
+    return;
+  std::visit(
+      Overloaded{
+          [&](const detail::InstanceReport& report) {
+            if (!m_is_coordinator)
+              return;
+            Peer& peer = m_peers[report.member.ip];
+            const bool behind = report.list_version < m_list_version;
+            const bool is_new = peer.heard == TimePoint{};
+            peer.member = report.member;
+            peer.list_version = report.list_version;
+            peer.heard = now;
+            peer.loads = report.loads;
+            if (is_new && behind)
+              SendList(now, report.member.ip);
+          },
+          [&](const detail::CoordinatorBeat& beat) {
+            if (beat.fence < m_fence || beat.ip == m_ip)
+              return;
+            if (beat.fence > m_fence || m_is_coordinator ||
+                m_coordinator_ip != beat.ip) {
+              LeaseRow row;
+              row.fence = beat.fence;
+              row.holder_ip = beat.ip;
+              Follow(now, row);
+            }
+            if (beat.store_reachable)
+              m_beat_heard = now;
+            m_members = beat.members;
+            m_cluster_loads = beat.loads;
+            m_loads_in_sum = m_reported_loads;
+            for (const std::string& server : beat.lost)
+              if (!m_lost.contains(server))
+                m_lost[server] = {now, now + kLostLife};
+            // A list that is as new as the coordinator's is as fresh, too.
+            if (m_list_version >= beat.list_version && m_list_version > 0)
+              m_list_fresh_at =
+                  std::max(m_list_fresh_at, now - beat.list_age);
+            NoteConfigVersion(now, beat.config_version);
+          },
+          [&](const detail::ServerListMessage& list) {
+            if (list.version <= m_list_version)
+              return;
+            m_list_version = list.version;
+            m_list_fresh_at = std::max(m_list_fresh_at, now - list.age);
+            m_servers = std::make_shared<const ServerMap>(list.servers);
+          },
+          [&](const detail::LostServers& lost) {
+            for (const std::string& server : lost.servers)
+              if (!m_lost.contains(server))
+                m_lost[server] = {now, now + kLostLife};
+          },
+      },
+      *message);
+}
+
+std::vector<CoordinationAction> Coordination::TakeActions() {
+  return std::exchange(m_actions, {});
+}
+
+}  // namespace trefoilwick
--- /dev/null
+++ b/src/forwarding.cc
@@ -0,0 +1,205 @@
+#include "trefoilwick/forwarding.h"
+
+#include <charconv>
+
+namespace trefoilwick {
+
+namespace {
+
+// Servers that may refuse a connection before the request is given up.
+constexpr int kMaxConnectFailures = 4;
+
+// Value of the field `id` of an event, or -1.
+int64_t EventId(std::string_view event) {
+  constexpr std::string_view kField = "id:";
+  for (size_t at = 0; at < event.size();) {
+    size_t end = event.find('\n', at);
+    if (end == std::string_view::npos)
+      end = event.size();
+    std::string_view line = event.substr(at, end - at);
+    if (line.starts_with(kField)) {
+      line.remove_prefix(kField.size());
+      while (line.starts_with(' '))
+        line.remove_prefix(1);
+      int64_t id = -1;
+      std::from_chars(line.data(), line.data() + line.size(), id);
+      return id;
+    }
+    at = end + 1;
+  }
+  return -1;
+}
+
+// Length of the first complete event, its blank line included; 0 when none.
+size_t EventLength(std::string_view bytes) {
+  const size_t plain = bytes.find("\n\n");
+  const size_t with_returns = bytes.find("\r\n\r\n");
+  if (plain == std::string_view::npos &&
+      with_returns == std::string_view::npos)
+    return 0;
+  if (plain < with_returns)
+    return plain + 2;
+  return with_returns + 4;
+}
+
+}  // namespace
+
+ForwardState::Builder& ForwardState::Builder::SetRoute(const Route& route) {
+  m_state.m_kind = route.kind;
+  m_state.m_may_repeat = route.MayRepeat();
+  m_state.m_max_attempts = std::max(1, route.max_attempts);
+  return *this;
+}
+
+void ForwardState::OnSend(const std::string& server) {
+  m_tried.insert(server);
+  ++m_sends;
+  m_state = SendState::kOffered;
+}
+
+bool ForwardState::MaySendAgain() const {
+  if (m_state == SendState::kEnded || m_relaying)
+    return false;
+  if (m_may_have_run && !m_may_repeat)
+    return false;
+  return m_sends < m_max_attempts && m_connect_failures < kMaxConnectFailures;
+}
+
+bool ForwardState::MayResume() const {
+  return m_relaying && m_may_repeat && m_kind == RouteKind::kStream &&
+         m_sends < m_max_attempts && m_connect_failures < kMaxConnectFailures;
+}
+
+ForwardDecision ForwardState::GiveUp(bool timed_out) {
+  m_state = SendState::kEnded;
+  if (m_relaying)
+    return BreakAnswer{};
+  if (!m_may_have_run)
+    return RefuseNotRun{};
+  return FailUnknown{timed_out};
+}
+
+ForwardDecision ForwardState::OnServerEvent(const std::string& server,
+                                            ServerEvent event) {
+  if (m_state == SendState::kEnded)
+    return KeepWaiting{};
+  m_tried.insert(server);
+  switch (event) {
+    case ServerEvent::kConnectFailed:
+      ++m_connect_failures;
+      m_state = m_may_have_run ? SendState::kUnknown : SendState::kNotRun;
+      break;
+    case ServerEvent::kRefused:
+      m_state = m_may_have_run ? SendState::kUnknown : SendState::kNotRun;
+      break;
+    case ServerEvent::kAnswered:
+      m_state = SendState::kEnded;
+      return RelayAnswer{};
+    case ServerEvent::kAnswerBegun:
+      m_may_have_run = true;
+      m_relaying = true;
+      m_state = SendState::kAnswering;
+      return RelayAnswer{};
+    case ServerEvent::kServerFailed:
+      m_may_have_run = true;
+      m_state = SendState::kUnknown;
+      if (!MaySendAgain()) {
+        m_state = SendState::kEnded;
+        return RelayAnswer{};
+      }
+      return SendToServer{};
+    case ServerEvent::kBroken:
+      m_may_have_run = true;
+      m_state = SendState::kUnknown;
+      break;
+  }
+  if (MaySendAgain() || MayResume())
+    return SendToServer{};
+  return GiveUp(false);
+}
+
+ForwardDecision ForwardState::OnNoServer() {
+  return GiveUp(false);
+}
+
+ForwardDecision ForwardState::OnDeadline() {
+  if (m_state == SendState::kEnded)
+    return KeepWaiting{};
+  if (m_state == SendState::kOffered)
+    m_may_have_run = true;
+  return GiveUp(true);
+}
+
+std::string EventSplitter::Feed(std::string_view bytes) {
+  m_partial.append(bytes);
+  std::string out;
+  size_t at = 0;
+  while (m_in_order) {
+    const std::string_view rest = std::string_view(m_partial).substr(at);
+    const size_t length = EventLength(rest);
+    if (length == 0)
+      break;
+    if (Accept(rest.substr(0, length)))
+      out.append(rest.substr(0, length));
+    at += length;
+  }
+  m_partial.erase(0, at);
+  return out;
+}
+
+bool EventSplitter::Accept(std::string_view event) {
+  const int64_t id = EventId(event);
+  if (id < 0)
+    return !m_resumed;
+  if (m_resumed && id <= m_last_id)
+    return false;
+  if (m_last_id >= 0 && id != m_last_id + 1) {
+    m_in_order = false;
+    return false;
+  }
+  m_last_id = id;
+  return true;
+}
+
+std::string EventSplitter::TakePartial() {
+  return std::move(m_partial);
+}
+
+void EventSplitter::Resume() {
+  m_partial.clear();
+  m_resumed = true;
+}
+
+int64_t RetryWindow::IndexOf(TimePoint now) const {
+  return now.time_since_epoch().count() / (m_window.count() / kSlices);
+}
+
+RetryWindow::Slice& RetryWindow::At(TimePoint now) {
+  const int64_t index = IndexOf(now);
+  Slice& slice = m_slices[index % kSlices];
+  if (slice.index != index)
+    slice = {index, 0, 0};
+  return slice;
+}
+
+void RetryWindow::OnRequest(TimePoint now) {
+  ++At(now).requests;
+}
+
+bool RetryWindow::TryRetry(TimePoint now) {
+  const int64_t index = IndexOf(now);
+  double requests = 0;
+  double retries = 0;
+  for (const Slice& slice : m_slices) {
+    if (slice.index <= index - kSlices)
+      continue;
+    requests += slice.requests;
+    retries += slice.retries;
+  }
+  if (retries + 1 > m_ratio * requests + m_slack)
+    return false;
+  ++At(now).retries;
+  return true;
+}
+
+}  // namespace trefoilwick
--- /dev/null
+++ b/src/gateway.cc
@@ -0,0 +1,294 @@
+#include "trefoilwick/gateway.h"
+
+#include <algorithm>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "gateway_core.h"
+#include "gateway_exchange.h"
+#include "gateway_session.h"
+
+namespace trefoilwick {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using asio::ip::udp;
+using boost::system::error_code;
+
+namespace detail {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kBacklog = 512;
+constexpr size_t kMaxSmallRequest = 8192;
+constexpr Duration kSmallTimeout = seconds(10);
+// After this part of the grace period new requests are refused, so that those
+// in progress can end.
+constexpr double kRefuseAfter = 0.6;
+// Clients have learned of the leaving after this long.
+constexpr Duration kLeaveNotice = seconds(3);
+constexpr Duration kLeaveMargin = milliseconds(400);
+
+// A connection of the directory, of readiness checks or of metrics: short
+// requests without a body, answered at once.
+class SmallSession : public std::enable_shared_from_this<SmallSession> {
+ public:
+  using Answer =
+      std::function<std::string(const std::string&, int*, std::string*)>;
+  SmallSession(asio::io_context& io, tcp::socket socket, Answer answer)
+      : m_socket(std::move(socket)), m_timer(io), m_answer(std::move(answer)) {}
+
+  void Read() {
+    m_parser.emplace();
+    m_parser->body_limit(kMaxSmallRequest);
+    m_timer.expires_after(kSmallTimeout);
+    m_timer.async_wait([self = shared_from_this()](error_code error) {
+      error_code ignored;
+      if (!error)
+        self->m_socket.close(ignored);
+    });
+    http::async_read(m_socket, m_buffer, *m_parser,
+                     [self = shared_from_this()](error_code error, size_t) {
+                       self->m_timer.cancel();
+                       if (!error)
+                         self->Write();
+                     });
+  }
+
+ private:
+  void Write() {
+    int status = 200;
+    std::string type = "application/json";
+    m_response = {};
+    m_response.body() = m_answer(std::string(m_parser->get().target()),
+                                 &status, &type);
+    m_response.result(static_cast<unsigned>(status));
+    m_response.set(http::field::content_type, type);
+    m_response.keep_alive(m_parser->get().keep_alive());
+    m_response.prepare_payload();
+    http::async_write(m_socket, m_response,
+                      [self = shared_from_this()](error_code error, size_t) {
+                        if (!error && self->m_response.keep_alive())
+                          self->Read();
+                      });
+  }
+
+  tcp::socket m_socket;
+  asio::steady_timer m_timer;
+  Answer m_answer;
+  boost::beast::flat_buffer m_buffer;
+  std::optional<http::request_parser<http::string_body>> m_parser;
+  http::response<http::string_body> m_response;
+};
+
+absl::Status ErrorStatus(const std::string& what, const error_code& error) {
+  return MakeStatus(absl::StatusCode::kUnavailable,
+                    what + ": " + error.message());
+}
+
+}  // namespace
+
+absl::Status GatewayCore::Listen(const std::string& address,
+                                 tcp::acceptor& acceptor) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint)
+    return MakeStatus(absl::StatusCode::kInvalidArgument,
+                      address + ": not an address");
+  error_code error;
+  acceptor.open(endpoint->protocol(), error);
+  if (!error)
+    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error)
+    acceptor.bind(*endpoint, error);
+  if (!error)
+    acceptor.listen(kBacklog, error);
+  return error ? ErrorStatus(address, error) : absl::OkStatus();
+}
+
+absl::Status GatewayCore::Start() {
+  const std::pair<const std::string*, tcp::acceptor*> small[] = {
+      {&m_settings.ready_address, &m_ready_acceptor},
+      {&m_settings.directory_address, &m_directory_acceptor},
+      {&m_settings.metrics_address, &m_metrics_acceptor}};
+  for (const auto& [address, acceptor] : small) {
+    if (address->empty())
+      continue;
+    if (const absl::Status status = Listen(*address, *acceptor); !status.ok())
+      return status;
+    ServeSmall(*acceptor);
+  }
+  if (!m_settings.client_address.empty()) {
+    if (const absl::Status status =
+            Listen(m_settings.client_address, m_client_acceptor);
+        !status.ok())
+      return status;
+    AcceptClients();
+  }
+  error_code error;
+  m_peer_socket.open(udp::v4(), error);
+  const auto ip = asio::ip::make_address_v4(m_settings.ip, error);
+  if (!error)
+    m_peer_socket.bind(udp::endpoint(ip, m_settings.peer_port), error);
+  if (error)
+    return ErrorStatus("peer port", error);
+  m_peer_socket.non_blocking(true, error);
+  ReceiveDatagram();
+  WatchConfiguration();
+  ScheduleTick();
+  Log("start", {{"ip", m_settings.ip},
+                {"data_center", m_settings.data_center}});
+  return absl::OkStatus();
+}
+
+void GatewayCore::AcceptClients() {
+  m_client_acceptor.async_accept([this](error_code error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted)
+      return;
+    if (!error && m_sessions.size() < m_settings.max_connections) {
+      auto session = std::make_shared<ClientSession>(*this, std::move(socket));
+      m_sessions[session.get()] = session;
+      session->Start();
+    }
+    AcceptClients();
+  });
+}
+
+void GatewayCore::ServeSmall(tcp::acceptor& acceptor) {
+  acceptor.async_accept([this, &acceptor](error_code error,
+                                          tcp::socket socket) {
+    if (error == asio::error::operation_aborted)
+      return;
+    if (!error) {
+      SetSocketOptions(socket, kSmallTimeout);
+      std::make_shared<SmallSession>(
+          m_io, std::move(socket),
+          [this](const std::string& target, int* status, std::string* type) {
+            return AnswerSmall(target, status, type);
+          })
+          ->Read();
+    }
+    ServeSmall(acceptor);
+  });
+}
+
+std::string GatewayCore::AnswerSmall(const std::string& target,
+                                     int* status,
+                                     std::string* type) {
+  if (const auto data_center = m_dialect->ReadDirectoryCall(target))
+    return DirectoryAnswer(*data_center);
+  if (target == "/ready") {
+    *status = Ready() ? 200 : 503;
+    return Ready() ? R"({"ready":true})" : R"({"ready":false})";
+  }
+  if (target == "/metrics") {
+    *type = "text/plain; version=0.0.4";
+    return m_metrics.RenderPrometheus();
+  }
+  *status = 404;
+  return "{}";
+}
+
+std::string GatewayCore::DirectoryAnswer(const std::string& data_center) {
+  constexpr size_t kMaxAddresses = 64;
+  std::vector<std::string> near;
+  std::vector<std::string> far;
+  const std::string port =
+      m_settings.client_address.substr(m_settings.client_address.rfind(':'));
+  for (const ClusterMember& member : m_coordination.Members(Now())) {
+    if (!member.accepting)
+      continue;
+    (member.data_center == data_center ? near : far)
+        .push_back(member.ip + port);
+  }
+  std::vector<std::string>& chosen = near.empty() ? far : near;
+  if (chosen.size() > kMaxAddresses)
+    chosen.resize(kMaxAddresses);
+  return m_dialect->WriteDirectoryAnswer(chosen, m_settings.directory_ttl);
+}
+
+void GatewayCore::ReceiveDatagram() {
+  m_peer_socket.async_receive_from(
+      asio::buffer(m_peer_buffer), m_peer_sender,
+      [this](error_code error, size_t count) {
+        if (error == asio::error::operation_aborted)
+          return;
+        if (!error) {
+          m_coordination.OnDatagram(Now(),
+                                    std::string(m_peer_buffer.data(), count));
+          if (m_seen_servers != m_coordination.servers())
+            OnServersChanged();
+          TellLost();
+          RunActions();
+        }
+        ReceiveDatagram();
+      });
+}
+
+void GatewayCore::Leave() {
+  if (std::exchange(m_leaving, true))
+    return;
+  m_leave_began = Now();
+  m_coordination.SetAccepting(false);
+  Log("leave", {{"requests", std::to_string(m_exchanges.size())}});
+}
+
+void GatewayCore::ContinueLeaving(TimePoint now) {
+  const Duration past = now - m_leave_began;
+  if (past < kLeaveNotice)
+    return;
+  const bool late =
+      past > Duration(static_cast<int64_t>(
+                 kRefuseAfter * static_cast<double>(m_settings.grace.count())));
+  error_code ignored;
+  if (late)
+    m_client_acceptor.close(ignored);
+  for (const auto& [raw, session] : m_sessions)
+    session->CloseWhenIdle();
+  const bool idle = m_sessions.empty() && late;
+  if (idle || past > m_settings.grace - kLeaveMargin) {
+    Log("stop", {{"requests", std::to_string(m_exchanges.size())}});
+    m_io.stop();
+  }
+}
+
+}  // namespace detail
+
+Gateway::Gateway(std::unique_ptr<detail::GatewayCore> core)
+    : m_core(std::move(core)) {}
+Gateway::~Gateway() = default;
+Gateway::Gateway(Gateway&&) noexcept = default;
+
+absl::Status Gateway::Start() {
+  return m_core->Start();
+}
+
+void Gateway::Leave() {
+  m_core->Leave();
+}
+
+Gateway::Builder& Gateway::Builder::SetSettings(GatewaySettings settings) {
+  m_settings = std::move(settings);
+  return *this;
+}
+
+Gateway::Builder& Gateway::Builder::SetDialect(const WireDialect* dialect) {
+  m_dialect = dialect;
+  return *this;
+}
+
+Gateway::Builder& Gateway::Builder::SetStore(ClusterStore* store) {
+  m_store = store;
+  return *this;
+}
+
+Gateway Gateway::Builder::Build() const {
+  return Gateway(std::make_unique<detail::GatewayCore>(m_io, m_settings,
+                                                       m_dialect, m_store));
+}
+
+}  // namespace trefoilwick
--- /dev/null
+++ b/src/gateway_core.cc
@@ -0,0 +1,487 @@
+#include "gateway_core.h"
+
+#include <algorithm>
+
+#include "gateway_exchange.h"
+#include "gateway_session.h"
+
+namespace trefoilwick::detail {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+using boost::system::error_code;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A list that is older is not used while a newer one may still come.
+constexpr Duration kListLimit = milliseconds(1600);
+// How long requests wait for the list after the process stood still.
+constexpr Duration kResumeWait = milliseconds(400);
+// A tick that is later means that the process stood still.
+constexpr Duration kSuspension = milliseconds(800);
+constexpr Duration kSweepInterval = seconds(1);
+constexpr Duration kPlacementInterval = milliseconds(200);
+// An order that does not show in the list after this long is given again.
+constexpr Duration kOrderLife = seconds(4);
+// Longer than the time between two entries of a server in the list.
+constexpr Duration kListSettles = milliseconds(1500);
+// A server must be lost this long before its layers go to others.
+constexpr Duration kLostBeforePlacing = milliseconds(300);
+constexpr Duration kOrderTimeout = milliseconds(1500);
+constexpr Duration kServerConnect = milliseconds(400);
+constexpr Duration kProbeTimeout = milliseconds(90);
+constexpr Duration kProbeInterval = milliseconds(300);
+constexpr Duration kConfigWatch = seconds(1);
+constexpr Duration kWatchCheck = milliseconds(250);
+constexpr Duration kConfigRetry = milliseconds(500);
+constexpr int kMaxLogLinesPerSecond = 200;
+
+}  // namespace
+
+GatewayCore::GatewayCore(asio::io_context& io,
+                         GatewaySettings settings,
+                         const WireDialect* dialect,
+                         ClusterStore* store)
+    : m_io(io),
+      m_settings(std::move(settings)),
+      m_dialect(dialect),
+      m_store(store),
+      m_random(StableHash(m_settings.ip,
+                          static_cast<uint64_t>(m_clock.UnixMillis()))),
+      m_coordination(Coordination::Builder()
+                         .SetAddress(m_settings.ip, m_settings.data_center)
+                         .SetProcessorShare(m_settings.cpu_milli)
+                         .SetIncarnation(m_clock.UnixMillis() * 1000)
+                         .Build(m_clock.Now())),
+      m_server_calls(io, kServerConnect),
+      m_retries(m_settings.retry_ratio,
+                m_settings.retry_slack,
+                m_settings.retry_window),
+      m_client_acceptor(io),
+      m_ready_acceptor(io),
+      m_directory_acceptor(io),
+      m_metrics_acceptor(io),
+      m_peer_socket(io),
+      m_peer_buffer(kMaxDatagramBytes + 1),
+      m_tick_timer(io),
+      m_watch_timer(io),
+      m_last_tick(m_clock.Now()) {}
+
+GatewayCore::~GatewayCore() = default;
+
+const ClientLimits& GatewayCore::limits() const {
+  static const ClientLimits defaults;
+  return m_table ? m_table->limits() : defaults;
+}
+
+bool GatewayCore::ListUsable(TimePoint now) const {
+  if (!m_coordination.has_servers())
+    return false;
+  if (m_coordination.ListAge(now) <= kListLimit)
+    return true;
+  // The newest known list is used while the store is out of reach, except
+  // right after the process stood still, when a newer one is on its way.
+  return now - m_suspended_at > kResumeWait;
+}
+
+bool GatewayCore::Ready() const {
+  return m_table && m_coordination.has_servers() && !m_leaving;
+}
+
+void GatewayCore::AddWaiting(Exchange* exchange) {
+  m_waiting.push_back(exchange);
+}
+
+void GatewayCore::RemoveWaiting(Exchange* exchange) {
+  std::erase(m_waiting, exchange);
+}
+
+void GatewayCore::RemoveExchange(Exchange* exchange) {
+  m_exchanges.erase(exchange);
+  RemoveWaiting(exchange);
+}
+
+void GatewayCore::ServeWaiting() {
+  if (m_waiting.empty())
+    return;
+  std::vector<std::shared_ptr<Exchange>> order;
+  for (Exchange* exchange : m_waiting)
+    order.push_back(exchange->shared_from_this());
+  std::stable_sort(order.begin(), order.end(),
+                   [](const auto& a, const auto& b) {
+                     return std::make_pair(a->rank(), a->began()) <
+                            std::make_pair(b->rank(), b->began());
+                   });
+  for (const auto& exchange : order)
+    exchange->TryDispatch();
+}
+
+void GatewayCore::AddLoad(const LayerPath& path, double tokens, int sign) {
+  for (const PathPart& part : path) {
+    ServerLoad& load = m_local_loads[part.server];
+    load.token_layers += sign * tokens * part.layers.size();
+    load.sequences += sign;
+    if (load.sequences <= 0)
+      m_local_loads.erase(part.server);
+  }
+  m_coordination.SetLocalLoads(m_local_loads);
+}
+
+void GatewayCore::AddLoad(const std::string& server, int sign) {
+  ServerLoad& load = m_local_loads[server];
+  load.sequences += sign;
+  if (load.sequences <= 0)
+    m_local_loads.erase(server);
+  m_coordination.SetLocalLoads(m_local_loads);
+}
+
+void GatewayCore::Probe(const std::string& server) {
+  const TimePoint now = Now();
+  const auto found = servers().find(server);
+  if (found == servers().end()) {
+    ReportLost(server);
+    return;
+  }
+  TimePoint& last = m_probed[server];
+  if (last != TimePoint{} && now - last < kProbeInterval)
+    return;
+  last = now;
+  const std::string address = found->second.address;
+  TryConnect(m_io, address, kProbeTimeout, [this, server,
+                                            address](ConnectResult first) {
+    if (first == ConnectResult::kAccepted)
+      return m_coordination.MarkFound(server);
+    if (first == ConnectResult::kRefused)
+      return ReportLost(server);
+    // One opening packet may be lost.
+    TryConnect(m_io, address, kProbeTimeout, [this,
+                                              server](ConnectResult second) {
+      if (second == ConnectResult::kAccepted)
+        m_coordination.MarkFound(server);
+      else
+        ReportLost(server);
+    });
+  });
+}
+
+void GatewayCore::ReportLost(const std::string& server) {
+  m_coordination.MarkLost(Now(), server);
+  Log("server_lost", {{"server", server}});
+  m_pool.Drop(server);
+  TellLost();
+  RunActions();
+}
+
+// Tells each request about servers that are lost since the last call.
+void GatewayCore::TellLost() {
+  const std::set<std::string> lost = m_coordination.Lost(Now());
+  std::vector<std::string> fresh;
+  std::set_difference(lost.begin(), lost.end(), m_told_lost.begin(),
+                      m_told_lost.end(), std::back_inserter(fresh));
+  m_told_lost = lost;
+  for (const std::string& server : fresh) {
+    std::vector<std::shared_ptr<Exchange>> users;
+    for (Exchange* exchange : m_exchanges)
+      if (exchange->UsesServer(server))
+        users.push_back(exchange->shared_from_this());
+    for (const auto& exchange : users)
+      exchange->OnServerLost(server);
+  }
+}
+
+void GatewayCore::CallServer(const std::string& server,
+                             HttpRequest request,
+                             std::function<void(OrderResult)> handler) {
+  const auto found = servers().find(server);
+  if (found == servers().end()) {
+    asio::post(m_io, [handler] { handler(OrderResult::kRefused); });
+    return;
+  }
+  m_server_calls.Call(found->second.address, std::move(request), kOrderTimeout,
+                      [this, handler, server](CallResult result) {
+                        if (result.error != CallError::kNone ||
+                            result.response.result_int() >= 300)
+                          Log("order_refused",
+                              {{"server", server},
+                               {"status",
+                                std::to_string(result.response.result_int())},
+                               {"answer", result.response.body()}});
+                        handler(m_dialect->ReadOrderResult(result));
+                      });
+}
+
+void GatewayCore::CountRejected(int status) {
+  m_metrics
+      .GetCounter("trefoilwick_rejected_total",
+                  {{"status", std::to_string(status)}})
+      .Add();
+}
+
+void GatewayCore::Log(const char* event, const Labels& fields) {
+  const TimePoint now = Now();
+  if (now - m_log_window >= seconds(1)) {
+    if (m_log_omitted > 0)
+      LogStateChange("gateway", "lines_omitted",
+                     {{"count", std::to_string(m_log_omitted)}});
+    m_log_window = now;
+    m_log_lines = 0;
+    m_log_omitted = 0;
+  }
+  if (++m_log_lines > kMaxLogLinesPerSecond) {
+    ++m_log_omitted;
+    return;
+  }
+  LogStateChange("gateway", event, fields);
+}
+
+void GatewayCore::OnSessionClosed(ClientSession* session) {
+  // The session may be on the stack.
+  asio::post(m_io, [this, session] { m_sessions.erase(session); });
+}
+
+void GatewayCore::ScheduleTick() {
+  m_tick_timer.expires_after(Coordination::kTickInterval);
+  m_tick_timer.async_wait([this](error_code error) {
+    if (error)
+      return;
+    Tick();
+    ScheduleTick();
+  });
+}
+
+void GatewayCore::NoticeSuspension(TimePoint now) {
+  if (now - m_last_tick > kSuspension) {
+    Log("suspended",
+        {{"ms", std::to_string((now - m_last_tick).count() / 1000)}});
+    m_suspended_at = now;
+    m_coordination.OnSuspended(now);
+    m_pool.Clear();
+    m_store->DropConnections();
+  }
+  m_last_tick = now;
+}
+
+void GatewayCore::Tick() {
+  const TimePoint now = Now();
+  NoticeSuspension(now);
+  m_coordination.OnTick(now);
+  RunActions();
+  TellLost();
+  if (m_seen_servers != m_coordination.servers())
+    OnServersChanged();
+  PlaceLayers(now);
+  std::vector<std::shared_ptr<Exchange>> active;
+  for (Exchange* exchange : m_exchanges)
+    active.push_back(exchange->shared_from_this());
+  for (const auto& exchange : active)
+    exchange->OnTick(now);
+  ServeWaiting();
+  if (now >= m_next_sweep) {
+    m_next_sweep = now + kSweepInterval;
+    m_pool.Sweep(now);
+  }
+  if (m_leaving)
+    ContinueLeaving(now);
+}
+
+void GatewayCore::RunActions() {
+  for (CoordinationAction& action : m_coordination.TakeActions()) {
+    std::visit(
+        Overloaded{
+            [&](SendDatagram& send) {
+              error_code error;
+              const auto ip = asio::ip::make_address_v4(send.ip, error);
+              if (!error)
+                m_peer_socket.send_to(
+                    asio::buffer(send.bytes),
+                    udp::endpoint(ip, m_settings.peer_port), 0, error);
+            },
+            [&](ReadLease&) {
+              m_store->ReadLease([this](std::optional<LeaseRow> row) {
+                m_coordination.OnLease(Now(), row);
+                RunActions();
+              });
+            },
+            [&](WriteLease& write) {
+              m_store->WriteLease(
+                  write.row, write.expected_version,
+                  [this](LeaseWriteResult result, const LeaseRow& row) {
+                    const bool before = m_coordination.is_coordinator();
+                    m_coordination.OnLeaseWritten(Now(), result, row);
+                    if (before != m_coordination.is_coordinator())
+                      Log("coordinator",
+                          {{"self", before ? "0" : "1"},
+                           {"fence", std::to_string(row.fence)}});
+                    RunActions();
+                  });
+            },
+            [&](ReadServerList&) {
+              const TimePoint asked = Now();
+              m_store->ReadServers([this, asked](auto list) {
+                if (list)
+                  m_coordination.OnServerList(Now(), asked, list->first,
+                                              std::move(list->second));
+                else
+                  m_coordination.OnServerListFailed(Now());
+                if (m_seen_servers != m_coordination.servers())
+                  OnServersChanged();
+                RunActions();
+              });
+            },
+            [&](ReadConfiguration&) {
+              m_store->ReadConfiguration([this](auto table) {
+                if (!table)
+                  m_coordination.OnConfigurationFailed(Now());
+                AdoptTable(std::move(table));
+              });
+            },
+        },
+        action);
+  }
+}
+
+// The coordinator watches the configuration and announces it; an instance that
+// does not hear it watches by itself.
+void GatewayCore::WatchConfiguration() {
+  if (m_table && m_coordination.HearsCoordinator(Now())) {
+    m_watch_timer.expires_after(kWatchCheck);
+    m_watch_timer.async_wait([this](error_code error) {
+      if (!error)
+        WatchConfiguration();
+    });
+    return;
+  }
+  m_store->WatchConfiguration(kConfigWatch, [this](auto table) {
+    const bool failed = !table;
+    AdoptTable(std::move(table));
+    if (!failed) {
+      WatchConfiguration();
+      return;
+    }
+    m_watch_timer.expires_after(kConfigRetry);
+    m_watch_timer.async_wait([this](error_code error) {
+      if (!error)
+        WatchConfiguration();
+    });
+  });
+}
+
+void GatewayCore::AdoptTable(std::shared_ptr<const RouteTable> table) {
+  if (!table || (m_table && table->version() <= m_table->version()))
+    return;
+  m_table = std::move(table);
+  m_coordination.OnConfiguration(m_table->version());
+  Log("configuration", {{"version", std::to_string(m_table->version())},
+                        {"routes", std::to_string(m_table->routes().size())}});
+  ServeWaiting();
+}
+
+void GatewayCore::OnServersChanged() {
+  const auto before = std::exchange(m_seen_servers, m_coordination.servers());
+  m_servers_changed_at = Now();
+  std::erase_if(m_orders, [&](const auto& entry) {
+    const auto server = m_seen_servers->find(entry.first);
+    return server == m_seen_servers->end() ||
+           server->second.layers == entry.second.layers;
+  });
+  for (const auto& [id, server] : *m_seen_servers) {
+    if (server.state != ServerState::kDraining)
+      continue;
+    const auto old = before ? before->find(id) : m_seen_servers->end();
+    if (before && old != before->end() &&
+        old->second.state == ServerState::kDraining)
+      continue;
+    std::vector<std::shared_ptr<Exchange>> users;
+    for (Exchange* exchange : m_exchanges)
+      if (exchange->UsesServer(id))
+        users.push_back(exchange->shared_from_this());
+    for (const auto& exchange : users)
+      exchange->OnServerLeaving(id);
+  }
+  ServeWaiting();
+}
+
+bool GatewayCore::AnyLayersHeld() const {
+  return std::any_of(servers().begin(), servers().end(), [](const auto& entry) {
+    return entry.second.layers.has_value();
+  });
+}
+
+void GatewayCore::PlaceLayers(TimePoint now) {
+  if (now < m_next_placement || !m_coordination.is_coordinator() || !m_table ||
+      !m_coordination.has_servers())
+    return;
+  m_next_placement = now + kPlacementInterval;
+  std::erase_if(m_orders, [&](const auto& entry) {
+    return now - entry.second.sent > kOrderLife;
+  });
+  // While nothing is placed the list still fills: a layout for some of the
+  // servers would have to be changed for the rest.
+  if (!AnyLayersHeld() && now - m_servers_changed_at < kListSettles)
+    return;
+  // Plan as if the orders in progress were done.
+  ServerMap planned = servers();
+  for (const auto& [id, order] : m_orders)
+    if (const auto found = planned.find(id); found != planned.end())
+      found->second.layers = order.layers;
+  const auto lost = m_coordination.LostFor(now, kLostBeforePlacing);
+  for (const auto& [name, service] : m_table->services()) {
+    if (!service.engine || service.engine->layers == 0)
+      continue;
+    for (const PlacementOrder& order :
+         PlanPlacement(*service.engine, planned, name, lost))
+      SendOrder(order);
+  }
+}
+
+void GatewayCore::SendOrder(const PlacementOrder& order) {
+  m_orders[order.server] = {order.layers, Now()};
+  const int64_t seq = m_order_seq[order.server];
+  Log("place", {{"server", order.server},
+                {"from", std::to_string(order.layers.from)},
+                {"to", std::to_string(order.layers.to)},
+                {"seq", std::to_string(seq)},
+                {"fence", std::to_string(m_coordination.fence())}});
+  CallServer(order.server,
+             m_dialect->PlaceOrder(order, m_coordination.fence(), seq),
+             [this, order](OrderResult result) {
+               OnOrderResult(order, result);
+             });
+}
+
+void GatewayCore::OnOrderResult(const PlacementOrder& order,
+                                OrderResult result) {
+  switch (result) {
+    case OrderResult::kAccepted:
+      ++m_order_seq[order.server];
+      return;
+    case OrderResult::kFenced:
+      m_orders.erase(order.server);
+      m_coordination.OnFenced(Now());
+      return;
+    default:
+      break;
+  }
+  // The count of orders may differ from what this instance knows: ask.
+  const auto found = servers().find(order.server);
+  if (found == servers().end()) {
+    m_orders.erase(order.server);
+    return;
+  }
+  m_server_calls.Call(
+      found->second.address, m_dialect->ReportRequest(), kOrderTimeout,
+      [this, server = order.server](const CallResult& answer) {
+        const auto report = m_dialect->ReadReport(answer);
+        if (!report)
+          return;
+        m_order_seq[server] = report->order_seq;
+        if (!report->busy)
+          m_orders.erase(server);
+      });
+}
+
+}  // namespace trefoilwick::detail
--- /dev/null
+++ b/src/gateway_core.h
@@ -0,0 +1,152 @@
+// What the parts of a gateway share: beliefs, connections, requests waiting
+// and in progress, timers.
+#pragma once
+
+#include <boost/asio/ip/udp.hpp>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "gateway_upstream.h"
+#include "trefoilwick/coordination.h"
+#include "trefoilwick/forwarding.h"
+#include "trefoilwick/gateway.h"
+
+namespace trefoilwick::detail {
+
+class ClientSession;
+class Exchange;
+
+// An order that was sent and does not show in the server list yet.
+struct PendingOrder {
+  LayerRange layers;
+  TimePoint sent;
+};
+
+class GatewayCore {
+ public:
+  GatewayCore(boost::asio::io_context& io,
+              GatewaySettings settings,
+              const WireDialect* dialect,
+              ClusterStore* store);
+  ~GatewayCore();
+
+  absl::Status Start();
+  void Leave();
+
+  boost::asio::io_context& io() { return m_io; }
+  TimePoint Now() const { return m_clock.Now(); }
+  const WireDialect& dialect() const { return *m_dialect; }
+  const GatewaySettings& settings() const { return m_settings; }
+  const ClientLimits& limits() const;
+  std::shared_ptr<const RouteTable> table() const { return m_table; }
+  Coordination& coordination() { return m_coordination; }
+  const ServerMap& servers() const { return *m_coordination.servers(); }
+  ConnectionPool& pool() { return m_pool; }
+  RetryWindow& retries() { return m_retries; }
+  Random& random() { return m_random; }
+  Metrics& metrics() { return m_metrics; }
+  bool leaving() const { return m_leaving; }
+  // The server list may be used for sending.
+  bool ListUsable(TimePoint now) const;
+
+  // Requests that wait for a server.
+  void AddWaiting(Exchange* exchange);
+  void RemoveWaiting(Exchange* exchange);
+  void AddExchange(Exchange* exchange) { m_exchanges.insert(exchange); }
+  void RemoveExchange(Exchange* exchange);
+  // Room may have become free: lets waiting requests try.
+  void ServeWaiting();
+
+  void AddLoad(const LayerPath& path, double tokens, int sign);
+  void AddLoad(const std::string& server, int sign);
+
+  // Asks whether a server still accepts connections; one that does not is
+  // marked lost, which OnServerLost tells to its requests.
+  void Probe(const std::string& server);
+  void ReportLost(const std::string& server);
+  void CallServer(const std::string& server,
+                  HttpRequest request,
+                  std::function<void(OrderResult)> handler);
+
+  void OnSessionClosed(ClientSession* session);
+  void CountRejected(int status);
+  void Log(const char* event, const Labels& fields);
+
+ private:
+  absl::Status Listen(const std::string& address,
+                      boost::asio::ip::tcp::acceptor& acceptor);
+  void AcceptClients();
+  void ServeSmall(boost::asio::ip::tcp::acceptor& acceptor);
+  std::string AnswerSmall(const std::string& target, int* status,
+                          std::string* type);
+  std::string DirectoryAnswer(const std::string& data_center);
+  bool Ready() const;
+  void ReceiveDatagram();
+  void ScheduleTick();
+  void Tick();
+  void NoticeSuspension(TimePoint now);
+  void RunActions();
+  void WatchConfiguration();
+  void AdoptTable(std::shared_ptr<const RouteTable> table);
+  void OnServersChanged();
+  bool AnyLayersHeld() const;
+  void PlaceLayers(TimePoint now);
+  void SendOrder(const PlacementOrder& order);
+  void OnOrderResult(const PlacementOrder& order, OrderResult result);
+  void TellLost();
+  void ContinueLeaving(TimePoint now);
+
+  boost::asio::io_context& m_io;
+  GatewaySettings m_settings;
+  const WireDialect* m_dialect;
+  ClusterStore* m_store;
+  BootClock m_clock;
+  Metrics m_metrics;
+  Random m_random;
+  Coordination m_coordination;
+  ConnectionPool m_pool;
+  HttpCaller m_server_calls;
+  RetryWindow m_retries;
+  std::shared_ptr<const RouteTable> m_table;
+  std::shared_ptr<const ServerMap> m_seen_servers;
+
+  boost::asio::ip::tcp::acceptor m_client_acceptor;
+  boost::asio::ip::tcp::acceptor m_ready_acceptor;
+  boost::asio::ip::tcp::acceptor m_directory_acceptor;
+  boost::asio::ip::tcp::acceptor m_metrics_acceptor;
+  boost::asio::ip::udp::socket m_peer_socket;
+  boost::asio::ip::udp::endpoint m_peer_sender;
+  std::vector<char> m_peer_buffer;
+  boost::asio::steady_timer m_tick_timer;
+  boost::asio::steady_timer m_watch_timer;
+  TimePoint m_last_tick;
+
+  std::unordered_map<ClientSession*, std::shared_ptr<ClientSession>>
+      m_sessions;
+  std::unordered_set<Exchange*> m_exchanges;
+  std::vector<Exchange*> m_waiting;
+  LoadMap m_local_loads;
+  std::map<std::string, TimePoint> m_probed;
+  std::set<std::string> m_told_lost;
+  std::map<std::string, PendingOrder> m_orders;
+  // Orders that each server has begun, as far as known. A server starts with
+  // none; an order that names another number is refused, so that a late copy
+  // of an old order cannot undo a newer one.
+  std::map<std::string, int64_t> m_order_seq;
+  TimePoint m_next_placement;
+  TimePoint m_servers_changed_at;
+  TimePoint m_next_sweep;
+  TimePoint m_list_failed_at;
+  TimePoint m_suspended_at;
+  bool m_leaving = false;
+  TimePoint m_leave_began;
+  int m_log_lines = 0;
+  uint64_t m_log_omitted = 0;
+  TimePoint m_log_window;
+};
+
+}  // namespace trefoilwick::detail
--- /dev/null
+++ b/src/gateway_exchange.cc
@@ -0,0 +1,625 @@
+#include "gateway_exchange.h"
+
+#include <algorithm>
+#include <boost/beast/http/write.hpp>
+#include <sstream>
+
+#include "gateway_core.h"
+
+namespace trefoilwick::detail {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Share of the client's time that a request may wait for a server.
+constexpr int kHoldDivisor = 8;
+// Clients give a stream up that does not begin within about two seconds.
+constexpr Duration kMostHold = milliseconds(1300);
+constexpr Duration kDefaultTimeout = std::chrono::seconds(20);
+// Largest share of a server's KV memory that reservations may take.
+constexpr double kMostUse = 0.95;
+// Part of a longest answer that is reserved when nothing else is known.
+constexpr double kDefaultAnswerTokens = 150;
+// Silence after which the servers of a path are probed: in mid-stream, and
+// before the first event, when the prompt is still read.
+constexpr Duration kEventSilence = milliseconds(140);
+constexpr Duration kFirstEventSilence = milliseconds(350);
+constexpr Duration kPlainSilence = milliseconds(400);
+// Answers up to this size are held until they are complete, so that a broken
+// one can be repeated.
+constexpr size_t kMaxHeldBytes = 256 * 1024;
+// A client that takes less than this holds the server's stream back.
+constexpr size_t kMaxPendingBytes = 128 * 1024;
+constexpr Duration kOrderTimeout = milliseconds(1500);
+
+std::string RetryAfterSeconds(Duration after) {
+  char text[24];
+  snprintf(text, sizeof text, "%.2f", static_cast<double>(after.count()) / 1e6);
+  return text;
+}
+
+std::string RequestBytes(const HttpRequest& request) {
+  std::ostringstream out;
+  out << request.base();
+  return out.str() + request.body();
+}
+
+}  // namespace
+
+Exchange::Exchange(GatewayCore& core, ClientSession& session, TimePoint began)
+    : m_core(core),
+      m_session(session.shared_from_this()),
+      m_began(began),
+      m_timer(core.io()) {
+  m_core.AddExchange(this);
+}
+
+Exchange::~Exchange() {
+  if (m_call)
+    m_call->Cancel();
+  ReleaseLoad();
+  m_core.RemoveExchange(this);
+}
+
+void Exchange::Begin(http::request<http::string_body> request) {
+  m_table = m_core.table();
+  m_is_head_request = request.method() == http::verb::head;
+  auto parsed = m_core.dialect().ReadRequest(request.base());
+  if (!parsed.ok()) {
+    AnswerOwn(400, "not_run", "the request is malformed");
+    return;
+  }
+  m_request = std::move(*parsed);
+  m_request.body = std::move(request.body());
+  if (!m_table) {
+    m_refusal = "no configuration is known yet";
+    AnswerRefusal();
+    return;
+  }
+  m_route = m_table->FindRoute(m_request.host, m_request.target);
+  if (m_route == nullptr) {
+    AnswerOwn(404, "not_run", "no route matches");
+    return;
+  }
+  if (!Authorize(*m_table)) {
+    AnswerOwn(401, "not_run", "the key is unknown");
+    return;
+  }
+  m_forward = ForwardState::Builder().SetRoute(*m_route).Build();
+  const Duration timeout =
+      m_route->timeout > Duration(0) ? m_route->timeout : kDefaultTimeout;
+  const Duration patience = std::min(timeout, m_request.patience.value_or(timeout));
+  m_deadline = m_began + patience;
+  m_hold_until = m_began + std::min(patience / kHoldDivisor, kMostHold);
+  m_timer.expires_after(m_deadline - m_core.Now());
+  m_timer.async_wait([weak = weak_from_this()](error_code error) {
+    const auto self = weak.lock();
+    if (!error && self)
+      self->OnDeadline();
+  });
+  m_events = EventSplitter();
+  TryDispatch();
+}
+
+bool Exchange::Authorize(const RouteTable& table) {
+  m_rank = m_route->rank;
+  if (!table.has_accounts() || m_route->is_public)
+    return true;
+  const ClientAccount* account = table.FindAccount(m_request.key);
+  if (account == nullptr)
+    return false;
+  m_account = account->name;
+  m_rank = account->rank.value_or(m_route->rank);
+  return true;
+}
+
+const EngineModel* Exchange::Engine() const {
+  const Service* service = m_table->FindService(m_service);
+  return service && service->engine && service->engine->layers > 0
+             ? &*service->engine
+             : nullptr;
+}
+
+double Exchange::ExpectedTokens() const {
+  double answer = m_request.answer_hint;
+  if (answer <= 0) {
+    const EngineModel* engine = Engine();
+    answer = engine && engine->usual_answer > 0 ? engine->usual_answer
+                                                : kDefaultAnswerTokens;
+  }
+  if (m_request.most_answer_tokens > 0)
+    answer = std::min(answer, m_request.most_answer_tokens);
+  return m_request.prompt_tokens + answer;
+}
+
+void Exchange::TryDispatch() {
+  if (m_ended || m_call)
+    return;
+  const TimePoint now = m_core.Now();
+  if (now >= m_deadline) {
+    OnDeadline();
+    return;
+  }
+  if (m_core.ListUsable(now) && Choose()) {
+    if (std::exchange(m_waiting, false))
+      m_core.RemoveWaiting(this);
+    Send();
+    return;
+  }
+  WaitOrRefuse();
+}
+
+void Exchange::WaitOrRefuse() {
+  const TimePoint now = m_core.Now();
+  // A stream in progress has all of its time; one that did not begin is
+  // refused while the client can still come back.
+  const TimePoint until = m_committed ? m_deadline : m_hold_until;
+  if (now < until) {
+    if (!std::exchange(m_waiting, true))
+      m_core.AddWaiting(this);
+    return;
+  }
+  if (std::exchange(m_waiting, false))
+    m_core.RemoveWaiting(this);
+  Act(m_forward.OnNoServer());
+}
+
+bool Exchange::Choose() {
+  // Weighted choice among the services of the route that can be used.
+  std::vector<WeightedService> services = m_route->services;
+  while (!services.empty()) {
+    double sum = 0;
+    for (const WeightedService& service : services)
+      sum += service.weight;
+    double at = m_core.random().Unit() * sum;
+    size_t index = 0;
+    while (index + 1 < services.size() && at >= services[index].weight)
+      at -= services[index++].weight;
+    m_service = services[index].service;
+    const EngineModel* engine = Engine();
+    if (engine != nullptr ? ChooseEngine(*engine) : ChoosePlain())
+      return true;
+    services.erase(services.begin() + static_cast<std::ptrdiff_t>(index));
+  }
+  return false;
+}
+
+PathRequest Exchange::MakePathRequest() const {
+  PathRequest wanted;
+  wanted.service = m_service;
+  wanted.tokens = ExpectedTokens();
+  wanted.prompt_tokens = m_request.prompt_tokens;
+  wanted.data_center = m_core.settings().data_center;
+  wanted.excluded = m_core.coordination().Lost(m_core.Now());
+  wanted.excluded.insert(m_avoid.begin(), m_avoid.end());
+  return wanted;
+}
+
+bool Exchange::ChooseEngine(const EngineModel& engine) {
+  const auto choice =
+      ChoosePath(engine, m_core.servers(),
+                 m_core.coordination().Loads(m_core.Now()), MakePathRequest(),
+                 kMostUse);
+  if (!choice)
+    return false;
+  m_path = choice->path;
+  m_server = m_path.front().server;
+  return true;
+}
+
+bool Exchange::ChoosePlain() {
+  const LoadMap loads = m_core.coordination().Loads(m_core.Now());
+  const std::set<std::string> lost = m_core.coordination().Lost(m_core.Now());
+  // Work on a server of another data center counts as a little more.
+  constexpr double kRemotePenalty = 1.5;
+  const BackendServer* best = nullptr;
+  double best_cost = 0;
+  for (const auto& [id, server] : m_core.servers()) {
+    if (server.service != m_service || server.state != ServerState::kReady ||
+        lost.contains(id) || m_avoid.contains(id))
+      continue;
+    const auto load = loads.find(id);
+    double cost = load == loads.end() ? 0 : load->second.sequences;
+    if (server.data_center != m_core.settings().data_center)
+      cost += kRemotePenalty;
+    cost += m_core.random().Unit() * 0.1;
+    if (best == nullptr || cost < best_cost) {
+      best = &server;
+      best_cost = cost;
+    }
+  }
+  if (best == nullptr)
+    return false;
+  m_path.clear();
+  m_server = best->id;
+  return true;
+}
+
+void Exchange::Send() {
+  const TimePoint now = m_core.Now();
+  const auto found = m_core.servers().find(m_server);
+  if (m_forward.sends() == 0)
+    m_core.retries().OnRequest(now);
+  SendPlan plan;
+  plan.server = &found->second;
+  plan.path = m_path;
+  plan.time_left = m_deadline - now;
+  plan.account = m_account;
+  plan.rank = m_rank;
+  m_resuming = m_events.any();
+  plan.resume_after = m_resuming ? m_events.last_id() : -1;
+  const HttpRequest request =
+      m_core.dialect().WriteRequest(m_request, plan, m_core.servers());
+  TakeLoad();
+  m_head = AnswerHead();
+  m_body.clear();
+  m_streaming = false;
+  m_repathing = false;
+  m_last_progress = now;
+  m_offered_at = now;
+  m_call = std::make_shared<UpstreamCall>(m_core.io(), m_core.dialect(),
+                                          m_core.pool(), this);
+  // A kept connection may be closed under the request, whose fate is then
+  // unknown: only what may be repeated uses one.
+  m_call->Start(found->second, m_request.attempt_id, m_is_head_request,
+                RequestBytes(request), m_route->MayRepeat());
+}
+
+void Exchange::TakeLoad() {
+  ReleaseLoad();
+  m_load_taken = true;
+  if (m_path.empty())
+    m_core.AddLoad(m_server, 1);
+  else
+    m_core.AddLoad(m_path, ExpectedTokens(), 1);
+}
+
+void Exchange::ReleaseLoad() {
+  if (!std::exchange(m_load_taken, false))
+    return;
+  if (m_path.empty())
+    m_core.AddLoad(m_server, -1);
+  else
+    m_core.AddLoad(m_path, ExpectedTokens(), -1);
+}
+
+bool Exchange::UsesServer(const std::string& server) const {
+  if (!m_call)
+    return false;
+  if (server == m_server)
+    return true;
+  return std::any_of(
+      m_path.begin(), m_path.end(),
+      [&](const PathPart& part) { return part.server == server; });
+}
+
+void Exchange::Act(const ForwardDecision& decision) {
+  std::visit(Overloaded{
+                 [&](const SendToServer&) { SendAgain(); },
+                 [&](const RefuseNotRun&) { AnswerRefusal(); },
+                 [&](const FailUnknown& fail) {
+                   AnswerOwn(fail.timed_out ? 504 : 502, "unknown",
+                             "the answer of the server was lost");
+                 },
+                 [&](const RelayAnswer&) { RelayWhole(); },
+                 [&](const BreakAnswer&) {
+                   Finish("broken_off", 0);
+                   m_session->Abort();
+                 },
+                 [](const KeepWaiting&) {},
+             },
+             decision);
+}
+
+void Exchange::SendAgain() {
+  m_call = nullptr;
+  ReleaseLoad();
+  if (m_forward.sends() > 0 && !m_core.retries().TryRetry(m_core.Now())) {
+    m_refusal = "the retry budget is spent";
+    Act(m_forward.OnNoServer());
+    return;
+  }
+  if (m_events.any())
+    m_events.Resume();
+  m_hold_until = std::max(m_hold_until, m_core.Now() + milliseconds(300));
+  TryDispatch();
+}
+
+void Exchange::OnUpstreamConnectFailed(bool refused) {
+  const auto self = shared_from_this();
+  m_call = nullptr;
+  m_avoid.insert(m_server);
+  if (refused)
+    m_core.ReportLost(m_server);
+  else
+    m_core.Probe(m_server);
+  m_core.Log("connect_failed", {{"id", m_request.attempt_id},
+                                {"server", m_server},
+                                {"refused", refused ? "1" : "0"}});
+  Act(m_forward.OnServerEvent(m_server, ServerEvent::kConnectFailed));
+}
+
+void Exchange::OnUpstreamOffered() {
+  m_forward.OnSend(m_server);
+}
+
+void Exchange::OnUpstreamHead(const AnswerHead& head) {
+  m_head = head;
+  m_last_progress = m_core.Now();
+  m_streaming = head.status / 100 == 2 && head.is_event_stream &&
+                head.authentic && m_route->kind == RouteKind::kStream;
+}
+
+void Exchange::OnUpstreamBody(std::string bytes) {
+  const auto self = shared_from_this();
+  m_last_progress = m_core.Now();
+  if (m_streaming) {
+    PassEvents(m_events.Feed(bytes));
+    return;
+  }
+  if (m_raw_parts) {
+    m_session->SendPart(bytes);
+    if (m_session->PendingBytes() > kMaxPendingBytes && m_call)
+      m_call->Pause();
+    return;
+  }
+  m_body += bytes;
+  if (m_body.size() > kMaxHeldBytes && m_head.status / 100 == 2 &&
+      m_head.authentic && !m_events.any()) {
+    m_raw_parts = true;
+    Commit();
+    m_session->SendPart(std::exchange(m_body, {}));
+  }
+}
+
+void Exchange::Commit() {
+  if (std::exchange(m_committed, true))
+    return;
+  m_forward.OnServerEvent(m_server, ServerEvent::kAnswerBegun);
+  m_first_event_at = m_core.Now();
+  m_session->BeginParts(m_head.status, m_head.passed_headers);
+}
+
+void Exchange::PassEvents(std::string bytes) {
+  if (!m_events.in_order()) {
+    m_core.Log("events_out_of_order",
+               {{"id", m_request.attempt_id}, {"server", m_server}});
+    OnUpstreamBroken();
+    return;
+  }
+  if (bytes.empty())
+    return;
+  Commit();
+  m_session->SendPart(bytes);
+  if (m_session->PendingBytes() > kMaxPendingBytes && m_call)
+    m_call->Pause();
+}
+
+void Exchange::OnClientDrained() {
+  if (m_call)
+    m_call->Unpause();
+}
+
+void Exchange::OnUpstreamComplete() {
+  const auto self = shared_from_this();
+  m_call = nullptr;
+  if (m_streaming || m_raw_parts) {
+    Commit();
+    if (m_streaming)
+      m_session->SendPart(m_events.TakePartial());
+    m_forward.OnServerEvent(m_server, ServerEvent::kAnswered);
+    Finish("finished", m_head.status);
+    m_session->EndParts();
+    return;
+  }
+  if (m_head.not_run) {
+    m_avoid.insert(m_server);
+    m_core.Log("refused_by_server", {{"id", m_request.attempt_id},
+                                     {"server", m_server},
+                                     {"status", std::to_string(m_head.status)},
+                                     {"at", m_head.fault_address}});
+    Act(m_forward.OnServerEvent(m_server, ServerEvent::kRefused));
+    return;
+  }
+  const bool success = m_head.status / 100 == 2;
+  // A success that the server did not mark is none, and a success that is no
+  // stream cannot continue one.
+  if ((success && !m_head.authentic) || m_committed) {
+    OnUpstreamBroken();
+    return;
+  }
+  Act(m_forward.OnServerEvent(m_server, m_head.status / 100 == 5
+                                            ? ServerEvent::kServerFailed
+                                            : ServerEvent::kAnswered));
+}
+
+void Exchange::OnUpstreamBroken() {
+  const auto self = shared_from_this();
+  if (m_call)
+    m_call->Cancel();
+  m_call = nullptr;
+  m_core.Log("answer_broken", {{"id", m_request.attempt_id},
+                               {"server", m_server},
+                               {"last_event", std::to_string(m_events.last_id())}});
+  if (m_head.not_run) {
+    m_avoid.insert(m_server);
+    Act(m_forward.OnServerEvent(m_server, ServerEvent::kRefused));
+    return;
+  }
+  m_avoid.insert(m_server);
+  m_core.Probe(m_server);
+  Act(m_forward.OnServerEvent(m_server, ServerEvent::kBroken));
+}
+
+void Exchange::RelayWhole() {
+  WholeAnswer answer;
+  answer.status = m_head.status;
+  answer.headers = m_head.passed_headers;
+  answer.body = std::move(m_body);
+  Finish("answered", answer.status);
+  m_session->SendWhole(answer);
+}
+
+void Exchange::OnDeadline() {
+  const auto self = shared_from_this();
+  if (m_ended)
+    return;
+  const ForwardDecision decision = m_forward.OnDeadline();
+  if (m_call)
+    m_call->Cancel();
+  m_call = nullptr;
+  Act(decision);
+}
+
+void Exchange::OnClientLeft() {
+  if (m_call)
+    m_call->Cancel();
+  m_call = nullptr;
+  Finish("client_left", 0);
+}
+
+void Exchange::AnswerRefusal() {
+  // Returns are spread; more urgent work comes back first.
+  const Duration after =
+      milliseconds(200 + 200 * std::min(m_rank, 4)) +
+      Duration(static_cast<int64_t>(m_core.random().Unit() * 300'000));
+  WholeAnswer answer;
+  answer.status = 503;
+  m_core.dialect().MarkOwnAnswer(m_request.attempt_id, answer.headers);
+  answer.headers.set(http::field::content_type, "application/problem+json");
+  answer.headers.set(http::field::retry_after, RetryAfterSeconds(after));
+  answer.body = std::string(R"({"outcome":"not_run","detail":")") + m_refusal +
+                "\"}";
+  Finish(m_refusal, 503);
+  m_session->SendWhole(answer);
+}
+
+void Exchange::AnswerOwn(int status, const char* outcome, const char* detail) {
+  WholeAnswer answer;
+  answer.status = status;
+  m_core.dialect().MarkOwnAnswer(m_request.attempt_id, answer.headers);
+  answer.headers.set(http::field::content_type, "application/problem+json");
+  answer.body = std::string(R"({"outcome":")") + outcome + R"(","detail":")" +
+                detail + "\"}";
+  Finish(detail, status);
+  m_session->SendWhole(answer);
+}
+
+void Exchange::Finish(const char* outcome, int status) {
+  if (std::exchange(m_ended, true))
+    return;
+  m_timer.cancel();
+  if (m_waiting)
+    m_core.RemoveWaiting(this);
+  m_waiting = false;
+  ReleaseLoad();
+  const auto ms = [&](TimePoint at) {
+    return at == TimePoint{} ? std::string("-")
+                             : std::to_string((at - m_began).count() / 1000);
+  };
+  m_core.metrics()
+      .GetCounter("trefoilwick_requests_total",
+                  {{"status", std::to_string(status)}})
+      .Add();
+  if (m_first_event_at != TimePoint{})
+    m_core.metrics()
+        .GetHistogram("trefoilwick_first_event_seconds")
+        .Record(m_first_event_at - m_began);
+  m_core.Log("request", {{"id", m_request.attempt_id},
+                         {"route", m_route ? m_route->name : ""},
+                         {"status", std::to_string(status)},
+                         {"outcome", outcome},
+                         {"server", m_server},
+                         {"parts", std::to_string(m_path.size())},
+                         {"sends", std::to_string(m_forward.sends())},
+                         {"offered_ms", ms(m_offered_at)},
+                         {"first_ms", ms(m_first_event_at)},
+                         {"total_ms", ms(m_core.Now())}});
+  m_core.ServeWaiting();
+}
+
+void Exchange::OnServerLost(const std::string& server) {
+  if (!UsesServer(server) || m_ended)
+    return;
+  if (server == m_server) {
+    if (m_call->offered())
+      OnUpstreamBroken();
+    return;
+  }
+  Repath(server);
+}
+
+void Exchange::OnServerLeaving(const std::string& server) {
+  if (m_call && m_call->offered() && server != m_server && UsesServer(server))
+    Repath(server);
+}
+
+void Exchange::Repath(const std::string& lost) {
+  if (m_repathing || !m_call || !m_call->offered())
+    return;
+  const EngineModel* engine = Engine();
+  if (engine == nullptr)
+    return;
+  PathRequest wanted = MakePathRequest();
+  wanted.excluded.erase(m_server);
+  wanted.excluded.insert(lost);
+  wanted.first_server = m_server;
+  LoadMap loads = m_core.coordination().Loads(m_core.Now());
+  const auto choice =
+      ChoosePath(*engine, m_core.servers(), loads, wanted, 1.0);
+  if (!choice) {
+    m_core.Log("no_other_path",
+               {{"id", m_request.attempt_id}, {"lost", lost}});
+    return;
+  }
+  m_repathing = true;
+  m_core.Log("repath", {{"id", m_request.attempt_id},
+                        {"lost", lost},
+                        {"last_event", std::to_string(m_events.last_id())}});
+  m_core.CallServer(
+      m_server,
+      m_core.dialect().RepathOrder(m_request.attempt_id, choice->path,
+                                   m_core.coordination().fence(),
+                                   m_core.servers()),
+      [weak = weak_from_this(), path = choice->path](OrderResult result) {
+        if (const auto self = weak.lock())
+          self->OnRepathed(result, path);
+      });
+}
+
+void Exchange::OnRepathed(OrderResult result, LayerPath path) {
+  m_repathing = false;
+  if (m_ended || !m_call)
+    return;
+  m_core.Log("repathed", {{"id", m_request.attempt_id},
+                          {"result", std::to_string(static_cast<int>(result))}});
+  if (result == OrderResult::kAccepted) {
+    ReleaseLoad();
+    m_path = std::move(path);
+    TakeLoad();
+    m_last_progress = m_core.Now();
+    return;
+  }
+  // The stream goes on elsewhere when it may.
+  if (m_forward.MayResume() || m_forward.MaySendAgain())
+    OnUpstreamBroken();
+}
+
+void Exchange::OnTick(TimePoint now) {
+  if (m_ended || !m_call || !m_call->offered())
+    return;
+  Duration limit = kPlainSilence;
+  if (!m_path.empty())
+    limit = m_events.any() ? kEventSilence : kFirstEventSilence;
+  if (now - m_last_progress < limit)
+    return;
+  m_core.Probe(m_server);
+  for (const PathPart& part : m_path)
+    m_core.Probe(part.server);
+}
+
+}  // namespace trefoilwick::detail
--- /dev/null
+++ b/src/gateway_exchange.h
@@ -0,0 +1,109 @@
+// One request of a client, from its route to its answer.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "gateway_session.h"
+#include "gateway_upstream.h"
+#include "trefoilwick/forwarding.h"
+
+namespace trefoilwick::detail {
+
+class Exchange : public UpstreamListener,
+                 public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(GatewayCore& core, ClientSession& session, TimePoint began);
+  ~Exchange() override;
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  void Begin(boost::beast::http::request<boost::beast::http::string_body>
+                 request);
+  // The client closed its connection.
+  void OnClientLeft();
+  // Everything written so far is with the client.
+  void OnClientDrained();
+  // Looks for a server again; called while the request waits.
+  void TryDispatch();
+  // A server of its path does not answer.
+  void OnServerLost(const std::string& server);
+  // Moves off a server that is about to leave.
+  void OnServerLeaving(const std::string& server);
+  // Checks for silence; called every tick.
+  void OnTick(TimePoint now);
+
+  int rank() const { return m_rank; }
+  TimePoint began() const { return m_began; }
+  bool UsesServer(const std::string& server) const;
+  const std::string& attempt_id() const { return m_request.attempt_id; }
+
+  void OnUpstreamConnectFailed(bool refused) override;
+  void OnUpstreamOffered() override;
+  void OnUpstreamHead(const AnswerHead& head) override;
+  void OnUpstreamBody(std::string bytes) override;
+  void OnUpstreamComplete() override;
+  void OnUpstreamBroken() override;
+
+ private:
+  bool Authorize(const RouteTable& table);
+  const EngineModel* Engine() const;
+  PathRequest MakePathRequest() const;
+  // Chooses server and path; false when none can be used now.
+  bool Choose();
+  bool ChooseEngine(const EngineModel& engine);
+  bool ChoosePlain();
+  void Send();
+  void WaitOrRefuse();
+  void Act(const ForwardDecision& decision);
+  void SendAgain();
+  void Repath(const std::string& lost);
+  void OnRepathed(OrderResult result, LayerPath path);
+  void Commit();
+  void PassEvents(std::string bytes);
+  void RelayWhole();
+  void OnDeadline();
+  void AnswerOwn(int status, const char* outcome, const char* detail);
+  void AnswerRefusal();
+  void Finish(const char* outcome, int status);
+  void ReleaseLoad();
+  void TakeLoad();
+  double ExpectedTokens() const;
+
+  GatewayCore& m_core;
+  std::shared_ptr<ClientSession> m_session;
+  TimePoint m_began;
+  TimePoint m_deadline;
+  TimePoint m_hold_until;
+  TimePoint m_last_progress;
+  TimePoint m_offered_at;
+  TimePoint m_first_event_at;
+  boost::asio::steady_timer m_timer;
+  ClientRequest m_request;
+  std::shared_ptr<const RouteTable> m_table;
+  const Route* m_route = nullptr;
+  std::string m_service;
+  std::string m_account;
+  int m_rank = 0;
+  ForwardState m_forward;
+  std::shared_ptr<UpstreamCall> m_call;
+  std::string m_server;
+  LayerPath m_path;
+  std::set<std::string> m_avoid;
+  AnswerHead m_head;
+  std::string m_body;
+  EventSplitter m_events;
+  bool m_is_head_request = false;
+  bool m_waiting = false;
+  bool m_resuming = false;
+  bool m_streaming = false;
+  bool m_raw_parts = false;
+  bool m_committed = false;
+  bool m_repathing = false;
+  bool m_load_taken = false;
+  bool m_ended = false;
+  const char* m_refusal = "no server has room";
+};
+
+}  // namespace trefoilwick::detail
--- /dev/null
+++ b/src/gateway_session.cc
@@ -0,0 +1,275 @@
+#include "gateway_session.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/write.hpp>
+#include <sstream>
+
+#include "gateway_core.h"
+#include "gateway_exchange.h"
+
+namespace trefoilwick::detail {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+using std::chrono::seconds;
+
+constexpr size_t kReadBytes = 4096;
+// Bytes of the next request that are taken while one is answered.
+constexpr size_t kMaxAheadBytes = 64 * 1024;
+constexpr Duration kBodyTimeout = seconds(10);
+// Time in which a client may take the last answer before the connection is
+// closed for good.
+constexpr Duration kLingerTimeout = seconds(1);
+constexpr Duration kSilence = seconds(10);
+
+}  // namespace
+
+ClientSession::ClientSession(GatewayCore& core, tcp::socket socket)
+    : m_core(core),
+      m_socket(std::move(socket)),
+      m_timer(core.io()) {}
+
+void ClientSession::Start() {
+  SetSocketOptions(m_socket, kSilence);
+  NewParser();
+  SetTimer(m_core.limits().idle_timeout);
+  Read();
+}
+
+void ClientSession::NewParser() {
+  m_parser.emplace();
+  m_parser->eager(true);
+  m_parser->header_limit(
+      static_cast<uint32_t>(m_core.limits().max_header_bytes));
+  m_parser->body_limit(m_core.limits().max_body_bytes);
+  m_request_started = false;
+  m_head_checked = false;
+}
+
+void ClientSession::SetTimer(Duration after) {
+  m_timer.expires_after(after);
+  m_timer.async_wait([self = shared_from_this()](error_code error) {
+    if (error || self->m_closed || self->m_exchange)
+      return;
+    if (self->m_timer.expiry() > asio::steady_timer::clock_type::now())
+      return;
+    if (self->m_request_started && !self->m_lingering)
+      self->Reject(408, "the request was not complete in time");
+    else
+      self->Close();
+  });
+}
+
+void ClientSession::Read() {
+  if (m_reading || m_closed || m_buffer.size() > kMaxAheadBytes)
+    return;
+  m_reading = true;
+  m_socket.async_read_some(
+      m_buffer.prepare(kReadBytes),
+      [self = shared_from_this()](error_code error, size_t count) {
+        self->m_reading = false;
+        if (self->m_closed)
+          return;
+        if (error)
+          return self->OnReadError();
+        self->m_buffer.commit(count);
+        if (self->m_lingering)
+          self->m_buffer.consume(self->m_buffer.size());
+        else if (!self->m_exchange && self->m_out.empty())
+          self->Parse();
+        self->Read();
+      });
+}
+
+void ClientSession::OnReadError() {
+  if (m_exchange)
+    std::exchange(m_exchange, nullptr)->OnClientLeft();
+  Close();
+}
+
+void ClientSession::Parse() {
+  if (m_buffer.size() == 0 || m_closed || m_lingering)
+    return;
+  if (!m_request_started) {
+    m_request_started = true;
+    m_request_began = m_core.Now();
+    SetTimer(m_core.limits().header_timeout);
+  }
+  error_code error;
+  while (m_buffer.size() > 0 && !m_parser->is_done()) {
+    const size_t used = m_parser->put(m_buffer.data(), error);
+    m_buffer.consume(used);
+    if (error && error != http::error::need_more)
+      break;
+    if (m_parser->is_header_done() && !m_head_checked) {
+      m_head_checked = true;
+      SetTimer(kBodyTimeout);
+      if (m_parser->get()[http::field::expect] == "100-continue" &&
+          !m_parser->is_done())
+        Write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    if (error == http::error::need_more || used == 0)
+      return;
+  }
+  if (error == http::error::header_limit)
+    return Reject(431, "the headers are too large");
+  if (error == http::error::body_limit)
+    return Reject(413, "the body is too large");
+  if (error)
+    return Reject(400, "the request is malformed");
+  if (m_parser->is_done())
+    OnRequest();
+}
+
+void ClientSession::OnRequest() {
+  m_timer.cancel();
+  auto request = m_parser->release();
+  m_keep_alive = request.keep_alive();
+  m_head_request = request.method() == http::verb::head;
+  m_answer_ended = false;
+  NewParser();
+  if (request.count(http::field::host) != 1)
+    return Reject(400, "one Host header is needed");
+  m_exchange = std::make_shared<Exchange>(m_core, *this, m_request_began);
+  // Keeps the exchange while it answers at once.
+  const auto exchange = m_exchange;
+  exchange->Begin(std::move(request));
+}
+
+void ClientSession::Reject(int status, const char* reason) {
+  m_keep_alive = false;
+  m_core.CountRejected(status);
+  WholeAnswer answer;
+  answer.status = status;
+  answer.headers.set(http::field::content_type, "application/problem+json");
+  answer.body = std::string(R"({"outcome":"not_run","detail":")") + reason +
+                "\"}";
+  SendWhole(answer);
+}
+
+std::string ClientSession::HeadBytes(int status,
+                                     HeaderFields headers,
+                                     std::optional<size_t> length) const {
+  http::response_header<> head(std::move(headers));
+  head.version(11);
+  head.result(static_cast<unsigned>(status));
+  if (length)
+    head.set(http::field::content_length, std::to_string(*length));
+  else
+    head.set(http::field::transfer_encoding, "chunked");
+  if (!m_keep_alive)
+    head.set(http::field::connection, "close");
+  std::ostringstream out;
+  out << head;
+  return out.str();
+}
+
+void ClientSession::SendWhole(const WholeAnswer& answer) {
+  if (m_core.leaving())
+    m_keep_alive = false;
+  std::string bytes =
+      HeadBytes(answer.status, answer.headers, answer.body.size());
+  if (!m_head_request)
+    bytes += answer.body;
+  m_exchange = nullptr;
+  m_answer_ended = true;
+  Write(std::move(bytes));
+}
+
+void ClientSession::BeginParts(int status, const HeaderFields& headers) {
+  if (m_core.leaving())
+    m_keep_alive = false;
+  Write(HeadBytes(status, headers, std::nullopt));
+}
+
+void ClientSession::SendPart(const std::string& bytes) {
+  if (bytes.empty())
+    return;
+  char size[24];
+  const int length =
+      snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+  std::string chunk;
+  chunk.reserve(bytes.size() + 24);
+  chunk.append(size, static_cast<size_t>(length)).append(bytes).append("\r\n");
+  Write(std::move(chunk));
+}
+
+void ClientSession::EndParts() {
+  m_exchange = nullptr;
+  m_answer_ended = true;
+  Write("0\r\n\r\n");
+}
+
+void ClientSession::Write(std::string bytes) {
+  if (m_closed)
+    return;
+  m_pending_bytes += bytes.size();
+  m_out.push_back(std::move(bytes));
+  if (m_out.size() == 1)
+    WriteNext();
+}
+
+void ClientSession::WriteNext() {
+  asio::async_write(m_socket, asio::buffer(m_out.front()),
+                    [self = shared_from_this()](error_code error, size_t) {
+                      if (self->m_closed)
+                        return;
+                      if (error)
+                        return self->OnReadError();
+                      self->m_pending_bytes -= self->m_out.front().size();
+                      self->m_out.pop_front();
+                      if (!self->m_out.empty())
+                        return self->WriteNext();
+                      if (self->m_exchange)
+                        self->m_exchange->OnClientDrained();
+                      else if (self->m_answer_ended)
+                        self->OnAnswerWritten();
+                    });
+}
+
+void ClientSession::OnAnswerWritten() {
+  m_answer_ended = false;
+  if (!m_keep_alive || m_close_when_idle) {
+    Linger();
+    return;
+  }
+  SetTimer(m_core.limits().idle_timeout);
+  Parse();
+  Read();
+}
+
+void ClientSession::CloseWhenIdle() {
+  m_close_when_idle = true;
+  if (idle() && !m_request_started && !m_closed)
+    Linger();
+}
+
+void ClientSession::Linger() {
+  m_lingering = true;
+  error_code ignored;
+  m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+  m_buffer.consume(m_buffer.size());
+  SetTimer(kLingerTimeout);
+  Read();
+}
+
+void ClientSession::Abort() {
+  m_exchange = nullptr;
+  Close();
+}
+
+void ClientSession::Close() {
+  if (std::exchange(m_closed, true))
+    return;
+  m_timer.cancel();
+  error_code ignored;
+  m_socket.close(ignored);
+  m_core.OnSessionClosed(this);
+}
+
+}  // namespace trefoilwick::detail
--- /dev/null
+++ b/src/gateway_session.h
@@ -0,0 +1,80 @@
+// One connection of a client: reads requests, writes answers and notices when
+// the client has left.
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "trefoilwick/gateway.h"
+
+namespace trefoilwick::detail {
+
+class GatewayCore;
+class Exchange;
+
+// An answer that is complete from the start.
+struct WholeAnswer {
+  int status = 503;
+  HeaderFields headers;
+  std::string body;
+};
+
+class ClientSession : public std::enable_shared_from_this<ClientSession> {
+ public:
+  ClientSession(GatewayCore& core, boost::asio::ip::tcp::socket socket);
+  void Start();
+  void SendWhole(const WholeAnswer& answer);
+  // Begins an answer whose body follows in parts.
+  void BeginParts(int status, const HeaderFields& headers);
+  void SendPart(const std::string& bytes);
+  void EndParts();
+  // Closes in the middle of an answer: the client sees that it is incomplete.
+  void Abort();
+  // Bytes that wait for the client.
+  size_t PendingBytes() const { return m_pending_bytes; }
+  bool idle() const { return !m_exchange && m_out.empty(); }
+  // Closes after the answer in progress, or now when there is none.
+  void CloseWhenIdle();
+
+ private:
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  void NewParser();
+  void Read();
+  void OnReadError();
+  void Parse();
+  void OnRequest();
+  void Reject(int status, const char* reason);
+  void Write(std::string bytes);
+  void WriteNext();
+  void OnAnswerWritten();
+  void Linger();
+  void Close();
+  void SetTimer(Duration after);
+  std::string HeadBytes(int status,
+                        HeaderFields headers,
+                        std::optional<size_t> length) const;
+
+  GatewayCore& m_core;
+  boost::asio::ip::tcp::socket m_socket;
+  boost::asio::steady_timer m_timer;
+  boost::beast::flat_buffer m_buffer;
+  std::optional<Parser> m_parser;
+  std::shared_ptr<Exchange> m_exchange;
+  TimePoint m_request_began;
+  std::deque<std::string> m_out;
+  size_t m_pending_bytes = 0;
+  bool m_reading = false;
+  bool m_request_started = false;
+  bool m_head_checked = false;
+  bool m_keep_alive = true;
+  bool m_answer_ended = false;
+  bool m_lingering = false;
+  bool m_closed = false;
+  bool m_close_when_idle = false;
+  bool m_head_request = false;
+};
+
+}  // namespace trefoilwick::detail
--- /dev/null
+++ b/src/gateway_upstream.cc
@@ -0,0 +1,294 @@
+#include "gateway_upstream.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+namespace trefoilwick::detail {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Idle time when a server does not say how long it keeps connections, and the
+// margin before the time that it does say.
+constexpr Duration kDefaultIdle = std::chrono::seconds(3);
+constexpr Duration kIdleMargin = milliseconds(800);
+constexpr size_t kMaxIdlePerServer = 16;
+// Longer than a round trip between data centers, shorter than a lost opening
+// packet takes to be sent again.
+constexpr Duration kConnectTimeout = milliseconds(300);
+constexpr Duration kSilence = std::chrono::seconds(3);
+constexpr size_t kReadBytes = 8192;
+constexpr uint32_t kMaxAnswerHeadBytes = 64 * 1024;
+
+}  // namespace
+
+ConnectionPool::Socket ConnectionPool::Take(const std::string& server,
+                                            TimePoint now) {
+  const auto found = m_idle.find(server);
+  if (found == m_idle.end())
+    return nullptr;
+  auto& idle = found->second;
+  while (!idle.empty()) {
+    Idle last = std::move(idle.back());
+    idle.pop_back();
+    if (last.until <= now)
+      continue;
+    // Readable means closed, or bytes that belong to no request.
+    error_code error;
+    char byte;
+    last.socket->non_blocking(true, error);
+    last.socket->receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
+                         error);
+    if (error == asio::error::would_block)
+      return std::move(last.socket);
+  }
+  return nullptr;
+}
+
+void ConnectionPool::Keep(const std::string& server,
+                          Socket socket,
+                          TimePoint now,
+                          std::optional<Duration> keep_alive) {
+  auto& idle = m_idle[server];
+  const Duration life = keep_alive ? *keep_alive - kIdleMargin : kDefaultIdle;
+  if (idle.size() >= kMaxIdlePerServer || life <= Duration(0))
+    return;
+  idle.push_back({std::move(socket), now + life});
+}
+
+void ConnectionPool::Sweep(TimePoint now) {
+  for (auto it = m_idle.begin(); it != m_idle.end();) {
+    std::erase_if(it->second,
+                  [&](const Idle& idle) { return idle.until <= now; });
+    it = it->second.empty() ? m_idle.erase(it) : std::next(it);
+  }
+}
+
+UpstreamCall::UpstreamCall(asio::io_context& io,
+                           const WireDialect& dialect,
+                           ConnectionPool& pool,
+                           UpstreamListener* listener)
+    : m_io(io),
+      m_dialect(dialect),
+      m_pool(pool),
+      m_listener(listener),
+      m_connect_timer(io) {}
+
+void UpstreamCall::Start(const BackendServer& server,
+                         const std::string& attempt_id,
+                         bool is_head,
+                         std::string bytes,
+                         bool reuse) {
+  m_server = server.id;
+  m_attempt_id = attempt_id;
+  m_is_head = is_head;
+  m_bytes = std::move(bytes);
+  if (reuse)
+    m_socket = m_pool.Take(m_server, BootClock().Now());
+  if (m_socket) {
+    Send();
+    return;
+  }
+  const auto endpoint = ParseEndpoint(server.address);
+  if (endpoint) {
+    Connect(*endpoint);
+    return;
+  }
+  asio::post(m_io, [self = shared_from_this()] {
+    if (!std::exchange(self->m_over, true))
+      self->m_listener->OnUpstreamConnectFailed(false);
+  });
+}
+
+void UpstreamCall::Connect(const tcp::endpoint& endpoint) {
+  m_socket = std::make_unique<tcp::socket>(m_io);
+  m_connect_timer.expires_after(kConnectTimeout);
+  m_connect_timer.async_wait([self = shared_from_this()](error_code error) {
+    if (error || self->m_offered || self->m_over)
+      return;
+    self->m_over = true;
+    error_code ignored;
+    self->m_socket->close(ignored);
+    self->m_listener->OnUpstreamConnectFailed(false);
+  });
+  m_socket->async_connect(
+      endpoint, [self = shared_from_this()](error_code error) {
+        if (self->m_over)
+          return;
+        self->m_connect_timer.cancel();
+        if (!error) {
+          SetSocketOptions(*self->m_socket, kSilence);
+          self->Send();
+          return;
+        }
+        self->m_over = true;
+        self->m_listener->OnUpstreamConnectFailed(
+            error == asio::error::connection_refused ||
+            error == asio::error::connection_reset);
+      });
+}
+
+void UpstreamCall::Send() {
+  m_offered = true;
+  m_listener->OnUpstreamOffered();
+  if (m_over)
+    return;
+  asio::async_write(*m_socket, asio::buffer(m_bytes),
+                    [self = shared_from_this()](error_code error, size_t) {
+                      if (self->m_over)
+                        return;
+                      // A failed write shows in the read as well, which may
+                      // still find an early answer.
+                      self->m_written = !error;
+                    });
+  NewParser();
+  Read();
+}
+
+void UpstreamCall::NewParser() {
+  m_parser.emplace();
+  m_parser->eager(true);
+  m_parser->body_limit(boost::none);
+  m_parser->header_limit(kMaxAnswerHeadBytes);
+  m_parser->skip(m_is_head);
+  m_head_seen = false;
+  m_skipping = false;
+}
+
+void UpstreamCall::Read() {
+  if (m_reading || m_over || m_paused)
+    return;
+  m_reading = true;
+  m_socket->async_read_some(
+      m_buffer.prepare(kReadBytes),
+      [self = shared_from_this()](error_code error, size_t count) {
+        self->m_reading = false;
+        if (self->m_over)
+          return;
+        if (error)
+          return self->OnEnd(error);
+        self->OnBytes(count);
+      });
+}
+
+void UpstreamCall::OnBytes(size_t count) {
+  m_buffer.commit(count);
+  if (Parse())
+    Read();
+}
+
+bool UpstreamCall::Parse() {
+  while (!m_over && m_buffer.size() > 0) {
+    error_code error;
+    const size_t used = m_parser->put(m_buffer.data(), error);
+    m_buffer.consume(used);
+    if (m_parser->is_header_done() && !m_head_seen)
+      OnHeadParsed();
+    if (m_over)
+      return false;
+    TakeBody();
+    if (m_over)
+      return false;
+    if (m_parser->is_done()) {
+      Complete();
+      if (m_over)
+        return false;
+      continue;
+    }
+    if (error == http::error::need_more)
+      return true;
+    if (error) {
+      Break();
+      return false;
+    }
+    if (used == 0)
+      return true;
+  }
+  return !m_over;
+}
+
+void UpstreamCall::OnHeadParsed() {
+  m_head_seen = true;
+  const AnswerHead head = m_dialect.ReadAnswer(m_parser->get().base());
+  m_skipping = !head.attempt_id.empty() && head.attempt_id != m_attempt_id;
+  if (m_skipping)
+    return;
+  m_keep_alive = head.keep_alive;
+  m_listener->OnUpstreamHead(head);
+}
+
+void UpstreamCall::TakeBody() {
+  std::string& body = m_parser->get().body();
+  if (body.empty())
+    return;
+  if (m_skipping || !m_head_seen) {
+    body.clear();
+    return;
+  }
+  m_listener->OnUpstreamBody(std::exchange(body, {}));
+}
+
+void UpstreamCall::OnEnd(error_code error) {
+  if (error == asio::error::eof && m_head_seen && !m_skipping) {
+    // An answer without length ends with its connection.
+    error_code end_error;
+    m_parser->put_eof(end_error);
+    if (!end_error && m_parser->is_done()) {
+      TakeBody();
+      if (!m_over)
+        Complete();
+      return;
+    }
+  }
+  Break();
+}
+
+void UpstreamCall::Complete() {
+  if (m_skipping) {
+    if (!m_parser->get().keep_alive()) {
+      Break();
+      return;
+    }
+    NewParser();
+    return;
+  }
+  m_over = true;
+  const bool keep = m_parser->get().keep_alive() && m_written &&
+                    m_buffer.size() == 0 && !m_parser->get().need_eof();
+  if (keep)
+    m_pool.Keep(m_server, std::move(m_socket), BootClock().Now(),
+                m_keep_alive);
+  m_listener->OnUpstreamComplete();
+}
+
+void UpstreamCall::Break() {
+  m_over = true;
+  error_code ignored;
+  m_socket->close(ignored);
+  m_listener->OnUpstreamBroken();
+}
+
+void UpstreamCall::Cancel() {
+  if (m_over)
+    return;
+  m_over = true;
+  m_connect_timer.cancel();
+  if (m_socket) {
+    error_code ignored;
+    m_socket->close(ignored);
+  }
+}
+
+void UpstreamCall::Unpause() {
+  if (!std::exchange(m_paused, false))
+    return;
+  Read();
+}
+
+}  // namespace trefoilwick::detail
--- /dev/null
+++ b/src/gateway_upstream.h
@@ -0,0 +1,112 @@
+// One request at one backend server: sending, and the answer as it arrives.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "trefoilwick/gateway.h"
+
+namespace trefoilwick::detail {
+
+// Connections to servers that are idle, by server id.
+class ConnectionPool {
+ public:
+  using Socket = std::unique_ptr<boost::asio::ip::tcp::socket>;
+  // An idle connection that is open and has nothing to read, or null.
+  Socket Take(const std::string& server, TimePoint now);
+  void Keep(const std::string& server,
+            Socket socket,
+            TimePoint now,
+            std::optional<Duration> keep_alive);
+  void Drop(const std::string& server) { m_idle.erase(server); }
+  void Clear() { m_idle.clear(); }
+  // Closes connections whose time is over.
+  void Sweep(TimePoint now);
+
+ private:
+  struct Idle {
+    Socket socket;
+    TimePoint until;
+  };
+  std::map<std::string, std::vector<Idle>> m_idle;
+};
+
+// Receives what happens to an UpstreamCall. No call comes after the terminal
+// ones: connect failed, complete, broken.
+class UpstreamListener {
+ public:
+  virtual ~UpstreamListener() = default;
+  virtual void OnUpstreamConnectFailed(bool refused) = 0;
+  // The connection stands and the first byte is about to leave.
+  virtual void OnUpstreamOffered() = 0;
+  // The head of the answer; the body follows. Not called for answers that
+  // belong to another request.
+  virtual void OnUpstreamHead(const AnswerHead& head) = 0;
+  virtual void OnUpstreamBody(std::string bytes) = 0;
+  virtual void OnUpstreamComplete() = 0;
+  virtual void OnUpstreamBroken() = 0;
+};
+
+class UpstreamCall : public std::enable_shared_from_this<UpstreamCall> {
+ public:
+  UpstreamCall(boost::asio::io_context& io,
+               const WireDialect& dialect,
+               ConnectionPool& pool,
+               UpstreamListener* listener);
+  // `reuse` allows a kept connection. `bytes` is the whole request.
+  void Start(const BackendServer& server,
+             const std::string& attempt_id,
+             bool is_head,
+             std::string bytes,
+             bool reuse);
+  // Closes the connection; the listener hears nothing more.
+  void Cancel();
+  // Stops and continues reading, when the client is slower than the server.
+  void Pause() { m_paused = true; }
+  void Unpause();
+  // Bytes have left, or may have.
+  bool offered() const { return m_offered; }
+
+ private:
+  void Connect(const boost::asio::ip::tcp::endpoint& endpoint);
+  void Send();
+  void Read();
+  void OnBytes(size_t count);
+  // Feeds the parser; false when the call is over.
+  bool Parse();
+  void TakeBody();
+  void OnHeadParsed();
+  void OnEnd(boost::system::error_code error);
+  void Complete();
+  void Break();
+  void NewParser();
+
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+  boost::asio::io_context& m_io;
+  const WireDialect& m_dialect;
+  ConnectionPool& m_pool;
+  UpstreamListener* m_listener;
+  std::string m_server;
+  std::string m_attempt_id;
+  std::string m_bytes;
+  bool m_is_head = false;
+  bool m_offered = false;
+  bool m_over = false;
+  bool m_paused = false;
+  bool m_reading = false;
+  bool m_head_seen = false;
+  bool m_written = false;
+  // The answer being read belongs to an earlier request.
+  bool m_skipping = false;
+  std::optional<Duration> m_keep_alive;
+  std::unique_ptr<boost::asio::ip::tcp::socket> m_socket;
+  boost::asio::steady_timer m_connect_timer;
+  boost::beast::flat_buffer m_buffer;
+  std::optional<Parser> m_parser;
+};
+
+}  // namespace trefoilwick::detail
--- /dev/null
+++ b/src/http_call.cc
@@ -0,0 +1,248 @@
+#include "trefoilwick/http_call.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <time.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <charconv>
+
+namespace trefoilwick {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+// A kept connection that is older is not used again.
+constexpr Duration kKeptLife = std::chrono::seconds(3);
+constexpr size_t kMaxKept = 2;
+// Bound on an answer of the platform's store or of a server to an order.
+constexpr uint64_t kMaxAnswerBytes = 64ull << 20;
+
+}  // namespace
+
+TimePoint BootClock::Now() const {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::seconds(now.tv_sec) +
+                   Duration(now.tv_nsec / 1000));
+}
+
+int64_t BootClock::UnixMillis() const {
+  return SystemClock().UnixMillis();
+}
+
+std::optional<tcp::endpoint> ParseEndpoint(const std::string& address) {
+  const size_t colon = address.rfind(':');
+  if (colon == std::string::npos)
+    return std::nullopt;
+  error_code error;
+  const auto ip = asio::ip::make_address_v4(address.substr(0, colon), error);
+  uint16_t port = 0;
+  const char* begin = address.data() + colon + 1;
+  const char* end = address.data() + address.size();
+  const auto [stop, number_error] = std::from_chars(begin, end, port);
+  if (error || number_error != std::errc() || stop != end || port == 0)
+    return std::nullopt;
+  return tcp::endpoint(ip, port);
+}
+
+void SetSocketOptions(tcp::socket& socket, Duration silence) {
+  error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  const int fd = socket.native_handle();
+  const int on = 1;
+  const int seconds =
+      std::max<int>(1, static_cast<int>(silence.count() / 1'000'000 / 2));
+  const int probes = 2;
+  const unsigned int silence_ms =
+      static_cast<unsigned int>(silence.count() / 1000);
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms,
+             sizeof silence_ms);
+}
+
+// One call, from connecting to the complete answer.
+class HttpCaller::Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(HttpCaller& caller,
+           std::string address,
+           HttpRequest request,
+           Duration timeout,
+           CallHandler handler)
+      : m_caller(caller),
+        m_address(std::move(address)),
+        m_request(std::move(request)),
+        m_timeout(timeout),
+        m_handler(std::move(handler)),
+        m_timer(caller.m_io) {
+    m_parser.body_limit(kMaxAnswerBytes);
+  }
+
+  void Start() {
+    m_timer.expires_after(m_timeout);
+    m_timer.async_wait([self = shared_from_this()](error_code error) {
+      if (!error)
+        self->Fail();
+    });
+    if (TakeKept()) {
+      Send();
+      return;
+    }
+    const auto endpoint = ParseEndpoint(m_address);
+    if (!endpoint) {
+      asio::post(m_caller.m_io, [self = shared_from_this()] { self->Fail(); });
+      return;
+    }
+    m_socket = std::make_unique<tcp::socket>(m_caller.m_io);
+    auto limit = std::make_shared<asio::steady_timer>(m_caller.m_io);
+    limit->expires_after(m_caller.m_connect_timeout);
+    limit->async_wait([self = shared_from_this()](error_code error) {
+      if (!error && !self->m_sent)
+        self->Fail();
+    });
+    m_socket->async_connect(
+        *endpoint, [self = shared_from_this(), limit](error_code error) {
+          limit->cancel();
+          if (self->m_done)
+            return;
+          if (error)
+            return self->Fail();
+          SetSocketOptions(*self->m_socket, std::chrono::seconds(2));
+          self->Send();
+        });
+  }
+
+ private:
+  bool TakeKept() {
+    auto& kept = m_caller.m_kept[m_address];
+    while (!kept.empty()) {
+      Kept last = std::move(kept.back());
+      kept.pop_back();
+      error_code error;
+      const bool young = BootClock().Now() - last.since < kKeptLife;
+      if (young && last.socket->available(error) == 0 && !error) {
+        m_socket = std::move(last.socket);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void Send() {
+    m_sent = true;
+    http::async_write(
+        *m_socket, m_request,
+        [self = shared_from_this()](error_code error, size_t) {
+          if (self->m_done)
+            return;
+          if (error)
+            return self->Fail();
+          self->Receive();
+        });
+  }
+
+  void Receive() {
+    http::async_read(*m_socket, m_buffer, m_parser,
+                     [self = shared_from_this()](error_code error, size_t) {
+                       if (self->m_done)
+                         return;
+                       if (error)
+                         return self->Fail();
+                       self->Succeed();
+                     });
+  }
+
+  void Succeed() {
+    m_done = true;
+    m_timer.cancel();
+    CallResult result;
+    result.response = m_parser.release();
+    if (result.response.keep_alive() && m_buffer.size() == 0) {
+      auto& kept = m_caller.m_kept[m_address];
+      if (kept.size() < kMaxKept)
+        kept.push_back({std::move(m_socket), BootClock().Now()});
+    }
+    m_handler(std::move(result));
+  }
+
+  void Fail() {
+    if (m_done)
+      return;
+    m_done = true;
+    m_timer.cancel();
+    if (m_socket) {
+      error_code ignored;
+      m_socket->close(ignored);
+    }
+    CallResult result;
+    result.error = m_sent ? CallError::kUnknown : CallError::kNotSent;
+    m_handler(std::move(result));
+  }
+
+  HttpCaller& m_caller;
+  std::string m_address;
+  HttpRequest m_request;
+  Duration m_timeout;
+  CallHandler m_handler;
+  asio::steady_timer m_timer;
+  std::unique_ptr<tcp::socket> m_socket;
+  boost::beast::flat_buffer m_buffer;
+  http::response_parser<http::string_body> m_parser;
+  bool m_sent = false;
+  bool m_done = false;
+};
+
+void HttpCaller::Call(const std::string& address,
+                      HttpRequest request,
+                      Duration timeout,
+                      CallHandler handler) {
+  request.set(http::field::host, address);
+  request.prepare_payload();
+  std::make_shared<Exchange>(*this, address, std::move(request), timeout,
+                             std::move(handler))
+      ->Start();
+}
+
+void TryConnect(asio::io_context& io,
+                const std::string& address,
+                Duration timeout,
+                std::function<void(ConnectResult)> handler) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) {
+    asio::post(io, [handler] { handler(ConnectResult::kRefused); });
+    return;
+  }
+  auto socket = std::make_shared<tcp::socket>(io);
+  auto timer = std::make_shared<asio::steady_timer>(io);
+  auto done = std::make_shared<bool>(false);
+  timer->expires_after(timeout);
+  timer->async_wait([=](error_code error) {
+    if (error || *done)
+      return;
+    *done = true;
+    error_code ignored;
+    socket->close(ignored);
+    handler(ConnectResult::kSilent);
+  });
+  socket->async_connect(*endpoint, [=](error_code error) {
+    if (*done)
+      return;
+    *done = true;
+    timer->cancel();
+    error_code ignored;
+    socket->close(ignored);
+    handler(error ? ConnectResult::kRefused : ConnectResult::kAccepted);
+  });
+}
+
+}  // namespace trefoilwick
--- /dev/null
+++ b/src/layer_path.cc
@@ -0,0 +1,275 @@
+#include "trefoilwick/layer_path.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace trefoilwick {
+
+namespace {
+
+constexpr double kInfinity = std::numeric_limits<double>::infinity();
+constexpr double kBytesPerMb = 1e6;
+// One-way delay of a hop, plus handling at the receiver.
+constexpr double kHopMs = 0.2;
+constexpr double kRemoteHopMs = 1.0;
+// Transfers between data centers share one link; the factor keeps ordinary
+// traffic off it while a local path exists.
+constexpr double kPipeShareFactor = 8.0;
+// Cost of entering in another data center: above the gain from its faster
+// servers, below that of a path whose memory is more than half full.
+constexpr double kRemoteEntry = 250;
+// Share of KV memory above which a server is avoided.
+constexpr double kComfortableUse = 0.6;
+// Weight of a prompt's prefill against the tokens of its answer.
+constexpr double kAnswerTokens = 60;
+
+double PerTokenLayerBytes(const EngineModel& engine) {
+  return engine.kv_bytes_per_token / engine.layers;
+}
+
+const AcceleratorKind* KindOf(const EngineModel& engine,
+                              const std::string& kind) {
+  const auto found = engine.kinds.find(kind);
+  return found == engine.kinds.end() ? nullptr : &found->second;
+}
+
+struct Candidate {
+  const BackendServer* server = nullptr;
+  double capacity = 0;
+  ServerLoad load;
+  // Milliseconds that one layer adds to a request: answer and prompt.
+  double layer_cost = 0;
+  double step_ms_per_layer = 0;
+};
+
+// Largest share in use of what the server has: KV memory or places.
+double Use(const EngineModel& engine,
+           const Candidate& candidate,
+           double more_token_layers) {
+  const double memory =
+      candidate.capacity > 0
+          ? (candidate.load.token_layers + more_token_layers) /
+                candidate.capacity
+          : kInfinity;
+  const double places =
+      engine.max_sequences > 0
+          ? static_cast<double>(candidate.load.sequences) / engine.max_sequences
+          : 0;
+  return std::max(memory, places);
+}
+
+// Factor on the time of a server whose memory or places fill up.
+double Crowding(double use) {
+  if (use <= kComfortableUse)
+    return 1 + 0.5 * use;
+  const double over = (use - kComfortableUse) / (1 - kComfortableUse);
+  return 1.3 + 6 * over * over;
+}
+
+Candidate MakeCandidate(const EngineModel& engine,
+                        const BackendServer& server,
+                        const AcceleratorKind& kind,
+                        const ServerLoad& load,
+                        const PathRequest& request) {
+  Candidate candidate{&server, KvCapacity(engine, server), load, 0, 0};
+  const double step =
+      engine.step_ms + engine.step_ms_per_sequence * (load.sequences + 1);
+  candidate.step_ms_per_layer = step * kind.step_scale / engine.layers;
+  const double prefill = request.prompt_tokens / engine.prefill_tokens_per_ms *
+                         kind.prefill_scale / engine.layers;
+  candidate.layer_cost =
+      (candidate.step_ms_per_layer * kAnswerTokens + prefill) *
+      Crowding(Use(engine, candidate, 0));
+  return candidate;
+}
+
+double HopCost(const EngineModel& engine,
+               const PathRequest& request,
+               const std::string& from,
+               const std::string& to) {
+  if (from == to)
+    return kHopMs * kAnswerTokens;
+  const double bytes =
+      engine.activation_bytes * (request.tokens + kAnswerTokens);
+  const double pipe_ms =
+      engine.pipe_mbps > 0 ? bytes * 8 / (engine.pipe_mbps * 1000) : 0;
+  return kRemoteHopMs * kAnswerTokens + kPipeShareFactor * pipe_ms;
+}
+
+// Cheapest cost of running layers [0, layer] with `layer` on a candidate.
+struct Cell {
+  double cost = kInfinity;
+  int previous = -1;
+};
+
+std::vector<Candidate> Candidates(const EngineModel& engine,
+                                  const ServerMap& servers,
+                                  const LoadMap& loads,
+                                  const PathRequest& request,
+                                  double most_use) {
+  std::vector<Candidate> out;
+  for (const auto& [id, server] : servers) {
+    if (server.service != request.service || !server.layers ||
+        request.excluded.contains(id))
+      continue;
+    const bool is_first = id == request.first_server;
+    if (server.state != ServerState::kReady && !is_first)
+      continue;
+    const AcceleratorKind* kind = KindOf(engine, server.kind);
+    if (kind == nullptr)
+      continue;
+    const auto load = loads.find(id);
+    Candidate candidate =
+        MakeCandidate(engine, server, *kind,
+                      load == loads.end() ? ServerLoad{} : load->second,
+                      request);
+    // One layer must fit at least; the whole part is checked at the end.
+    if (Use(engine, candidate, request.tokens) > most_use && !is_first)
+      continue;
+    out.push_back(candidate);
+  }
+  return out;
+}
+
+// Joins the parts of a server that a path left and came back to. Its range is
+// contiguous, so it can run what lies between.
+LayerPath JoinRepeats(const std::vector<int>& by_layer,
+                      const std::vector<Candidate>& candidates) {
+  LayerPath path;
+  const int layers = static_cast<int>(by_layer.size());
+  for (int layer = 0; layer < layers;) {
+    const int who = by_layer[layer];
+    int last = layer;
+    for (int next = layer; next < layers; ++next)
+      if (by_layer[next] == who)
+        last = next;
+    path.push_back({candidates[who].server->id, {layer, last + 1}});
+    layer = last + 1;
+  }
+  return path;
+}
+
+}  // namespace
+
+bool IsWholePath(const LayerPath& path, int layers, const ServerMap& servers) {
+  int at = 0;
+  std::set<std::string> seen;
+  for (const PathPart& part : path) {
+    const auto server = servers.find(part.server);
+    if (server == servers.end() || !server->second.layers ||
+        !seen.insert(part.server).second)
+      return false;
+    const LayerRange& held = *server->second.layers;
+    if (part.layers.from != at || part.layers.size() <= 0 ||
+        part.layers.from < held.from || part.layers.to > held.to)
+      return false;
+    at = part.layers.to;
+  }
+  return at == layers;
+}
+
+double KvCapacity(const EngineModel& engine, const BackendServer& server) {
+  const AcceleratorKind* kind = KindOf(engine, server.kind);
+  if (kind == nullptr || !server.layers || engine.layers == 0)
+    return 0;
+  const double free_mb =
+      kind->memory_mb - server.layers->size() * engine.layer_mb;
+  return std::max(0.0, free_mb * kBytesPerMb / PerTokenLayerBytes(engine));
+}
+
+int MostLayers(const EngineModel& engine, const std::string& kind) {
+  const AcceleratorKind* found = KindOf(engine, kind);
+  if (found == nullptr || engine.layer_mb <= 0)
+    return 0;
+  return std::min(engine.layers,
+                  static_cast<int>(found->memory_mb / engine.layer_mb));
+}
+
+std::optional<PathChoice> ChoosePath(const EngineModel& engine,
+                                     const ServerMap& servers,
+                                     const LoadMap& loads,
+                                     const PathRequest& request,
+                                     double most_use) {
+  const std::vector<Candidate> candidates =
+      Candidates(engine, servers, loads, request, most_use);
+  const int count = static_cast<int>(candidates.size());
+  const auto held = [&](int who, int layer) {
+    return candidates[who].server->layers->Contains(layer);
+  };
+  std::vector<std::vector<Cell>> table(engine.layers,
+                                       std::vector<Cell>(count));
+  for (int layer = 0; layer < engine.layers; ++layer) {
+    for (int who = 0; who < count; ++who) {
+      if (!held(who, layer))
+        continue;
+      const Candidate& here = candidates[who];
+      Cell& cell = table[layer][who];
+      if (layer == 0) {
+        const bool allowed = request.first_server.empty() ||
+                             request.first_server == here.server->id;
+        if (allowed)
+          cell.cost =
+              here.layer_cost +
+              (here.server->data_center == request.data_center ? 0
+                                                               : kRemoteEntry);
+        continue;
+      }
+      for (int from = 0; from < count; ++from) {
+        const Cell& before = table[layer - 1][from];
+        if (before.cost == kInfinity)
+          continue;
+        // The first server of a request in progress cannot be a later part.
+        if (from != who && here.server->id == request.first_server)
+          continue;
+        const double hop =
+            from == who ? 0
+                        : HopCost(engine, request,
+                                  candidates[from].server->data_center,
+                                  here.server->data_center);
+        const double cost = before.cost + hop + here.layer_cost;
+        if (cost < cell.cost)
+          cell = {cost, from};
+      }
+    }
+  }
+  if (count == 0 || engine.layers == 0)
+    return std::nullopt;
+  const auto& last = table[engine.layers - 1];
+  int who = static_cast<int>(
+      std::min_element(last.begin(), last.end(),
+                       [](const Cell& a, const Cell& b) {
+                         return a.cost < b.cost;
+                       }) -
+      last.begin());
+  if (last[who].cost == kInfinity)
+    return std::nullopt;
+  std::vector<int> by_layer(engine.layers);
+  for (int layer = engine.layers - 1; layer >= 0; --layer) {
+    by_layer[layer] = who;
+    who = table[layer][who].previous;
+  }
+  PathChoice choice{JoinRepeats(by_layer, candidates), 0, 0};
+  std::map<std::string, const Candidate*> by_id;
+  for (const Candidate& candidate : candidates)
+    by_id[candidate.server->id] = &candidate;
+  std::set<std::string> full;
+  for (const PathPart& part : choice.path) {
+    const Candidate& candidate = *by_id[part.server];
+    choice.token_ms += candidate.step_ms_per_layer * part.layers.size();
+    const double use =
+        Use(engine, candidate, request.tokens * part.layers.size());
+    choice.peak_use = std::max(choice.peak_use, use);
+    if (use > most_use && part.server != request.first_server)
+      full.insert(part.server);
+  }
+  if (full.empty())
+    return choice;
+  // The parts that are too full are left out; each round removes at least one
+  // candidate, so this ends.
+  PathRequest without = request;
+  without.excluded.insert(full.begin(), full.end());
+  return ChoosePath(engine, servers, loads, without, most_use);
+}
+
+}  // namespace trefoilwick
--- a/src/main.cc
+++ b/src/main.cc
@@ -1,6 +1,13 @@
+#include <string>
+#include <vector>
+
+#include "node.h"
 #include "trefoilwick/daemon.h"
 
 int main(int argc, char** argv) {
-  return trefoilwick::RunCommandLine(
-      std::vector<std::string>(argv + 1, argv + argc));
+  std::vector<std::string> args(argv + 1, argv + argc);
+  // An instance on the platform takes everything from its settings file.
+  if (args == std::vector<std::string>{"route"})
+    return trefoilwick::platform::RunNode();
+  return trefoilwick::RunCommandLine(args);
 }
--- /dev/null
+++ b/src/route_table.cc
@@ -0,0 +1,86 @@
+#include "trefoilwick/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace trefoilwick {
+
+namespace {
+
+// Lower-case host name without its port.
+std::string NormalizeHost(std::string_view host) {
+  const size_t colon = host.rfind(':');
+  if (colon != std::string_view::npos)
+    host = host.substr(0, colon);
+  std::string out(host);
+  std::transform(out.begin(), out.end(), out.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return out;
+}
+
+}  // namespace
+
+const Route* RouteTable::FindRoute(std::string_view host,
+                                   std::string_view path) const {
+  const auto by_prefix = m_by_host.find(NormalizeHost(host));
+  if (by_prefix == m_by_host.end())
+    return nullptr;
+  path = path.substr(0, path.find_first_of("?#"));
+  // Every prefix ends with a slash, so only those places can match.
+  for (size_t end = path.rfind('/'); end != std::string_view::npos;) {
+    const auto found =
+        by_prefix->second.find(std::string(path.substr(0, end + 1)));
+    if (found != by_prefix->second.end())
+      return &m_routes[found->second];
+    if (end == 0)
+      break;
+    end = path.rfind('/', end - 1);
+  }
+  return nullptr;
+}
+
+const ClientAccount* RouteTable::FindAccount(const std::string& key) const {
+  const auto found = m_by_key.find(key);
+  return found == m_by_key.end() ? nullptr : &m_accounts[found->second];
+}
+
+const Service* RouteTable::FindService(const std::string& name) const {
+  const auto found = m_services.find(name);
+  return found == m_services.end() ? nullptr : &found->second;
+}
+
+RouteTable::Builder& RouteTable::Builder::SetLimits(
+    const ClientLimits& limits) {
+  m_table.m_limits = limits;
+  return *this;
+}
+
+RouteTable::Builder& RouteTable::Builder::AddRoute(Route route) {
+  m_table.m_routes.push_back(std::move(route));
+  return *this;
+}
+
+RouteTable::Builder& RouteTable::Builder::AddService(Service service) {
+  const std::string name = service.name;
+  m_table.m_services.insert_or_assign(name, std::move(service));
+  return *this;
+}
+
+RouteTable::Builder& RouteTable::Builder::AddAccount(ClientAccount account) {
+  m_table.m_accounts.push_back(std::move(account));
+  return *this;
+}
+
+RouteTable RouteTable::Builder::Build() {
+  for (size_t i = 0; i < m_table.m_routes.size(); ++i) {
+    const Route& route = m_table.m_routes[i];
+    m_table.m_by_host[NormalizeHost(route.host)][route.prefix] = i;
+  }
+  for (size_t i = 0; i < m_table.m_accounts.size(); ++i)
+    for (const std::string& key : m_table.m_accounts[i].keys)
+      m_table.m_by_key[key] = i;
+  return std::move(m_table);
+}
+
+}  // namespace trefoilwick
