Blame the server at fault; check lost servers everywhere; share the retry slack

Change: beats say at once that the store is out of reach; the slack is divided by the members; a refusal leaves out the server that the answer names; marks of lost servers last while probes fail, and each instance probes for itself.

--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -49,7 +49,12 @@
 struct ReadServerList {};
 // A newer configuration is announced; read it from the store.
 struct ReadConfiguration {};
+// Another instance finds the server lost: see for oneself.
+struct ProbeServer {
+  std::string server;
+};
 using CoordinationAction = std::variant<SendDatagram,
+                                        ProbeServer,
                                         ReadLease,
                                         WriteLease,
                                         ReadServerList,
@@ -87,7 +92,8 @@
   // What this instance has in progress, by server.
   void SetLocalLoads(LoadMap loads) { m_local_loads = std::move(loads); }
   void SetAccepting(bool accepting) { m_accepting = accepting; }
-  // A server that does not answer; `learned` from another instance when set.
+  // This instance found that a server does not accept connections. The mark
+  // ends unless it is repeated.
   void MarkLost(TimePoint now, const std::string& server);
   void MarkFound(const std::string& server);
 
@@ -109,7 +115,7 @@
   LoadMap Loads(TimePoint now) const;
   // Servers believed lost.
   std::set<std::string> Lost(TimePoint now) const;
-  // Servers lost for longer than a probe error would last.
+  // Servers lost for at least that long.
   std::set<std::string> LostFor(TimePoint now, Duration at_least) const;
 
  private:
@@ -133,6 +139,7 @@
   void Follow(TimePoint now, const LeaseRow& row);
   void StepDown(TimePoint now);
   void ReadListIfStale(TimePoint now);
+  void HearOfLost(const std::string& server);
   void NoteConfigVersion(TimePoint now, int64_t version);
   Duration TakeOverDelay() const;
 
@@ -145,6 +152,7 @@
   bool m_is_coordinator = false;
   bool m_lease_call_pending = false;
   bool m_knows_lease = false;
+  bool m_coordinator_has_store = false;
   int64_t m_fence = 0;
   LeaseRow m_lease;
   std::string m_coordinator_ip;
--- a/include/trefoilwick/forwarding.h
+++ b/include/trefoilwick/forwarding.h
@@ -165,8 +165,9 @@
   RetryWindow(double ratio, double slack, Duration window)
       : m_ratio(ratio), m_slack(slack), m_window(window) {}
   void OnRequest(TimePoint now);
-  // Takes one from the budget; false when it is spent.
-  bool TryRetry(TimePoint now);
+  // Takes one from the budget; false when it is spent. `sharers` instances
+  // share the slack.
+  bool TryRetry(TimePoint now, size_t sharers);
 
  private:
   static constexpr int kSlices = 10;
--- a/src/cluster_codec.cc
+++ b/src/cluster_codec.cc
@@ -37,8 +37,7 @@
 LoadMap FromWire(const std::vector<wire::Load>& loads) {
   LoadMap out;
   for (const wire::Load& item : loads)
-    out[item.server] = {static_cast<double>(item.token_layers),
-                        item.sequences};
+    out[item.server] = {static_cast<double>(item.token_layers), item.sequences};
   return out;
 }
 
@@ -62,8 +61,8 @@
   out.list_version = beat.list_version;
   out.list_age = std::chrono::milliseconds(beat.list_age_ms);
   for (const wire::Member& member : beat.members)
-    out.members.push_back({member.ip, member.data_center, member.accepting,
-                           member.cpu_milli});
+    out.members.push_back(
+        {member.ip, member.data_center, member.accepting, member.cpu_milli});
   out.loads = FromWire(beat.loads);
   out.lost.insert(beat.down.begin(), beat.down.end());
   out.store_reachable = beat.store_reachable;
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -19,15 +19,16 @@
 constexpr Duration kTakeOverStep = milliseconds(60);
 constexpr Duration kLeaseRenewal = seconds(2);
 constexpr Duration kLeaseRetry = milliseconds(700);
-// A coordinator without the store for this long says so in its beats.
-constexpr Duration kStoreSilence = milliseconds(2500);
+// A coordinator without the store for this long says so in its beats, so that
+// the others look after the configuration themselves in time.
+constexpr Duration kStoreSilence = milliseconds(1100);
 constexpr Duration kListInterval = milliseconds(650);
 // A follower reads the list itself when the coordinator's news are late.
 constexpr Duration kListStale = milliseconds(1100);
 constexpr Duration kListRetry = milliseconds(900);
 constexpr Duration kConfigRetry = milliseconds(500);
 constexpr Duration kMemberSilence = milliseconds(1500);
-constexpr Duration kLostLife = seconds(4);
+constexpr Duration kLostLife = seconds(2);
 
 // Adds `more` times `sign` to `sum`; entries that reach zero are dropped.
 void AddLoads(LoadMap& sum, const LoadMap& more, int sign) {
@@ -49,8 +50,7 @@
   return *this;
 }
 
-Coordination::Builder& Coordination::Builder::SetProcessorShare(
-    int cpu_milli) {
+Coordination::Builder& Coordination::Builder::SetProcessorShare(int cpu_milli) {
   m_cpu_milli = cpu_milli;
   return *this;
 }
@@ -90,7 +90,7 @@
 }
 
 bool Coordination::HearsCoordinator(TimePoint now) const {
-  return !m_is_coordinator && !m_members.empty() &&
+  return !m_is_coordinator && !m_members.empty() && m_coordinator_has_store &&
          now - m_beat_heard <= kCoordinatorSilence;
 }
 
@@ -242,8 +242,7 @@
   m_list_call_pending = false;
   m_store_answered = now;
   m_list_fresh_at = std::max(m_list_fresh_at, asked);
-  if (version < m_list_version ||
-      (m_list_version > 0 && servers == *m_servers))
+  if (version < m_list_version || (m_list_version > 0 && servers == *m_servers))
     return;
   m_list_version = version;
   m_servers = std::make_shared<const ServerMap>(std::move(servers));
@@ -273,7 +272,8 @@
   if (is_new)
     mark.since = now;
   mark.until = now + kLostLife;
-  if (!is_new)
+  // With most servers lost it is rather the link of this instance.
+  if (!is_new || m_lost.size() * 2 > m_servers->size())
     return;
   const std::string bytes = detail::EncodeLost({server});
   for (const ClusterMember& member : Members(now))
@@ -281,6 +281,11 @@
       m_actions.emplace_back(SendDatagram{member.ip, bytes});
 }
 
+void Coordination::HearOfLost(const std::string& server) {
+  if (!m_lost.contains(server) && m_servers->contains(server))
+    m_actions.emplace_back(ProbeServer{server});
+}
+
 void Coordination::MarkFound(const std::string& server) {
   m_lost.erase(server);
 }
@@ -400,18 +405,17 @@
               row.holder_ip = beat.ip;
               Follow(now, row);
             }
+            m_coordinator_has_store = beat.store_reachable;
             if (beat.store_reachable)
               m_beat_heard = now;
             m_members = beat.members;
             m_cluster_loads = beat.loads;
             m_loads_in_sum = m_reported_loads;
             for (const std::string& server : beat.lost)
-              if (!m_lost.contains(server))
-                m_lost[server] = {now, now + kLostLife};
+              HearOfLost(server);
             // A list that is as new as the coordinator's is as fresh, too.
             if (m_list_version >= beat.list_version && m_list_version > 0)
-              m_list_fresh_at =
-                  std::max(m_list_fresh_at, now - beat.list_age);
+              m_list_fresh_at = std::max(m_list_fresh_at, now - beat.list_age);
             NoteConfigVersion(now, beat.config_version);
           },
           [&](const detail::ServerListMessage& list) {
@@ -423,8 +427,7 @@
           },
           [&](const detail::LostServers& lost) {
             for (const std::string& server : lost.servers)
-              if (!m_lost.contains(server))
-                m_lost[server] = {now, now + kLostLife};
+              HearOfLost(server);
           },
       },
       *message);
--- a/src/forwarding.cc
+++ b/src/forwarding.cc
@@ -1,5 +1,6 @@
 #include "trefoilwick/forwarding.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace trefoilwick {
@@ -34,8 +35,7 @@
 size_t EventLength(std::string_view bytes) {
   const size_t plain = bytes.find("\n\n");
   const size_t with_returns = bytes.find("\r\n\r\n");
-  if (plain == std::string_view::npos &&
-      with_returns == std::string_view::npos)
+  if (plain == std::string_view::npos && with_returns == std::string_view::npos)
     return 0;
   if (plain < with_returns)
     return plain + 2;
@@ -186,7 +186,7 @@
   ++At(now).requests;
 }
 
-bool RetryWindow::TryRetry(TimePoint now) {
+bool RetryWindow::TryRetry(TimePoint now, size_t sharers) {
   const int64_t index = IndexOf(now);
   double requests = 0;
   double retries = 0;
@@ -196,7 +196,9 @@
     requests += slice.requests;
     retries += slice.retries;
   }
-  if (retries + 1 > m_ratio * requests + m_slack)
+  if (retries + 1 >
+      m_ratio * requests +
+          m_slack / static_cast<double>(std::max<size_t>(1, sharers)))
     return false;
   ++At(now).retries;
   return true;
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -65,8 +65,8 @@
     int status = 200;
     std::string type = "application/json";
     m_response = {};
-    m_response.body() = m_answer(std::string(m_parser->get().target()),
-                                 &status, &type);
+    m_response.body() =
+        m_answer(std::string(m_parser->get().target()), &status, &type);
     m_response.result(static_cast<unsigned>(status));
     m_response.set(http::field::content_type, type);
     m_response.keep_alive(m_parser->get().keep_alive());
@@ -140,8 +140,8 @@
   ReceiveDatagram();
   WatchConfiguration();
   ScheduleTick();
-  Log("start", {{"ip", m_settings.ip},
-                {"data_center", m_settings.data_center}});
+  Log("start",
+      {{"ip", m_settings.ip}, {"data_center", m_settings.data_center}});
   return absl::OkStatus();
 }
 
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -33,8 +33,12 @@
 constexpr Duration kLostBeforePlacing = milliseconds(300);
 constexpr Duration kOrderTimeout = milliseconds(1500);
 constexpr Duration kServerConnect = milliseconds(400);
+// A server that refused a part of a path is left out for this long.
+constexpr Duration kUnfitLife = milliseconds(500);
 constexpr Duration kProbeTimeout = milliseconds(90);
 constexpr Duration kProbeInterval = milliseconds(300);
+// A lost server is probed again before its mark ends.
+constexpr Duration kLostProbeInterval = milliseconds(900);
 constexpr Duration kConfigWatch = seconds(1);
 constexpr Duration kWatchCheck = milliseconds(250);
 constexpr Duration kConfigRetry = milliseconds(500);
@@ -139,6 +143,26 @@
   m_coordination.SetLocalLoads(m_local_loads);
 }
 
+bool GatewayCore::TryRetry() {
+  const TimePoint now = Now();
+  return m_retries.TryRetry(now, m_coordination.Members(now).size());
+}
+
+void GatewayCore::MarkUnfit(const std::string& address) {
+  for (const auto& [id, server] : servers())
+    if (server.address == address)
+      m_unfit[id] = Now() + kUnfitLife;
+}
+
+std::set<std::string> GatewayCore::Avoided(TimePoint now) {
+  std::erase_if(m_unfit,
+                [&](const auto& entry) { return entry.second <= now; });
+  std::set<std::string> out = m_coordination.Lost(now);
+  for (const auto& [server, until] : m_unfit)
+    out.insert(server);
+  return out;
+}
+
 void GatewayCore::Probe(const std::string& server) {
   const TimePoint now = Now();
   const auto found = servers().find(server);
@@ -151,21 +175,21 @@
     return;
   last = now;
   const std::string address = found->second.address;
-  TryConnect(m_io, address, kProbeTimeout, [this, server,
-                                            address](ConnectResult first) {
-    if (first == ConnectResult::kAccepted)
-      return m_coordination.MarkFound(server);
-    if (first == ConnectResult::kRefused)
-      return ReportLost(server);
-    // One opening packet may be lost.
-    TryConnect(m_io, address, kProbeTimeout, [this,
-                                              server](ConnectResult second) {
-      if (second == ConnectResult::kAccepted)
-        m_coordination.MarkFound(server);
-      else
-        ReportLost(server);
-    });
-  });
+  TryConnect(m_io, address, kProbeTimeout,
+             [this, server, address](ConnectResult first) {
+               if (first == ConnectResult::kAccepted)
+                 return m_coordination.MarkFound(server);
+               if (first == ConnectResult::kRefused)
+                 return ReportLost(server);
+               // One opening packet may be lost.
+               TryConnect(m_io, address, kProbeTimeout,
+                          [this, server](ConnectResult second) {
+                            if (second == ConnectResult::kAccepted)
+                              m_coordination.MarkFound(server);
+                            else
+                              ReportLost(server);
+                          });
+             });
 }
 
 void GatewayCore::ReportLost(const std::string& server) {
@@ -201,17 +225,17 @@
     asio::post(m_io, [handler] { handler(OrderResult::kRefused); });
     return;
   }
-  m_server_calls.Call(found->second.address, std::move(request), kOrderTimeout,
-                      [this, handler, server](CallResult result) {
-                        if (result.error != CallError::kNone ||
-                            result.response.result_int() >= 300)
-                          Log("order_refused",
-                              {{"server", server},
-                               {"status",
-                                std::to_string(result.response.result_int())},
-                               {"answer", result.response.body()}});
-                        handler(m_dialect->ReadOrderResult(result));
-                      });
+  m_server_calls.Call(
+      found->second.address, std::move(request), kOrderTimeout,
+      [this, handler, server](CallResult result) {
+        if (result.error != CallError::kNone ||
+            result.response.result_int() >= 300)
+          Log("order_refused",
+              {{"server", server},
+               {"status", std::to_string(result.response.result_int())},
+               {"answer", result.response.body()}});
+        handler(m_dialect->ReadOrderResult(result));
+      });
 }
 
 void GatewayCore::CountRejected(int status) {
@@ -271,6 +295,9 @@
   m_coordination.OnTick(now);
   RunActions();
   TellLost();
+  for (const std::string& server : m_coordination.Lost(now))
+    if (now - m_probed[server] >= kLostProbeInterval)
+      Probe(server);
   if (m_seen_servers != m_coordination.servers())
     OnServersChanged();
   PlaceLayers(now);
@@ -290,57 +317,57 @@
 
 void GatewayCore::RunActions() {
   for (CoordinationAction& action : m_coordination.TakeActions()) {
-    std::visit(
-        Overloaded{
-            [&](SendDatagram& send) {
-              error_code error;
-              const auto ip = asio::ip::make_address_v4(send.ip, error);
-              if (!error)
-                m_peer_socket.send_to(
-                    asio::buffer(send.bytes),
-                    udp::endpoint(ip, m_settings.peer_port), 0, error);
-            },
-            [&](ReadLease&) {
-              m_store->ReadLease([this](std::optional<LeaseRow> row) {
-                m_coordination.OnLease(Now(), row);
-                RunActions();
-              });
-            },
-            [&](WriteLease& write) {
-              m_store->WriteLease(
-                  write.row, write.expected_version,
-                  [this](LeaseWriteResult result, const LeaseRow& row) {
-                    const bool before = m_coordination.is_coordinator();
-                    m_coordination.OnLeaseWritten(Now(), result, row);
-                    if (before != m_coordination.is_coordinator())
-                      Log("coordinator",
-                          {{"self", before ? "0" : "1"},
-                           {"fence", std::to_string(row.fence)}});
-                    RunActions();
-                  });
-            },
-            [&](ReadServerList&) {
-              const TimePoint asked = Now();
-              m_store->ReadServers([this, asked](auto list) {
-                if (list)
-                  m_coordination.OnServerList(Now(), asked, list->first,
-                                              std::move(list->second));
-                else
-                  m_coordination.OnServerListFailed(Now());
-                if (m_seen_servers != m_coordination.servers())
-                  OnServersChanged();
-                RunActions();
-              });
-            },
-            [&](ReadConfiguration&) {
-              m_store->ReadConfiguration([this](auto table) {
-                if (!table)
-                  m_coordination.OnConfigurationFailed(Now());
-                AdoptTable(std::move(table));
-              });
-            },
-        },
-        action);
+    std::visit(Overloaded{
+                   [&](SendDatagram& send) {
+                     error_code error;
+                     const auto ip = asio::ip::make_address_v4(send.ip, error);
+                     if (!error)
+                       m_peer_socket.send_to(
+                           asio::buffer(send.bytes),
+                           udp::endpoint(ip, m_settings.peer_port), 0, error);
+                   },
+                   [&](ProbeServer& probe) { Probe(probe.server); },
+                   [&](ReadLease&) {
+                     m_store->ReadLease([this](std::optional<LeaseRow> row) {
+                       m_coordination.OnLease(Now(), row);
+                       RunActions();
+                     });
+                   },
+                   [&](WriteLease& write) {
+                     m_store->WriteLease(
+                         write.row, write.expected_version,
+                         [this](LeaseWriteResult result, const LeaseRow& row) {
+                           const bool before = m_coordination.is_coordinator();
+                           m_coordination.OnLeaseWritten(Now(), result, row);
+                           if (before != m_coordination.is_coordinator())
+                             Log("coordinator",
+                                 {{"self", before ? "0" : "1"},
+                                  {"fence", std::to_string(row.fence)}});
+                           RunActions();
+                         });
+                   },
+                   [&](ReadServerList&) {
+                     const TimePoint asked = Now();
+                     m_store->ReadServers([this, asked](auto list) {
+                       if (list)
+                         m_coordination.OnServerList(Now(), asked, list->first,
+                                                     std::move(list->second));
+                       else
+                         m_coordination.OnServerListFailed(Now());
+                       if (m_seen_servers != m_coordination.servers())
+                         OnServersChanged();
+                       RunActions();
+                     });
+                   },
+                   [&](ReadConfiguration&) {
+                     m_store->ReadConfiguration([this](auto table) {
+                       if (!table)
+                         m_coordination.OnConfigurationFailed(Now());
+                       AdoptTable(std::move(table));
+                     });
+                   },
+               },
+               action);
   }
 }
 
@@ -446,11 +473,9 @@
                 {"to", std::to_string(order.layers.to)},
                 {"seq", std::to_string(seq)},
                 {"fence", std::to_string(m_coordination.fence())}});
-  CallServer(order.server,
-             m_dialect->PlaceOrder(order, m_coordination.fence(), seq),
-             [this, order](OrderResult result) {
-               OnOrderResult(order, result);
-             });
+  CallServer(
+      order.server, m_dialect->PlaceOrder(order, m_coordination.fence(), seq),
+      [this, order](OrderResult result) { OnOrderResult(order, result); });
 }
 
 void GatewayCore::OnOrderResult(const PlacementOrder& order,
@@ -472,16 +497,16 @@
     m_orders.erase(order.server);
     return;
   }
-  m_server_calls.Call(
-      found->second.address, m_dialect->ReportRequest(), kOrderTimeout,
-      [this, server = order.server](const CallResult& answer) {
-        const auto report = m_dialect->ReadReport(answer);
-        if (!report)
-          return;
-        m_order_seq[server] = report->order_seq;
-        if (!report->busy)
-          m_orders.erase(server);
-      });
+  m_server_calls.Call(found->second.address, m_dialect->ReportRequest(),
+                      kOrderTimeout,
+                      [this, server = order.server](const CallResult& answer) {
+                        const auto report = m_dialect->ReadReport(answer);
+                        if (!report)
+                          return;
+                        m_order_seq[server] = report->order_seq;
+                        if (!report->busy)
+                          m_orders.erase(server);
+                      });
 }
 
 }  // namespace trefoilwick::detail
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -47,6 +47,8 @@
   const ServerMap& servers() const { return *m_coordination.servers(); }
   ConnectionPool& pool() { return m_pool; }
   RetryWindow& retries() { return m_retries; }
+  // Takes one retry from this instance's share of the budget.
+  bool TryRetry();
   Random& random() { return m_random; }
   Metrics& metrics() { return m_metrics; }
   bool leaving() const { return m_leaving; }
@@ -64,6 +66,10 @@
   void AddLoad(const LayerPath& path, double tokens, int sign);
   void AddLoad(const std::string& server, int sign);
 
+  // The server at the address refused its part of a path.
+  void MarkUnfit(const std::string& address);
+  // Servers not to choose now: lost, or unfit a moment ago.
+  std::set<std::string> Avoided(TimePoint now);
   // Asks whether a server still accepts connections; one that does not is
   // marked lost, which OnServerLost tells to its requests.
   void Probe(const std::string& server);
@@ -81,7 +87,8 @@
                       boost::asio::ip::tcp::acceptor& acceptor);
   void AcceptClients();
   void ServeSmall(boost::asio::ip::tcp::acceptor& acceptor);
-  std::string AnswerSmall(const std::string& target, int* status,
+  std::string AnswerSmall(const std::string& target,
+                          int* status,
                           std::string* type);
   std::string DirectoryAnswer(const std::string& data_center);
   bool Ready() const;
@@ -125,13 +132,13 @@
   boost::asio::steady_timer m_watch_timer;
   TimePoint m_last_tick;
 
-  std::unordered_map<ClientSession*, std::shared_ptr<ClientSession>>
-      m_sessions;
+  std::unordered_map<ClientSession*, std::shared_ptr<ClientSession>> m_sessions;
   std::unordered_set<Exchange*> m_exchanges;
   std::vector<Exchange*> m_waiting;
   LoadMap m_local_loads;
   std::map<std::string, TimePoint> m_probed;
   std::set<std::string> m_told_lost;
+  std::map<std::string, TimePoint> m_unfit;
   std::map<std::string, PendingOrder> m_orders;
   // Orders that each server has begun, as far as known. A server starts with
   // none; an order that names another number is refused, so that a late copy
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -92,7 +92,8 @@
   m_forward = ForwardState::Builder().SetRoute(*m_route).Build();
   const Duration timeout =
       m_route->timeout > Duration(0) ? m_route->timeout : kDefaultTimeout;
-  const Duration patience = std::min(timeout, m_request.patience.value_or(timeout));
+  const Duration patience =
+      std::min(timeout, m_request.patience.value_or(timeout));
   m_deadline = m_began + patience;
   m_hold_until = m_began + std::min(patience / kHoldDivisor, kMostHold);
   m_timer.expires_after(m_deadline - m_core.Now());
@@ -194,16 +195,15 @@
   wanted.tokens = ExpectedTokens();
   wanted.prompt_tokens = m_request.prompt_tokens;
   wanted.data_center = m_core.settings().data_center;
-  wanted.excluded = m_core.coordination().Lost(m_core.Now());
+  wanted.excluded = m_core.Avoided(m_core.Now());
   wanted.excluded.insert(m_avoid.begin(), m_avoid.end());
   return wanted;
 }
 
 bool Exchange::ChooseEngine(const EngineModel& engine) {
-  const auto choice =
-      ChoosePath(engine, m_core.servers(),
-                 m_core.coordination().Loads(m_core.Now()), MakePathRequest(),
-                 kMostUse);
+  const auto choice = ChoosePath(engine, m_core.servers(),
+                                 m_core.coordination().Loads(m_core.Now()),
+                                 MakePathRequest(), kMostUse);
   if (!choice)
     return false;
   m_path = choice->path;
@@ -213,7 +213,7 @@
 
 bool Exchange::ChoosePlain() {
   const LoadMap loads = m_core.coordination().Loads(m_core.Now());
-  const std::set<std::string> lost = m_core.coordination().Lost(m_core.Now());
+  const std::set<std::string> lost = m_core.Avoided(m_core.Now());
   // Work on a server of another data center counts as a little more.
   constexpr double kRemotePenalty = 1.5;
   const BackendServer* best = nullptr;
@@ -292,9 +292,9 @@
     return false;
   if (server == m_server)
     return true;
-  return std::any_of(
-      m_path.begin(), m_path.end(),
-      [&](const PathPart& part) { return part.server == server; });
+  return std::any_of(m_path.begin(), m_path.end(), [&](const PathPart& part) {
+    return part.server == server;
+  });
 }
 
 void Exchange::Act(const ForwardDecision& decision) {
@@ -318,7 +318,7 @@
 void Exchange::SendAgain() {
   m_call = nullptr;
   ReleaseLoad();
-  if (m_forward.sends() > 0 && !m_core.retries().TryRetry(m_core.Now())) {
+  if (m_forward.sends() > 0 && !m_core.TryRetry()) {
     m_refusal = "the retry budget is spent";
     Act(m_forward.OnNoServer());
     return;
@@ -417,7 +417,7 @@
     return;
   }
   if (m_head.not_run) {
-    m_avoid.insert(m_server);
+    NoteRefusal();
     m_core.Log("refused_by_server", {{"id", m_request.attempt_id},
                                      {"server", m_server},
                                      {"status", std::to_string(m_head.status)},
@@ -437,16 +437,39 @@
                                             : ServerEvent::kAnswered));
 }
 
+// Leaves out the server that refused: the one at fault on the path when the
+// answer names it, else the one that was sent to.
+void Exchange::NoteRefusal() {
+  const auto first = m_core.servers().find(m_server);
+  const bool names_other = !m_head.fault_address.empty() &&
+                           first != m_core.servers().end() &&
+                           m_head.fault_address != first->second.address;
+  if (!names_other) {
+    m_avoid.insert(m_server);
+    return;
+  }
+  m_core.MarkUnfit(m_head.fault_address);
+  for (const PathPart& part : m_path) {
+    const auto server = m_core.servers().find(part.server);
+    if (server != m_core.servers().end() &&
+        server->second.address == m_head.fault_address) {
+      m_avoid.insert(part.server);
+      m_core.Probe(part.server);
+    }
+  }
+}
+
 void Exchange::OnUpstreamBroken() {
   const auto self = shared_from_this();
   if (m_call)
     m_call->Cancel();
   m_call = nullptr;
-  m_core.Log("answer_broken", {{"id", m_request.attempt_id},
-                               {"server", m_server},
-                               {"last_event", std::to_string(m_events.last_id())}});
+  m_core.Log("answer_broken",
+             {{"id", m_request.attempt_id},
+              {"server", m_server},
+              {"last_event", std::to_string(m_events.last_id())}});
   if (m_head.not_run) {
-    m_avoid.insert(m_server);
+    NoteRefusal();
     Act(m_forward.OnServerEvent(m_server, ServerEvent::kRefused));
     return;
   }
@@ -492,8 +515,8 @@
   m_core.dialect().MarkOwnAnswer(m_request.attempt_id, answer.headers);
   answer.headers.set(http::field::content_type, "application/problem+json");
   answer.headers.set(http::field::retry_after, RetryAfterSeconds(after));
-  answer.body = std::string(R"({"outcome":"not_run","detail":")") + m_refusal +
-                "\"}";
+  answer.body =
+      std::string(R"({"outcome":"not_run","detail":")") + m_refusal + "\"}";
   Finish(m_refusal, 503);
   m_session->SendWhole(answer);
 }
@@ -569,11 +592,9 @@
   wanted.excluded.insert(lost);
   wanted.first_server = m_server;
   LoadMap loads = m_core.coordination().Loads(m_core.Now());
-  const auto choice =
-      ChoosePath(*engine, m_core.servers(), loads, wanted, 1.0);
+  const auto choice = ChoosePath(*engine, m_core.servers(), loads, wanted, 1.0);
   if (!choice) {
-    m_core.Log("no_other_path",
-               {{"id", m_request.attempt_id}, {"lost", lost}});
+    m_core.Log("no_other_path", {{"id", m_request.attempt_id}, {"lost", lost}});
     return;
   }
   m_repathing = true;
@@ -595,8 +616,9 @@
   m_repathing = false;
   if (m_ended || !m_call)
     return;
-  m_core.Log("repathed", {{"id", m_request.attempt_id},
-                          {"result", std::to_string(static_cast<int>(result))}});
+  m_core.Log("repathed",
+             {{"id", m_request.attempt_id},
+              {"result", std::to_string(static_cast<int>(result))}});
   if (result == OrderResult::kAccepted) {
     ReleaseLoad();
     m_path = std::move(path);
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -19,8 +19,8 @@
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
 
-  void Begin(boost::beast::http::request<boost::beast::http::string_body>
-                 request);
+  void Begin(
+      boost::beast::http::request<boost::beast::http::string_body> request);
   // The client closed its connection.
   void OnClientLeft();
   // Everything written so far is with the client.
@@ -66,6 +66,7 @@
   void OnDeadline();
   void AnswerOwn(int status, const char* outcome, const char* detail);
   void AnswerRefusal();
+  void NoteRefusal();
   void Finish(const char* outcome, int status);
   void ReleaseLoad();
   void TakeLoad();
--- a/src/gateway_session.cc
+++ b/src/gateway_session.cc
@@ -30,9 +30,7 @@
 }  // namespace
 
 ClientSession::ClientSession(GatewayCore& core, tcp::socket socket)
-    : m_core(core),
-      m_socket(std::move(socket)),
-      m_timer(core.io()) {}
+    : m_core(core), m_socket(std::move(socket)), m_timer(core.io()) {}
 
 void ClientSession::Start() {
   SetSocketOptions(m_socket, kSilence);
@@ -147,8 +145,8 @@
   WholeAnswer answer;
   answer.status = status;
   answer.headers.set(http::field::content_type, "application/problem+json");
-  answer.body = std::string(R"({"outcome":"not_run","detail":")") + reason +
-                "\"}";
+  answer.body =
+      std::string(R"({"outcome":"not_run","detail":")") + reason + "\"}";
   SendWhole(answer);
 }
 
@@ -191,8 +189,7 @@
   if (bytes.empty())
     return;
   char size[24];
-  const int length =
-      snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+  const int length = snprintf(size, sizeof size, "%zx\r\n", bytes.size());
   std::string chunk;
   chunk.reserve(bytes.size() + 24);
   chunk.append(size, static_cast<size_t>(length)).append(bytes).append("\r\n");
--- a/src/gateway_upstream.cc
+++ b/src/gateway_upstream.cc
@@ -117,21 +117,21 @@
     self->m_socket->close(ignored);
     self->m_listener->OnUpstreamConnectFailed(false);
   });
-  m_socket->async_connect(
-      endpoint, [self = shared_from_this()](error_code error) {
-        if (self->m_over)
-          return;
-        self->m_connect_timer.cancel();
-        if (!error) {
-          SetSocketOptions(*self->m_socket, kSilence);
-          self->Send();
-          return;
-        }
-        self->m_over = true;
-        self->m_listener->OnUpstreamConnectFailed(
-            error == asio::error::connection_refused ||
-            error == asio::error::connection_reset);
-      });
+  m_socket->async_connect(endpoint,
+                          [self = shared_from_this()](error_code error) {
+                            if (self->m_over)
+                              return;
+                            self->m_connect_timer.cancel();
+                            if (!error) {
+                              SetSocketOptions(*self->m_socket, kSilence);
+                              self->Send();
+                              return;
+                            }
+                            self->m_over = true;
+                            self->m_listener->OnUpstreamConnectFailed(
+                                error == asio::error::connection_refused ||
+                                error == asio::error::connection_reset);
+                          });
 }
 
 void UpstreamCall::Send() {
@@ -262,8 +262,7 @@
   const bool keep = m_parser->get().keep_alive() && m_written &&
                     m_buffer.size() == 0 && !m_parser->get().need_eof();
   if (keep)
-    m_pool.Keep(m_server, std::move(m_socket), BootClock().Now(),
-                m_keep_alive);
+    m_pool.Keep(m_server, std::move(m_socket), BootClock().Now(), m_keep_alive);
   m_listener->OnUpstreamComplete();
 }
 
--- a/src/http_call.cc
+++ b/src/http_call.cc
@@ -67,8 +67,7 @@
   setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
   setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
   setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
-  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms,
-             sizeof silence_ms);
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms, sizeof silence_ms);
 }
 
 // One call, from connecting to the complete answer.
@@ -140,15 +139,14 @@
 
   void Send() {
     m_sent = true;
-    http::async_write(
-        *m_socket, m_request,
-        [self = shared_from_this()](error_code error, size_t) {
-          if (self->m_done)
-            return;
-          if (error)
-            return self->Fail();
-          self->Receive();
-        });
+    http::async_write(*m_socket, m_request,
+                      [self = shared_from_this()](error_code error, size_t) {
+                        if (self->m_done)
+                          return;
+                        if (error)
+                          return self->Fail();
+                        self->Receive();
+                      });
   }
 
   void Receive() {
--- a/src/layer_path.cc
+++ b/src/layer_path.cc
@@ -120,10 +120,9 @@
     if (kind == nullptr)
       continue;
     const auto load = loads.find(id);
-    Candidate candidate =
-        MakeCandidate(engine, server, *kind,
-                      load == loads.end() ? ServerLoad{} : load->second,
-                      request);
+    Candidate candidate = MakeCandidate(
+        engine, server, *kind,
+        load == loads.end() ? ServerLoad{} : load->second, request);
     // One layer must fit at least; the whole part is checked at the end.
     if (Use(engine, candidate, request.tokens) > most_use && !is_first)
       continue;
@@ -197,8 +196,7 @@
   const auto held = [&](int who, int layer) {
     return candidates[who].server->layers->Contains(layer);
   };
-  std::vector<std::vector<Cell>> table(engine.layers,
-                                       std::vector<Cell>(count));
+  std::vector<std::vector<Cell>> table(engine.layers, std::vector<Cell>(count));
   for (int layer = 0; layer < engine.layers; ++layer) {
     for (int who = 0; who < count; ++who) {
       if (!held(who, layer))
@@ -210,9 +208,9 @@
                              request.first_server == here.server->id;
         if (allowed)
           cell.cost =
-              here.layer_cost +
-              (here.server->data_center == request.data_center ? 0
-                                                               : kRemoteEntry);
+              here.layer_cost + (here.server->data_center == request.data_center
+                                     ? 0
+                                     : kRemoteEntry);
         continue;
       }
       for (int from = 0; from < count; ++from) {
@@ -223,10 +221,10 @@
         if (from != who && here.server->id == request.first_server)
           continue;
         const double hop =
-            from == who ? 0
-                        : HopCost(engine, request,
-                                  candidates[from].server->data_center,
-                                  here.server->data_center);
+            from == who
+                ? 0
+                : HopCost(engine, request, candidates[from].server->data_center,
+                          here.server->data_center);
         const double cost = before.cost + hop + here.layer_cost;
         if (cost < cell.cost)
           cell = {cost, from};
@@ -236,12 +234,11 @@
   if (count == 0 || engine.layers == 0)
     return std::nullopt;
   const auto& last = table[engine.layers - 1];
-  int who = static_cast<int>(
-      std::min_element(last.begin(), last.end(),
-                       [](const Cell& a, const Cell& b) {
-                         return a.cost < b.cost;
-                       }) -
-      last.begin());
+  int who = static_cast<int>(std::min_element(last.begin(), last.end(),
+                                              [](const Cell& a, const Cell& b) {
+                                                return a.cost < b.cost;
+                                              }) -
+                             last.begin());
   if (last[who].cost == kInfinity)
     return std::nullopt;
   std::vector<int> by_layer(engine.layers);
--- a/src/layer_path_placement.cc
+++ b/src/layer_path_placement.cc
@@ -137,17 +137,15 @@
 // Layers of a server that keep about half of its memory for requests.
 int ModestLayers(const EngineModel& engine, const Slot& slot) {
   return std::max(
-      1, std::min(slot.most,
-                  static_cast<int>(slot.kind->memory_mb * 0.5 /
-                                   engine.layer_mb)));
+      1, std::min(slot.most, static_cast<int>(slot.kind->memory_mb * 0.5 /
+                                              engine.layer_mb)));
 }
 
 // Tokens that fit beside `layers` layers of a server.
 double TokensBeside(const EngineModel& engine, const Slot& slot, int layers) {
   const double per_token =
       engine.kv_bytes_per_token / engine.layers / kBytesPerMb;
-  return (slot.kind->memory_mb - layers * engine.layer_mb) / per_token /
-         layers;
+  return (slot.kind->memory_mb - layers * engine.layer_mb) / per_token / layers;
 }
 
 // The slot that can take one more layer next to its range and keeps the most
