Close gaps of the layout by small shifts of the neighbours

Change: empty servers take gaps first; then the neighbours widen and those beyond hand layers on; layers are loaded before others give them up; a line tells how well each data center holds a model. A server that left the list is no longer reported lost every tick.

--- a/include/trefoilwick/layer_path.h
+++ b/include/trefoilwick/layer_path.h
@@ -105,16 +105,36 @@
   bool operator==(const PlacementOrder&) const = default;
 };
 
-// Orders that make every data center with enough memory hold each layer of
-// the service, with KV memory left in proportion. Servers that already hold
-// layers keep them unless a layer would be held by none. `down` are servers
-// believed lost. Deterministic: every instance computes the same orders from
-// the same list.
+// The next orders towards a layout in which every data center with enough
+// memory holds each layer of the service, with about the same room for tokens
+// on every server. Servers keep what they hold unless a layer is missing or
+// much scarcer than it need be; then layers are loaded before they are given
+// up elsewhere. `down` are servers believed lost, `pending` the orders that
+// servers carry out now. Deterministic: every instance computes the same
+// orders from the same list.
 // Load pattern: servers that start empty, come back empty, or are lost.
-std::vector<PlacementOrder> PlanPlacement(const EngineModel& engine,
-                                          const ServerMap& servers,
-                                          const std::string& service,
-                                          const std::set<std::string>& down);
+std::vector<PlacementOrder> PlanPlacement(
+    const EngineModel& engine,
+    const ServerMap& servers,
+    const std::string& service,
+    const std::set<std::string>& down,
+    const std::map<std::string, LayerRange>& pending);
+
+// How well one data center holds the layers of a model.
+struct LayoutHealth {
+  // Layers without a ready server.
+  int missing = 0;
+  // Tokens that the scarcest layer has room for over its holders.
+  double least_tokens = 0;
+  int servers = 0;
+  int empty_servers = 0;
+};
+// By data center. Servers in `down` count as gone.
+std::map<std::string, LayoutHealth> AssessLayout(
+    const EngineModel& engine,
+    const ServerMap& servers,
+    const std::string& service,
+    const std::set<std::string>& down);
 
 // Layers that a server of this kind may hold at most.
 int MostLayers(const EngineModel& engine, const std::string& kind);
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -1,6 +1,7 @@
 #include "gateway_core.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "gateway_exchange.h"
 #include "gateway_session.h"
@@ -167,7 +168,7 @@
   const TimePoint now = Now();
   const auto found = servers().find(server);
   if (found == servers().end()) {
-    ReportLost(server);
+    m_coordination.MarkFound(server);
     return;
   }
   TimePoint& last = m_probed[server];
@@ -193,8 +194,9 @@
 }
 
 void GatewayCore::ReportLost(const std::string& server) {
+  if (!m_coordination.Lost(Now()).contains(server))
+    Log("server_lost", {{"server", server}});
   m_coordination.MarkLost(Now(), server);
-  Log("server_lost", {{"server", server}});
   m_pool.Drop(server);
   TellLost();
   RunActions();
@@ -450,21 +452,36 @@
   // servers would have to be changed for the rest.
   if (!AnyLayersHeld() && now - m_servers_changed_at < kListSettles)
     return;
-  // Plan as if the orders in progress were done.
-  ServerMap planned = servers();
+  std::map<std::string, LayerRange> pending;
   for (const auto& [id, order] : m_orders)
-    if (const auto found = planned.find(id); found != planned.end())
-      found->second.layers = order.layers;
+    pending[id] = order.layers;
   const auto lost = m_coordination.LostFor(now, kLostBeforePlacing);
   for (const auto& [name, service] : m_table->services()) {
     if (!service.engine || service.engine->layers == 0)
       continue;
+    LogLayout(*service.engine, name, lost);
     for (const PlacementOrder& order :
-         PlanPlacement(*service.engine, planned, name, lost))
+         PlanPlacement(*service.engine, servers(), name, lost, pending))
       SendOrder(order);
   }
 }
 
+// One line for each change of how well a data center holds a model.
+void GatewayCore::LogLayout(const EngineModel& engine,
+                            const std::string& service,
+                            const std::set<std::string>& lost) {
+  std::string text;
+  for (const auto& [data_center, health] :
+       AssessLayout(engine, servers(), service, lost))
+    text +=
+        data_center + ":missing=" + std::to_string(health.missing) +
+        ",ktokens=" + std::to_string(std::lround(health.least_tokens / 1000)) +
+        ",servers=" + std::to_string(health.servers) +
+        ",empty=" + std::to_string(health.empty_servers) + " ";
+  if (std::exchange(m_layout_text, text) != text)
+    Log("layout", {{"service", service}, {"state", text}});
+}
+
 void GatewayCore::SendOrder(const PlacementOrder& order) {
   m_orders[order.server] = {order.layers, Now()};
   const int64_t seq = m_order_seq[order.server];
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -102,6 +102,9 @@
   void OnServersChanged();
   bool AnyLayersHeld() const;
   void PlaceLayers(TimePoint now);
+  void LogLayout(const EngineModel& engine,
+                 const std::string& service,
+                 const std::set<std::string>& lost);
   void SendOrder(const PlacementOrder& order);
   void OnOrderResult(const PlacementOrder& order, OrderResult result);
   void TellLost();
@@ -144,6 +147,7 @@
   // none; an order that names another number is refused, so that a late copy
   // of an old order cannot undo a newer one.
   std::map<std::string, int64_t> m_order_seq;
+  std::string m_layout_text;
   TimePoint m_next_placement;
   TimePoint m_servers_changed_at;
   TimePoint m_next_sweep;
--- a/src/layer_path_placement.cc
+++ b/src/layer_path_placement.cc
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 
 #include "trefoilwick/layer_path.h"
 
@@ -10,22 +9,33 @@
 
 constexpr double kBytesPerMb = 1e6;
 // Tokens that a server must keep room for beside its layers.
-constexpr double kLeastTokens = 20'000;
+constexpr double kLeastTokens = 5'000;
+// More room than any layer needs.
+constexpr double kManyTokens = 1e6;
+// A server with less than this share of the room that an even tiling gives
+// gives up layers that others hold as well.
+constexpr double kTrimShare = 0.5;
 
-// A server that may be given layers, with what it holds or will hold.
+// A server that may be given layers.
 struct Slot {
   const BackendServer* server = nullptr;
   const AcceleratorKind* kind = nullptr;
   int most = 0;
-  std::optional<LayerRange> layers;
+  // What it holds now, and after the order that it carries out.
+  std::optional<LayerRange> held;
+  std::optional<LayerRange> planned;
+  std::optional<LayerRange> target;
+  bool pending = false;
 };
 
 using Slots = std::vector<Slot>;
+using Group = std::vector<Slot*>;
 
 Slots UsableSlots(const EngineModel& engine,
                   const ServerMap& servers,
                   const std::string& service,
-                  const std::set<std::string>& down) {
+                  const std::set<std::string>& down,
+                  const std::map<std::string, LayerRange>& pending) {
   Slots slots;
   for (const auto& [id, server] : servers) {
     const auto kind = engine.kinds.find(server.kind);
@@ -33,231 +43,441 @@
         down.contains(id) || kind == engine.kinds.end())
       continue;
     const int most = MostLayers(engine, server.kind);
-    if (most > 0)
-      slots.push_back({&server, &kind->second, most, server.layers});
+    if (most == 0)
+      continue;
+    Slot slot{&server, &kind->second, most, server.layers, server.layers, {}};
+    if (const auto order = pending.find(id); order != pending.end()) {
+      slot.pending = true;
+      slot.planned = order->second;
+    }
+    slots.push_back(slot);
   }
   return slots;
 }
 
-// Layers for each server of one data center so that they add up to `wanted`
-// and every server keeps about the same KV memory a layer. Empty when the
-// memory does not suffice.
+// Tokens that fit beside `layers` layers of a server.
+double TokensBeside(const EngineModel& engine, const Slot& slot, int layers) {
+  const double per_token =
+      engine.kv_bytes_per_token / engine.layers / kBytesPerMb;
+  return (slot.kind->memory_mb - layers * engine.layer_mb) / per_token /
+         std::max(1, layers);
+}
+
+// Layers for each server of a group so that they add up to `wanted` and every
+// server keeps about the same room for tokens. Empty when memory is short.
 std::vector<int> ShareLayers(const EngineModel& engine,
-                             const std::vector<Slot*>& slots,
+                             const Group& group,
                              int wanted) {
   double memory = 0;
   int most = 0;
-  for (const Slot* slot : slots) {
+  for (const Slot* slot : group) {
     memory += slot->kind->memory_mb;
     most += slot->most;
   }
   if (most < wanted)
     return {};
-  std::vector<double> exact;
   std::vector<int> shares;
   int sum = 0;
-  for (const Slot* slot : slots) {
-    exact.push_back(wanted * slot->kind->memory_mb / memory);
-    shares.push_back(std::min(slot->most, static_cast<int>(exact.back())));
+  for (const Slot* slot : group) {
+    const double exact = wanted * slot->kind->memory_mb / memory;
+    shares.push_back(std::min(slot->most, static_cast<int>(exact)));
     sum += shares.back();
   }
-  // The rest goes to those with most memory left for a layer.
-  const double per_token =
-      engine.kv_bytes_per_token / engine.layers / kBytesPerMb;
-  while (sum < wanted) {
+  // The rest goes one by one to those that keep most room.
+  for (; sum < wanted; ++sum) {
     int best = -1;
     double best_tokens = -1;
-    for (size_t i = 0; i < slots.size(); ++i) {
-      if (shares[i] >= slots[i]->most)
+    for (size_t i = 0; i < group.size(); ++i) {
+      if (shares[i] >= group[i]->most)
         continue;
-      const double free =
-          slots[i]->kind->memory_mb - (shares[i] + 1) * engine.layer_mb;
-      const double tokens = free / per_token / (shares[i] + 1);
+      const double tokens = TokensBeside(engine, *group[i], shares[i] + 1);
       if (tokens > best_tokens) {
         best_tokens = tokens;
         best = static_cast<int>(i);
       }
     }
     ++shares[best];
-    ++sum;
   }
   return shares;
 }
 
-// Holders of each layer.
-std::vector<int> CountHolders(int layers, const std::vector<Slot*>& slots) {
-  std::vector<int> holders(layers, 0);
-  for (const Slot* slot : slots)
-    if (slot->layers)
-      for (int layer = slot->layers->from; layer < slot->layers->to; ++layer)
-        ++holders[layer];
-  return holders;
+// Room for tokens of the scarcest server of a tiling; negative for none.
+double LeastTokens(const EngineModel& engine,
+                   const Group& group,
+                   const std::vector<int>& shares) {
+  if (shares.empty())
+    return -1;
+  double least = -1;
+  for (size_t i = 0; i < group.size(); ++i) {
+    if (shares[i] == 0)
+      continue;
+    const double tokens = TokensBeside(engine, *group[i], shares[i]);
+    least = least < 0 ? tokens : std::min(least, tokens);
+  }
+  return least;
+}
+
+// Room for tokens of each layer over its holders to be.
+std::vector<double> TokensByLayer(const EngineModel& engine,
+                                  const Group& group) {
+  std::vector<double> tokens(static_cast<size_t>(engine.layers), 0.0);
+  for (const Slot* slot : group) {
+    if (!slot->target)
+      continue;
+    const double room =
+        std::max(1.0, TokensBeside(engine, *slot, slot->target->size()));
+    for (int layer = slot->target->from;
+         layer < std::min(slot->target->to, engine.layers); ++layer)
+      tokens[static_cast<size_t>(layer)] += room;
+  }
+  return tokens;
 }
 
-// Gives the layers of a data center to its empty servers, in one tiling.
-void TileEmpty(const EngineModel& engine, std::vector<Slot*>& slots) {
-  // The fastest first, so that a request begins on servers with much memory.
-  std::stable_sort(slots.begin(), slots.end(),
+// One tiling of all layers over servers that hold none, the largest first.
+void TileEmpty(const EngineModel& engine, Group& group) {
+  std::stable_sort(group.begin(), group.end(),
                    [](const Slot* a, const Slot* b) {
                      return a->kind->memory_mb > b->kind->memory_mb;
                    });
-  const std::vector<int> shares = ShareLayers(engine, slots, engine.layers);
-  if (shares.empty())
-    return;
+  const std::vector<int> shares = ShareLayers(engine, group, engine.layers);
   int at = 0;
-  for (size_t i = 0; i < slots.size(); ++i) {
+  for (size_t i = 0; i < shares.size(); ++i) {
     if (shares[i] > 0)
-      slots[i]->layers = LayerRange{at, at + shares[i]};
+      group[i]->target = LayerRange{at, at + shares[i]};
     at += shares[i];
   }
 }
 
-// A widest run of layers with the fewest holders, at most `most` long.
-std::optional<LayerRange> NeediestRun(const std::vector<int>& holders,
-                                      int most) {
-  if (holders.empty())
-    return std::nullopt;
-  const int fewest = *std::min_element(holders.begin(), holders.end());
-  LayerRange best;
-  const int layers = static_cast<int>(holders.size());
-  for (int from = 0; from < layers; ++from) {
-    if (holders[from] != fewest)
+// Servers whose ranges follow one another, chosen greedily by reach; the
+// others of the group are replicas.
+Group SelectChain(const Group& group) {
+  Group sorted;
+  for (Slot* slot : group)
+    if (slot->target)
+      sorted.push_back(slot);
+  std::stable_sort(sorted.begin(), sorted.end(),
+                   [](const Slot* a, const Slot* b) {
+                     return a->target->from < b->target->from;
+                   });
+  Group chain;
+  int reached = 0;
+  for (size_t i = 0; i < sorted.size();) {
+    Slot* best = nullptr;
+    // Of those that begin within what is covered, the one that reaches
+    // farthest.
+    for (; i < sorted.size() && sorted[i]->target->from <= reached; ++i)
+      if (sorted[i]->target->to > reached &&
+          (best == nullptr || sorted[i]->target->to > best->target->to))
+        best = sorted[i];
+    if (best == nullptr) {
+      if (i < sorted.size())
+        reached = sorted[i]->target->from;
       continue;
-    int to = from;
-    while (to < layers && holders[to] == fewest && to - from < most)
-      ++to;
-    if (to - from > best.size())
-      best = {from, to};
-    if (best.size() == most)
-      break;
+    }
+    chain.push_back(best);
+    reached = best->target->to;
   }
-  return best;
+  return chain;
 }
 
-// Layers of a server that keep about half of its memory for requests.
-int ModestLayers(const EngineModel& engine, const Slot& slot) {
-  return std::max(
-      1, std::min(slot.most, static_cast<int>(slot.kind->memory_mb * 0.5 /
-                                              engine.layer_mb)));
+// Runs of layers that no server of the group will hold.
+std::vector<LayerRange> FindGaps(int layers, const Group& group) {
+  std::vector<bool> held(static_cast<size_t>(layers), false);
+  for (const Slot* slot : group)
+    if (slot->target)
+      for (int i = slot->target->from; i < std::min(slot->target->to, layers);
+           ++i)
+        held[static_cast<size_t>(i)] = true;
+  std::vector<LayerRange> gaps;
+  for (int layer = 0; layer < layers; ++layer) {
+    if (held[static_cast<size_t>(layer)])
+      continue;
+    if (gaps.empty() || gaps.back().to != layer)
+      gaps.push_back({layer, layer});
+    ++gaps.back().to;
+  }
+  return gaps;
 }
 
-// Tokens that fit beside `layers` layers of a server.
-double TokensBeside(const EngineModel& engine, const Slot& slot, int layers) {
-  const double per_token =
-      engine.kv_bytes_per_token / engine.layers / kBytesPerMb;
-  return (slot.kind->memory_mb - layers * engine.layer_mb) / per_token / layers;
+// Layers that the server may hold while it keeps room for `tokens`.
+int LayersWithRoom(const EngineModel& engine, const Slot& slot, double tokens) {
+  int layers = slot.most;
+  while (layers > 0 && TokensBeside(engine, slot, layers) < tokens)
+    --layers;
+  return layers;
 }
 
-// The slot that can take one more layer next to its range and keeps the most
-// room for requests; null when none keeps enough.
-Slot* BestNeighbour(const EngineModel& engine,
-                    const std::vector<Slot*>& slots,
-                    const std::vector<int>& holders) {
-  Slot* best = nullptr;
-  double most_tokens = kLeastTokens;
-  for (Slot* slot : slots) {
-    if (!slot->layers || slot->layers->size() >= slot->most)
-      continue;
-    const LayerRange& held = *slot->layers;
-    const bool right = held.to < engine.layers && holders[held.to] == 0;
-    const bool left = held.from > 0 && holders[held.from - 1] == 0;
-    if (!right && !left)
-      continue;
-    const double tokens = TokensBeside(engine, *slot, held.size() + 1);
-    if (tokens > most_tokens) {
-      most_tokens = tokens;
-      best = slot;
+// Gives the beginning of a gap to empty servers, the largest first.
+void FillByEmpty(const EngineModel& engine,
+                 Group& group,
+                 double tokens,
+                 LayerRange& gap) {
+  while (gap.size() > 0) {
+    Slot* best = nullptr;
+    int most = 0;
+    for (Slot* slot : group) {
+      const int layers =
+          slot->target ? 0 : LayersWithRoom(engine, *slot, tokens);
+      if (layers > most) {
+        most = layers;
+        best = slot;
+      }
     }
+    if (best == nullptr)
+      return;
+    const int taken = std::min(most, gap.size());
+    best->target = LayerRange{gap.from, gap.from + taken};
+    gap.from += taken;
   }
-  return best;
 }
 
-// Widens the neighbours of gaps layer by layer, those with most memory first.
-void WidenOverGaps(const EngineModel& engine,
-                   const std::vector<Slot*>& slots,
-                   std::vector<int>& holders) {
-  while (Slot* slot = BestNeighbour(engine, slots, holders)) {
-    LayerRange& held = *slot->layers;
-    if (held.to < engine.layers && holders[held.to] == 0)
-      ++holders[held.to++];
-    else
-      ++holders[--held.from];
+// Layers that the neighbours of a gap can take in, outward on one side: the
+// nearest server widens, and those beyond it hand layers on towards the gap.
+struct Side {
+  // Nearest first.
+  Group servers;
+  std::vector<int> taken;
+  size_t next = 0;
+  int sum = 0;
+};
+
+Side MakeSide(const Group& chain, const LayerRange& gap, bool left) {
+  Side side;
+  int edge = left ? gap.from : gap.to;
+  const auto visit = [&](Slot* slot) {
+    const int inner = left ? slot->target->to : slot->target->from;
+    const bool adjacent = left ? inner >= edge && slot->target->from < edge
+                               : inner <= edge && slot->target->to > edge;
+    if (!adjacent || slot->pending)
+      return;
+    side.servers.push_back(slot);
+    side.taken.push_back(0);
+    edge = left ? slot->target->from : slot->target->to;
+  };
+  if (left)
+    std::for_each(chain.rbegin(), chain.rend(), visit);
+  else
+    std::for_each(chain.begin(), chain.end(), visit);
+  return side;
+}
+
+// Takes one layer from the nearest server of the side that has room.
+bool TakeOne(const EngineModel& engine, double tokens, Side& side) {
+  for (; side.next < side.servers.size(); ++side.next) {
+    const Slot& slot = *side.servers[side.next];
+    if (slot.target->size() + side.taken[side.next] <
+        LayersWithRoom(engine, slot, tokens)) {
+      ++side.taken[side.next];
+      ++side.sum;
+      return true;
+    }
+  }
+  return false;
+}
+
+void ApplySide(Side& side, bool left) {
+  int beyond = side.sum;
+  for (size_t i = 0; i < side.servers.size(); ++i) {
+    LayerRange& range = *side.servers[i]->target;
+    (left ? range.to : range.from) += left ? beyond : -beyond;
+    beyond -= side.taken[i];
+    (left ? range.from : range.to) += left ? beyond : -beyond;
   }
 }
 
-// True when every layer of the slot has another holder.
-bool IsRedundant(const Slot& slot, const std::vector<int>& holders) {
-  for (int layer = slot.layers->from; layer < slot.layers->to; ++layer)
-    if (holders[layer] < 2)
+// Closes a gap by widening its neighbours; false when they have no room.
+bool FillByNeighbours(const EngineModel& engine,
+                      const Group& group,
+                      double tokens,
+                      const LayerRange& gap) {
+  const Group chain = SelectChain(group);
+  Side left = MakeSide(chain, gap, true);
+  Side right = MakeSide(chain, gap, false);
+  while (left.sum + right.sum < gap.size()) {
+    // The side that took less goes on, unless it has nothing left.
+    Side& first = left.sum <= right.sum ? left : right;
+    Side& second = left.sum <= right.sum ? right : left;
+    if (!TakeOne(engine, tokens, first) && !TakeOne(engine, tokens, second))
       return false;
+  }
+  ApplySide(left, true);
+  ApplySide(right, false);
   return true;
 }
 
-// Fills gaps of a data center that already holds layers: first by empty
-// servers, then by widening the neighbours of the gap, then by servers whose
-// layers are all held elsewhere.
-void FillGaps(const EngineModel& engine, std::vector<Slot*>& slots) {
-  std::vector<int> holders = CountHolders(engine.layers, slots);
-  const auto count = [&](const LayerRange& range, int by) {
-    for (int layer = range.from; layer < range.to; ++layer)
-      holders[layer] += by;
+// Closes all gaps, with as much room for tokens as can be kept.
+void CloseGaps(const EngineModel& engine, Group& group, double possible) {
+  for (const double share : {0.6, 0.4, 0.2, 0.05}) {
+    for (LayerRange gap : FindGaps(engine.layers, group)) {
+      FillByEmpty(engine, group, share * possible, gap);
+      if (gap.size() > 0)
+        FillByNeighbours(engine, group, share * possible, gap);
+    }
+  }
+}
+
+// Gives up layers at the ends of servers that are short of room, where others
+// hold the same layers.
+void Trim(const EngineModel& engine, const Group& group, double tokens) {
+  const auto held_elsewhere = [&](const Slot* slot, int layer) {
+    return std::any_of(group.begin(), group.end(), [&](const Slot* other) {
+      return other != slot && other->held && other->held->Contains(layer) &&
+             other->target && other->target->Contains(layer);
+    });
   };
-  for (Slot* slot : slots) {
-    if (slot->layers)
+  for (Slot* slot : group) {
+    if (!slot->target || slot->pending)
       continue;
-    const auto run = NeediestRun(holders, ModestLayers(engine, *slot));
-    if (run && run->size() > 0) {
-      slot->layers = run;
-      count(*run, 1);
+    LayerRange& range = *slot->target;
+    while (range.size() > 1 &&
+           TokensBeside(engine, *slot, range.size()) < tokens) {
+      if (held_elsewhere(slot, range.from))
+        ++range.from;
+      else if (held_elsewhere(slot, range.to - 1))
+        --range.to;
+      else
+        break;
     }
   }
-  const auto has_gap = [&] {
-    return std::find(holders.begin(), holders.end(), 0) != holders.end();
-  };
-  if (!has_gap())
+}
+
+// Layers around the scarcest one, about half of what a server may hold.
+LayerRange ScarcestRange(const EngineModel& engine,
+                         const std::vector<double>& tokens,
+                         const Slot& slot) {
+  const int size = std::max(1, slot.most / 2);
+  LayerRange best{0, std::min(size, engine.layers)};
+  double least = -1;
+  for (int from = 0; from + size <= engine.layers; ++from) {
+    double sum = 0;
+    for (int layer = from; layer < from + size; ++layer)
+      sum += std::min(tokens[static_cast<size_t>(layer)], kManyTokens);
+    if (least < 0 || sum < least) {
+      least = sum;
+      best = {from, from + size};
+    }
+  }
+  return best;
+}
+
+// Sets the targets of a group: what is held, widened over gaps, and replicas
+// on servers that are empty.
+void SetTargets(const EngineModel& engine, Group& group) {
+  bool any = false;
+  for (Slot* slot : group) {
+    slot->target = slot->planned;
+    any |= slot->target.has_value();
+  }
+  if (!any) {
+    TileEmpty(engine, group);
     return;
-  WidenOverGaps(engine, slots, holders);
-  for (Slot* slot : slots) {
-    if (!has_gap())
-      return;
-    if (!slot->layers || !IsRedundant(*slot, holders))
+  }
+  const double possible = std::max(
+      kLeastTokens,
+      LeastTokens(engine, group, ShareLayers(engine, group, engine.layers)));
+  CloseGaps(engine, group, possible);
+  Trim(engine, group, kTrimShare * possible);
+  for (Slot* slot : group) {
+    if (slot->target)
       continue;
-    count(*slot->layers, -1);
-    slot->layers = NeediestRun(holders, ModestLayers(engine, *slot));
-    count(*slot->layers, 1);
+    slot->target = ScarcestRange(engine, TokensByLayer(engine, group), *slot);
   }
 }
 
-}  // namespace
+// True when other servers hold, and go on to hold, what the slot gives up.
+bool MayGiveUp(const Slots& slots, const Slot& slot) {
+  for (int layer = slot.held->from; layer < slot.held->to; ++layer) {
+    if (slot.target->Contains(layer))
+      continue;
+    const bool elsewhere =
+        std::any_of(slots.begin(), slots.end(), [&](const Slot& other) {
+          return &other != &slot &&
+                 other.server->data_center == slot.server->data_center &&
+                 other.held && other.held->Contains(layer) && other.target &&
+                 other.target->Contains(layer);
+        });
+    if (!elsewhere)
+      return false;
+  }
+  return true;
+}
+
+// The next order towards the target: load first, give up later, so that no
+// layer is without a holder in between.
+std::optional<LayerRange> NextRange(const Slots& slots, const Slot& slot) {
+  if (slot.pending || !slot.target || slot.held == slot.target)
+    return std::nullopt;
+  if (!slot.held)
+    return slot.target;
+  const LayerRange both{std::min(slot.held->from, slot.target->from),
+                        std::max(slot.held->to, slot.target->to)};
+  if (both == *slot.held)
+    return MayGiveUp(slots, slot) ? slot.target : std::nullopt;
+  if (both.size() <= slot.most)
+    return both;
+  return MayGiveUp(slots, slot) ? slot.target : std::nullopt;
+}
 
-std::vector<PlacementOrder> PlanPlacement(const EngineModel& engine,
-                                          const ServerMap& servers,
-                                          const std::string& service,
-                                          const std::set<std::string>& down) {
-  Slots slots = UsableSlots(engine, servers, service, down);
-  std::map<std::string, std::vector<Slot*>> by_data_center;
+// Data centers whose memory holds all layers stand alone; the others share.
+std::vector<Group> MakeGroups(const EngineModel& engine, Slots& slots) {
+  std::map<std::string, Group> by_data_center;
   for (Slot& slot : slots)
     by_data_center[slot.server->data_center].push_back(&slot);
-  for (auto& [data_center, members] : by_data_center) {
-    const bool all_empty =
-        std::none_of(members.begin(), members.end(),
-                     [](const Slot* slot) { return slot->layers.has_value(); });
-    if (all_empty)
-      TileEmpty(engine, members);
+  std::vector<Group> groups;
+  Group rest;
+  for (auto& [data_center, group] : by_data_center) {
+    const double tokens =
+        LeastTokens(engine, group, ShareLayers(engine, group, engine.layers));
+    if (tokens >= kLeastTokens)
+      groups.push_back(group);
     else
-      FillGaps(engine, members);
+      rest.insert(rest.end(), group.begin(), group.end());
   }
-  // What no data center could hold alone is tiled over all of them.
-  std::vector<Slot*> all;
-  for (Slot& slot : slots)
-    all.push_back(&slot);
-  const std::vector<int> holders = CountHolders(engine.layers, all);
-  if (std::find(holders.begin(), holders.end(), 0) != holders.end())
-    FillGaps(engine, all);
+  if (!rest.empty())
+    groups.push_back(rest);
+  return groups;
+}
+
+}  // namespace
+
+std::map<std::string, LayoutHealth> AssessLayout(
+    const EngineModel& engine,
+    const ServerMap& servers,
+    const std::string& service,
+    const std::set<std::string>& down) {
+  std::map<std::string, LayoutHealth> out;
+  std::map<std::string, Group> groups;
+  Slots slots = UsableSlots(engine, servers, service, down, {});
+  for (Slot& slot : slots) {
+    slot.target = slot.held;
+    groups[slot.server->data_center].push_back(&slot);
+    LayoutHealth& health = out[slot.server->data_center];
+    ++health.servers;
+    health.empty_servers += slot.held ? 0 : 1;
+  }
+  for (auto& [data_center, health] : out) {
+    const std::vector<double> tokens =
+        TokensByLayer(engine, groups[data_center]);
+    health.missing =
+        static_cast<int>(std::count(tokens.begin(), tokens.end(), 0.0));
+    health.least_tokens = *std::min_element(tokens.begin(), tokens.end());
+  }
+  return out;
+}
+
+std::vector<PlacementOrder> PlanPlacement(
+    const EngineModel& engine,
+    const ServerMap& servers,
+    const std::string& service,
+    const std::set<std::string>& down,
+    const std::map<std::string, LayerRange>& pending) {
+  Slots slots = UsableSlots(engine, servers, service, down, pending);
+  for (Group& group : MakeGroups(engine, slots))
+    SetTargets(engine, group);
   std::vector<PlacementOrder> orders;
   for (const Slot& slot : slots)
-    if (slot.layers && slot.layers != slot.server->layers)
-      orders.push_back({slot.server->id, *slot.layers});
+    if (const auto range = NextRange(slots, slot))
+      orders.push_back({slot.server->id, *range});
   return orders;
 }
 
