--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -60,6 +60,12 @@
                                         ReadServerList,
                                         ReadConfiguration>;
 
+// Sends to servers in the current retry window.
+struct SendCounts {
+  int requests = 0;
+  int retries = 0;
+};
+
 enum class LeaseWriteResult : uint8_t { kWritten, kConflict, kUnknown };
 
 class Coordination {
@@ -91,6 +97,12 @@
 
   // What this instance has in progress, by server.
   void SetLocalLoads(LoadMap loads) { m_local_loads = std::move(loads); }
+  void SetLocalSends(SendCounts sends) { m_local_sends = sends; }
+  // Sends of the other instances.
+  SendCounts SendsElsewhere(TimePoint now) const;
+  // Orders that this coordinator gave and the list does not show yet: what a
+  // server is about to give up is not used any more.
+  void SetOrders(std::map<std::string, LayerRange> orders);
   void SetAccepting(bool accepting) { m_accepting = accepting; }
   // This instance found that a server does not accept connections. The mark
   // ends unless it is repeated.
@@ -104,7 +116,10 @@
   bool HearsCoordinator(TimePoint now) const;
   int64_t fence() const { return m_fence; }
   const std::string& coordinator_ip() const { return m_coordinator_ip; }
-  const std::shared_ptr<const ServerMap>& servers() const { return m_servers; }
+  // The list as it was read.
+  const std::shared_ptr<const ServerMap>& listed() const { return m_servers; }
+  // The list, less the layers that servers are about to give up.
+  const std::shared_ptr<const ServerMap>& servers() const { return m_usable; }
   bool has_servers() const { return m_list_version > 0; }
   // Age of the server list.
   Duration ListAge(TimePoint now) const { return now - m_list_fresh_at; }
@@ -126,12 +141,14 @@
     int64_t list_version = 0;
     TimePoint heard;
     LoadMap loads;
+    SendCounts sends;
   };
   struct LostMark {
     TimePoint since;
     TimePoint until;
   };
 
+  void UpdateUsable();
   void SendReport(TimePoint now);
   void SendBeats(TimePoint now);
   void SendList(TimePoint now, const std::string& ip);
@@ -164,6 +181,9 @@
 
   std::shared_ptr<const ServerMap> m_servers =
       std::make_shared<const ServerMap>();
+  std::shared_ptr<const ServerMap> m_usable =
+      std::make_shared<const ServerMap>();
+  std::map<std::string, LayerRange> m_orders;
   int64_t m_list_version = 0;
   TimePoint m_list_fresh_at;
   bool m_list_call_pending = false;
@@ -178,6 +198,9 @@
   LoadMap m_cluster_loads;
   LoadMap m_loads_in_sum;
   LoadMap m_reported_loads;
+  SendCounts m_local_sends;
+  SendCounts m_reported_sends;
+  SendCounts m_sends_elsewhere;
   std::map<std::string, Peer> m_peers;
   std::vector<ClusterMember> m_members;
   std::map<std::string, LostMark> m_lost;
--- a/include/trefoilwick/forwarding.h
+++ b/include/trefoilwick/forwarding.h
@@ -33,7 +33,8 @@
     {SendState::kEnded, "ended"},
 });
 
-// Choose a server that is not in ForwardState::tried() and send.
+// Choose a server and send; only one of ForwardState::sent_to() when
+// servers_used_up().
 struct SendToServer {
   bool operator==(const SendToServer&) const = default;
 };
@@ -87,27 +88,32 @@
   class Builder;
 
   SendState state() const { return m_state; }
-  // Servers that were tried, whether or not they ran the request.
-  const std::set<std::string>& tried() const { return m_tried; }
   // Servers that bytes of the request went to.
+  const std::set<std::string>& sent_to() const { return m_sent_to; }
   int sends() const { return m_sends; }
+  // No further server may be sent to, only those of sent_to() again.
+  bool servers_used_up() const {
+    return static_cast<int>(m_sent_to.size()) >= m_max_attempts;
+  }
 
   // A server was chosen and the first byte is about to leave.
   void OnSend(const std::string& server);
-  ForwardDecision OnServerEvent(const std::string& server, ServerEvent event);
+  ForwardDecision OnServerEvent(ServerEvent event);
+  // The server has ended: it no longer counts among those sent to.
+  void ForgetServer(const std::string& server) { m_sent_to.erase(server); }
   // No server can be used now.
   ForwardDecision OnNoServer();
   // The client's deadline or the time-out of the route has passed.
   ForwardDecision OnDeadline();
-  // True when the request may be sent to one more server, `retry_allowed`
-  // being the answer of the retry budget.
+  // True when the request may be sent again.
   bool MaySendAgain() const;
-  // A second server continues a stream that this one began.
+  // A stream that began may be continued by another run.
   bool MayResume() const;
 
  private:
   friend class Builder;
   ForwardDecision GiveUp(bool timed_out);
+  bool SendsLeft() const;
 
   RouteKind m_kind = RouteKind::kNonIdempotent;
   bool m_may_repeat = false;
@@ -119,7 +125,7 @@
   bool m_relaying = false;
   int m_sends = 0;
   int m_connect_failures = 0;
-  std::set<std::string> m_tried;
+  std::set<std::string> m_sent_to;
 };
 
 class ForwardState::Builder {
@@ -165,9 +171,15 @@
   RetryWindow(double ratio, double slack, Duration window)
       : m_ratio(ratio), m_slack(slack), m_window(window) {}
   void OnRequest(TimePoint now);
-  // Takes one from the budget; false when it is spent. `sharers` instances
-  // share the slack.
-  bool TryRetry(TimePoint now, size_t sharers);
+  struct Counts {
+    double requests = 0;
+    double retries = 0;
+  };
+  // Sends of this instance in the window.
+  Counts Local(TimePoint now) const;
+  // Takes one from the budget; false when it is spent. `elsewhere` are the
+  // sends of the other instances, as last heard.
+  bool TryRetry(TimePoint now, const Counts& elsewhere);
 
  private:
   static constexpr int kSlices = 10;
--- a/include/trefoilwick/layer_path.h
+++ b/include/trefoilwick/layer_path.h
@@ -75,8 +75,10 @@
   std::string data_center;
   // Servers not to use.
   std::set<std::string> excluded;
-  // Set for a request in progress: its first server stays the first.
-  std::string first_server;
+  // Servers that may be the first; empty for any.
+  std::set<std::string> first_servers;
+  // Set for a request in progress, whose first part must stay as it is.
+  std::optional<PathPart> first_part;
 };
 
 struct PathChoice {
--- a/src/cluster.thrift
+++ b/src/cluster.thrift
@@ -20,6 +20,9 @@
   8: list<Load> loads
   9: list<string> down
   10: bool store_reachable
+  // First and repeated sends of the current retry window.
+  11: i32 requests
+  12: i32 retries
 }
 
 struct Member {
@@ -29,6 +32,13 @@
   4: i32 cpu_milli
 }
 
+// An order to a server that the server list does not show yet.
+struct Order {
+  1: string server
+  2: i32 layer_from
+  3: i32 layer_to
+}
+
 // From the coordinator to every instance.
 struct Beat {
   1: i64 fence
@@ -41,6 +51,10 @@
   7: list<Load> loads
   8: list<string> down
   9: bool store_reachable
+  10: list<Order> orders
+  // Sums over all instances.
+  11: i32 requests
+  12: i32 retries
 }
 
 struct Server {
--- a/src/cluster_codec.cc
+++ b/src/cluster_codec.cc
@@ -50,7 +50,8 @@
           report.incarnation,
           report.config_version,
           report.list_version,
-          FromWire(report.loads)};
+          FromWire(report.loads),
+          {report.requests, report.retries}};
 }
 
 CoordinatorBeat FromWire(const wire::Beat& beat) {
@@ -66,6 +67,9 @@
   out.loads = FromWire(beat.loads);
   out.lost.insert(beat.down.begin(), beat.down.end());
   out.store_reachable = beat.store_reachable;
+  for (const wire::Order& order : beat.orders)
+    out.orders[order.server] = {order.layer_from, order.layer_to};
+  out.sends = {beat.requests, beat.retries};
   return out;
 }
 
@@ -102,6 +106,8 @@
   out.config_version = report.config_version;
   out.list_version = report.list_version;
   out.loads = ToWire(report.loads);
+  out.requests = report.sends.requests;
+  out.retries = report.sends.retries;
   message.__isset.report = true;
   return Encode(message);
 }
@@ -124,6 +130,14 @@
   out.loads = ToWire(beat.loads);
   out.down.assign(beat.lost.begin(), beat.lost.end());
   out.store_reachable = beat.store_reachable;
+  for (const auto& [server, layers] : beat.orders) {
+    wire::Order& item = out.orders.emplace_back();
+    item.server = server;
+    item.layer_from = layers.from;
+    item.layer_to = layers.to;
+  }
+  out.requests = beat.sends.requests;
+  out.retries = beat.sends.retries;
   message.__isset.beat = true;
   return Encode(message);
 }
--- a/src/cluster_codec.h
+++ b/src/cluster_codec.h
@@ -18,6 +18,7 @@
   int64_t config_version = 0;
   int64_t list_version = 0;
   LoadMap loads;
+  SendCounts sends;
 };
 
 struct CoordinatorBeat {
@@ -30,6 +31,8 @@
   LoadMap loads;
   std::set<std::string> lost;
   bool store_reachable = true;
+  std::map<std::string, LayerRange> orders;
+  SendCounts sends;
 };
 
 struct ServerListMessage {
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -246,10 +246,47 @@
     return;
   m_list_version = version;
   m_servers = std::make_shared<const ServerMap>(std::move(servers));
+  UpdateUsable();
   if (m_is_coordinator)
     SendBeats(now);
 }
 
+void Coordination::SetOrders(std::map<std::string, LayerRange> orders) {
+  if (orders == m_orders)
+    return;
+  m_orders = std::move(orders);
+  UpdateUsable();
+  if (m_is_coordinator)
+    m_next_beat = TimePoint{};
+}
+
+void Coordination::UpdateUsable() {
+  auto usable = std::make_shared<ServerMap>(*m_servers);
+  for (const auto& [id, layers] : m_orders) {
+    const auto server = usable->find(id);
+    if (server == usable->end() || !server->second.layers)
+      continue;
+    LayerRange& held = *server->second.layers;
+    held = {std::max(held.from, layers.from), std::min(held.to, layers.to)};
+    if (held.size() <= 0)
+      server->second.layers.reset();
+  }
+  m_usable = std::move(usable);
+}
+
+SendCounts Coordination::SendsElsewhere(TimePoint now) const {
+  if (!m_is_coordinator)
+    return m_sends_elsewhere;
+  SendCounts sum;
+  for (const auto& [ip, peer] : m_peers) {
+    if (now - peer.heard > kMemberSilence)
+      continue;
+    sum.requests += peer.sends.requests;
+    sum.retries += peer.sends.retries;
+  }
+  return sum;
+}
+
 void Coordination::OnServerListFailed(TimePoint now) {
   m_list_call_pending = false;
   m_next_list_call = now + kListRetry;
@@ -341,6 +378,8 @@
   report.list_version = m_list_version;
   report.loads = m_local_loads;
   m_reported_loads = m_local_loads;
+  report.sends = m_local_sends;
+  m_reported_sends = m_local_sends;
   m_actions.emplace_back(
       SendDatagram{m_coordinator_ip, detail::EncodeReport(report)});
 }
@@ -356,6 +395,10 @@
   beat.members = Members(now);
   beat.loads = Loads(now);
   beat.lost = Lost(now);
+  beat.orders = m_orders;
+  beat.sends = SendsElsewhere(now);
+  beat.sends.requests += m_local_sends.requests;
+  beat.sends.retries += m_local_sends.retries;
   beat.store_reachable = now - m_store_answered < kStoreSilence;
   const std::string bytes = detail::EncodeBeat(beat);
   for (const auto& [ip, peer] : m_peers) {
@@ -392,6 +435,7 @@
             peer.list_version = report.list_version;
             peer.heard = now;
             peer.loads = report.loads;
+            peer.sends = report.sends;
             if (is_new && behind)
               SendList(now, report.member.ip);
           },
@@ -411,6 +455,10 @@
             m_members = beat.members;
             m_cluster_loads = beat.loads;
             m_loads_in_sum = m_reported_loads;
+            m_sends_elsewhere = {
+                std::max(0, beat.sends.requests - m_reported_sends.requests),
+                std::max(0, beat.sends.retries - m_reported_sends.retries)};
+            SetOrders(beat.orders);
             for (const std::string& server : beat.lost)
               HearOfLost(server);
             // A list that is as new as the coordinator's is as fresh, too.
@@ -424,6 +472,7 @@
             m_list_version = list.version;
             m_list_fresh_at = std::max(m_list_fresh_at, now - list.age);
             m_servers = std::make_shared<const ServerMap>(list.servers);
+            UpdateUsable();
           },
           [&](const detail::LostServers& lost) {
             for (const std::string& server : lost.servers)
--- a/src/forwarding.cc
+++ b/src/forwarding.cc
@@ -9,6 +9,11 @@
 
 // Servers that may refuse a connection before the request is given up.
 constexpr int kMaxConnectFailures = 4;
+// Sends of one stream, to as many servers as its route allows.
+constexpr int kMaxStreamSends = 5;
+// Part of the retry budget that covers what other instances used since they
+// were heard.
+constexpr double kBudgetReserve = 0.25;
 
 // Value of the field `id` of an event, or -1.
 int64_t EventId(std::string_view event) {
@@ -52,7 +57,7 @@
 }
 
 void ForwardState::OnSend(const std::string& server) {
-  m_tried.insert(server);
+  m_sent_to.insert(server);
   ++m_sends;
   m_state = SendState::kOffered;
 }
@@ -62,12 +67,21 @@
     return false;
   if (m_may_have_run && !m_may_repeat)
     return false;
-  return m_sends < m_max_attempts && m_connect_failures < kMaxConnectFailures;
+  return SendsLeft();
+}
+
+// A plain service has one place to go to, so that a second send goes to a
+// second server. The first server of a path can be sent to again with another
+// path.
+bool ForwardState::SendsLeft() const {
+  const int most =
+      m_kind == RouteKind::kStream ? kMaxStreamSends : m_max_attempts;
+  return m_sends < most && m_connect_failures < kMaxConnectFailures;
 }
 
 bool ForwardState::MayResume() const {
   return m_relaying && m_may_repeat && m_kind == RouteKind::kStream &&
-         m_sends < m_max_attempts && m_connect_failures < kMaxConnectFailures;
+         SendsLeft();
 }
 
 ForwardDecision ForwardState::GiveUp(bool timed_out) {
@@ -79,11 +93,9 @@
   return FailUnknown{timed_out};
 }
 
-ForwardDecision ForwardState::OnServerEvent(const std::string& server,
-                                            ServerEvent event) {
+ForwardDecision ForwardState::OnServerEvent(ServerEvent event) {
   if (m_state == SendState::kEnded)
     return KeepWaiting{};
-  m_tried.insert(server);
   switch (event) {
     case ServerEvent::kConnectFailed:
       ++m_connect_failures;
@@ -186,19 +198,25 @@
   ++At(now).requests;
 }
 
-bool RetryWindow::TryRetry(TimePoint now, size_t sharers) {
+RetryWindow::Counts RetryWindow::Local(TimePoint now) const {
   const int64_t index = IndexOf(now);
-  double requests = 0;
-  double retries = 0;
+  Counts sum;
   for (const Slice& slice : m_slices) {
     if (slice.index <= index - kSlices)
       continue;
-    requests += slice.requests;
-    retries += slice.retries;
+    sum.requests += slice.requests;
+    sum.retries += slice.retries;
   }
-  if (retries + 1 >
-      m_ratio * requests +
-          m_slack / static_cast<double>(std::max<size_t>(1, sharers)))
+  return sum;
+}
+
+bool RetryWindow::TryRetry(TimePoint now, const Counts& elsewhere) {
+  const Counts local = Local(now);
+  const double budget =
+      m_ratio * (local.requests + elsewhere.requests) + m_slack;
+  // The others may have used some since they were heard.
+  const double usable = budget * (1 - kBudgetReserve);
+  if (local.retries + elsewhere.retries + 1 > usable)
     return false;
   ++At(now).retries;
   return true;
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -146,7 +146,9 @@
 
 bool GatewayCore::TryRetry() {
   const TimePoint now = Now();
-  return m_retries.TryRetry(now, m_coordination.Members(now).size());
+  const SendCounts elsewhere = m_coordination.SendsElsewhere(now);
+  return m_retries.TryRetry(now, {static_cast<double>(elsewhere.requests),
+                                  static_cast<double>(elsewhere.retries)});
 }
 
 void GatewayCore::MarkUnfit(const std::string& address) {
@@ -294,6 +296,9 @@
 void GatewayCore::Tick() {
   const TimePoint now = Now();
   NoticeSuspension(now);
+  const RetryWindow::Counts sends = m_retries.Local(now);
+  m_coordination.SetLocalSends(
+      {static_cast<int>(sends.requests), static_cast<int>(sends.retries)});
   m_coordination.OnTick(now);
   RunActions();
   TellLost();
@@ -411,10 +416,13 @@
 
 void GatewayCore::OnServersChanged() {
   const auto before = std::exchange(m_seen_servers, m_coordination.servers());
-  m_servers_changed_at = Now();
+  if (std::exchange(m_seen_list, m_coordination.listed()) !=
+      m_coordination.listed())
+    m_servers_changed_at = Now();
+  const ServerMap& listed = *m_coordination.listed();
   std::erase_if(m_orders, [&](const auto& entry) {
-    const auto server = m_seen_servers->find(entry.first);
-    return server == m_seen_servers->end() ||
+    const auto server = listed.find(entry.first);
+    return server == listed.end() ||
            server->second.layers == entry.second.layers;
   });
   for (const auto& [id, server] : *m_seen_servers) {
@@ -460,10 +468,18 @@
     if (!service.engine || service.engine->layers == 0)
       continue;
     LogLayout(*service.engine, name, lost);
-    for (const PlacementOrder& order :
-         PlanPlacement(*service.engine, servers(), name, lost, pending))
+    for (const PlacementOrder& order : PlanPlacement(
+             *service.engine, *m_coordination.listed(), name, lost, pending))
       SendOrder(order);
   }
+  AnnounceOrders();
+}
+
+void GatewayCore::AnnounceOrders() {
+  std::map<std::string, LayerRange> orders;
+  for (const auto& [id, order] : m_orders)
+    orders[id] = order.layers;
+  m_coordination.SetOrders(std::move(orders));
 }
 
 // One line for each change of how well a data center holds a model.
@@ -472,7 +488,7 @@
                             const std::set<std::string>& lost) {
   std::string text;
   for (const auto& [data_center, health] :
-       AssessLayout(engine, servers(), service, lost))
+       AssessLayout(engine, *m_coordination.listed(), service, lost))
     text +=
         data_center + ":missing=" + std::to_string(health.missing) +
         ",ktokens=" + std::to_string(std::lround(health.least_tokens / 1000)) +
@@ -514,16 +530,21 @@
     m_orders.erase(order.server);
     return;
   }
-  m_server_calls.Call(found->second.address, m_dialect->ReportRequest(),
-                      kOrderTimeout,
-                      [this, server = order.server](const CallResult& answer) {
-                        const auto report = m_dialect->ReadReport(answer);
-                        if (!report)
-                          return;
-                        m_order_seq[server] = report->order_seq;
-                        if (!report->busy)
-                          m_orders.erase(server);
-                      });
+  m_server_calls.Call(
+      found->second.address, m_dialect->ReportRequest(), kOrderTimeout,
+      [this, server = order.server](const CallResult& answer) {
+        const auto report = m_dialect->ReadReport(answer);
+        Log("order_state",
+            {{"server", server},
+             {"known", report ? "1" : "0"},
+             {"seq", std::to_string(report ? report->order_seq : 0)},
+             {"busy", report && report->busy ? "1" : "0"}});
+        if (!report)
+          return;
+        m_order_seq[server] = report->order_seq;
+        if (!report->busy)
+          m_orders.erase(server);
+      });
 }
 
 }  // namespace trefoilwick::detail
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -102,6 +102,7 @@
   void OnServersChanged();
   bool AnyLayersHeld() const;
   void PlaceLayers(TimePoint now);
+  void AnnounceOrders();
   void LogLayout(const EngineModel& engine,
                  const std::string& service,
                  const std::set<std::string>& lost);
@@ -123,6 +124,7 @@
   RetryWindow m_retries;
   std::shared_ptr<const RouteTable> m_table;
   std::shared_ptr<const ServerMap> m_seen_servers;
+  std::shared_ptr<const ServerMap> m_seen_list;
 
   boost::asio::ip::tcp::acceptor m_client_acceptor;
   boost::asio::ip::tcp::acceptor m_ready_acceptor;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -170,6 +170,10 @@
 }
 
 bool Exchange::Choose() {
+  const std::set<std::string> lost = m_core.coordination().Lost(m_core.Now());
+  for (const std::string& server : std::set(m_forward.sent_to()))
+    if (lost.contains(server) || !m_core.servers().contains(server))
+      m_forward.ForgetServer(server);
   // Weighted choice among the services of the route that can be used.
   std::vector<WeightedService> services = m_route->services;
   while (!services.empty()) {
@@ -197,6 +201,8 @@
   wanted.data_center = m_core.settings().data_center;
   wanted.excluded = m_core.Avoided(m_core.Now());
   wanted.excluded.insert(m_avoid.begin(), m_avoid.end());
+  if (m_forward.servers_used_up())
+    wanted.first_servers = m_forward.sent_to();
   return wanted;
 }
 
@@ -220,7 +226,8 @@
   double best_cost = 0;
   for (const auto& [id, server] : m_core.servers()) {
     if (server.service != m_service || server.state != ServerState::kReady ||
-        lost.contains(id) || m_avoid.contains(id))
+        lost.contains(id) || m_avoid.contains(id) ||
+        (m_forward.servers_used_up() && !m_forward.sent_to().contains(id)))
       continue;
     const auto load = loads.find(id);
     double cost = load == loads.end() ? 0 : load->second.sequences;
@@ -340,7 +347,7 @@
   m_core.Log("connect_failed", {{"id", m_request.attempt_id},
                                 {"server", m_server},
                                 {"refused", refused ? "1" : "0"}});
-  Act(m_forward.OnServerEvent(m_server, ServerEvent::kConnectFailed));
+  Act(m_forward.OnServerEvent(ServerEvent::kConnectFailed));
 }
 
 void Exchange::OnUpstreamOffered() {
@@ -379,7 +386,7 @@
 void Exchange::Commit() {
   if (std::exchange(m_committed, true))
     return;
-  m_forward.OnServerEvent(m_server, ServerEvent::kAnswerBegun);
+  m_forward.OnServerEvent(ServerEvent::kAnswerBegun);
   m_first_event_at = m_core.Now();
   m_session->BeginParts(m_head.status, m_head.passed_headers);
 }
@@ -411,7 +418,7 @@
     Commit();
     if (m_streaming)
       m_session->SendPart(m_events.TakePartial());
-    m_forward.OnServerEvent(m_server, ServerEvent::kAnswered);
+    m_forward.OnServerEvent(ServerEvent::kAnswered);
     Finish("finished", m_head.status);
     m_session->EndParts();
     return;
@@ -422,7 +429,7 @@
                                      {"server", m_server},
                                      {"status", std::to_string(m_head.status)},
                                      {"at", m_head.fault_address}});
-    Act(m_forward.OnServerEvent(m_server, ServerEvent::kRefused));
+    Act(m_forward.OnServerEvent(ServerEvent::kRefused));
     return;
   }
   const bool success = m_head.status / 100 == 2;
@@ -432,9 +439,9 @@
     OnUpstreamBroken();
     return;
   }
-  Act(m_forward.OnServerEvent(m_server, m_head.status / 100 == 5
-                                            ? ServerEvent::kServerFailed
-                                            : ServerEvent::kAnswered));
+  Act(m_forward.OnServerEvent(m_head.status / 100 == 5
+                                  ? ServerEvent::kServerFailed
+                                  : ServerEvent::kAnswered));
 }
 
 // Leaves out the server that refused: the one at fault on the path when the
@@ -470,12 +477,12 @@
               {"last_event", std::to_string(m_events.last_id())}});
   if (m_head.not_run) {
     NoteRefusal();
-    Act(m_forward.OnServerEvent(m_server, ServerEvent::kRefused));
+    Act(m_forward.OnServerEvent(ServerEvent::kRefused));
     return;
   }
   m_avoid.insert(m_server);
   m_core.Probe(m_server);
-  Act(m_forward.OnServerEvent(m_server, ServerEvent::kBroken));
+  Act(m_forward.OnServerEvent(ServerEvent::kBroken));
 }
 
 void Exchange::RelayWhole() {
@@ -590,7 +597,7 @@
   PathRequest wanted = MakePathRequest();
   wanted.excluded.erase(m_server);
   wanted.excluded.insert(lost);
-  wanted.first_server = m_server;
+  wanted.first_part = m_path.front();
   LoadMap loads = m_core.coordination().Loads(m_core.Now());
   const auto choice = ChoosePath(*engine, m_core.servers(), loads, wanted, 1.0);
   if (!choice) {
--- a/src/gen/cluster_types.cpp
+++ b/src/gen/cluster_types.cpp
@@ -189,6 +189,14 @@
 void Report::__set_store_reachable(const bool val) {
   this->store_reachable = val;
 }
+
+void Report::__set_requests(const int32_t val) {
+  this->requests = val;
+}
+
+void Report::__set_retries(const int32_t val) {
+  this->retries = val;
+}
 std::ostream& operator<<(std::ostream& out, const Report& obj)
 {
   obj.printTo(out);
@@ -321,6 +329,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retries);
+          this->__isset.retries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -394,6 +418,14 @@
   xfer += oprot->writeBool(this->store_reachable);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retries", ::apache::thrift::protocol::T_I32, 12);
+  xfer += oprot->writeI32(this->retries);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -411,6 +443,8 @@
   swap(a.loads, b.loads);
   swap(a.down, b.down);
   swap(a.store_reachable, b.store_reachable);
+  swap(a.requests, b.requests);
+  swap(a.retries, b.retries);
   swap(a.__isset, b.__isset);
 }
 
@@ -425,6 +459,8 @@
   loads = other14.loads;
   down = other14.down;
   store_reachable = other14.store_reachable;
+  requests = other14.requests;
+  retries = other14.retries;
   __isset = other14.__isset;
 }
 Report& Report::operator=(const Report& other15) {
@@ -438,6 +474,8 @@
   loads = other15.loads;
   down = other15.down;
   store_reachable = other15.store_reachable;
+  requests = other15.requests;
+  retries = other15.retries;
   __isset = other15.__isset;
   return *this;
 }
@@ -454,6 +492,8 @@
   out << ", " << "loads=" << to_string(loads);
   out << ", " << "down=" << to_string(down);
   out << ", " << "store_reachable=" << to_string(store_reachable);
+  out << ", " << "requests=" << to_string(requests);
+  out << ", " << "retries=" << to_string(retries);
   out << ")";
 }
 
@@ -610,6 +650,138 @@
 }
 
 
+Order::~Order() noexcept {
+}
+
+
+void Order::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void Order::__set_layer_from(const int32_t val) {
+  this->layer_from = val;
+}
+
+void Order::__set_layer_to(const int32_t val) {
+  this->layer_to = val;
+}
+std::ostream& operator<<(std::ostream& out, const Order& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Order::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->layer_from);
+          this->__isset.layer_from = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->layer_to);
+          this->__isset.layer_to = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Order::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Order");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("layer_from", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->layer_from);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("layer_to", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->layer_to);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Order &a, Order &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.layer_from, b.layer_from);
+  swap(a.layer_to, b.layer_to);
+  swap(a.__isset, b.__isset);
+}
+
+Order::Order(const Order& other18) {
+  server = other18.server;
+  layer_from = other18.layer_from;
+  layer_to = other18.layer_to;
+  __isset = other18.__isset;
+}
+Order& Order::operator=(const Order& other19) {
+  server = other19.server;
+  layer_from = other19.layer_from;
+  layer_to = other19.layer_to;
+  __isset = other19.__isset;
+  return *this;
+}
+void Order::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Order(";
+  out << "server=" << to_string(server);
+  out << ", " << "layer_from=" << to_string(layer_from);
+  out << ", " << "layer_to=" << to_string(layer_to);
+  out << ")";
+}
+
+
 Beat::~Beat() noexcept {
 }
 
@@ -649,6 +821,18 @@
 void Beat::__set_store_reachable(const bool val) {
   this->store_reachable = val;
 }
+
+void Beat::__set_orders(const std::vector<Order> & val) {
+  this->orders = val;
+}
+
+void Beat::__set_requests(const int32_t val) {
+  this->requests = val;
+}
+
+void Beat::__set_retries(const int32_t val) {
+  this->retries = val;
+}
 std::ostream& operator<<(std::ostream& out, const Beat& obj)
 {
   obj.printTo(out);
@@ -721,14 +905,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size18;
-            ::apache::thrift::protocol::TType _etype21;
-            xfer += iprot->readListBegin(_etype21, _size18);
-            this->members.resize(_size18);
-            uint32_t _i22;
-            for (_i22 = 0; _i22 < _size18; ++_i22)
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->members.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
             {
-              xfer += this->members[_i22].read(iprot);
+              xfer += this->members[_i24].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -741,14 +925,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size23;
-            ::apache::thrift::protocol::TType _etype26;
-            xfer += iprot->readListBegin(_etype26, _size23);
-            this->loads.resize(_size23);
-            uint32_t _i27;
-            for (_i27 = 0; _i27 < _size23; ++_i27)
+            uint32_t _size25;
+            ::apache::thrift::protocol::TType _etype28;
+            xfer += iprot->readListBegin(_etype28, _size25);
+            this->loads.resize(_size25);
+            uint32_t _i29;
+            for (_i29 = 0; _i29 < _size25; ++_i29)
             {
-              xfer += this->loads[_i27].read(iprot);
+              xfer += this->loads[_i29].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -761,14 +945,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->down.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->down.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->down.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
             {
-              xfer += iprot->readString(this->down[_i32]);
+              xfer += iprot->readString(this->down[_i34]);
             }
             xfer += iprot->readListEnd();
           }
@@ -785,6 +969,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->orders.clear();
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _etype38;
+            xfer += iprot->readListBegin(_etype38, _size35);
+            this->orders.resize(_size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
+            {
+              xfer += this->orders[_i39].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.orders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retries);
+          this->__isset.retries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -825,10 +1045,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter33;
-    for (_iter33 = this->members.begin(); _iter33 != this->members.end(); ++_iter33)
+    std::vector<Member> ::const_iterator _iter40;
+    for (_iter40 = this->members.begin(); _iter40 != this->members.end(); ++_iter40)
     {
-      xfer += (*_iter33).write(oprot);
+      xfer += (*_iter40).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -837,10 +1057,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<Load> ::const_iterator _iter34;
-    for (_iter34 = this->loads.begin(); _iter34 != this->loads.end(); ++_iter34)
+    std::vector<Load> ::const_iterator _iter41;
+    for (_iter41 = this->loads.begin(); _iter41 != this->loads.end(); ++_iter41)
     {
-      xfer += (*_iter34).write(oprot);
+      xfer += (*_iter41).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -849,10 +1069,10 @@
   xfer += oprot->writeFieldBegin("down", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->down.size()));
-    std::vector<std::string> ::const_iterator _iter35;
-    for (_iter35 = this->down.begin(); _iter35 != this->down.end(); ++_iter35)
+    std::vector<std::string> ::const_iterator _iter42;
+    for (_iter42 = this->down.begin(); _iter42 != this->down.end(); ++_iter42)
     {
-      xfer += oprot->writeString((*_iter35));
+      xfer += oprot->writeString((*_iter42));
     }
     xfer += oprot->writeListEnd();
   }
@@ -862,6 +1082,26 @@
   xfer += oprot->writeBool(this->store_reachable);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
+    std::vector<Order> ::const_iterator _iter43;
+    for (_iter43 = this->orders.begin(); _iter43 != this->orders.end(); ++_iter43)
+    {
+      xfer += (*_iter43).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retries", ::apache::thrift::protocol::T_I32, 12);
+  xfer += oprot->writeI32(this->retries);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -878,32 +1118,41 @@
   swap(a.loads, b.loads);
   swap(a.down, b.down);
   swap(a.store_reachable, b.store_reachable);
+  swap(a.orders, b.orders);
+  swap(a.requests, b.requests);
+  swap(a.retries, b.retries);
   swap(a.__isset, b.__isset);
 }
 
-Beat::Beat(const Beat& other36) {
-  fence = other36.fence;
-  ip = other36.ip;
-  config_version = other36.config_version;
-  list_version = other36.list_version;
-  list_age_ms = other36.list_age_ms;
-  members = other36.members;
-  loads = other36.loads;
-  down = other36.down;
-  store_reachable = other36.store_reachable;
-  __isset = other36.__isset;
-}
-Beat& Beat::operator=(const Beat& other37) {
-  fence = other37.fence;
-  ip = other37.ip;
-  config_version = other37.config_version;
-  list_version = other37.list_version;
-  list_age_ms = other37.list_age_ms;
-  members = other37.members;
-  loads = other37.loads;
-  down = other37.down;
-  store_reachable = other37.store_reachable;
-  __isset = other37.__isset;
+Beat::Beat(const Beat& other44) {
+  fence = other44.fence;
+  ip = other44.ip;
+  config_version = other44.config_version;
+  list_version = other44.list_version;
+  list_age_ms = other44.list_age_ms;
+  members = other44.members;
+  loads = other44.loads;
+  down = other44.down;
+  store_reachable = other44.store_reachable;
+  orders = other44.orders;
+  requests = other44.requests;
+  retries = other44.retries;
+  __isset = other44.__isset;
+}
+Beat& Beat::operator=(const Beat& other45) {
+  fence = other45.fence;
+  ip = other45.ip;
+  config_version = other45.config_version;
+  list_version = other45.list_version;
+  list_age_ms = other45.list_age_ms;
+  members = other45.members;
+  loads = other45.loads;
+  down = other45.down;
+  store_reachable = other45.store_reachable;
+  orders = other45.orders;
+  requests = other45.requests;
+  retries = other45.retries;
+  __isset = other45.__isset;
   return *this;
 }
 void Beat::printTo(std::ostream& out) const {
@@ -918,6 +1167,9 @@
   out << ", " << "loads=" << to_string(loads);
   out << ", " << "down=" << to_string(down);
   out << ", " << "store_reachable=" << to_string(store_reachable);
+  out << ", " << "orders=" << to_string(orders);
+  out << ", " << "requests=" << to_string(requests);
+  out << ", " << "retries=" << to_string(retries);
   out << ")";
 }
 
@@ -1133,29 +1385,29 @@
   swap(a.__isset, b.__isset);
 }
 
-Server::Server(const Server& other38) {
-  id = other38.id;
-  service_name = other38.service_name;
-  address = other38.address;
-  data_center = other38.data_center;
-  draining = other38.draining;
-  kind = other38.kind;
-  layer_from = other38.layer_from;
-  layer_to = other38.layer_to;
-  born = other38.born;
-  __isset = other38.__isset;
-}
-Server& Server::operator=(const Server& other39) {
-  id = other39.id;
-  service_name = other39.service_name;
-  address = other39.address;
-  data_center = other39.data_center;
-  draining = other39.draining;
-  kind = other39.kind;
-  layer_from = other39.layer_from;
-  layer_to = other39.layer_to;
-  born = other39.born;
-  __isset = other39.__isset;
+Server::Server(const Server& other46) {
+  id = other46.id;
+  service_name = other46.service_name;
+  address = other46.address;
+  data_center = other46.data_center;
+  draining = other46.draining;
+  kind = other46.kind;
+  layer_from = other46.layer_from;
+  layer_to = other46.layer_to;
+  born = other46.born;
+  __isset = other46.__isset;
+}
+Server& Server::operator=(const Server& other47) {
+  id = other47.id;
+  service_name = other47.service_name;
+  address = other47.address;
+  data_center = other47.data_center;
+  draining = other47.draining;
+  kind = other47.kind;
+  layer_from = other47.layer_from;
+  layer_to = other47.layer_to;
+  born = other47.born;
+  __isset = other47.__isset;
   return *this;
 }
 void Server::printTo(std::ostream& out) const {
@@ -1249,14 +1501,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _etype43;
-            xfer += iprot->readListBegin(_etype43, _size40);
-            this->servers.resize(_size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->servers.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += this->servers[_i44].read(iprot);
+              xfer += this->servers[_i52].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1297,10 +1549,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<Server> ::const_iterator _iter45;
-    for (_iter45 = this->servers.begin(); _iter45 != this->servers.end(); ++_iter45)
+    std::vector<Server> ::const_iterator _iter53;
+    for (_iter53 = this->servers.begin(); _iter53 != this->servers.end(); ++_iter53)
     {
-      xfer += (*_iter45).write(oprot);
+      xfer += (*_iter53).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1320,19 +1572,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerList::ServerList(const ServerList& other46) {
-  fence = other46.fence;
-  version = other46.version;
-  age_ms = other46.age_ms;
-  servers = other46.servers;
-  __isset = other46.__isset;
+ServerList::ServerList(const ServerList& other54) {
+  fence = other54.fence;
+  version = other54.version;
+  age_ms = other54.age_ms;
+  servers = other54.servers;
+  __isset = other54.__isset;
 }
-ServerList& ServerList::operator=(const ServerList& other47) {
-  fence = other47.fence;
-  version = other47.version;
-  age_ms = other47.age_ms;
-  servers = other47.servers;
-  __isset = other47.__isset;
+ServerList& ServerList::operator=(const ServerList& other55) {
+  fence = other55.fence;
+  version = other55.version;
+  age_ms = other55.age_ms;
+  servers = other55.servers;
+  __isset = other55.__isset;
   return *this;
 }
 void ServerList::printTo(std::ostream& out) const {
@@ -1425,14 +1677,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lost.clear();
-            uint32_t _size48;
-            ::apache::thrift::protocol::TType _etype51;
-            xfer += iprot->readListBegin(_etype51, _size48);
-            this->lost.resize(_size48);
-            uint32_t _i52;
-            for (_i52 = 0; _i52 < _size48; ++_i52)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->lost.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += iprot->readString(this->lost[_i52]);
+              xfer += iprot->readString(this->lost[_i60]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1477,10 +1729,10 @@
     xfer += oprot->writeFieldBegin("lost", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->lost.size()));
-      std::vector<std::string> ::const_iterator _iter53;
-      for (_iter53 = this->lost.begin(); _iter53 != this->lost.end(); ++_iter53)
+      std::vector<std::string> ::const_iterator _iter61;
+      for (_iter61 = this->lost.begin(); _iter61 != this->lost.end(); ++_iter61)
       {
-        xfer += oprot->writeString((*_iter53));
+        xfer += oprot->writeString((*_iter61));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1500,19 +1752,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other54) {
-  report = other54.report;
-  beat = other54.beat;
-  servers = other54.servers;
-  lost = other54.lost;
-  __isset = other54.__isset;
+Message::Message(const Message& other62) {
+  report = other62.report;
+  beat = other62.beat;
+  servers = other62.servers;
+  lost = other62.lost;
+  __isset = other62.__isset;
 }
-Message& Message::operator=(const Message& other55) {
-  report = other55.report;
-  beat = other55.beat;
-  servers = other55.servers;
-  lost = other55.lost;
-  __isset = other55.__isset;
+Message& Message::operator=(const Message& other63) {
+  report = other63.report;
+  beat = other63.beat;
+  servers = other63.servers;
+  lost = other63.lost;
+  __isset = other63.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
--- a/src/gen/cluster_types.h
+++ b/src/gen/cluster_types.h
@@ -27,6 +27,8 @@
 
 class Member;
 
+class Order;
+
 class Beat;
 
 class Server;
@@ -93,7 +95,7 @@
 std::ostream& operator<<(std::ostream& out, const Load& obj);
 
 typedef struct _Report__isset {
-  _Report__isset() : ip(false), data_center(false), incarnation(false), accepting(false), cpu_milli(false), config_version(false), list_version(false), loads(false), down(false), store_reachable(false) {}
+  _Report__isset() : ip(false), data_center(false), incarnation(false), accepting(false), cpu_milli(false), config_version(false), list_version(false), loads(false), down(false), store_reachable(false), requests(false), retries(false) {}
   bool ip :1;
   bool data_center :1;
   bool incarnation :1;
@@ -104,6 +106,8 @@
   bool loads :1;
   bool down :1;
   bool store_reachable :1;
+  bool requests :1;
+  bool retries :1;
 } _Report__isset;
 
 class Report : public virtual ::apache::thrift::TBase {
@@ -119,7 +123,9 @@
            cpu_milli(0),
            config_version(0),
            list_version(0),
-           store_reachable(0) {
+           store_reachable(0),
+           requests(0),
+           retries(0) {
   }
 
   virtual ~Report() noexcept;
@@ -133,6 +139,8 @@
   std::vector<Load>  loads;
   std::vector<std::string>  down;
   bool store_reachable;
+  int32_t requests;
+  int32_t retries;
 
   _Report__isset __isset;
 
@@ -156,6 +164,10 @@
 
   void __set_store_reachable(const bool val);
 
+  void __set_requests(const int32_t val);
+
+  void __set_retries(const int32_t val);
+
   bool operator == (const Report & rhs) const
   {
     if (!(ip == rhs.ip))
@@ -178,6 +190,10 @@
       return false;
     if (!(store_reachable == rhs.store_reachable))
       return false;
+    if (!(requests == rhs.requests))
+      return false;
+    if (!(retries == rhs.retries))
+      return false;
     return true;
   }
   bool operator != (const Report &rhs) const {
@@ -260,8 +276,65 @@
 
 std::ostream& operator<<(std::ostream& out, const Member& obj);
 
+typedef struct _Order__isset {
+  _Order__isset() : server(false), layer_from(false), layer_to(false) {}
+  bool server :1;
+  bool layer_from :1;
+  bool layer_to :1;
+} _Order__isset;
+
+class Order : public virtual ::apache::thrift::TBase {
+ public:
+
+  Order(const Order&);
+  Order& operator=(const Order&);
+  Order() noexcept
+        : server(),
+          layer_from(0),
+          layer_to(0) {
+  }
+
+  virtual ~Order() noexcept;
+  std::string server;
+  int32_t layer_from;
+  int32_t layer_to;
+
+  _Order__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_layer_from(const int32_t val);
+
+  void __set_layer_to(const int32_t val);
+
+  bool operator == (const Order & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(layer_from == rhs.layer_from))
+      return false;
+    if (!(layer_to == rhs.layer_to))
+      return false;
+    return true;
+  }
+  bool operator != (const Order &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Order & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Order &a, Order &b);
+
+std::ostream& operator<<(std::ostream& out, const Order& obj);
+
 typedef struct _Beat__isset {
-  _Beat__isset() : fence(false), ip(false), config_version(false), list_version(false), list_age_ms(false), members(false), loads(false), down(false), store_reachable(false) {}
+  _Beat__isset() : fence(false), ip(false), config_version(false), list_version(false), list_age_ms(false), members(false), loads(false), down(false), store_reachable(false), orders(false), requests(false), retries(false) {}
   bool fence :1;
   bool ip :1;
   bool config_version :1;
@@ -271,6 +344,9 @@
   bool loads :1;
   bool down :1;
   bool store_reachable :1;
+  bool orders :1;
+  bool requests :1;
+  bool retries :1;
 } _Beat__isset;
 
 class Beat : public virtual ::apache::thrift::TBase {
@@ -284,7 +360,9 @@
          config_version(0),
          list_version(0),
          list_age_ms(0),
-         store_reachable(0) {
+         store_reachable(0),
+         requests(0),
+         retries(0) {
   }
 
   virtual ~Beat() noexcept;
@@ -297,6 +375,9 @@
   std::vector<Load>  loads;
   std::vector<std::string>  down;
   bool store_reachable;
+  std::vector<Order>  orders;
+  int32_t requests;
+  int32_t retries;
 
   _Beat__isset __isset;
 
@@ -318,6 +399,12 @@
 
   void __set_store_reachable(const bool val);
 
+  void __set_orders(const std::vector<Order> & val);
+
+  void __set_requests(const int32_t val);
+
+  void __set_retries(const int32_t val);
+
   bool operator == (const Beat & rhs) const
   {
     if (!(fence == rhs.fence))
@@ -338,6 +425,12 @@
       return false;
     if (!(store_reachable == rhs.store_reachable))
       return false;
+    if (!(orders == rhs.orders))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    if (!(retries == rhs.retries))
+      return false;
     return true;
   }
   bool operator != (const Beat &rhs) const {
--- a/src/layer_path.cc
+++ b/src/layer_path.cc
@@ -113,7 +113,8 @@
     if (server.service != request.service || !server.layers ||
         request.excluded.contains(id))
       continue;
-    const bool is_first = id == request.first_server;
+    const bool is_first =
+        request.first_part && id == request.first_part->server;
     if (server.state != ServerState::kReady && !is_first)
       continue;
     const AcceleratorKind* kind = KindOf(engine, server.kind);
@@ -131,6 +132,14 @@
   return out;
 }
 
+// The first part of a request in progress runs exactly its layers.
+bool MayRun(const PathRequest& request, const std::string& id, int layer) {
+  if (!request.first_part)
+    return true;
+  return request.first_part->layers.Contains(layer) ==
+         (request.first_part->server == id);
+}
+
 // Joins the parts of a server that a path left and came back to. Its range is
 // contiguous, so it can run what lies between.
 LayerPath JoinRepeats(const std::vector<int>& by_layer,
@@ -199,14 +208,13 @@
   std::vector<std::vector<Cell>> table(engine.layers, std::vector<Cell>(count));
   for (int layer = 0; layer < engine.layers; ++layer) {
     for (int who = 0; who < count; ++who) {
-      if (!held(who, layer))
-        continue;
       const Candidate& here = candidates[who];
+      if (!held(who, layer) || !MayRun(request, here.server->id, layer))
+        continue;
       Cell& cell = table[layer][who];
       if (layer == 0) {
-        const bool allowed = request.first_server.empty() ||
-                             request.first_server == here.server->id;
-        if (allowed)
+        if (request.first_servers.empty() || request.first_part ||
+            request.first_servers.contains(here.server->id))
           cell.cost =
               here.layer_cost + (here.server->data_center == request.data_center
                                      ? 0
@@ -217,9 +225,6 @@
         const Cell& before = table[layer - 1][from];
         if (before.cost == kInfinity)
           continue;
-        // The first server of a request in progress cannot be a later part.
-        if (from != who && here.server->id == request.first_server)
-          continue;
         const double hop =
             from == who
                 ? 0
@@ -257,7 +262,9 @@
     const double use =
         Use(engine, candidate, request.tokens * part.layers.size());
     choice.peak_use = std::max(choice.peak_use, use);
-    if (use > most_use && part.server != request.first_server)
+    const bool is_first =
+        request.first_part && part.server == request.first_part->server;
+    if (use > most_use && !is_first)
       full.insert(part.server);
   }
   if (full.empty())
--- a/src/layer_path_placement.cc
+++ b/src/layer_path_placement.cc
@@ -15,6 +15,7 @@
 // A server with less than this share of the room that an even tiling gives
 // gives up layers that others hold as well.
 constexpr double kTrimShare = 0.5;
+constexpr double kTrimTokens = 80'000;
 
 // A server that may be given layers.
 struct Slot {
@@ -308,10 +309,11 @@
 // Closes all gaps, with as much room for tokens as can be kept.
 void CloseGaps(const EngineModel& engine, Group& group, double possible) {
   for (const double share : {0.6, 0.4, 0.2, 0.05}) {
+    const double tokens = std::max(kLeastTokens, share * possible);
     for (LayerRange gap : FindGaps(engine.layers, group)) {
-      FillByEmpty(engine, group, share * possible, gap);
+      FillByEmpty(engine, group, tokens, gap);
       if (gap.size() > 0)
-        FillByNeighbours(engine, group, share * possible, gap);
+        FillByNeighbours(engine, group, tokens, gap);
     }
   }
 }
@@ -372,11 +374,10 @@
     TileEmpty(engine, group);
     return;
   }
-  const double possible = std::max(
-      kLeastTokens,
-      LeastTokens(engine, group, ShareLayers(engine, group, engine.layers)));
+  const double possible =
+      LeastTokens(engine, group, ShareLayers(engine, group, engine.layers));
   CloseGaps(engine, group, possible);
-  Trim(engine, group, kTrimShare * possible);
+  Trim(engine, group, std::min(kTrimTokens, kTrimShare * possible));
   for (Slot* slot : group) {
     if (slot->target)
       continue;
