Move streams to another data center when their own lost a part; close gaps evenly

Cause: a lost part made 58 streams of its data center be read again over the link between data centers: each paused 1.1 s. Gap closing fell back to servers with 9,000 tokens of room, since its steps were coarse. Change: a stream whose only other path crosses is started anew after its last event on a whole path of another data center, spread at random; silence is noticed by the stream's own interval and probes take 50 ms; gaps are closed in fine steps and neighbours relieve the server with least room.

--- a/include/trefoilwick/layer_path.h
+++ b/include/trefoilwick/layer_path.h
@@ -64,6 +64,9 @@
 // distinct servers that hold them.
 bool IsWholePath(const LayerPath& path, int layers, const ServerMap& servers);
 
+// Hops of the path that lead to another data center.
+int CountCrossings(const LayerPath& path, const ServerMap& servers);
+
 // Tokens times layers that fit beside the held layers; 0 when nothing does.
 double KvCapacity(const EngineModel& engine, const BackendServer& server);
 
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -36,7 +36,8 @@
 constexpr Duration kServerConnect = milliseconds(400);
 // A server that refused a part of a path is left out for this long.
 constexpr Duration kUnfitLife = milliseconds(500);
-constexpr Duration kProbeTimeout = milliseconds(90);
+constexpr Duration kProbeTimeout = milliseconds(50);
+constexpr int kProbeConnects = 2;
 constexpr Duration kProbeInterval = milliseconds(300);
 // A lost server is probed again before its mark ends.
 constexpr Duration kLostProbeInterval = milliseconds(900);
@@ -144,6 +145,21 @@
   m_coordination.SetLocalLoads(m_local_loads);
 }
 
+std::string GatewayCore::OtherDataCenter(const std::string& server) {
+  const auto from = servers().find(server);
+  if (from == servers().end())
+    return "";
+  std::set<std::string> others;
+  for (const auto& [id, other] : servers())
+    if (other.service == from->second.service &&
+        other.data_center != from->second.data_center)
+      others.insert(other.data_center);
+  if (others.empty())
+    return "";
+  return *std::next(others.begin(),
+                    static_cast<std::ptrdiff_t>(m_random.Below(others.size())));
+}
+
 bool GatewayCore::TryRetry() {
   const TimePoint now = Now();
   const SendCounts elsewhere = m_coordination.SendsElsewhere(now);
@@ -177,22 +193,17 @@
   if (last != TimePoint{} && now - last < kProbeInterval)
     return;
   last = now;
-  const std::string address = found->second.address;
-  TryConnect(m_io, address, kProbeTimeout,
-             [this, server, address](ConnectResult first) {
-               if (first == ConnectResult::kAccepted)
-                 return m_coordination.MarkFound(server);
-               if (first == ConnectResult::kRefused)
-                 return ReportLost(server);
-               // One opening packet may be lost.
-               TryConnect(m_io, address, kProbeTimeout,
-                          [this, server](ConnectResult second) {
-                            if (second == ConnectResult::kAccepted)
-                              m_coordination.MarkFound(server);
-                            else
-                              ReportLost(server);
-                          });
-             });
+  // One opening packet may be lost: two are sent, and one answer suffices.
+  auto silent = std::make_shared<int>(0);
+  for (int i = 0; i < kProbeConnects; ++i)
+    TryConnect(m_io, found->second.address, kProbeTimeout,
+               [this, server, silent](ConnectResult result) {
+                 if (result == ConnectResult::kAccepted)
+                   m_coordination.MarkFound(server);
+                 else if (result == ConnectResult::kRefused ||
+                          ++*silent == kProbeConnects)
+                   ReportLost(server);
+               });
 }
 
 void GatewayCore::ReportLost(const std::string& server) {
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -70,6 +70,9 @@
   void MarkUnfit(const std::string& address);
   // Servers not to choose now: lost, or unfit a moment ago.
   std::set<std::string> Avoided(TimePoint now);
+  // A random data center with servers of the same service, other than the
+  // server's own; empty when there is none.
+  std::string OtherDataCenter(const std::string& server);
   // Asks whether a server still accepts connections; one that does not is
   // marked lost, which OnServerLost tells to its requests.
   void Probe(const std::string& server);
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -26,7 +26,8 @@
 constexpr double kDefaultAnswerTokens = 150;
 // Silence after which the servers of a path are probed: in mid-stream, and
 // before the first event, when the prompt is still read.
-constexpr Duration kEventSilence = milliseconds(140);
+constexpr Duration kLeastEventSilence = milliseconds(70);
+constexpr Duration kEventSilence = milliseconds(180);
 constexpr Duration kFirstEventSilence = milliseconds(350);
 constexpr Duration kPlainSilence = milliseconds(400);
 // Answers up to this size are held until they are complete, so that a broken
@@ -198,7 +199,8 @@
   wanted.service = m_service;
   wanted.tokens = ExpectedTokens();
   wanted.prompt_tokens = m_request.prompt_tokens;
-  wanted.data_center = m_core.settings().data_center;
+  wanted.data_center =
+      m_data_center.empty() ? m_core.settings().data_center : m_data_center;
   wanted.excluded = m_core.Avoided(m_core.Now());
   wanted.excluded.insert(m_avoid.begin(), m_avoid.end());
   if (m_forward.servers_used_up())
@@ -363,7 +365,19 @@
 
 void Exchange::OnUpstreamBody(std::string bytes) {
   const auto self = shared_from_this();
-  m_last_progress = m_core.Now();
+  const TimePoint now = m_core.Now();
+  if (m_events.any() && now - m_last_event > m_route->gap_target)
+    m_core.Log("late_event",
+               {{"id", m_request.attempt_id},
+                {"server", m_server},
+                {"after_event", std::to_string(m_events.last_id())},
+                {"gap_ms", std::to_string((now - m_last_event).count() / 1000)},
+                {"repaths", std::to_string(m_repaths)},
+                {"sends", std::to_string(m_forward.sends())}});
+  if (m_events.any())
+    m_event_interval = (m_event_interval * 7 + (now - m_last_event)) / 8;
+  m_last_progress = now;
+  m_last_event = now;
   if (m_streaming) {
     PassEvents(m_events.Feed(bytes));
     return;
@@ -600,6 +614,16 @@
   wanted.first_part = m_path.front();
   LoadMap loads = m_core.coordination().Loads(m_core.Now());
   const auto choice = ChoosePath(*engine, m_core.servers(), loads, wanted, 1.0);
+  // To read a request again over the link between data centers takes longer
+  // than to start it anew on a path within another one.
+  const bool crosses =
+      choice && CountCrossings(choice->path, m_core.servers()) >
+                    CountCrossings(m_path, m_core.servers());
+  if (!choice || crosses) {
+    m_avoid.insert(lost);
+    if (MoveElsewhere())
+      return;
+  }
   if (!choice) {
     m_core.Log("no_other_path", {{"id", m_request.attempt_id}, {"lost", lost}});
     return;
@@ -627,15 +651,30 @@
              {{"id", m_request.attempt_id},
               {"result", std::to_string(static_cast<int>(result))}});
   if (result == OrderResult::kAccepted) {
+    ++m_repaths;
     ReleaseLoad();
     m_path = std::move(path);
     TakeLoad();
     m_last_progress = m_core.Now();
     return;
   }
-  // The stream goes on elsewhere when it may.
-  if (m_forward.MayResume() || m_forward.MaySendAgain())
-    OnUpstreamBroken();
+  MoveElsewhere();
+}
+
+bool Exchange::MoveElsewhere() {
+  if (!m_route->MayRepeat() ||
+      !(m_forward.MayResume() || m_forward.MaySendAgain()))
+    return false;
+  m_core.Log("move", {{"id", m_request.attempt_id},
+                      {"server", m_server},
+                      {"last_event", std::to_string(m_events.last_id())}});
+  // Many streams move at once: they spread over the other data centers.
+  m_data_center = m_core.OtherDataCenter(m_server);
+  if (m_call)
+    m_call->Cancel();
+  m_call = nullptr;
+  Act(m_forward.OnServerEvent(ServerEvent::kBroken));
+  return true;
 }
 
 void Exchange::OnTick(TimePoint now) {
@@ -643,7 +682,9 @@
     return;
   Duration limit = kPlainSilence;
   if (!m_path.empty())
-    limit = m_events.any() ? kEventSilence : kFirstEventSilence;
+    limit = m_events.any() ? std::clamp(m_event_interval * 5 / 2,
+                                        kLeastEventSilence, kEventSilence)
+                           : kFirstEventSilence;
   if (now - m_last_progress < limit)
     return;
   m_core.Probe(m_server);
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -58,6 +58,8 @@
   void WaitOrRefuse();
   void Act(const ForwardDecision& decision);
   void SendAgain();
+  // Leaves the server and goes on elsewhere, when that is allowed.
+  bool MoveElsewhere();
   void Repath(const std::string& lost);
   void OnRepathed(OrderResult result, LayerPath path);
   void Commit();
@@ -78,6 +80,9 @@
   TimePoint m_deadline;
   TimePoint m_hold_until;
   TimePoint m_last_progress;
+  TimePoint m_last_event;
+  // Mean time between events, for noticing silence.
+  Duration m_event_interval{0};
   TimePoint m_offered_at;
   TimePoint m_first_event_at;
   boost::asio::steady_timer m_timer;
@@ -92,6 +97,8 @@
   std::string m_server;
   LayerPath m_path;
   std::set<std::string> m_avoid;
+  // Where the path should lie; empty for this instance's own data center.
+  std::string m_data_center;
   AnswerHead m_head;
   std::string m_body;
   EventSplitter m_events;
@@ -102,6 +109,7 @@
   bool m_raw_parts = false;
   bool m_committed = false;
   bool m_repathing = false;
+  int m_repaths = 0;
   bool m_load_taken = false;
   bool m_ended = false;
   const char* m_refusal = "no server has room";
--- a/src/http_call.cc
+++ b/src/http_call.cc
@@ -22,6 +22,7 @@
 // A kept connection that is older is not used again.
 constexpr Duration kKeptLife = std::chrono::seconds(3);
 constexpr size_t kMaxKept = 2;
+constexpr Duration kLateAnswer = std::chrono::milliseconds(5);
 // Bound on an answer of the platform's store or of a server to an order.
 constexpr uint64_t kMaxAnswerBytes = 64ull << 20;
 
@@ -227,10 +228,16 @@
   timer->async_wait([=](error_code error) {
     if (error || *done)
       return;
-    *done = true;
-    error_code ignored;
-    socket->close(ignored);
-    handler(ConnectResult::kSilent);
+    // A process that stood still finds both the answer and the timer due.
+    timer->expires_after(kLateAnswer);
+    timer->async_wait([=](error_code late_error) {
+      if (late_error || *done)
+        return;
+      *done = true;
+      error_code ignored;
+      socket->close(ignored);
+      handler(ConnectResult::kSilent);
+    });
   });
   socket->async_connect(*endpoint, [=](error_code error) {
     if (*done)
--- a/src/layer_path.cc
+++ b/src/layer_path.cc
@@ -15,7 +15,7 @@
 constexpr double kRemoteHopMs = 1.0;
 // Transfers between data centers share one link; the factor keeps ordinary
 // traffic off it while a local path exists.
-constexpr double kPipeShareFactor = 8.0;
+constexpr double kPipeShareFactor = 16.0;
 // Cost of entering in another data center: above the gain from its faster
 // servers, below that of a path whose memory is more than half full.
 constexpr double kRemoteEntry = 250;
@@ -177,6 +177,20 @@
   return at == layers;
 }
 
+int CountCrossings(const LayerPath& path, const ServerMap& servers) {
+  int crossings = 0;
+  const std::string* before = nullptr;
+  for (const PathPart& part : path) {
+    const auto server = servers.find(part.server);
+    if (server == servers.end())
+      continue;
+    const std::string& here = server->second.data_center;
+    crossings += before != nullptr && *before != here ? 1 : 0;
+    before = &here;
+  }
+  return crossings;
+}
+
 double KvCapacity(const EngineModel& engine, const BackendServer& server) {
   const AcceleratorKind* kind = KindOf(engine, server.kind);
   if (kind == nullptr || !server.layers || engine.layers == 0)
--- a/src/layer_path_placement.cc
+++ b/src/layer_path_placement.cc
@@ -12,6 +12,11 @@
 constexpr double kLeastTokens = 5'000;
 // More room than any layer needs.
 constexpr double kManyTokens = 1e6;
+// Gaps are closed so that every server keeps as large a share as possible of
+// the room that an even tiling gives.
+constexpr double kFirstShare = 0.8;
+constexpr double kLastShare = 0.03;
+constexpr double kShareStep = 0.85;
 // A server with less than this share of the room that an even tiling gives
 // gives up layers that others hold as well.
 constexpr double kTrimShare = 0.5;
@@ -308,7 +313,7 @@
 
 // Closes all gaps, with as much room for tokens as can be kept.
 void CloseGaps(const EngineModel& engine, Group& group, double possible) {
-  for (const double share : {0.6, 0.4, 0.2, 0.05}) {
+  for (double share = kFirstShare; share > kLastShare; share *= kShareStep) {
     const double tokens = std::max(kLeastTokens, share * possible);
     for (LayerRange gap : FindGaps(engine.layers, group)) {
       FillByEmpty(engine, group, tokens, gap);
@@ -362,6 +367,34 @@
   return best;
 }
 
+// Lets a neighbour take in layers of the server with least room, when it keeps
+// clearly more; Trim then lets that server give them up.
+void Relieve(const EngineModel& engine, const Group& group, double tokens) {
+  const Group chain = SelectChain(group);
+  const auto room = [&](const Slot* slot, int more) {
+    return TokensBeside(engine, *slot, slot->target->size() + more);
+  };
+  const auto scarcest = std::min_element(
+      chain.begin(), chain.end(),
+      [&](const Slot* a, const Slot* b) { return room(a, 0) < room(b, 0); });
+  if (scarcest == chain.end() || room(*scarcest, 0) >= tokens ||
+      (*scarcest)->pending)
+    return;
+  const LayerRange range = *(*scarcest)->target;
+  for (const bool left : {true, false}) {
+    if (left ? scarcest == chain.begin() : scarcest + 1 == chain.end())
+      continue;
+    Slot* neighbour = left ? *(scarcest - 1) : *(scarcest + 1);
+    LayerRange& theirs = *neighbour->target;
+    const bool touches =
+        left ? theirs.to == range.from : theirs.from == range.to;
+    if (!touches || neighbour->pending || range.size() < 3 ||
+        room(neighbour, 1) < 2 * room(*scarcest, 0))
+      continue;
+    (left ? theirs.to : theirs.from) += left ? 1 : -1;
+  }
+}
+
 // Sets the targets of a group: what is held, widened over gaps, and replicas
 // on servers that are empty.
 void SetTargets(const EngineModel& engine, Group& group) {
@@ -378,6 +411,7 @@
       LeastTokens(engine, group, ShareLayers(engine, group, engine.layers));
   CloseGaps(engine, group, possible);
   Trim(engine, group, std::min(kTrimTokens, kTrimShare * possible));
+  Relieve(engine, group, std::min(kTrimTokens, kTrimShare * possible));
   for (Slot* slot : group) {
     if (slot->target)
       continue;
