--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -109,6 +109,10 @@
   void MarkLost(TimePoint now, const std::string& server);
   void MarkFound(const std::string& server);
 
+  // A server refused a request for now; the others hear of it.
+  void MarkRefusing(TimePoint now, const std::string& server);
+  std::set<std::string> Refusing(TimePoint now) const;
+
   std::vector<CoordinationAction> TakeActions();
 
   bool is_coordinator() const { return m_is_coordinator; }
@@ -156,6 +160,7 @@
   void Follow(TimePoint now, const LeaseRow& row);
   void StepDown(TimePoint now);
   void ReadListIfStale(TimePoint now);
+  void Broadcast(TimePoint now, const std::string& bytes);
   void HearOfLost(const std::string& server);
   void NoteConfigVersion(TimePoint now, int64_t version);
   Duration TakeOverDelay() const;
@@ -204,6 +209,8 @@
   std::map<std::string, Peer> m_peers;
   std::vector<ClusterMember> m_members;
   std::map<std::string, LostMark> m_lost;
+  // Until when each server is left out.
+  std::map<std::string, TimePoint> m_refusing;
   std::vector<CoordinationAction> m_actions;
 };
 
--- a/include/trefoilwick/forwarding.h
+++ b/include/trefoilwick/forwarding.h
@@ -174,15 +174,23 @@
   struct Counts {
     double requests = 0;
     double retries = 0;
+    // Retries too recent to be known to other instances.
+    double recent_retries = 0;
   };
   // Sends of this instance in the window.
   Counts Local(TimePoint now) const;
   // Takes one from the budget; false when it is spent. `elsewhere` are the
-  // sends of the other instances, as last heard.
-  bool TryRetry(TimePoint now, const Counts& elsewhere);
+  // sends of the other instances, as last heard; each of these `others` is
+  // taken to retry as much as this one since. The last part of the budget is
+  // for answers that have `begun`: what has not can be refused truthfully.
+  bool TryRetry(TimePoint now,
+                const Counts& elsewhere,
+                size_t others,
+                bool begun);
 
  private:
-  static constexpr int kSlices = 10;
+  static constexpr int kSlices = 50;
+  static constexpr int kRecentSlices = 3;
   struct Slice {
     int64_t index = -1;
     double requests = 0;
--- a/src/cluster.thrift
+++ b/src/cluster.thrift
@@ -83,4 +83,6 @@
   3: optional ServerList servers
   // Servers that an instance found unreachable just now.
   4: optional list<string> lost
+  // Servers that refused a request just now.
+  5: optional list<string> refusing
 }
--- a/src/cluster_codec.cc
+++ b/src/cluster_codec.cc
@@ -171,6 +171,13 @@
   return Encode(message);
 }
 
+std::string EncodeRefusing(const std::vector<std::string>& servers) {
+  wire::Message message;
+  message.refusing = servers;
+  message.__isset.refusing = true;
+  return Encode(message);
+}
+
 std::optional<ClusterMessage> DecodeClusterMessage(const std::string& bytes) {
   wire::Message message;
   try {
@@ -191,6 +198,8 @@
     return FromWire(message.servers);
   if (message.__isset.lost)
     return LostServers{message.lost};
+  if (message.__isset.refusing)
+    return RefusingServers{message.refusing};
   return std::nullopt;
 }
 
--- a/src/cluster_codec.h
+++ b/src/cluster_codec.h
@@ -46,13 +46,21 @@
   std::vector<std::string> servers;
 };
 
-using ClusterMessage = std::
-    variant<InstanceReport, CoordinatorBeat, ServerListMessage, LostServers>;
+struct RefusingServers {
+  std::vector<std::string> servers;
+};
+
+using ClusterMessage = std::variant<InstanceReport,
+                                    CoordinatorBeat,
+                                    ServerListMessage,
+                                    LostServers,
+                                    RefusingServers>;
 
 std::string EncodeReport(const InstanceReport& report);
 std::string EncodeBeat(const CoordinatorBeat& beat);
 std::string EncodeServerList(const ServerListMessage& list);
 std::string EncodeLost(const std::vector<std::string>& servers);
+std::string EncodeRefusing(const std::vector<std::string>& servers);
 // Null when the bytes are no message.
 std::optional<ClusterMessage> DecodeClusterMessage(const std::string& bytes);
 
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -28,6 +28,8 @@
 constexpr Duration kListRetry = milliseconds(900);
 constexpr Duration kConfigRetry = milliseconds(500);
 constexpr Duration kMemberSilence = milliseconds(1500);
+// A server that refused a request is left out by all for this long.
+constexpr Duration kRefusalLife = milliseconds(500);
 constexpr Duration kLostLife = seconds(2);
 
 // Adds `more` times `sign` to `sum`; entries that reach zero are dropped.
@@ -95,6 +97,8 @@
 }
 
 void Coordination::OnTick(TimePoint now) {
+  std::erase_if(m_refusing,
+                [&](const auto& entry) { return entry.second <= now; });
   std::erase_if(m_lost,
                 [&](const auto& entry) { return entry.second.until <= now; });
   if (m_is_coordinator) {
@@ -312,12 +316,31 @@
   // With most servers lost it is rather the link of this instance.
   if (!is_new || m_lost.size() * 2 > m_servers->size())
     return;
-  const std::string bytes = detail::EncodeLost({server});
+  Broadcast(now, detail::EncodeLost({server}));
+}
+
+void Coordination::Broadcast(TimePoint now, const std::string& bytes) {
   for (const ClusterMember& member : Members(now))
     if (member.ip != m_ip)
       m_actions.emplace_back(SendDatagram{member.ip, bytes});
 }
 
+void Coordination::MarkRefusing(TimePoint now, const std::string& server) {
+  TimePoint& until = m_refusing[server];
+  const bool is_new = until <= now;
+  until = now + kRefusalLife;
+  if (is_new)
+    Broadcast(now, detail::EncodeRefusing({server}));
+}
+
+std::set<std::string> Coordination::Refusing(TimePoint now) const {
+  std::set<std::string> out;
+  for (const auto& [server, until] : m_refusing)
+    if (until > now)
+      out.insert(server);
+  return out;
+}
+
 void Coordination::HearOfLost(const std::string& server) {
   if (!m_lost.contains(server) && m_servers->contains(server))
     m_actions.emplace_back(ProbeServer{server});
@@ -474,6 +497,10 @@
             m_servers = std::make_shared<const ServerMap>(list.servers);
             UpdateUsable();
           },
+          [&](const detail::RefusingServers& refusing) {
+            for (const std::string& server : refusing.servers)
+              m_refusing[server] = now + kRefusalLife;
+          },
           [&](const detail::LostServers& lost) {
             for (const std::string& server : lost.servers)
               HearOfLost(server);
--- a/src/forwarding.cc
+++ b/src/forwarding.cc
@@ -11,9 +11,9 @@
 constexpr int kMaxConnectFailures = 4;
 // Sends of one stream, to as many servers as its route allows.
 constexpr int kMaxStreamSends = 5;
-// Part of the retry budget that covers what other instances used since they
-// were heard.
-constexpr double kBudgetReserve = 0.25;
+// Part of the retry budget that covers the error of what is heard of others.
+constexpr double kBudgetReserve = 0.2;
+constexpr double kBudgetForNew = 0.55;
 
 // Value of the field `id` of an event, or -1.
 int64_t EventId(std::string_view event) {
@@ -206,17 +206,22 @@
       continue;
     sum.requests += slice.requests;
     sum.retries += slice.retries;
+    if (slice.index > index - kRecentSlices)
+      sum.recent_retries += slice.retries;
   }
   return sum;
 }
 
-bool RetryWindow::TryRetry(TimePoint now, const Counts& elsewhere) {
+bool RetryWindow::TryRetry(TimePoint now,
+                           const Counts& elsewhere,
+                           size_t others,
+                           bool begun) {
   const Counts local = Local(now);
   const double budget =
       m_ratio * (local.requests + elsewhere.requests) + m_slack;
-  // The others may have used some since they were heard.
-  const double usable = budget * (1 - kBudgetReserve);
-  if (local.retries + elsewhere.retries + 1 > usable)
+  const double unheard = local.recent_retries * static_cast<double>(others);
+  const double usable = budget * (begun ? 1 - kBudgetReserve : kBudgetForNew);
+  if (local.retries + elsewhere.retries + unheard + 1 > usable)
     return false;
   ++At(now).retries;
   return true;
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -34,8 +34,6 @@
 constexpr Duration kLostBeforePlacing = milliseconds(300);
 constexpr Duration kOrderTimeout = milliseconds(1500);
 constexpr Duration kServerConnect = milliseconds(400);
-// A server that refused a part of a path is left out for this long.
-constexpr Duration kUnfitLife = milliseconds(500);
 constexpr Duration kProbeTimeout = milliseconds(50);
 constexpr int kProbeConnects = 2;
 constexpr Duration kProbeInterval = milliseconds(300);
@@ -160,25 +158,25 @@
                     static_cast<std::ptrdiff_t>(m_random.Below(others.size())));
 }
 
-bool GatewayCore::TryRetry() {
+bool GatewayCore::TryRetry(bool begun) {
   const TimePoint now = Now();
   const SendCounts elsewhere = m_coordination.SendsElsewhere(now);
-  return m_retries.TryRetry(now, {static_cast<double>(elsewhere.requests),
-                                  static_cast<double>(elsewhere.retries)});
+  return m_retries.TryRetry(now,
+                            {static_cast<double>(elsewhere.requests),
+                             static_cast<double>(elsewhere.retries), 0},
+                            m_coordination.Members(now).size() - 1, begun);
 }
 
-void GatewayCore::MarkUnfit(const std::string& address) {
+void GatewayCore::MarkRefusing(const std::string& address) {
   for (const auto& [id, server] : servers())
     if (server.address == address)
-      m_unfit[id] = Now() + kUnfitLife;
+      m_coordination.MarkRefusing(Now(), id);
+  RunActions();
 }
 
 std::set<std::string> GatewayCore::Avoided(TimePoint now) {
-  std::erase_if(m_unfit,
-                [&](const auto& entry) { return entry.second <= now; });
   std::set<std::string> out = m_coordination.Lost(now);
-  for (const auto& [server, until] : m_unfit)
-    out.insert(server);
+  out.merge(m_coordination.Refusing(now));
   return out;
 }
 
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -47,8 +47,8 @@
   const ServerMap& servers() const { return *m_coordination.servers(); }
   ConnectionPool& pool() { return m_pool; }
   RetryWindow& retries() { return m_retries; }
-  // Takes one retry from this instance's share of the budget.
-  bool TryRetry();
+  // Takes one retry from the budget; `begun` for an answer in progress.
+  bool TryRetry(bool begun);
   Random& random() { return m_random; }
   Metrics& metrics() { return m_metrics; }
   bool leaving() const { return m_leaving; }
@@ -67,8 +67,8 @@
   void AddLoad(const std::string& server, int sign);
 
   // The server at the address refused its part of a path.
-  void MarkUnfit(const std::string& address);
-  // Servers not to choose now: lost, or unfit a moment ago.
+  void MarkRefusing(const std::string& address);
+  // Servers not to choose now: lost, or refusing a moment ago.
   std::set<std::string> Avoided(TimePoint now);
   // A random data center with servers of the same service, other than the
   // server's own; empty when there is none.
@@ -146,7 +146,6 @@
   LoadMap m_local_loads;
   std::map<std::string, TimePoint> m_probed;
   std::set<std::string> m_told_lost;
-  std::map<std::string, TimePoint> m_unfit;
   std::map<std::string, PendingOrder> m_orders;
   // Orders that each server has begun, as far as known. A server starts with
   // none; an order that names another number is refused, so that a late copy
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -21,7 +21,10 @@
 constexpr Duration kMostHold = milliseconds(1300);
 constexpr Duration kDefaultTimeout = std::chrono::seconds(20);
 // Largest share of a server's KV memory that reservations may take.
-constexpr double kMostUse = 0.95;
+constexpr double kMostUse = 0.8;
+constexpr double kMostRepathUse = 0.95;
+// Hints are right at the median; the mean of what they stand for is higher.
+constexpr double kHintMargin = 1.3;
 // Part of a longest answer that is reserved when nothing else is known.
 constexpr double kDefaultAnswerTokens = 150;
 // Silence after which the servers of a path are probed: in mid-stream, and
@@ -127,7 +130,7 @@
 }
 
 double Exchange::ExpectedTokens() const {
-  double answer = m_request.answer_hint;
+  double answer = m_request.answer_hint * kHintMargin;
   if (answer <= 0) {
     const EngineModel* engine = Engine();
     answer = engine && engine->usual_answer > 0 ? engine->usual_answer
@@ -327,7 +330,7 @@
 void Exchange::SendAgain() {
   m_call = nullptr;
   ReleaseLoad();
-  if (m_forward.sends() > 0 && !m_core.TryRetry()) {
+  if (m_forward.sends() > 0 && !m_core.TryRetry(m_committed)) {
     m_refusal = "the retry budget is spent";
     Act(m_forward.OnNoServer());
     return;
@@ -469,7 +472,7 @@
     m_avoid.insert(m_server);
     return;
   }
-  m_core.MarkUnfit(m_head.fault_address);
+  m_core.MarkRefusing(m_head.fault_address);
   for (const PathPart& part : m_path) {
     const auto server = m_core.servers().find(part.server);
     if (server != m_core.servers().end() &&
@@ -613,7 +616,8 @@
   wanted.excluded.insert(lost);
   wanted.first_part = m_path.front();
   LoadMap loads = m_core.coordination().Loads(m_core.Now());
-  const auto choice = ChoosePath(*engine, m_core.servers(), loads, wanted, 1.0);
+  const auto choice =
+      ChoosePath(*engine, m_core.servers(), loads, wanted, kMostRepathUse);
   // To read a request again over the link between data centers takes longer
   // than to start it anew on a path within another one.
   const bool crosses =
--- a/src/gen/cluster_types.cpp
+++ b/src/gen/cluster_types.cpp
@@ -1621,6 +1621,11 @@
   this->lost = val;
 __isset.lost = true;
 }
+
+void Message::__set_refusing(const std::vector<std::string> & val) {
+  this->refusing = val;
+__isset.refusing = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -1693,6 +1698,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->refusing.clear();
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->refusing.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
+            {
+              xfer += iprot->readString(this->refusing[_i65]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.refusing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1729,10 +1754,23 @@
     xfer += oprot->writeFieldBegin("lost", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->lost.size()));
-      std::vector<std::string> ::const_iterator _iter61;
-      for (_iter61 = this->lost.begin(); _iter61 != this->lost.end(); ++_iter61)
+      std::vector<std::string> ::const_iterator _iter66;
+      for (_iter66 = this->lost.begin(); _iter66 != this->lost.end(); ++_iter66)
+      {
+        xfer += oprot->writeString((*_iter66));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.refusing) {
+    xfer += oprot->writeFieldBegin("refusing", ::apache::thrift::protocol::T_LIST, 5);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->refusing.size()));
+      std::vector<std::string> ::const_iterator _iter67;
+      for (_iter67 = this->refusing.begin(); _iter67 != this->refusing.end(); ++_iter67)
       {
-        xfer += oprot->writeString((*_iter61));
+        xfer += oprot->writeString((*_iter67));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1749,22 +1787,25 @@
   swap(a.beat, b.beat);
   swap(a.servers, b.servers);
   swap(a.lost, b.lost);
+  swap(a.refusing, b.refusing);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other62) {
-  report = other62.report;
-  beat = other62.beat;
-  servers = other62.servers;
-  lost = other62.lost;
-  __isset = other62.__isset;
-}
-Message& Message::operator=(const Message& other63) {
-  report = other63.report;
-  beat = other63.beat;
-  servers = other63.servers;
-  lost = other63.lost;
-  __isset = other63.__isset;
+Message::Message(const Message& other68) {
+  report = other68.report;
+  beat = other68.beat;
+  servers = other68.servers;
+  lost = other68.lost;
+  refusing = other68.refusing;
+  __isset = other68.__isset;
+}
+Message& Message::operator=(const Message& other69) {
+  report = other69.report;
+  beat = other69.beat;
+  servers = other69.servers;
+  lost = other69.lost;
+  refusing = other69.refusing;
+  __isset = other69.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -1774,6 +1815,7 @@
   out << ", " << "beat="; (__isset.beat ? (out << to_string(beat)) : (out << "<null>"));
   out << ", " << "servers="; (__isset.servers ? (out << to_string(servers)) : (out << "<null>"));
   out << ", " << "lost="; (__isset.lost ? (out << to_string(lost)) : (out << "<null>"));
+  out << ", " << "refusing="; (__isset.refusing ? (out << to_string(refusing)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gen/cluster_types.h
+++ b/src/gen/cluster_types.h
@@ -612,11 +612,12 @@
 std::ostream& operator<<(std::ostream& out, const ServerList& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : report(false), beat(false), servers(false), lost(false) {}
+  _Message__isset() : report(false), beat(false), servers(false), lost(false), refusing(false) {}
   bool report :1;
   bool beat :1;
   bool servers :1;
   bool lost :1;
+  bool refusing :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -632,6 +633,7 @@
   Beat beat;
   ServerList servers;
   std::vector<std::string>  lost;
+  std::vector<std::string>  refusing;
 
   _Message__isset __isset;
 
@@ -643,6 +645,8 @@
 
   void __set_lost(const std::vector<std::string> & val);
 
+  void __set_refusing(const std::vector<std::string> & val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.report != rhs.__isset.report)
@@ -661,6 +665,10 @@
       return false;
     else if (__isset.lost && !(lost == rhs.lost))
       return false;
+    if (__isset.refusing != rhs.__isset.refusing)
+      return false;
+    else if (__isset.refusing && !(refusing == rhs.refusing))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/src/layer_path_placement.cc
+++ b/src/layer_path_placement.cc
@@ -324,23 +324,41 @@
 }
 
 // Gives up layers at the ends of servers that are short of room, where others
-// hold the same layers.
-void Trim(const EngineModel& engine, const Group& group, double tokens) {
+// hold the same layers. The end towards an open gap is kept: an overlap there
+// is a step towards closing it.
+void Trim(const EngineModel& engine,
+          const Group& group,
+          double tokens,
+          const std::vector<LayerRange>& gaps) {
   const auto held_elsewhere = [&](const Slot* slot, int layer) {
     return std::any_of(group.begin(), group.end(), [&](const Slot* other) {
       return other != slot && other->held && other->held->Contains(layer) &&
              other->target && other->target->Contains(layer);
     });
   };
-  for (Slot* slot : group) {
-    if (!slot->target || slot->pending)
-      continue;
+  // The one with least room first: of two that hold a layer, it gives it up.
+  Group order;
+  for (Slot* slot : group)
+    if (slot->target && !slot->pending)
+      order.push_back(slot);
+  std::stable_sort(order.begin(), order.end(),
+                   [&](const Slot* a, const Slot* b) {
+                     return TokensBeside(engine, *a, a->target->size()) <
+                            TokensBeside(engine, *b, b->target->size());
+                   });
+  for (Slot* slot : order) {
     LayerRange& range = *slot->target;
+    bool gap_before = false;
+    bool gap_after = false;
+    for (const LayerRange& gap : gaps) {
+      gap_before |= gap.to <= range.from;
+      gap_after |= gap.from >= range.to;
+    }
     while (range.size() > 1 &&
            TokensBeside(engine, *slot, range.size()) < tokens) {
-      if (held_elsewhere(slot, range.from))
+      if (!gap_before && held_elsewhere(slot, range.from))
         ++range.from;
-      else if (held_elsewhere(slot, range.to - 1))
+      else if (!gap_after && held_elsewhere(slot, range.to - 1))
         --range.to;
       else
         break;
@@ -367,31 +385,35 @@
   return best;
 }
 
-// Lets a neighbour take in layers of the server with least room, when it keeps
-// clearly more; Trim then lets that server give them up.
+// Lets another server take in a layer at an end of the one with least room,
+// when it keeps clearly more; Trim then lets that one give the layer up.
 void Relieve(const EngineModel& engine, const Group& group, double tokens) {
-  const Group chain = SelectChain(group);
   const auto room = [&](const Slot* slot, int more) {
     return TokensBeside(engine, *slot, slot->target->size() + more);
   };
-  const auto scarcest = std::min_element(
-      chain.begin(), chain.end(),
-      [&](const Slot* a, const Slot* b) { return room(a, 0) < room(b, 0); });
-  if (scarcest == chain.end() || room(*scarcest, 0) >= tokens ||
-      (*scarcest)->pending)
+  Slot* scarcest = nullptr;
+  for (Slot* slot : group)
+    if (slot->target && slot->target->size() > 1 &&
+        (scarcest == nullptr || room(slot, 0) < room(scarcest, 0)))
+      scarcest = slot;
+  if (scarcest == nullptr || scarcest->pending || room(scarcest, 0) >= tokens)
     return;
-  const LayerRange range = *(*scarcest)->target;
-  for (const bool left : {true, false}) {
-    if (left ? scarcest == chain.begin() : scarcest + 1 == chain.end())
-      continue;
-    Slot* neighbour = left ? *(scarcest - 1) : *(scarcest + 1);
-    LayerRange& theirs = *neighbour->target;
-    const bool touches =
-        left ? theirs.to == range.from : theirs.from == range.to;
-    if (!touches || neighbour->pending || range.size() < 3 ||
-        room(neighbour, 1) < 2 * room(*scarcest, 0))
+  for (const int layer : {scarcest->target->from, scarcest->target->to - 1}) {
+    Slot* best = nullptr;
+    for (Slot* slot : group) {
+      const bool touches =
+          slot != scarcest && slot->target && !slot->pending &&
+          (slot->target->to == layer || slot->target->from == layer + 1);
+      if (touches && room(slot, 1) >= 2 * room(scarcest, 0) &&
+          (best == nullptr || room(slot, 1) > room(best, 1)))
+        best = slot;
+    }
+    if (best == nullptr)
       continue;
-    (left ? theirs.to : theirs.from) += left ? 1 : -1;
+    if (best->target->to == layer)
+      ++best->target->to;
+    else
+      --best->target->from;
   }
 }
 
@@ -410,8 +432,11 @@
   const double possible =
       LeastTokens(engine, group, ShareLayers(engine, group, engine.layers));
   CloseGaps(engine, group, possible);
-  Trim(engine, group, std::min(kTrimTokens, kTrimShare * possible));
-  Relieve(engine, group, std::min(kTrimTokens, kTrimShare * possible));
+  const double enough = std::min(kTrimTokens, kTrimShare * possible);
+  const auto gaps = FindGaps(engine.layers, group);
+  Trim(engine, group, enough, gaps);
+  if (gaps.empty())
+    Relieve(engine, group, enough);
   for (Slot* slot : group) {
     if (slot->target)
       continue;
--- /dev/null
+++ b/test/forwarding_test.cc
@@ -0,0 +1,293 @@
+#include "trefoilwick/forwarding.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <vector>
+
+namespace trefoilwick {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Route MakeRoute(RouteKind kind, int attempts, bool resumable = false) {
+  Route route;
+  route.kind = kind;
+  route.max_attempts = attempts;
+  route.resumable = resumable;
+  return route;
+}
+
+ForwardState StateOf(const Route& route) {
+  return ForwardState::Builder().SetRoute(route).Build();
+}
+
+template <typename T>
+bool Is(const ForwardDecision& decision) {
+  return std::holds_alternative<T>(decision);
+}
+
+// What a server does with a request that reached it, and whether it ran it.
+struct Step {
+  ServerEvent event;
+  bool sent;
+  bool may_have_run;
+};
+constexpr Step kSteps[] = {
+    {ServerEvent::kConnectFailed, false, false},
+    {ServerEvent::kRefused, true, false},
+    {ServerEvent::kAnswered, true, true},
+    {ServerEvent::kServerFailed, true, true},
+    {ServerEvent::kAnswerBegun, true, true},
+    {ServerEvent::kBroken, true, true},
+};
+
+class ForwardingTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ForwardingTest);
+  CPPUNIT_TEST(EveryOrderOfEventsKeepsThePromises);
+  CPPUNIT_TEST(RefusedByAllIsNotRun);
+  CPPUNIT_TEST(LostAnswerOfAWriteIsUnknown);
+  CPPUNIT_TEST(DeadlineWhileOfferedIsUnknown);
+  CPPUNIT_TEST(StreamGoesOnAtAnotherServer);
+  CPPUNIT_TEST(EndedServersDoNotCount);
+  CPPUNIT_TEST(EventsAreCutAtTheirEnds);
+  CPPUNIT_TEST(ResumedStreamSkipsWhatWasPassedOn);
+  CPPUNIT_TEST(MissingEventStopsTheStream);
+  CPPUNIT_TEST(EventsSurviveAnyCut);
+  CPPUNIT_TEST(RetryWindowBoundsAllInstances);
+  CPPUNIT_TEST(RetryWindowForgets);
+  CPPUNIT_TEST(LastRetriesAreForAnswersInProgress);
+  CPPUNIT_TEST_SUITE_END();
+
+  // Explores all sequences of server events up to a length, with a deadline
+  // after each prefix, and checks each final decision.
+  struct Walk {
+    Route route;
+    int leaves = 0;
+
+    void Visit(const ForwardState& state,
+               bool ran,
+               int runs,
+               bool relaying,
+               int depth) {
+      CheckDeadline(state, ran, relaying);
+      if (depth == 0)
+        return;
+      for (const Step& step : kSteps) {
+        if (relaying && step.event == ServerEvent::kAnswerBegun)
+          continue;
+        ForwardState next = state;
+        if (step.sent)
+          next.OnSend("server-" + std::to_string(depth));
+        const ForwardDecision decision = next.OnServerEvent(step.event);
+        const bool now_ran = ran || step.may_have_run;
+        const int now_runs = runs + (step.may_have_run ? 1 : 0);
+        Check(decision, now_ran, now_runs, relaying, step.event);
+        if (step.event == ServerEvent::kAnswerBegun) {
+          Visit(next, now_ran, now_runs, true, depth - 1);
+        } else if (Is<SendToServer>(decision)) {
+          Visit(next, now_ran, now_runs, relaying, depth - 1);
+        } else {
+          ++leaves;
+        }
+      }
+    }
+
+    void CheckDeadline(ForwardState state, bool ran, bool relaying) const {
+      const ForwardDecision decision = state.OnDeadline();
+      if (relaying)
+        CPPUNIT_ASSERT(Is<BreakAnswer>(decision));
+      else if (ran)
+        CPPUNIT_ASSERT(Is<FailUnknown>(decision));
+      else
+        CPPUNIT_ASSERT(Is<RefuseNotRun>(decision));
+    }
+
+    void Check(const ForwardDecision& decision,
+               bool ran,
+               int runs,
+               bool relaying,
+               ServerEvent event) const {
+      // "Not run" is said only when it is certain.
+      if (Is<RefuseNotRun>(decision))
+        CPPUNIT_ASSERT(!ran);
+      // What may run once is never sent after it may have run.
+      if (Is<SendToServer>(decision) && !route.MayRepeat())
+        CPPUNIT_ASSERT(!ran);
+      // A client that has a part of an answer gets no second status.
+      if (relaying && event != ServerEvent::kAnswered)
+        CPPUNIT_ASSERT(!Is<FailUnknown>(decision) &&
+                       !Is<RefuseNotRun>(decision));
+      if (route.kind != RouteKind::kStream && Is<SendToServer>(decision))
+        CPPUNIT_ASSERT(runs < route.max_attempts);
+    }
+  };
+
+ public:
+  void EveryOrderOfEventsKeepsThePromises() {
+    constexpr int kDepth = 5;
+    int leaves = 0;
+    for (const RouteKind kind : {RouteKind::kIdempotent,
+                                 RouteKind::kNonIdempotent, RouteKind::kStream})
+      for (const bool resumable : {false, true})
+        for (const int attempts : {1, 2, 3}) {
+          Walk walk{MakeRoute(kind, attempts, resumable)};
+          walk.Visit(StateOf(walk.route), false, 0, false, kDepth);
+          leaves += walk.leaves;
+        }
+    CPPUNIT_ASSERT(leaves > 1000);
+  }
+
+  void RefusedByAllIsNotRun() {
+    ForwardState state = StateOf(MakeRoute(RouteKind::kNonIdempotent, 2));
+    state.OnSend("a");
+    CPPUNIT_ASSERT(
+        Is<SendToServer>(state.OnServerEvent(ServerEvent::kRefused)));
+    state.OnSend("b");
+    CPPUNIT_ASSERT(
+        Is<RefuseNotRun>(state.OnServerEvent(ServerEvent::kRefused)));
+  }
+
+  // A ballot whose answer is lost must not be sent again.
+  void LostAnswerOfAWriteIsUnknown() {
+    ForwardState state = StateOf(MakeRoute(RouteKind::kNonIdempotent, 3));
+    state.OnSend("a");
+    CPPUNIT_ASSERT(Is<FailUnknown>(state.OnServerEvent(ServerEvent::kBroken)));
+  }
+
+  void DeadlineWhileOfferedIsUnknown() {
+    ForwardState state = StateOf(MakeRoute(RouteKind::kNonIdempotent, 1));
+    state.OnSend("a");
+    CPPUNIT_ASSERT(Is<FailUnknown>(state.OnDeadline()));
+    // A late answer changes nothing.
+    CPPUNIT_ASSERT(
+        Is<KeepWaiting>(state.OnServerEvent(ServerEvent::kAnswered)));
+  }
+
+  void StreamGoesOnAtAnotherServer() {
+    ForwardState state = StateOf(MakeRoute(RouteKind::kStream, 2, true));
+    state.OnSend("a");
+    state.OnServerEvent(ServerEvent::kAnswerBegun);
+    CPPUNIT_ASSERT(Is<SendToServer>(state.OnServerEvent(ServerEvent::kBroken)));
+    CPPUNIT_ASSERT(!state.servers_used_up());
+    state.OnSend("b");
+    CPPUNIT_ASSERT(state.servers_used_up());
+    ForwardState once = StateOf(MakeRoute(RouteKind::kStream, 2, false));
+    once.OnSend("a");
+    once.OnServerEvent(ServerEvent::kAnswerBegun);
+    CPPUNIT_ASSERT(Is<BreakAnswer>(once.OnServerEvent(ServerEvent::kBroken)));
+  }
+
+  void EndedServersDoNotCount() {
+    ForwardState state = StateOf(MakeRoute(RouteKind::kStream, 1, true));
+    state.OnSend("a");
+    CPPUNIT_ASSERT(state.servers_used_up());
+    state.ForgetServer("a");
+    CPPUNIT_ASSERT(!state.servers_used_up());
+  }
+
+  void EventsAreCutAtTheirEnds() {
+    EventSplitter events;
+    CPPUNIT_ASSERT_EQUAL(std::string(), events.Feed("id: 0\ndata: a"));
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 0\ndata: ab\n\n"),
+                         events.Feed("b\n\nid: 1\nda"));
+    CPPUNIT_ASSERT_EQUAL(int64_t{0}, events.last_id());
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 1\nda"), events.partial());
+  }
+
+  // A run that starts a little earlier must not repeat pieces.
+  void ResumedStreamSkipsWhatWasPassedOn() {
+    EventSplitter events;
+    events.Feed("id: 0\ndata: a\n\nid: 1\ndata: b\n\nid: 2\nda");
+    events.Resume();
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 2\ndata: c\n\n"),
+                         events.Feed("id: 1\ndata: b\n\nid: 2\ndata: c\n\n"));
+    CPPUNIT_ASSERT(events.in_order());
+  }
+
+  void MissingEventStopsTheStream() {
+    EventSplitter events;
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 0\n\n"),
+                         events.Feed("id: 0\n\nid: 2\n\nid: 3\n\n"));
+    CPPUNIT_ASSERT(!events.in_order());
+    CPPUNIT_ASSERT_EQUAL(std::string(), events.Feed("id: 1\n\n"));
+  }
+
+  // Bytes arrive in any portions; what is passed on must not depend on them.
+  void EventsSurviveAnyCut() {
+    const std::string all =
+        "id: 5\ndata: x\n\nid: 6\r\ndata: y\r\n\r\nid: 7\ndata: z\n\n";
+    for (size_t first = 0; first <= all.size(); ++first)
+      for (size_t second = first; second <= all.size(); ++second) {
+        EventSplitter events;
+        std::string out = events.Feed(all.substr(0, first));
+        out += events.Feed(all.substr(first, second - first));
+        out += events.Feed(all.substr(second));
+        CPPUNIT_ASSERT_EQUAL(all, out);
+        CPPUNIT_ASSERT_EQUAL(int64_t{7}, events.last_id());
+      }
+  }
+
+  // Thirteen instances, each with its own window and news that are half a
+  // second old, retry at once: together they must stay within the budget.
+  void RetryWindowBoundsAllInstances() {
+    constexpr int kInstances = 13;
+    constexpr double kRatio = 0.2;
+    constexpr double kSlack = 425;
+    std::vector<RetryWindow> windows(kInstances,
+                                     RetryWindow(kRatio, kSlack, seconds(10)));
+    RetryWindow::Counts heard;
+    double requests = 0;
+    double retries = 0;
+    for (int tick = 0; tick < 100; ++tick) {
+      const TimePoint now(milliseconds(100) * (tick + 1000));
+      for (RetryWindow& window : windows) {
+        window.OnRequest(now);
+        ++requests;
+        for (int wish = 0; wish < 10; ++wish) {
+          retries += window.TryRetry(now, heard, kInstances - 1, true) ? 1 : 0;
+        }
+      }
+      if (tick % 5 != 4)
+        continue;
+      heard = {};
+      for (const RetryWindow& window : windows) {
+        heard.requests += window.Local(now).requests;
+        heard.retries += window.Local(now).retries;
+      }
+    }
+    CPPUNIT_ASSERT(retries <= kRatio * requests + kSlack);
+    CPPUNIT_ASSERT(retries > 0.3 * kSlack);
+  }
+
+  // A stream that is broken off has cost its client more than a refusal.
+  void LastRetriesAreForAnswersInProgress() {
+    RetryWindow window(0, 100, seconds(10));
+    const TimePoint start(seconds(1000));
+    int fresh = 0;
+    while (window.TryRetry(start, {}, 0, false))
+      ++fresh;
+    int begun = 0;
+    while (window.TryRetry(start, {}, 0, true))
+      ++begun;
+    CPPUNIT_ASSERT(fresh > 0);
+    CPPUNIT_ASSERT(begun > 0);
+    CPPUNIT_ASSERT(fresh + begun <= 100);
+  }
+
+  void RetryWindowForgets() {
+    RetryWindow window(0, 10, seconds(10));
+    const TimePoint start(seconds(1000));
+    int allowed = 0;
+    for (int i = 0; i < 20; ++i)
+      allowed += window.TryRetry(start, {}, 0, true) ? 1 : 0;
+    CPPUNIT_ASSERT(allowed > 0 && allowed <= 10);
+    CPPUNIT_ASSERT(!window.TryRetry(start + seconds(5), {}, 0, true));
+    CPPUNIT_ASSERT(window.TryRetry(start + seconds(11), {}, 0, true));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ForwardingTest);
+
+}  // namespace
+}  // namespace trefoilwick
--- /dev/null
+++ b/test/layer_fleet.h
@@ -0,0 +1,132 @@
+// Fleets of servers that hold layers, for tests of paths and placement.
+#pragma once
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "trefoilwick/layer_path.h"
+
+namespace trefoilwick {
+
+inline constexpr int kLayers = 80;
+inline constexpr char kPool[] = "pool";
+
+// The engine of the deployments today.
+inline const EngineModel& Engine() {
+  static const EngineModel engine = [] {
+    EngineModel out;
+    out.layers = kLayers;
+    out.max_sequences = 192;
+    out.layer_mb = 1750;
+    out.kv_bytes_per_token = 426'000;
+    out.activation_bytes = 21'300;
+    out.step_ms = 0.85;
+    out.step_ms_per_sequence = 0.00276;
+    out.prefill_tokens_per_ms = 272;
+    out.load_ms = 14'000;
+    out.loads_at_once = 6;
+    out.pipe_mbps = 9300;
+    out.kinds = {{"a100s", {36'000, 3.1, 3.2}},
+                 {"l4", {21'600, 16, 8.2}},
+                 {"t4", {14'400, 15, 15}}};
+    return out;
+  }();
+  return engine;
+}
+
+inline BackendServer EmptyServer(const std::string& id,
+                                 const std::string& data_center,
+                                 const std::string& kind) {
+  BackendServer server;
+  server.id = id;
+  server.service = kPool;
+  server.address = "10.0.0.1:80";
+  server.data_center = data_center;
+  server.kind = kind;
+  return server;
+}
+
+inline void AddServers(ServerMap& servers,
+                       const std::string& data_center,
+                       const std::string& kind,
+                       int count) {
+  for (int i = 0; i < count; ++i) {
+    const std::string id = data_center + "-" + kind + "-" + std::to_string(i);
+    servers[id] = EmptyServer(id, data_center, kind);
+  }
+}
+
+// Servers of a data center as in Brandon: none holds layers.
+inline ServerMap EmptyFleet(const std::vector<std::string>& data_centers) {
+  ServerMap servers;
+  for (const std::string& data_center : data_centers) {
+    AddServers(servers, data_center, "a100s", 1);
+    AddServers(servers, data_center, "l4", 7);
+    AddServers(servers, data_center, "t4", 5);
+  }
+  return servers;
+}
+
+// Carries orders out at once.
+inline void CarryOut(ServerMap& servers,
+                     const std::vector<PlacementOrder>& orders) {
+  for (const PlacementOrder& order : orders) {
+    BackendServer& server = servers.at(order.server);
+    CPPUNIT_ASSERT(order.layers.from >= 0 && order.layers.to <= kLayers);
+    CPPUNIT_ASSERT(order.layers.size() > 0);
+    CPPUNIT_ASSERT(order.layers.size() <= MostLayers(Engine(), server.kind));
+    server.layers = order.layers;
+  }
+}
+
+// Plans and carries out until there is nothing to do; returns the rounds, or
+// -1 when the planning does not come to rest.
+inline int Settle(ServerMap& servers, const std::set<std::string>& down = {}) {
+  constexpr int kMostRounds = 60;
+  for (int round = 0; round < kMostRounds; ++round) {
+    const auto orders = PlanPlacement(Engine(), servers, kPool, down, {});
+    if (orders.empty())
+      return round;
+    CarryOut(servers, orders);
+  }
+  return -1;
+}
+
+inline ServerMap TiledFleet(const std::vector<std::string>& data_centers) {
+  ServerMap servers = EmptyFleet(data_centers);
+  CPPUNIT_ASSERT(Settle(servers) >= 0);
+  return servers;
+}
+
+// Random kinds, ranges and states over three data centers.
+inline ServerMap RandomFleet(Random& random) {
+  static const char* const kKinds[] = {"a100s", "l4", "t4"};
+  static const char* const kDataCenters[] = {"regina", "brandon", "lethbridge"};
+  ServerMap servers;
+  const uint64_t count = 30 + random.Below(60);
+  for (uint64_t i = 0; i < count; ++i) {
+    const std::string id = "s" + std::to_string(i);
+    BackendServer server =
+        EmptyServer(id, kDataCenters[random.Below(3)], kKinds[random.Below(3)]);
+    const int most = MostLayers(Engine(), server.kind);
+    const int half = (most + 1) / 2;
+    const int size =
+        half + static_cast<int>(random.Below(static_cast<uint64_t>(half)));
+    // Clamped, so that the ends are held as often as the middle.
+    const int raw =
+        static_cast<int>(random.Below(static_cast<uint64_t>(kLayers + size))) -
+        size;
+    const int from = std::clamp(raw, 0, kLayers - size);
+    if (random.Below(6) != 0)
+      server.layers = LayerRange{from, from + size};
+    if (random.Below(10) == 0)
+      server.state = ServerState::kDraining;
+    servers[id] = server;
+  }
+  return servers;
+}
+
+}  // namespace trefoilwick
--- /dev/null
+++ b/test/layer_path_placement_test.cc
@@ -0,0 +1,165 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+#include "layer_fleet.h"
+#include "trefoilwick/layer_path.h"
+
+namespace trefoilwick {
+namespace {
+
+constexpr int kRandomFleets = 200;
+// Room that a data center needs for its share of a burst.
+constexpr double kBurstTokens = 35'000;
+
+LayoutHealth Health(const ServerMap& servers,
+                    const std::string& data_center,
+                    const std::set<std::string>& down = {}) {
+  return AssessLayout(Engine(), servers, kPool, down).at(data_center);
+}
+
+std::string HolderOf(const ServerMap& servers, int layer) {
+  for (const auto& [id, server] : servers)
+    if (server.layers && server.layers->Contains(layer))
+      return id;
+  return "";
+}
+
+class LayerPathPlacementTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LayerPathPlacementTest);
+  CPPUNIT_TEST(EmptyDataCenterIsTiledWithEvenRoom);
+  CPPUNIT_TEST(LossOfAnyServerClosesTheGap);
+  CPPUNIT_TEST(TwoLossesLeaveRoom);
+  CPPUNIT_TEST(NoLayerIsGivenUpBeforeAnotherHoldsIt);
+  CPPUNIT_TEST(ReturnedServerTakesLayersAgain);
+  CPPUNIT_TEST(SmallDataCentersShareOneLayout);
+  CPPUNIT_TEST(PendingServersGetNoOrder);
+  CPPUNIT_TEST(DrainingServersAreReplaced);
+  CPPUNIT_TEST(RandomFleetsComeToRest);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void EmptyDataCenterIsTiledWithEvenRoom() {
+    ServerMap servers = EmptyFleet({"brandon"});
+    CPPUNIT_ASSERT(Settle(servers) >= 0);
+    const LayoutHealth health = Health(servers, "brandon");
+    CPPUNIT_ASSERT_EQUAL(0, health.missing);
+    CPPUNIT_ASSERT_EQUAL(0, health.empty_servers);
+    CPPUNIT_ASSERT(health.least_tokens > 200'000);
+  }
+
+  // A data center that kept a gap sent all of its traffic elsewhere until the
+  // end of the day.
+  void LossOfAnyServerClosesTheGap() {
+    const ServerMap before = TiledFleet({"brandon"});
+    for (const auto& [id, lost] : before) {
+      ServerMap servers = before;
+      servers.erase(id);
+      CPPUNIT_ASSERT(Settle(servers) >= 0);
+      const LayoutHealth health = Health(servers, "brandon");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(id, 0, health.missing);
+      CPPUNIT_ASSERT_MESSAGE(id, health.least_tokens > kBurstTokens);
+    }
+  }
+
+  // Coarse steps once left a server with room for 9,000 tokens.
+  void TwoLossesLeaveRoom() {
+    const ServerMap before = TiledFleet({"brandon"});
+    for (const int first : {0, 20, 40, 60, 79}) {
+      for (const int second : {10, 30, 50, 70}) {
+        ServerMap servers = before;
+        servers.erase(HolderOf(servers, first));
+        CPPUNIT_ASSERT(Settle(servers) >= 0);
+        servers.erase(HolderOf(servers, second));
+        CPPUNIT_ASSERT(Settle(servers) >= 0);
+        const LayoutHealth health = Health(servers, "brandon");
+        CPPUNIT_ASSERT_EQUAL(0, health.missing);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(first) + " " +
+                                   std::to_string(second) + " " +
+                                   std::to_string(health.least_tokens),
+                               health.least_tokens > kBurstTokens);
+      }
+    }
+  }
+
+  // A server accepts nothing new for layers that it gives up, and holds the
+  // order until the requests on them have ended.
+  void NoLayerIsGivenUpBeforeAnotherHoldsIt() {
+    const ServerMap before = TiledFleet({"brandon"});
+    for (const auto& [id, lost] : before) {
+      ServerMap servers = before;
+      servers.erase(id);
+      for (int round = 0; round < 20; ++round) {
+        const auto orders = PlanPlacement(Engine(), servers, kPool, {}, {});
+        if (orders.empty())
+          break;
+        ServerMap during = servers;
+        for (const PlacementOrder& order : orders) {
+          LayerRange& held = *during.at(order.server).layers;
+          held = {std::max(held.from, order.layers.from),
+                  std::min(held.to, order.layers.to)};
+        }
+        CPPUNIT_ASSERT(Health(during, "brandon").missing <=
+                       Health(servers, "brandon").missing);
+        CarryOut(servers, orders);
+      }
+    }
+  }
+
+  void ReturnedServerTakesLayersAgain() {
+    ServerMap servers = TiledFleet({"brandon"});
+    servers.at("brandon-l4-3").layers.reset();
+    CPPUNIT_ASSERT(Settle(servers) >= 0);
+    CPPUNIT_ASSERT(servers.at("brandon-l4-3").layers.has_value());
+    CPPUNIT_ASSERT_EQUAL(0, Health(servers, "brandon").missing);
+  }
+
+  // Neither data center holds the model alone, both together do.
+  void SmallDataCentersShareOneLayout() {
+    ServerMap servers;
+    AddServers(servers, "regina", "l4", 5);
+    AddServers(servers, "brandon", "l4", 5);
+    CPPUNIT_ASSERT(Settle(servers) >= 0);
+    PathRequest request;
+    request.service = kPool;
+    request.tokens = 900;
+    request.data_center = "regina";
+    const auto choice = ChoosePath(Engine(), servers, {}, request, 0.95);
+    CPPUNIT_ASSERT(choice.has_value());
+    CPPUNIT_ASSERT(IsWholePath(choice->path, kLayers, servers));
+  }
+
+  // A second order to a busy server is refused and undoes the plan.
+  void PendingServersGetNoOrder() {
+    ServerMap servers = EmptyFleet({"brandon"});
+    std::map<std::string, LayerRange> pending;
+    for (const PlacementOrder& order :
+         PlanPlacement(Engine(), servers, kPool, {}, {}))
+      pending[order.server] = order.layers;
+    CPPUNIT_ASSERT(
+        PlanPlacement(Engine(), servers, kPool, {}, pending).empty());
+  }
+
+  void DrainingServersAreReplaced() {
+    ServerMap servers = TiledFleet({"brandon"});
+    servers.at(HolderOf(servers, 40)).state = ServerState::kDraining;
+    CPPUNIT_ASSERT(Settle(servers) >= 0);
+    CPPUNIT_ASSERT_EQUAL(0, Health(servers, "brandon").missing);
+  }
+
+  // Orders have a price: planning that never rests moves layers forever.
+  void RandomFleetsComeToRest() {
+    Random random(7);
+    int restless = 0;
+    for (int i = 0; i < kRandomFleets; ++i) {
+      ServerMap servers = RandomFleet(random);
+      restless += Settle(servers) < 0 ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(0, restless);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LayerPathPlacementTest);
+
+}  // namespace
+}  // namespace trefoilwick
--- /dev/null
+++ b/test/layer_path_test.cc
@@ -0,0 +1,198 @@
+#include "trefoilwick/layer_path.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "layer_fleet.h"
+
+namespace trefoilwick {
+namespace {
+
+constexpr double kMostUse = 0.95;
+constexpr int kRandomFleets = 300;
+
+PathRequest Request(const std::string& data_center) {
+  PathRequest request;
+  request.service = kPool;
+  request.tokens = 900;
+  request.prompt_tokens = 760;
+  request.data_center = data_center;
+  return request;
+}
+
+class LayerPathTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LayerPathTest);
+  CPPUNIT_TEST(StaysInTheDataCenterOfTheCaller);
+  CPPUNIT_TEST(GoesElsewhereWhenMemoryIsFull);
+  CPPUNIT_TEST(GoesElsewhereWhenPlacesAreFull);
+  CPPUNIT_TEST(AnotherDataCenterRatherThanACrossing);
+  CPPUNIT_TEST(KeepsTheFirstPartOfARequestInProgress);
+  CPPUNIT_TEST(OnlyAllowedFirstServers);
+  CPPUNIT_TEST(NoPathWithoutAHolder);
+  CPPUNIT_TEST(RandomFleetsGiveWholePaths);
+  CPPUNIT_TEST(WholePathFindsEachDefect);
+  CPPUNIT_TEST_SUITE_END();
+
+  static std::string DataCenterOf(const ServerMap& servers,
+                                  const PathChoice& choice) {
+    CPPUNIT_ASSERT(IsWholePath(choice.path, kLayers, servers));
+    CPPUNIT_ASSERT_EQUAL(0, CountCrossings(choice.path, servers));
+    return servers.at(choice.path.front().server).data_center;
+  }
+
+ public:
+  // Guards against all traffic piling up on the data center with the fastest
+  // servers, as on the first calm day.
+  void StaysInTheDataCenterOfTheCaller() {
+    const ServerMap servers = TiledFleet({"regina", "brandon"});
+    for (const char* home : {"regina", "brandon"}) {
+      const auto choice =
+          ChoosePath(Engine(), servers, {}, Request(home), kMostUse);
+      CPPUNIT_ASSERT(choice.has_value());
+      CPPUNIT_ASSERT_EQUAL(std::string(home), DataCenterOf(servers, *choice));
+    }
+  }
+
+  // A burst that fills the memory of one data center must spill over.
+  void GoesElsewhereWhenMemoryIsFull() {
+    const ServerMap servers = TiledFleet({"regina", "brandon"});
+    LoadMap loads;
+    for (const auto& [id, server] : servers)
+      if (server.data_center == "regina")
+        loads[id].token_layers = 0.9 * KvCapacity(Engine(), server);
+    const auto choice =
+        ChoosePath(Engine(), servers, loads, Request("regina"), kMostUse);
+    CPPUNIT_ASSERT(choice.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("brandon"),
+                         DataCenterOf(servers, *choice));
+  }
+
+  // A server refuses requests beyond its places whatever its memory.
+  void GoesElsewhereWhenPlacesAreFull() {
+    const ServerMap servers = TiledFleet({"regina", "brandon"});
+    LoadMap loads;
+    for (const auto& [id, server] : servers)
+      if (server.data_center == "regina")
+        loads[id].sequences = Engine().max_sequences;
+    const auto choice =
+        ChoosePath(Engine(), servers, loads, Request("regina"), kMostUse);
+    CPPUNIT_ASSERT(choice.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("brandon"),
+                         DataCenterOf(servers, *choice));
+  }
+
+  // Reading a prompt over the link between data centers holds up every other
+  // transfer, so a lost part moves the whole path.
+  void AnotherDataCenterRatherThanACrossing() {
+    const ServerMap servers = TiledFleet({"regina", "brandon"});
+    PathRequest request = Request("regina");
+    for (const auto& [id, server] : servers)
+      if (server.data_center == "regina" && server.layers->Contains(40))
+        request.excluded.insert(id);
+    const auto choice = ChoosePath(Engine(), servers, {}, request, kMostUse);
+    CPPUNIT_ASSERT(choice.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("brandon"),
+                         DataCenterOf(servers, *choice));
+  }
+
+  // A server refuses a new path whose first part differs from the old one.
+  void KeepsTheFirstPartOfARequestInProgress() {
+    ServerMap servers = TiledFleet({"regina", "brandon"});
+    const auto before =
+        ChoosePath(Engine(), servers, {}, Request("regina"), kMostUse);
+    PathRequest request = Request("regina");
+    request.first_part =
+        PathPart{before->path[0].server, {0, before->path[0].layers.to - 1}};
+    request.excluded.insert(before->path[2].server);
+    // A copy of the layer that the shorter first part leaves out.
+    servers.at(before->path[1].server).layers->from -= 1;
+    const auto choice = ChoosePath(Engine(), servers, {}, request, kMostUse);
+    CPPUNIT_ASSERT(choice.has_value());
+    CPPUNIT_ASSERT(IsWholePath(choice->path, kLayers, servers));
+    CPPUNIT_ASSERT(choice->path.front() == *request.first_part);
+  }
+
+  // A request that used up its servers may only go back to one of them.
+  void OnlyAllowedFirstServers() {
+    const ServerMap servers = TiledFleet({"regina", "brandon"});
+    const auto home =
+        ChoosePath(Engine(), servers, {}, Request("brandon"), kMostUse);
+    PathRequest request = Request("regina");
+    request.first_servers = {home->path[0].server};
+    const auto choice = ChoosePath(Engine(), servers, {}, request, kMostUse);
+    CPPUNIT_ASSERT(choice.has_value());
+    CPPUNIT_ASSERT_EQUAL(home->path[0].server, choice->path[0].server);
+  }
+
+  void NoPathWithoutAHolder() {
+    ServerMap servers = TiledFleet({"regina"});
+    PathRequest request = Request("regina");
+    for (const auto& [id, server] : servers)
+      if (server.layers->Contains(0))
+        request.excluded.insert(id);
+    CPPUNIT_ASSERT(
+        !ChoosePath(Engine(), servers, {}, request, kMostUse).has_value());
+    servers.clear();
+    CPPUNIT_ASSERT(
+        !ChoosePath(Engine(), servers, {}, Request("regina"), kMostUse)
+             .has_value());
+  }
+
+  // Every path must run each layer once and in order on servers that hold it,
+  // whatever overlaps, gaps, loads and exclusions the fleet has.
+  void RandomFleetsGiveWholePaths() {
+    Random random(20261204);
+    int found = 0;
+    for (int i = 0; i < kRandomFleets; ++i) {
+      const ServerMap servers = RandomFleet(random);
+      LoadMap loads;
+      PathRequest request = Request("regina");
+      for (const auto& [id, server] : servers) {
+        loads[id].token_layers = random.Unit() * 0.7 * KvCapacity(Engine(), server);
+        loads[id].sequences = static_cast<int>(random.Below(120));
+        if (random.Below(10) == 0)
+          request.excluded.insert(id);
+      }
+      const auto choice =
+          ChoosePath(Engine(), servers, loads, request, kMostUse);
+      if (!choice)
+        continue;
+      ++found;
+      CPPUNIT_ASSERT(IsWholePath(choice->path, kLayers, servers));
+      CPPUNIT_ASSERT(choice->peak_use <= kMostUse);
+      for (const PathPart& part : choice->path) {
+        CPPUNIT_ASSERT(!request.excluded.contains(part.server));
+        CPPUNIT_ASSERT(servers.at(part.server).state == ServerState::kReady);
+      }
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(found), found > kRandomFleets / 4);
+  }
+
+  // The check that the other tests rely on must itself find each defect.
+  void WholePathFindsEachDefect() {
+    const ServerMap servers = TiledFleet({"regina"});
+    const LayerPath whole =
+        ChoosePath(Engine(), servers, {}, Request("regina"), kMostUse)->path;
+    CPPUNIT_ASSERT(IsWholePath(whole, kLayers, servers));
+    LayerPath gap = whole;
+    gap.erase(gap.begin() + 1);
+    CPPUNIT_ASSERT(!IsWholePath(gap, kLayers, servers));
+    LayerPath twice = whole;
+    twice.push_back(whole.back());
+    CPPUNIT_ASSERT(!IsWholePath(twice, kLayers, servers));
+    LayerPath not_held = whole;
+    not_held[0].layers.to += 1;
+    not_held[1].layers.from += 1;
+    CPPUNIT_ASSERT(!IsWholePath(not_held, kLayers, servers));
+    LayerPath short_path = whole;
+    short_path.back().layers.to -= 1;
+    CPPUNIT_ASSERT(!IsWholePath(short_path, kLayers, servers));
+    LayerPath unknown = whole;
+    unknown[0].server = "nobody";
+    CPPUNIT_ASSERT(!IsWholePath(unknown, kLayers, servers));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LayerPathTest);
+
+}  // namespace
+}  // namespace trefoilwick
--- /dev/null
+++ b/test/route_table_test.cc
@@ -0,0 +1,89 @@
+#include "trefoilwick/route_table.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace trefoilwick {
+namespace {
+
+Route MakeRoute(const std::string& name,
+                const std::string& host,
+                const std::string& prefix) {
+  Route route;
+  route.name = name;
+  route.host = host;
+  route.prefix = prefix;
+  return route;
+}
+
+class RouteTableTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RouteTableTest);
+  CPPUNIT_TEST(LongestPrefixOfTheHost);
+  CPPUNIT_TEST(HostWithoutCaseAndPort);
+  CPPUNIT_TEST(QueryIsNoPartOfThePath);
+  CPPUNIT_TEST(AccountsByKey);
+  CPPUNIT_TEST_SUITE_END();
+
+  static RouteTable Table() {
+    ClientAccount club;
+    club.name = "club";
+    club.keys = {"k1", "k2"};
+    return RouteTable::Builder(7)
+        .AddRoute(MakeRoute("root", "a.example", "/"))
+        .AddRoute(MakeRoute("drafts", "a.example", "/drafts/"))
+        .AddRoute(MakeRoute("old", "a.example", "/drafts/old/"))
+        .AddRoute(MakeRoute("other", "b.example", "/drafts/"))
+        .AddAccount(club)
+        .Build();
+  }
+
+  static std::string Find(const RouteTable& table,
+                          const std::string& host,
+                          const std::string& path) {
+    const Route* route = table.FindRoute(host, path);
+    return route == nullptr ? "" : route->name;
+  }
+
+ public:
+  void LongestPrefixOfTheHost() {
+    const RouteTable table = Table();
+    CPPUNIT_ASSERT_EQUAL(int64_t{7}, table.version());
+    CPPUNIT_ASSERT_EQUAL(std::string("old"),
+                         Find(table, "a.example", "/drafts/old/1"));
+    CPPUNIT_ASSERT_EQUAL(std::string("drafts"),
+                         Find(table, "a.example", "/drafts/older"));
+    CPPUNIT_ASSERT_EQUAL(std::string("root"),
+                         Find(table, "a.example", "/drafts"));
+    CPPUNIT_ASSERT_EQUAL(std::string("other"),
+                         Find(table, "b.example", "/drafts/x"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), Find(table, "b.example", "/x"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), Find(table, "c.example", "/"));
+  }
+
+  void HostWithoutCaseAndPort() {
+    const RouteTable table = Table();
+    CPPUNIT_ASSERT_EQUAL(std::string("root"),
+                         Find(table, "A.Example:8080", "/"));
+  }
+
+  // A slash in the query must not select a longer prefix.
+  void QueryIsNoPartOfThePath() {
+    const RouteTable table = Table();
+    CPPUNIT_ASSERT_EQUAL(std::string("root"),
+                         Find(table, "a.example", "/?x=/drafts/"));
+    CPPUNIT_ASSERT_EQUAL(std::string("drafts"),
+                         Find(table, "a.example", "/drafts/?a/old/"));
+  }
+
+  void AccountsByKey() {
+    const RouteTable table = Table();
+    CPPUNIT_ASSERT(table.has_accounts());
+    CPPUNIT_ASSERT_EQUAL(std::string("club"), table.FindAccount("k2")->name);
+    CPPUNIT_ASSERT(table.FindAccount("k3") == nullptr);
+    CPPUNIT_ASSERT(table.FindAccount("") == nullptr);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RouteTableTest);
+
+}  // namespace
+}  // namespace trefoilwick
