Hold several copies of the model in a large data center; smaller beats

Cause: on the grown site one tiling over 35 servers made paths of more than 32 parts, which servers refuse, and shared the places of one first server. Change: as many copies as keep room for 120,000 tokens each; beats to more than 32 instances are fewer and list the members every third time.

--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -183,6 +183,7 @@
   TimePoint m_store_answered;
   TimePoint m_next_report;
   TimePoint m_next_beat;
+  int m_beats = 0;
 
   std::shared_ptr<const ServerMap> m_servers =
       std::make_shared<const ServerMap>();
--- a/include/trefoilwick/layer_path.h
+++ b/include/trefoilwick/layer_path.h
@@ -59,6 +59,8 @@
   bool operator==(const PathPart&) const = default;
 };
 using LayerPath = std::vector<PathPart>;
+// Parts that a path may have at most.
+inline constexpr size_t kMostPathParts = 32;
 
 // True when the parts run every layer of [0, layers) once, in order, on
 // distinct servers that hold them.
--- a/src/cluster.thrift
+++ b/src/cluster.thrift
@@ -47,6 +47,7 @@
   4: i64 list_version
   // Milliseconds since the server list was read.
   5: i32 list_age_ms
+  // Left out of most beats of a large deployment.
   6: list<Member> members
   7: list<Load> loads
   8: list<string> down
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -13,6 +13,11 @@
 
 constexpr Duration kReportInterval = milliseconds(250);
 constexpr Duration kBeatInterval = milliseconds(250);
+// Beats to many instances are fewer, and not all of them list the members: they
+// are most of the bytes between data centers.
+constexpr size_t kLargeDeployment = 32;
+constexpr Duration kLargeBeatInterval = milliseconds(400);
+constexpr int kMembersEvery = 3;
 // A coordinator that was not heard for this long may be replaced.
 constexpr Duration kCoordinatorSilence = milliseconds(900);
 // Instances that notice the silence together try one after the other.
@@ -408,14 +413,16 @@
 }
 
 void Coordination::SendBeats(TimePoint now) {
-  m_next_beat = now + kBeatInterval;
+  const bool large = m_peers.size() > kLargeDeployment;
+  m_next_beat = now + (large ? kLargeBeatInterval : kBeatInterval);
   detail::CoordinatorBeat beat;
   beat.fence = m_fence;
   beat.ip = m_ip;
   beat.config_version = m_config_version;
   beat.list_version = m_list_version;
   beat.list_age = ListAge(now);
-  beat.members = Members(now);
+  if (!large || ++m_beats % kMembersEvery == 0)
+    beat.members = Members(now);
   beat.loads = Loads(now);
   beat.lost = Lost(now);
   beat.orders = m_orders;
@@ -475,7 +482,8 @@
             m_coordinator_has_store = beat.store_reachable;
             if (beat.store_reachable)
               m_beat_heard = now;
-            m_members = beat.members;
+            if (!beat.members.empty())
+              m_members = beat.members;
             m_cluster_loads = beat.loads;
             m_loads_in_sum = m_reported_loads;
             m_sends_elsewhere = {
--- a/src/layer_path.cc
+++ b/src/layer_path.cc
@@ -266,6 +266,8 @@
     who = table[layer][who].previous;
   }
   PathChoice choice{JoinRepeats(by_layer, candidates), 0, 0};
+  if (choice.path.size() > kMostPathParts)
+    return std::nullopt;
   std::map<std::string, const Candidate*> by_id;
   for (const Candidate& candidate : candidates)
     by_id[candidate.server->id] = &candidate;
--- a/src/layer_path_placement.cc
+++ b/src/layer_path_placement.cc
@@ -10,6 +10,8 @@
 constexpr double kBytesPerMb = 1e6;
 // Tokens that a server must keep room for beside its layers.
 constexpr double kLeastTokens = 5'000;
+// Room that each of several copies in a data center must keep.
+constexpr double kCopyTokens = 120'000;
 // More room than any layer needs.
 constexpr double kManyTokens = 1e6;
 // Gaps are closed so that every server keeps as large a share as possible of
@@ -139,18 +141,53 @@
   return tokens;
 }
 
-// One tiling of all layers over servers that hold none, the largest first.
+// Deals the servers, the largest first, into `copies` groups of like memory.
+std::vector<Group> Deal(const Group& sorted, size_t copies) {
+  std::vector<Group> hands(copies);
+  std::vector<double> memory(copies, 0);
+  for (Slot* slot : sorted) {
+    const size_t least = static_cast<size_t>(
+        std::min_element(memory.begin(), memory.end()) - memory.begin());
+    hands[least].push_back(slot);
+    memory[least] += slot->kind->memory_mb;
+  }
+  return hands;
+}
+
+// The most copies of the model for which every one keeps room for requests.
+std::vector<Group> ChooseCopies(const EngineModel& engine,
+                                const Group& sorted) {
+  std::vector<Group> chosen = Deal(sorted, 1);
+  for (size_t copies = 2; copies <= sorted.size(); ++copies) {
+    const std::vector<Group> hands = Deal(sorted, copies);
+    const bool room =
+        std::all_of(hands.begin(), hands.end(), [&](const Group& hand) {
+          return LeastTokens(engine, hand,
+                             ShareLayers(engine, hand, engine.layers)) >=
+                 kCopyTokens;
+        });
+    const bool too_long = chosen.front().size() > kMostPathParts;
+    if (!room && !too_long)
+      break;
+    chosen = hands;
+  }
+  return chosen;
+}
+
+// Tilings of all layers over servers that hold none.
 void TileEmpty(const EngineModel& engine, Group& group) {
   std::stable_sort(group.begin(), group.end(),
                    [](const Slot* a, const Slot* b) {
                      return a->kind->memory_mb > b->kind->memory_mb;
                    });
-  const std::vector<int> shares = ShareLayers(engine, group, engine.layers);
-  int at = 0;
-  for (size_t i = 0; i < shares.size(); ++i) {
-    if (shares[i] > 0)
-      group[i]->target = LayerRange{at, at + shares[i]};
-    at += shares[i];
+  for (const Group& copy : ChooseCopies(engine, group)) {
+    const std::vector<int> shares = ShareLayers(engine, copy, engine.layers);
+    int at = 0;
+    for (size_t i = 0; i < shares.size(); ++i) {
+      if (shares[i] > 0)
+        copy[i]->target = LayerRange{at, at + shares[i]};
+      at += shares[i];
+    }
   }
 }
 
--- a/test/layer_path_placement_test.cc
+++ b/test/layer_path_placement_test.cc
@@ -28,6 +28,7 @@
 class LayerPathPlacementTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LayerPathPlacementTest);
   CPPUNIT_TEST(EmptyDataCenterIsTiledWithEvenRoom);
+  CPPUNIT_TEST(LargeDataCenterHoldsSeveralCopies);
   CPPUNIT_TEST(LossOfAnyServerClosesTheGap);
   CPPUNIT_TEST(TwoLossesLeaveRoom);
   CPPUNIT_TEST(NoLayerIsGivenUpBeforeAnotherHoldsIt);
@@ -48,6 +49,27 @@
     CPPUNIT_ASSERT(health.least_tokens > 200'000);
   }
 
+  // One copy over 35 servers has more parts than a path may have, and all of
+  // its requests share the places of one first server.
+  void LargeDataCenterHoldsSeveralCopies() {
+    ServerMap servers;
+    AddServers(servers, "brandon", "a100s", 1);
+    AddServers(servers, "brandon", "l4", 22);
+    AddServers(servers, "brandon", "t4", 12);
+    CPPUNIT_ASSERT(Settle(servers) >= 0);
+    int first_servers = 0;
+    for (const auto& [id, server] : servers)
+      first_servers += server.layers && server.layers->from == 0 ? 1 : 0;
+    CPPUNIT_ASSERT(first_servers >= 3);
+    PathRequest request;
+    request.service = kPool;
+    request.tokens = 900;
+    request.data_center = "brandon";
+    const auto choice = ChoosePath(Engine(), servers, {}, request, 0.95);
+    CPPUNIT_ASSERT(choice.has_value());
+    CPPUNIT_ASSERT(choice->path.size() <= kMostPathParts / 2);
+  }
+
   // A data center that kept a gap sent all of its traffic elsewhere until the
   // end of the day.
   void LossOfAnyServerClosesTheGap() {
--- a/test/layer_path_test.cc
+++ b/test/layer_path_test.cc
@@ -147,7 +147,8 @@
       LoadMap loads;
       PathRequest request = Request("regina");
       for (const auto& [id, server] : servers) {
-        loads[id].token_layers = random.Unit() * 0.7 * KvCapacity(Engine(), server);
+        loads[id].token_layers =
+            random.Unit() * 0.7 * KvCapacity(Engine(), server);
         loads[id].sequences = static_cast<int>(random.Below(120));
         if (random.Below(10) == 0)
           request.excluded.insert(id);
