--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -191,7 +191,11 @@
         m_is_coordinator = true;
         m_knows_lease = true;
         m_coordinator_ip = m_ip;
+        // Those that still follow another one must hear of this one.
         m_peers.clear();
+        for (const ClusterMember& member : m_members)
+          if (member.ip != m_ip)
+            m_peers[member.ip] = {member, 0, now, {}, {}};
         m_next_beat = now;
         m_next_list_call = now;
         m_cluster_loads.clear();
--- /dev/null
+++ b/test/adapter_gateway_test.cc
@@ -0,0 +1,409 @@
+// The gateway over real sockets: what the decisions' tests cannot see.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "gateway_harness.h"
+
+namespace trefoilwick {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::string Answer(const std::string& status,
+                   const std::string& extra,
+                   const std::string& body) {
+  return "HTTP/1.1 " + status + "\r\nAttempt-Id: a1\r\n" + extra +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string Sealed(const std::string& body) {
+  return Answer("200 OK", "Server-Seal: s\r\n", body);
+}
+
+constexpr char kStreamHead[] =
+    "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s\r\n"
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string Chunk(const std::string& bytes) {
+  char size[16];
+  snprintf(size, sizeof size, "%zx", bytes.size());
+  return std::string(size) + "\r\n" + bytes + "\r\n";
+}
+
+std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: " + std::string(20, 'x') +
+         "\n\n";
+}
+
+Route MakeRoute(const std::string& prefix, RouteKind kind, int attempts) {
+  Route route;
+  route.name = prefix;
+  route.host = "a.example";
+  route.prefix = prefix;
+  route.kind = kind;
+  route.max_attempts = attempts;
+  route.timeout = seconds(2);
+  route.latency_target = milliseconds(200);
+  route.gap_target = milliseconds(200);
+  route.resumable = kind == RouteKind::kStream;
+  route.services = {{"desk", 1}};
+  return route;
+}
+
+std::shared_ptr<const RouteTable> Table() {
+  Service desk;
+  desk.name = "desk";
+  ClientAccount club;
+  club.name = "club";
+  club.keys = {"k1"};
+  ClientLimits limits;
+  limits.max_header_bytes = 4096;
+  limits.max_body_bytes = 10'000;
+  return std::make_shared<const RouteTable>(
+      RouteTable::Builder(1)
+          .AddService(desk)
+          .AddRoute(MakeRoute("/get/", RouteKind::kIdempotent, 2))
+          .AddRoute(MakeRoute("/post/", RouteKind::kNonIdempotent, 1))
+          .AddRoute(MakeRoute("/stream/", RouteKind::kStream, 2))
+          .AddAccount(club)
+          .SetLimits(limits)
+          .Build());
+}
+
+std::string Request(const std::string& line,
+                    const std::string& extra = "",
+                    const std::string& body = "") {
+  std::string out = line +
+                    " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a1\r\n"
+                    "Credential: k1\r\nDeadline-Ms: 2000\r\n" +
+                    extra;
+  if (!body.empty())
+    out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  return out + "Connection: close\r\n\r\n" + body;
+}
+
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+class AdapterGatewayTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AdapterGatewayTest);
+  CPPUNIT_TEST(AnswerIsPassedOn);
+  CPPUNIT_TEST(AnswerWithoutLengthIsComplete);
+  CPPUNIT_TEST(UnsealedSuccessIsNone);
+  CPPUNIT_TEST(CutAnswerIsRepeatedWhereAllowed);
+  CPPUNIT_TEST(CutAnswerOfAWriteIsNot);
+  CPPUNIT_TEST(RefusalIsToldAsNotRun);
+  CPPUNIT_TEST(LateAnswerOfAnotherRequestIsSkipped);
+  CPPUNIT_TEST(StreamGoesOnWhereItBroke);
+  CPPUNIT_TEST(BrokenStreamLooksIncomplete);
+  CPPUNIT_TEST(ClientThatLeftIsNoticed);
+  CPPUNIT_TEST(DeadlineOfAnOfferedRequest);
+  CPPUNIT_TEST(BadRequestsAreRejected);
+  CPPUNIT_TEST(ChunkedBodyIsPassedOn);
+  CPPUNIT_TEST(RequestsOnOneConnection);
+  CPPUNIT_TEST(WithoutConfigurationNothingIsDenied);
+  CPPUNIT_TEST(SmallInterfaces);
+  CPPUNIT_TEST(LeavingFinishesWhatIsBegun);
+  CPPUNIT_TEST_SUITE_END();
+
+  static void Prepare(GatewayHarness& harness,
+                      const std::vector<ScriptedServer*>& servers) {
+    harness.store().table = Table();
+    for (size_t i = 0; i < servers.size(); ++i)
+      harness.AddServer("i-" + std::to_string(i), "desk",
+                        servers[i]->address());
+    harness.Start();
+  }
+
+ public:
+  void AnswerIsPassedOn() {
+    ScriptedServer server(
+        [](const std::string&) { return Script{Sealed("hello")}; });
+    GatewayHarness harness;
+    Prepare(harness, {&server});
+    const std::string answer = harness.Client(
+        Request("POST /post/x?q=%20a", "X-Own: 7\r\n", "the body"));
+    CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 200 OK\r\n"));
+    CPPUNIT_ASSERT(Has(answer, "Server-Seal: s\r\n"));
+    CPPUNIT_ASSERT(answer.ends_with("\r\n\r\nhello"));
+    const std::string seen = server.requests().at(0);
+    CPPUNIT_ASSERT(seen.starts_with("POST /post/x?q=%20a HTTP/1.1\r\n"));
+    CPPUNIT_ASSERT(Has(seen, "X-Own: 7\r\n"));
+    CPPUNIT_ASSERT(Has(seen, "Tenant: club\r\n"));
+    CPPUNIT_ASSERT(!Has(seen, "k1"));
+    CPPUNIT_ASSERT(seen.ends_with("\r\n\r\nthe body"));
+  }
+
+  void AnswerWithoutLengthIsComplete() {
+    ScriptedServer server([](const std::string&) {
+      return Script{
+          "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s\r\n"
+          "\r\nall of it"};
+    });
+    GatewayHarness harness;
+    Prepare(harness, {&server});
+    const std::string answer = harness.Client(Request("GET /get/x"));
+    CPPUNIT_ASSERT(Has(answer, "Content-Length: 9\r\n"));
+    CPPUNIT_ASSERT(answer.ends_with("all of it"));
+  }
+
+  void UnsealedSuccessIsNone() {
+    ScriptedServer server(
+        [](const std::string&) { return Script{Answer("200 OK", "", "x")}; });
+    GatewayHarness harness;
+    Prepare(harness, {&server});
+    CPPUNIT_ASSERT(harness.Client(Request("POST /post/x", "", "b"))
+                       .starts_with("HTTP/1.1 502"));
+  }
+
+  void CutAnswerIsRepeatedWhereAllowed() {
+    std::atomic<int> calls{0};
+    const auto handler = [&](const std::string&) {
+      const std::string whole = Sealed("complete");
+      return ++calls == 1 ? Script{whole.substr(0, whole.size() - 3)}
+                          : Script{whole};
+    };
+    ScriptedServer first(handler);
+    ScriptedServer second(handler);
+    GatewayHarness harness;
+    Prepare(harness, {&first, &second});
+    CPPUNIT_ASSERT(harness.Client(Request("GET /get/x")).ends_with("complete"));
+    CPPUNIT_ASSERT_EQUAL(2, calls.load());
+  }
+
+  // A ballot that may have been recorded must not be sent again.
+  void CutAnswerOfAWriteIsNot() {
+    std::atomic<int> calls{0};
+    const auto handler = [&](const std::string&) {
+      ++calls;
+      return Script{
+          "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s\r\n"
+          "Content-Length: 50\r\n\r\nhalf",
+          true, true};
+    };
+    ScriptedServer first(handler);
+    ScriptedServer second(handler);
+    GatewayHarness harness;
+    Prepare(harness, {&first, &second});
+    CPPUNIT_ASSERT(harness.Client(Request("POST /post/x", "", "b"))
+                       .starts_with("HTTP/1.1 502"));
+    CPPUNIT_ASSERT_EQUAL(1, calls.load());
+  }
+
+  void RefusalIsToldAsNotRun() {
+    ScriptedServer server([](const std::string&) {
+      return Script{Answer("503 Service Unavailable", "Not-Run: 1\r\n", "")};
+    });
+    GatewayHarness harness;
+    Prepare(harness, {&server});
+    const std::string answer = harness.Client(Request("POST /post/x", "", "b"));
+    CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT(Has(answer, "Retry-After: "));
+    CPPUNIT_ASSERT(Has(answer, "not_run"));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, server.requests().size());
+  }
+
+  void LateAnswerOfAnotherRequestIsSkipped() {
+    ScriptedServer server([](const std::string&) {
+      return Script{
+          "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Seal: o\r\n"
+          "Content-Length: 6\r\n\r\nforged" +
+          Sealed("mine")};
+    });
+    GatewayHarness harness;
+    Prepare(harness, {&server});
+    const std::string answer = harness.Client(Request("GET /get/x"));
+    CPPUNIT_ASSERT(answer.ends_with("\r\n\r\nmine"));
+    CPPUNIT_ASSERT(!Has(answer, "forged"));
+  }
+
+  void StreamGoesOnWhereItBroke() {
+    std::atomic<int> calls{0};
+    const auto handler = [&](const std::string&) {
+      if (++calls == 1)
+        return Script{std::string(kStreamHead) + Chunk(Event(0) + Event(1)) +
+                          Chunk(Event(2).substr(0, 9)),
+                      true, true};
+      return Script{std::string(kStreamHead) + Chunk(Event(2) + Event(3)) +
+                    "0\r\n\r\n"};
+    };
+    ScriptedServer first(handler);
+    ScriptedServer second(handler);
+    GatewayHarness harness;
+    Prepare(harness, {&first, &second});
+    const std::string answer =
+        harness.Client(Request("POST /stream/x", "", "p"));
+    std::string ids;
+    for (size_t at = answer.find("id: "); at != std::string::npos;
+         at = answer.find("id: ", at + 1))
+      ids += answer[at + 4];
+    CPPUNIT_ASSERT_EQUAL(std::string("0123"), ids);
+    CPPUNIT_ASSERT(answer.ends_with("0\r\n\r\n"));
+    std::vector<std::string> requests = first.requests();
+    for (const std::string& request : second.requests())
+      requests.push_back(request);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, requests.size());
+    CPPUNIT_ASSERT(Has(requests[0], "Last-Event-Id: 1\r\n") ||
+                   Has(requests[1], "Last-Event-Id: 1\r\n"));
+  }
+
+  void BrokenStreamLooksIncomplete() {
+    ScriptedServer server([](const std::string&) {
+      return Script{std::string(kStreamHead) + Chunk(Event(0)), true, true};
+    });
+    GatewayHarness harness;
+    Prepare(harness, {&server});
+    const std::string answer =
+        harness.Client(Request("POST /stream/x", "", "p"));
+    CPPUNIT_ASSERT(Has(answer, "id: 0"));
+    CPPUNIT_ASSERT(!Has(answer, "0\r\n\r\n"));
+  }
+
+  void ClientThatLeftIsNoticed() {
+    ScriptedServer server([](const std::string&) {
+      return Script{"", true, false, milliseconds(1500)};
+    });
+    GatewayHarness harness;
+    Prepare(harness, {&server});
+    asio::io_context io;
+    {
+      tcp::socket socket(io);
+      socket.connect(*ParseEndpoint(harness.settings().client_address));
+      asio::write(socket, asio::buffer(Request("GET /get/x")));
+      for (int i = 0; i < 100 && server.requests().empty(); ++i)
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    for (int i = 0; i < 50 && !server.saw_close(); ++i)
+      std::this_thread::sleep_for(milliseconds(10));
+    CPPUNIT_ASSERT(server.saw_close());
+  }
+
+  void DeadlineOfAnOfferedRequest() {
+    ScriptedServer server([](const std::string&) {
+      return Script{"", true, false, seconds(3)};
+    });
+    GatewayHarness harness;
+    Prepare(harness, {&server});
+    const auto start = std::chrono::steady_clock::now();
+    const std::string answer = harness.Client(
+        "POST /post/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a1\r\n"
+        "Credential: k1\r\nDeadline-Ms: 300\r\nConnection: close\r\n"
+        "Content-Length: 1\r\n\r\nb");
+    CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 504"));
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start < seconds(2));
+  }
+
+  void BadRequestsAreRejected() {
+    ScriptedServer server(
+        [](const std::string&) { return Script{Sealed("x")}; });
+    GatewayHarness harness;
+    Prepare(harness, {&server});
+    const auto status = [&](const std::string& request) {
+      return harness.Client(request).substr(9, 3);
+    };
+    CPPUNIT_ASSERT_EQUAL(std::string("404"), status(Request("GET /none/x")));
+    std::string request = Request("GET /get/x");
+    request.replace(request.find("k1"), 2, "k9");
+    CPPUNIT_ASSERT_EQUAL(std::string("401"), status(request));
+    CPPUNIT_ASSERT_EQUAL(std::string("400"), status("nonsense\r\n\r\n"));
+    CPPUNIT_ASSERT_EQUAL(std::string("400"),
+                         status("GET /get/x HTTP/1.1\r\n\r\n"));
+    // Two framings of one body are a way to smuggle a request.
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("400"),
+        status(Request("POST /post/x", "Transfer-Encoding: chunked\r\n",
+                       "5\r\nhello")));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("431"),
+        status(Request("GET /get/x", "X: " + std::string(6000, 'a') + "\r\n")));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("413"),
+        status(Request("POST /post/x", "", std::string(20'000, 'b'))));
+    CPPUNIT_ASSERT(server.requests().empty());
+  }
+
+  void ChunkedBodyIsPassedOn() {
+    ScriptedServer server(
+        [](const std::string&) { return Script{Sealed("x")}; });
+    GatewayHarness harness;
+    Prepare(harness, {&server});
+    harness.Client(
+        "POST /post/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a1\r\n"
+        "Credential: k1\r\nConnection: close\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    CPPUNIT_ASSERT(server.requests().at(0).ends_with("\r\n\r\nabcde"));
+  }
+
+  void RequestsOnOneConnection() {
+    ScriptedServer server([](const std::string&) {
+      return Script{Sealed("x"), false};
+    });
+    GatewayHarness harness;
+    Prepare(harness, {&server});
+    std::string keep = Request("GET /get/x");
+    keep.erase(keep.find("Connection: close\r\n"), 19);
+    const std::string answer =
+        harness.Client(keep + keep + Request("GET /get/x"));
+    int answers = 0;
+    for (size_t at = answer.find("HTTP/1.1 200"); at != std::string::npos;
+         at = answer.find("HTTP/1.1 200", at + 1))
+      ++answers;
+    CPPUNIT_ASSERT_EQUAL(3, answers);
+  }
+
+  // One that knows no configuration yet cannot say that a route is missing.
+  void WithoutConfigurationNothingIsDenied() {
+    GatewayHarness harness;
+    harness.Start();
+    std::this_thread::sleep_for(milliseconds(100));
+    const std::string answer = harness.Client(Request("GET /none/x"));
+    CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT(Has(answer, "Retry-After"));
+  }
+
+  void SmallInterfaces() {
+    ScriptedServer server(
+        [](const std::string&) { return Script{Sealed("x")}; });
+    GatewayHarness harness;
+    Prepare(harness, {&server});
+    harness.Client(Request("GET /get/x"));
+    const std::string directory = GatewayHarness::Call(
+        harness.settings().directory_address,
+        "GET /resolve?name=a.example&region=p&zone=regina HTTP/1.1\r\n"
+        "Host: x\r\nConnection: close\r\n\r\n");
+    CPPUNIT_ASSERT(Has(directory, harness.settings().client_address));
+    const std::string metrics = GatewayHarness::Call(
+        harness.settings().metrics_address,
+        "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    CPPUNIT_ASSERT(
+        Has(metrics, "trefoilwick_requests_total{status=\"200\"} 1"));
+  }
+
+  // A planned stop cuts nothing off, and is told before the end.
+  void LeavingFinishesWhatIsBegun() {
+    ScriptedServer server([](const std::string&) {
+      std::this_thread::sleep_for(milliseconds(600));
+      return Script{Sealed("done")};
+    });
+    GatewayHarness harness;
+    Prepare(harness, {&server});
+    std::string answer;
+    std::thread client([&] { answer = harness.Client(Request("GET /get/x")); });
+    std::this_thread::sleep_for(milliseconds(200));
+    harness.Leave();
+    std::this_thread::sleep_for(milliseconds(200));
+    const std::string ready = GatewayHarness::Call(
+        harness.settings().ready_address,
+        "GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    client.join();
+    CPPUNIT_ASSERT(ready.starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT(answer.ends_with("done"));
+    CPPUNIT_ASSERT(Has(answer, "Connection: close"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdapterGatewayTest);
+
+}  // namespace
+}  // namespace trefoilwick
--- /dev/null
+++ b/test/adapter_test.cc
@@ -0,0 +1,356 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/beast/http/string_body.hpp>
+
+#include "dialect.h"
+#include "rows.h"
+#include "settings.h"
+
+namespace trefoilwick::platform {
+namespace {
+
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+
+constexpr char kSettings[] = R"(
+ip = "10.1.0.40"
+zone = "regina"
+portRange = [7340,7355]
+somethingNew = 3
+[listen]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+directory = "10.1.0.40:8224"
+[limits]
+cpuShare = 0.17
+cores = 1
+memoryMb = 182
+maxFds = 2940
+[bounds]
+graceS = 8
+retryRatio = 0.2
+retrySlack = 425
+[platform]
+address = "10.200.1.7:8223"
+)";
+
+constexpr char kConfiguration[] = R"({"version":7,
+"routes":[{"name":"r1","host":"a.example","prefix":"/d/","kind":"stream",
+"timeoutMs":20000,"targetLatencyMs":500,"priority":0,
+"backends":[{"service":"pool","weight":90},{"service":"other","weight":10}],
+"maxAttempts":2,"public":false,"resumable":true,"gapAimMs":200},
+{"name":"r2","host":"a.example","prefix":"/b/","kind":"non_idempotent",
+"timeoutMs":1200,"service":"desk","maxAttempts":1}],
+"services":[{"name":"pool","healthPath":"/healthz","maxConns":2444,
+"engine":{"slots":192,"kvTokenBytes":426000,"layers":80,"layerMb":1750.0,
+"actBytes":21300,"pipeMbps":9300.0,"step_ms":0.85,"read_per_s":272000.0,
+"models":[{"name":"m","loadS":14.0}],"usual":{"prompt":772,"answer":145},
+"kinds":[{"name":"l4","mb":21600.0,"pace":16.0,"readX":8.2}]}},
+{"name":"desk"}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
+"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+"tenants":[{"name":"club","apiKeys":["k1","k2"],"priority":1}]})";
+
+ServerMap TwoServers() {
+  ServerMap servers;
+  for (const char* id : {"i-1", "i-2"}) {
+    BackendServer& server = servers[id];
+    server.id = id;
+    server.address = std::string("10.1.64.") + id[2] + ":8080";
+  }
+  return servers;
+}
+
+class AdapterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AdapterTest);
+  CPPUNIT_TEST(SettingsAreRead);
+  CPPUNIT_TEST(EveryBadSettingIsReported);
+  CPPUNIT_TEST(ConfigurationIsRead);
+  CPPUNIT_TEST(BadConfigurationNamesItsProblem);
+  CPPUNIT_TEST(ServersAreRead);
+  CPPUNIT_TEST(ForeignRowsNameNoServer);
+  CPPUNIT_TEST(MutatedRowsNeverThrow);
+  CPPUNIT_TEST(Base64RoundTrip);
+  CPPUNIT_TEST(LeaseRoundTrip);
+  CPPUNIT_TEST(RequestKeepsWhatIsTheClients);
+  CPPUNIT_TEST(OwnHeadersCannotBeForged);
+  CPPUNIT_TEST(AnswersAreClassified);
+  CPPUNIT_TEST(DirectoryCalls);
+  CPPUNIT_TEST(OrderResults);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void SettingsAreRead() {
+    Findings findings;
+    const auto settings = ParseNodeSettings(kSettings, "local.toml", findings);
+    CPPUNIT_ASSERT_MESSAGE(findings.ToString(), settings.ok());
+    CPPUNIT_ASSERT_EQUAL(std::string("regina"), settings->gateway.data_center);
+    CPPUNIT_ASSERT_EQUAL(170, settings->gateway.cpu_milli);
+    CPPUNIT_ASSERT_EQUAL(uint16_t{7340}, settings->gateway.peer_port);
+    CPPUNIT_ASSERT_EQUAL(size_t{2440}, settings->gateway.max_connections);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.200.1.7:8223"),
+                         settings->store_address);
+  }
+
+  // Operators mend all of a file at once.
+  void EveryBadSettingIsReported() {
+    std::string text = kSettings;
+    text.replace(text.find("\"10.1.0.40:8220\""), 16, "\"nowhere\"");
+    text.replace(text.find("zone = \"regina\""), 15, "zone = 4");
+    text.replace(text.find("[platform]"), 10, "[elsewhere]");
+    Findings findings;
+    CPPUNIT_ASSERT(!ParseNodeSettings(text, "local.toml", findings).ok());
+    const std::string all = findings.ToString();
+    for (const char* name : {"listen.ready", "zone", "platform.address"})
+      CPPUNIT_ASSERT_MESSAGE(name, all.find(name) != std::string::npos);
+    CPPUNIT_ASSERT(all.find("local.toml:3: zone") != std::string::npos);
+    Findings broken;
+    CPPUNIT_ASSERT(!ParseNodeSettings("ip = ", "local.toml", broken).ok());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, broken.list().size());
+  }
+
+  void ConfigurationIsRead() {
+    std::string problem;
+    const auto table = DecodeConfiguration(kConfiguration, &problem);
+    CPPUNIT_ASSERT_MESSAGE(problem, table != nullptr);
+    CPPUNIT_ASSERT_EQUAL(int64_t{7}, table->version());
+    const Route* drafts = table->FindRoute("a.example", "/d/x");
+    CPPUNIT_ASSERT(drafts->kind == RouteKind::kStream && drafts->MayRepeat());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, drafts->services.size());
+    CPPUNIT_ASSERT(drafts->gap_target == milliseconds(200));
+    const Route* ballots = table->FindRoute("a.example", "/b/x");
+    CPPUNIT_ASSERT(!ballots->MayRepeat());
+    const EngineModel& engine = *table->FindService("pool")->engine;
+    CPPUNIT_ASSERT_EQUAL(80, engine.layers);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(272.0, engine.prefill_tokens_per_ms, 1e-9);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(8.2, engine.kinds.at("l4").prefill_scale,
+                                 1e-9);
+    CPPUNIT_ASSERT(!table->FindService("desk")->engine.has_value());
+    CPPUNIT_ASSERT_EQUAL(1, *table->FindAccount("k2")->rank);
+    CPPUNIT_ASSERT(table->limits().header_timeout == milliseconds(3000));
+  }
+
+  void BadConfigurationNamesItsProblem() {
+    for (const char* bad :
+         {"", "[]", "{\"version\":\"x\"}", "{\"version\":1}",
+          "{\"version\":1,\"services\":[],\"routes\":[{}]}"}) {
+      std::string problem;
+      CPPUNIT_ASSERT(DecodeConfiguration(bad, &problem) == nullptr);
+      CPPUNIT_ASSERT(!problem.empty());
+    }
+  }
+
+  void ServersAreRead() {
+    const auto server = DecodeServer(
+        "i-1",
+        R"({"service":"pool","address":"10.1.64.9:8080","zone":"regina",
+        "state":"ready","kind":"l4","born":1700,"seq":9,
+        "layers":{"from":3,"target":9,"version":1}})");
+    CPPUNIT_ASSERT(server.has_value());
+    CPPUNIT_ASSERT((server->layers == LayerRange{3, 9}));
+    CPPUNIT_ASSERT_EQUAL(int64_t{1700}, server->born);
+    const auto leaving =
+        DecodeServer("i-1", R"({"service":"p","address":"a:1","zone":"z",
+        "state":"draining","layers":null})");
+    CPPUNIT_ASSERT(leaving->state == ServerState::kDraining);
+    CPPUNIT_ASSERT(!leaving->layers.has_value());
+  }
+
+  // Another writer's rows lie in the same table.
+  void ForeignRowsNameNoServer() {
+    for (const char* bad :
+         {"", "nonsense", "[1]", "{}",
+          R"({"service":"p","address":"a:1","zone":"z","state":"asleep"})",
+          R"({"service":"p","address":7,"zone":"z","state":"ready"})",
+          R"({"service":"p","address":"a:1","state":"ready"})"})
+      CPPUNIT_ASSERT(!DecodeServer("i-1", bad).has_value());
+  }
+
+  void MutatedRowsNeverThrow() {
+    Random random(5);
+    const std::string row = R"({"service":"pool","address":"10.1.64.9:8080",)"
+                            R"("zone":"r","state":"ready","born":17,)"
+                            R"("layers":{"from":3,"target":9}})";
+    for (int i = 0; i < 20'000; ++i) {
+      std::string server = row;
+      std::string configuration = kConfiguration;
+      for (int flips = 0; flips < 4; ++flips) {
+        server[random.Below(server.size())] =
+            static_cast<char>(random.Below(256));
+        configuration[random.Below(configuration.size())] =
+            static_cast<char>(random.Below(256));
+      }
+      DecodeServer("i-1", server);
+      DecodeLease(server);
+      Base64Decode(server);
+      std::string problem;
+      if (i % 20 == 0)
+        DecodeConfiguration(configuration, &problem);
+    }
+  }
+
+  void Base64RoundTrip() {
+    Random random(3);
+    for (size_t size = 0; size < 70; ++size) {
+      std::string bytes;
+      for (size_t i = 0; i < size; ++i)
+        bytes += static_cast<char>(random.Below(256));
+      CPPUNIT_ASSERT(Base64Decode(Base64Encode(bytes)) == bytes);
+    }
+    CPPUNIT_ASSERT(!Base64Decode("ab!d").has_value());
+  }
+
+  void LeaseRoundTrip() {
+    LeaseRow row;
+    row.fence = 5;
+    row.holder_ip = "10.0.0.1";
+    row.holder_incarnation = 77;
+    const auto read = DecodeLease(EncodeLease(row));
+    CPPUNIT_ASSERT_EQUAL(int64_t{5}, read->fence);
+    CPPUNIT_ASSERT_EQUAL(row.holder_ip, read->holder_ip);
+    CPPUNIT_ASSERT_EQUAL(int64_t{77}, read->holder_incarnation);
+    CPPUNIT_ASSERT(!DecodeLease("{}").has_value());
+  }
+
+  static http::request_header<> ClientHead() {
+    http::request_header<> head;
+    head.method(http::verb::post);
+    head.target("/d/2f?q=%20x");
+    head.set(http::field::host, "a.example");
+    head.set("Attempt-Id", "9c41");
+    head.set("Model", "m");
+    head.set("Token-Counts", "1460,80");
+    head.set("Prompt-Prefix", "5c1e:800");
+    head.set("Deadline-Ms", "20000");
+    head.set("Credential", "k1");
+    head.set("Length-Hint", "60");
+    head.set("X-Own", "1");
+    head.set("X-Hop", "1");
+    head.set(http::field::connection, "keep-alive, X-Hop");
+    return head;
+  }
+
+  void RequestKeepsWhatIsTheClients() {
+    const PlatformDialect dialect;
+    auto request = dialect.ReadRequest(ClientHead());
+    CPPUNIT_ASSERT(request.ok());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1460.0, request->prompt_tokens, 0);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(80.0, request->most_answer_tokens, 0);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(60.0, request->answer_hint, 0);
+    CPPUNIT_ASSERT(*request->patience == milliseconds(20000));
+    request->body = "body";
+    const ServerMap servers = TwoServers();
+    SendPlan plan;
+    plan.server = &servers.at("i-1");
+    plan.path = {{"i-1", {0, 20}}, {"i-2", {20, 80}}};
+    plan.time_left = milliseconds(19'500);
+    plan.account = "club";
+    plan.resume_after = 12;
+    const HttpRequest out = dialect.WriteRequest(*request, plan, servers);
+    CPPUNIT_ASSERT(out.target() == "/d/2f?q=%20x");
+    CPPUNIT_ASSERT(out["Attempt-Id"] == "9c41");
+    CPPUNIT_ASSERT(out["Token-Counts"] == "1460,80");
+    CPPUNIT_ASSERT(out["Prompt-Prefix"] == "5c1e:800");
+    CPPUNIT_ASSERT(out["X-Own"] == "1");
+    CPPUNIT_ASSERT(out["Deadline-Ms"] == "19500");
+    CPPUNIT_ASSERT(out["Expect-Instance"] == "i-1");
+    CPPUNIT_ASSERT(out["Tenant"] == "club");
+    CPPUNIT_ASSERT(out["Last-Event-Id"] == "12");
+    CPPUNIT_ASSERT(out["Hop-Count"] ==
+                   "10.1.64.1:8080=0-20,10.1.64.2:8080=20-80");
+    CPPUNIT_ASSERT(out.count("Credential") == 0);
+    CPPUNIT_ASSERT(out.count("X-Hop") == 0);
+    CPPUNIT_ASSERT(out[http::field::content_length] == "4");
+  }
+
+  // A client must not pass as another account, nor choose its path.
+  void OwnHeadersCannotBeForged() {
+    http::request_header<> head = ClientHead();
+    for (const char* name : {"Tenant", "tenant", "Expect-Instance", "Hop-Count",
+                             "Request-Priority"})
+      head.insert(name, "forged");
+    const PlatformDialect dialect;
+    const auto request = dialect.ReadRequest(head);
+    const ServerMap servers = TwoServers();
+    SendPlan plan;
+    plan.server = &servers.at("i-1");
+    const HttpRequest out = dialect.WriteRequest(*request, plan, servers);
+    for (const auto& field : out)
+      CPPUNIT_ASSERT(field.value() != "forged");
+    head.target("*");
+    CPPUNIT_ASSERT(!dialect.ReadRequest(head).ok());
+  }
+
+  void AnswersAreClassified() {
+    const PlatformDialect dialect;
+    http::response_header<> head;
+    head.result(503);
+    head.set("Not-Run", "1");
+    head.set("At-Server", "10.1.64.2:8080");
+    AnswerHead answer = dialect.ReadAnswer(head);
+    CPPUNIT_ASSERT(answer.not_run && !answer.authentic);
+    CPPUNIT_ASSERT_EQUAL(std::string("10.1.64.2:8080"), answer.fault_address);
+    head = {};
+    head.result(503);
+    CPPUNIT_ASSERT(!dialect.ReadAnswer(head).not_run);
+    head.result(421);
+    CPPUNIT_ASSERT(dialect.ReadAnswer(head).not_run);
+    head = {};
+    head.result(200);
+    head.set("Server-Seal", "x");
+    head.set("Attempt-Id", "9c41");
+    head.set(http::field::content_type, "text/event-stream; charset=utf-8");
+    head.set(http::field::keep_alive, "timeout=5, max=100");
+    head.set(http::field::transfer_encoding, "chunked");
+    answer = dialect.ReadAnswer(head);
+    CPPUNIT_ASSERT(answer.authentic && answer.is_event_stream);
+    CPPUNIT_ASSERT(*answer.keep_alive == std::chrono::seconds(5));
+    CPPUNIT_ASSERT(answer.passed_headers.count("Server-Seal") == 1);
+    CPPUNIT_ASSERT(
+        answer.passed_headers.count(http::field::transfer_encoding) == 0);
+  }
+
+  void DirectoryCalls() {
+    const PlatformDialect dialect;
+    CPPUNIT_ASSERT(dialect.ReadDirectoryCall(
+                       "/resolve?name=a.example&region=p&zone=regina") ==
+                   "regina");
+    CPPUNIT_ASSERT(!dialect.ReadDirectoryCall("/ready").has_value());
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(R"({"addresses":["10.1.0.40:8227"],"ttlS":2.0})"),
+        dialect.WriteDirectoryAnswer({"10.1.0.40:8227"},
+                                     std::chrono::seconds(2)));
+  }
+
+  void OrderResults() {
+    const PlatformDialect dialect;
+    const auto result = [&](unsigned status) {
+      CallResult call;
+      call.response.result(status);
+      return dialect.ReadOrderResult(call);
+    };
+    CPPUNIT_ASSERT(result(202) == OrderResult::kAccepted);
+    CPPUNIT_ASSERT(result(200) == OrderResult::kAccepted);
+    CPPUNIT_ASSERT(result(409) == OrderResult::kConflict);
+    CPPUNIT_ASSERT(result(412) == OrderResult::kFenced);
+    CPPUNIT_ASSERT(result(404) == OrderResult::kNoSuchRequest);
+    CPPUNIT_ASSERT(result(500) == OrderResult::kRefused);
+    CallResult lost;
+    lost.error = CallError::kUnknown;
+    CPPUNIT_ASSERT(dialect.ReadOrderResult(lost) == OrderResult::kUnknown);
+    CallResult report;
+    report.response.result(200);
+    report.response.body() =
+        R"({"seq":2,"busy":true,"stalled":[{"id":"9c","address":"a:1"}]})";
+    const auto read = dialect.ReadReport(report);
+    CPPUNIT_ASSERT_EQUAL(int64_t{2}, read->order_seq);
+    CPPUNIT_ASSERT_EQUAL(std::string("a:1"), read->stalled.at("9c"));
+    report.response.body() = "{}";
+    CPPUNIT_ASSERT(!dialect.ReadReport(report).has_value());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdapterTest);
+
+}  // namespace
+}  // namespace trefoilwick::platform
--- /dev/null
+++ b/test/coordination_test.cc
@@ -0,0 +1,463 @@
+#include "trefoilwick/coordination.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <functional>
+#include <memory>
+
+#include "../src/cluster_codec.h"
+
+namespace trefoilwick {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kStoreDelay = milliseconds(5);
+constexpr Duration kLinkDelay = milliseconds(1);
+
+// A store with one lease row, a server list and a configuration version.
+struct FakeStore {
+  bool reachable = true;
+  int64_t version = 1;
+  LeaseRow lease;
+  ServerMap servers;
+  int64_t config_version = 1;
+  int calls = 0;
+};
+
+// Instances on one clock, with a store and links that can be cut.
+class Cluster {
+ public:
+  explicit Cluster(int count) {
+    for (int i = 0; i < count; ++i)
+      Add(i);
+  }
+
+  struct Node {
+    std::unique_ptr<Coordination> coordination;
+    bool alive = true;
+    bool store = true;
+    bool links = true;
+    int64_t config_version = 0;
+    // Lease writes that lose their answer.
+    bool lose_answers = false;
+  };
+
+  void Add(int index) {
+    Node& node = m_nodes[Ip(index)];
+    node = Node();
+    node.coordination = std::make_unique<Coordination>(
+        Coordination::Builder()
+            .SetAddress(Ip(index), index % 2 == 0 ? "regina" : "brandon")
+            .SetProcessorShare(170)
+            .SetIncarnation(m_now.time_since_epoch().count())
+            .Build(m_now));
+  }
+
+  static std::string Ip(int index) { return "10.0.0." + std::to_string(index); }
+  Node& At(int index) { return m_nodes.at(Ip(index)); }
+  FakeStore& store() { return m_store; }
+  TimePoint now() const { return m_now; }
+
+  void Run(Duration time) {
+    const TimePoint end = m_now + time;
+    while (m_now < end) {
+      m_now += milliseconds(1);
+      Deliver();
+      if (m_now.time_since_epoch() % Coordination::kTickInterval == Duration(0))
+        for (auto& [ip, node] : m_nodes)
+          if (node.alive)
+            node.coordination->OnTick(m_now);
+      for (auto& [ip, node] : m_nodes)
+        if (node.alive)
+          Act(ip, node);
+    }
+  }
+
+  // The only instance that believes to coordinate; empty when not one.
+  std::string Coordinator() {
+    std::string found;
+    for (auto& [ip, node] : m_nodes) {
+      if (!node.alive || !node.coordination->is_coordinator())
+        continue;
+      if (!found.empty())
+        return "";
+      found = ip;
+    }
+    return found;
+  }
+
+  int IndexOf(const std::string& ip) const {
+    return std::stoi(ip.substr(ip.rfind('.') + 1));
+  }
+
+ private:
+  struct Event {
+    TimePoint at;
+    std::string ip;
+    std::function<void(Coordination&)> run;
+  };
+
+  void Later(Duration delay,
+             const std::string& ip,
+             std::function<void(Coordination&)> run) {
+    m_events.push_back({m_now + delay, ip, std::move(run)});
+  }
+
+  void Deliver() {
+    std::deque<Event> rest;
+    for (Event& event : std::exchange(m_events, {})) {
+      if (event.at > m_now) {
+        rest.push_back(std::move(event));
+        continue;
+      }
+      Node& node = m_nodes.at(event.ip);
+      if (node.alive)
+        event.run(*node.coordination);
+    }
+    for (Event& event : m_events)
+      rest.push_back(std::move(event));
+    m_events = std::move(rest);
+  }
+
+  void Act(const std::string& ip, Node& node) {
+    for (auto& action : node.coordination->TakeActions())
+      std::visit(
+          Overloaded{
+              [&](SendDatagram& send) {
+                const auto to = m_nodes.find(send.ip);
+                if (to == m_nodes.end() || !node.links || !to->second.links)
+                  return;
+                Later(kLinkDelay, send.ip,
+                      [this, bytes = send.bytes](Coordination& c) {
+                        c.OnDatagram(m_now, bytes);
+                      });
+              },
+              [](ProbeServer&) {},
+              [&](ReadLease&) {
+                const bool ok = Call(node);
+                Later(kStoreDelay, ip, [this, ok](Coordination& c) {
+                  c.OnLease(m_now,
+                            ok ? std::optional(m_store.lease) : std::nullopt);
+                });
+              },
+              [&](WriteLease& write) { Write(ip, node, write); },
+              [&](ReadServerList&) {
+                const bool ok = Call(node);
+                const TimePoint asked = m_now;
+                Later(kStoreDelay, ip, [this, ok, asked](Coordination& c) {
+                  if (ok)
+                    c.OnServerList(m_now, asked, m_store.version,
+                                   m_store.servers);
+                  else
+                    c.OnServerListFailed(m_now);
+                });
+              },
+              [&](ReadConfiguration&) {
+                if (!Call(node))
+                  return node.coordination->OnConfigurationFailed(m_now);
+                node.config_version = m_store.config_version;
+                node.coordination->OnConfiguration(node.config_version);
+              },
+          },
+          action);
+  }
+
+  bool Call(const Node& node) {
+    ++m_store.calls;
+    return m_store.reachable && node.store;
+  }
+
+  void Write(const std::string& ip, Node& node, const WriteLease& write) {
+    if (!Call(node)) {
+      Later(kStoreDelay, ip, [this, row = write.row](Coordination& c) {
+        c.OnLeaseWritten(m_now, LeaseWriteResult::kUnknown, row);
+      });
+      return;
+    }
+    const bool fits = m_store.lease.row_version == write.expected_version;
+    if (fits) {
+      CPPUNIT_ASSERT(write.row.fence >= m_store.lease.fence);
+      m_store.lease = write.row;
+      m_store.lease.row_version = ++m_store.version;
+    }
+    const auto result = node.lose_answers ? LeaseWriteResult::kUnknown
+                        : fits            ? LeaseWriteResult::kWritten
+                                          : LeaseWriteResult::kConflict;
+    Later(kStoreDelay, ip,
+          [this, result, row = m_store.lease](Coordination& c) {
+            c.OnLeaseWritten(m_now, result, row);
+          });
+  }
+
+  TimePoint m_now{seconds(1000)};
+  std::map<std::string, Node> m_nodes;
+  std::deque<Event> m_events;
+  FakeStore m_store;
+};
+
+BackendServer Server(const std::string& id) {
+  BackendServer server;
+  server.id = id;
+  server.service = "pool";
+  server.address = "10.1.0.1:80";
+  return server;
+}
+
+class CoordinationTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CoordinationTest);
+  CPPUNIT_TEST(OneCoordinatorAtTheStart);
+  CPPUNIT_TEST(ListReachesEveryInstance);
+  CPPUNIT_TEST(DrainingIsSeenInTime);
+  CPPUNIT_TEST(DeadCoordinatorIsReplaced);
+  CPPUNIT_TEST(CoordinatorWithoutTheStoreIsReplaced);
+  CPPUNIT_TEST(ConfigurationIsAnnounced);
+  CPPUNIT_TEST(WokenCoordinatorStepsDown);
+  CPPUNIT_TEST(LostAnswerOfALeaseWrite);
+  CPPUNIT_TEST(EveryOneRestarts);
+  CPPUNIT_TEST(CutOffInstanceReadsForItself);
+  CPPUNIT_TEST(LoadsAreCountedOnce);
+  CPPUNIT_TEST(LayersAboutToBeGivenUpAreNotUsed);
+  CPPUNIT_TEST(LostServersAreProbedBeforeBelieved);
+  CPPUNIT_TEST(BadOwnLinkIsNotAnnounced);
+  CPPUNIT_TEST(CallsDoNotGrowWithInstances);
+  CPPUNIT_TEST(RandomBytesAreIgnored);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void OneCoordinatorAtTheStart() {
+    Cluster cluster(13);
+    cluster.Run(seconds(2));
+    const std::string coordinator = cluster.Coordinator();
+    CPPUNIT_ASSERT(!coordinator.empty());
+    for (int i = 0; i < 13; ++i)
+      CPPUNIT_ASSERT_EQUAL(coordinator,
+                           cluster.At(i).coordination->coordinator_ip());
+    CPPUNIT_ASSERT_EQUAL(
+        size_t{13}, cluster.At(5).coordination->Members(cluster.now()).size());
+  }
+
+  void ListReachesEveryInstance() {
+    Cluster cluster(5);
+    cluster.store().servers["a"] = Server("a");
+    cluster.Run(seconds(3));
+    for (int i = 0; i < 5; ++i) {
+      CPPUNIT_ASSERT(cluster.At(i).coordination->servers()->contains("a"));
+      CPPUNIT_ASSERT(cluster.At(i).coordination->ListAge(cluster.now()) <
+                     milliseconds(1500));
+    }
+  }
+
+  // No request may reach a server two seconds after it was listed as leaving.
+  void DrainingIsSeenInTime() {
+    Cluster cluster(13);
+    cluster.store().servers["a"] = Server("a");
+    cluster.Run(seconds(5));
+    cluster.store().servers["a"].state = ServerState::kDraining;
+    ++cluster.store().version;
+    cluster.Run(milliseconds(1200));
+    for (int i = 0; i < 13; ++i)
+      CPPUNIT_ASSERT(cluster.At(i).coordination->servers()->at("a").state ==
+                     ServerState::kDraining);
+  }
+
+  void DeadCoordinatorIsReplaced() {
+    Cluster cluster(13);
+    cluster.Run(seconds(3));
+    const int first = cluster.IndexOf(cluster.Coordinator());
+    const int64_t fence = cluster.At(first).coordination->fence();
+    cluster.At(first).alive = false;
+    cluster.Run(seconds(3));
+    const std::string second = cluster.Coordinator();
+    CPPUNIT_ASSERT(!second.empty());
+    CPPUNIT_ASSERT(cluster.At(cluster.IndexOf(second)).coordination->fence() >
+                   fence);
+  }
+
+  // A coordinator cut off from the store once kept the others from learning of
+  // a revoked key for three seconds.
+  void CoordinatorWithoutTheStoreIsReplaced() {
+    Cluster cluster(5);
+    cluster.Run(seconds(3));
+    const int first = cluster.IndexOf(cluster.Coordinator());
+    cluster.At(first).store = false;
+    cluster.Run(milliseconds(1700));
+    for (int i = 0; i < 5; ++i)
+      CPPUNIT_ASSERT(
+          !cluster.At(i).coordination->HearsCoordinator(cluster.now()) ||
+          cluster.At(i).coordination->fence() > 1);
+    cluster.Run(seconds(3));
+    CPPUNIT_ASSERT(!cluster.At(first).coordination->is_coordinator());
+    CPPUNIT_ASSERT(!cluster.Coordinator().empty());
+  }
+
+  void ConfigurationIsAnnounced() {
+    Cluster cluster(5);
+    cluster.Run(seconds(3));
+    const int first = cluster.IndexOf(cluster.Coordinator());
+    cluster.store().config_version = 9;
+    cluster.At(first).coordination->OnConfiguration(9);
+    cluster.Run(milliseconds(700));
+    for (int i = 0; i < 5; ++i)
+      if (i != first)
+        CPPUNIT_ASSERT_EQUAL(int64_t{9}, cluster.At(i).config_version);
+  }
+
+  // A process that stood still must not act on its old lease or list.
+  void WokenCoordinatorStepsDown() {
+    Cluster cluster(5);
+    cluster.Run(seconds(3));
+    const int first = cluster.IndexOf(cluster.Coordinator());
+    cluster.At(first).alive = false;
+    cluster.Run(seconds(4));
+    cluster.At(first).alive = true;
+    cluster.At(first).coordination->OnSuspended(cluster.now());
+    CPPUNIT_ASSERT(!cluster.At(first).coordination->is_coordinator());
+    CPPUNIT_ASSERT(cluster.At(first).coordination->ListAge(cluster.now()) >
+                   seconds(60));
+    cluster.Run(seconds(3));
+    CPPUNIT_ASSERT(!cluster.Coordinator().empty());
+    CPPUNIT_ASSERT(!cluster.At(first).coordination->is_coordinator());
+  }
+
+  // The write took effect; the next one conflicts with it and must be told
+  // apart from another holder's.
+  void LostAnswerOfALeaseWrite() {
+    Cluster cluster(3);
+    cluster.Run(seconds(3));
+    const int first = cluster.IndexOf(cluster.Coordinator());
+    cluster.At(first).lose_answers = true;
+    cluster.Run(seconds(3));
+    cluster.At(first).lose_answers = false;
+    cluster.Run(seconds(5));
+    CPPUNIT_ASSERT_EQUAL(Cluster::Ip(first), cluster.Coordinator());
+  }
+
+  // After all processes were killed, the row still names a holder.
+  void EveryOneRestarts() {
+    Cluster cluster(5);
+    cluster.store().servers["a"] = Server("a");
+    cluster.Run(seconds(3));
+    for (int i = 0; i < 5; ++i)
+      cluster.Add(i);
+    cluster.Run(seconds(1));
+    for (int i = 0; i < 5; ++i)
+      CPPUNIT_ASSERT(cluster.At(i).coordination->has_servers());
+    cluster.Run(seconds(2));
+    CPPUNIT_ASSERT(!cluster.Coordinator().empty());
+  }
+
+  void CutOffInstanceReadsForItself() {
+    Cluster cluster(4);
+    cluster.Run(seconds(3));
+    const int first = cluster.IndexOf(cluster.Coordinator());
+    const int cut = (first + 1) % 4;
+    cluster.At(cut).links = false;
+    cluster.Run(seconds(2));
+    CPPUNIT_ASSERT(cluster.At(cut).coordination->ListAge(cluster.now()) <
+                   milliseconds(1700));
+  }
+
+  void LoadsAreCountedOnce() {
+    Cluster cluster(4);
+    for (int i = 0; i < 4; ++i)
+      cluster.At(i).coordination->SetLocalLoads({{"a", {100, 1}}});
+    cluster.Run(seconds(4));
+    for (int i = 0; i < 4; ++i) {
+      const LoadMap loads = cluster.At(i).coordination->Loads(cluster.now());
+      CPPUNIT_ASSERT_EQUAL(4, loads.at("a").sequences);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(400.0, loads.at("a").token_layers, 0.5);
+    }
+  }
+
+  void LayersAboutToBeGivenUpAreNotUsed() {
+    Cluster cluster(3);
+    BackendServer server = Server("a");
+    server.layers = LayerRange{0, 10};
+    cluster.store().servers["a"] = server;
+    cluster.Run(seconds(3));
+    const int first = cluster.IndexOf(cluster.Coordinator());
+    cluster.At(first).coordination->SetOrders({{"a", {4, 14}}});
+    cluster.Run(milliseconds(600));
+    for (int i = 0; i < 3; ++i) {
+      const auto& coordination = *cluster.At(i).coordination;
+      CPPUNIT_ASSERT(
+          (coordination.servers()->at("a").layers == LayerRange{4, 10}));
+      CPPUNIT_ASSERT(
+          (coordination.listed()->at("a").layers == LayerRange{0, 10}));
+    }
+  }
+
+  void LostServersAreProbedBeforeBelieved() {
+    Cluster cluster(2);
+    for (const char* id : {"a", "b", "c"})
+      cluster.store().servers[id] = Server(id);
+    cluster.Run(seconds(3));
+    const TimePoint now = cluster.now();
+    cluster.At(0).coordination->MarkLost(now, "a");
+    CPPUNIT_ASSERT(cluster.At(0).coordination->Lost(now).contains("a"));
+    Coordination& other = *cluster.At(1).coordination;
+    other.OnDatagram(now, detail::EncodeLost({"a"}));
+    bool probe = false;
+    for (const auto& action : other.TakeActions())
+      probe |= std::holds_alternative<ProbeServer>(action);
+    CPPUNIT_ASSERT(probe);
+    CPPUNIT_ASSERT(other.Lost(now).empty());
+  }
+
+  // An instance whose own link is down finds every server lost.
+  void BadOwnLinkIsNotAnnounced() {
+    Cluster cluster(2);
+    for (const char* id : {"a", "b", "c", "d"})
+      cluster.store().servers[id] = Server(id);
+    cluster.Run(seconds(3));
+    Coordination& node = *cluster.At(0).coordination;
+    node.TakeActions();
+    for (const char* id : {"a", "b"})
+      node.MarkLost(cluster.now(), id);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, node.TakeActions().size());
+    for (const char* id : {"c", "d"})
+      node.MarkLost(cluster.now(), id);
+    CPPUNIT_ASSERT(node.TakeActions().empty());
+  }
+
+  // Calls to the store have a price: the instances of a large deployment must
+  // not each read for themselves.
+  void CallsDoNotGrowWithInstances() {
+    const auto calls_in_calm = [](int instances) {
+      Cluster cluster(instances);
+      cluster.Run(seconds(4));
+      const int before = cluster.store().calls;
+      cluster.Run(seconds(10));
+      return cluster.store().calls - before;
+    };
+    const int few = calls_in_calm(4);
+    CPPUNIT_ASSERT(calls_in_calm(40) <= few + 2);
+    CPPUNIT_ASSERT(few <= 25);
+  }
+
+  void RandomBytesAreIgnored() {
+    Cluster cluster(1);
+    cluster.Run(seconds(2));
+    Random random(11);
+    const std::string beat = detail::EncodeBeat(detail::CoordinatorBeat());
+    for (int i = 0; i < 5000; ++i) {
+      std::string bytes = beat;
+      for (uint64_t flips = random.Below(6); flips > 0; --flips)
+        bytes[random.Below(bytes.size())] =
+            static_cast<char>(random.Below(256));
+      bytes.resize(random.Below(bytes.size() + 1));
+      cluster.At(0).coordination->OnDatagram(cluster.now(), bytes);
+    }
+    // A damaged beat may name another coordinator; the lease decides.
+    cluster.Run(seconds(5));
+    CPPUNIT_ASSERT_EQUAL(Cluster::Ip(0), cluster.Coordinator());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CoordinationTest);
+
+}  // namespace
+}  // namespace trefoilwick
--- /dev/null
+++ b/test/gateway_harness.h
@@ -0,0 +1,279 @@
+// A gateway on loopback with a store and servers that a test scripts.
+#pragma once
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "dialect.h"
+#include "trefoilwick/gateway.h"
+
+namespace trefoilwick {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+// Answers of a scripted server to one request.
+struct Script {
+  std::string bytes;
+  bool close = true;
+  // Abort instead of a clean end.
+  bool reset = false;
+  // Wait for the other side to close first, at most this long.
+  std::chrono::milliseconds hold{0};
+};
+
+// Accepts connections one after the other and answers by script.
+class ScriptedServer {
+ public:
+  using Handler = std::function<Script(const std::string& request)>;
+
+  explicit ScriptedServer(Handler handler)
+      : m_handler(std::move(handler)),
+        m_acceptor(m_io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        m_thread([this] { Run(); }) {}
+  ~ScriptedServer() {
+    m_stop = true;
+    // Wakes the accept call.
+    tcp::socket socket(m_io);
+    boost::system::error_code ignored;
+    socket.connect(m_acceptor.local_endpoint(), ignored);
+    socket.close(ignored);
+    m_thread.join();
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+  }
+  std::vector<std::string> requests() const {
+    std::lock_guard lock(m_mutex);
+    return m_requests;
+  }
+  // The caller closed while an answer was held back.
+  bool saw_close() const { return m_saw_close; }
+
+ private:
+  void Run() {
+    while (!m_stop) {
+      boost::system::error_code error;
+      tcp::socket socket(m_io);
+      m_acceptor.accept(socket, error);
+      if (!error && !m_stop)
+        Serve(std::move(socket));
+    }
+  }
+
+  void Serve(tcp::socket socket) {
+    std::string buffer;
+    boost::system::error_code error;
+    while (!m_stop) {
+      const size_t head = asio::read_until(socket, asio::dynamic_buffer(buffer),
+                                           "\r\n\r\n", error);
+      if (error)
+        return;
+      size_t length = 0;
+      const size_t at = buffer.find("Content-Length: ");
+      if (at < head)
+        length = std::stoul(buffer.substr(at + 16));
+      while (buffer.size() < head + length && !error)
+        asio::read(socket, asio::dynamic_buffer(buffer),
+                   asio::transfer_at_least(1), error);
+      const std::string request = buffer.substr(0, head + length);
+      buffer.erase(0, head + length);
+      {
+        std::lock_guard lock(m_mutex);
+        m_requests.push_back(request);
+      }
+      const Script script = m_handler(request);
+      asio::write(socket, asio::buffer(script.bytes), error);
+      Hold(socket, script.hold);
+      if (script.reset)
+        socket.set_option(asio::socket_base::linger(true, 0), error);
+      if (script.close || script.reset)
+        return;
+    }
+  }
+
+  void Hold(tcp::socket& socket, std::chrono::milliseconds most) {
+    socket.non_blocking(true);
+    for (auto waited = std::chrono::milliseconds(0); waited < most;
+         waited += std::chrono::milliseconds(10)) {
+      char byte;
+      boost::system::error_code error;
+      socket.receive(asio::buffer(&byte, 1), 0, error);
+      if (error != asio::error::would_block) {
+        m_saw_close = true;
+        return;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    socket.non_blocking(false);
+  }
+
+  Handler m_handler;
+  asio::io_context m_io;
+  tcp::acceptor m_acceptor;
+  std::atomic<bool> m_stop{false};
+  std::atomic<bool> m_saw_close{false};
+  mutable std::mutex m_mutex;
+  std::vector<std::string> m_requests;
+  std::thread m_thread;
+};
+
+// A store that answers at once from memory.
+class MemoryClusterStore final : public ClusterStore {
+ public:
+  explicit MemoryClusterStore(asio::io_context& io) : m_io(io), m_timer(io) {}
+
+  std::shared_ptr<const RouteTable> table;
+  ServerMap servers;
+  LeaseRow lease;
+
+  void ReadLease(std::function<void(std::optional<LeaseRow>)> done) override {
+    asio::post(m_io, [this, done] { done(lease); });
+  }
+  void WriteLease(
+      const LeaseRow& row,
+      int64_t expected,
+      std::function<void(LeaseWriteResult, LeaseRow)> done) override {
+    const bool fits = lease.row_version == expected;
+    if (fits) {
+      lease = row;
+      lease.row_version = expected + 1;
+    }
+    asio::post(m_io, [this, fits, done] {
+      done(fits ? LeaseWriteResult::kWritten : LeaseWriteResult::kConflict,
+           lease);
+    });
+  }
+  void ReadServers(ServerListHandler done) override {
+    asio::post(m_io,
+               [this, done] { done(std::make_pair(int64_t{1}, servers)); });
+  }
+  void ReadConfiguration(ConfigurationHandler done) override {
+    asio::post(m_io, [this, done] { done(table); });
+  }
+  void WatchConfiguration(Duration, ConfigurationHandler done) override {
+    m_timer.expires_after(std::chrono::milliseconds(50));
+    m_timer.async_wait(
+        [this, done](const boost::system::error_code&) { done(table); });
+  }
+  void DropConnections() override {}
+
+ private:
+  asio::io_context& m_io;
+  asio::steady_timer m_timer;
+};
+
+inline uint16_t FreePort() {
+  asio::io_context io;
+  tcp::acceptor acceptor(io,
+                         tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  return acceptor.local_endpoint().port();
+}
+
+class GatewayHarness {
+ public:
+  GatewayHarness() : m_store(m_io), m_guard(asio::make_work_guard(m_io)) {
+    m_settings.ip = "127.0.0.1";
+    m_settings.data_center = "regina";
+    m_settings.client_address = Address();
+    m_settings.ready_address = Address();
+    m_settings.directory_address = Address();
+    m_settings.metrics_address = Address();
+    m_settings.peer_port = FreePort();
+    m_settings.grace = std::chrono::seconds(4);
+  }
+  ~GatewayHarness() {
+    m_guard.reset();
+    m_io.stop();
+    if (m_thread.joinable())
+      m_thread.join();
+  }
+
+  MemoryClusterStore& store() { return m_store; }
+  GatewaySettings& settings() { return m_settings; }
+
+  void AddServer(const std::string& id,
+                 const std::string& service,
+                 const std::string& address) {
+    BackendServer& server = m_store.servers[id];
+    server.id = id;
+    server.service = service;
+    server.address = address;
+    server.data_center = "regina";
+  }
+
+  // Starts, and waits until the gateway says that it is ready.
+  void Start() {
+    m_gateway = std::make_unique<Gateway>(Gateway::Builder(m_io)
+                                              .SetSettings(m_settings)
+                                              .SetDialect(&m_dialect)
+                                              .SetStore(&m_store)
+                                              .Build());
+    CPPUNIT_ASSERT(m_gateway->Start().ok());
+    m_thread = std::thread([this] { m_io.run(); });
+    if (!m_store.table)
+      return;
+    for (int i = 0; i < 300; ++i) {
+      const std::string answer = Call(m_settings.ready_address,
+                                      "GET /ready HTTP/1.1\r\nHost: x\r\n"
+                                      "Connection: close\r\n\r\n");
+      if (answer.starts_with("HTTP/1.1 200"))
+        return;
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    CPPUNIT_FAIL("the gateway did not become ready");
+  }
+
+  void Leave() {
+    asio::post(m_io, [this] { m_gateway->Leave(); });
+  }
+
+  // Sends bytes on a new connection and reads until the other side closes.
+  static std::string Call(const std::string& address,
+                          const std::string& request) {
+    asio::io_context io;
+    tcp::socket socket(io);
+    boost::system::error_code error;
+    socket.connect(*ParseEndpoint(address), error);
+    if (error)
+      return "no connection";
+    asio::write(socket, asio::buffer(request), error);
+    std::string answer;
+    asio::read(socket, asio::dynamic_buffer(answer), asio::transfer_all(),
+               error);
+    return error == asio::error::eof ? answer : answer + "<reset>";
+  }
+
+  std::string Client(const std::string& request) const {
+    return Call(m_settings.client_address, request);
+  }
+
+ private:
+  static std::string Address() {
+    return "127.0.0.1:" + std::to_string(FreePort());
+  }
+
+  asio::io_context m_io;
+  platform::PlatformDialect m_dialect;
+  MemoryClusterStore m_store;
+  GatewaySettings m_settings;
+  std::unique_ptr<Gateway> m_gateway;
+  asio::executor_work_guard<asio::io_context::executor_type> m_guard;
+  std::thread m_thread;
+};
+
+}  // namespace trefoilwick
