--- a/include/trefoilwick/http_call.h
+++ b/include/trefoilwick/http_call.h
@@ -86,6 +86,6 @@
 void TryConnect(boost::asio::io_context& io,
                 const std::string& address,
                 Duration timeout,
-                std::function<void(ConnectResult)> handler);
+                const std::function<void(ConnectResult)>& handler);
 
 }  // namespace trefoilwick
--- a/src/cluster_codec.cc
+++ b/src/cluster_codec.cc
@@ -5,7 +5,7 @@
 
 #include <cmath>
 
-#include "gen/cluster_types.h"
+#include "cluster_types.h"
 
 namespace trefoilwick::detail {
 
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -118,12 +118,12 @@
   for (const auto& [address, acceptor] : small) {
     if (address->empty())
       continue;
-    if (const absl::Status status = Listen(*address, *acceptor); !status.ok())
+    if (absl::Status status = Listen(*address, *acceptor); !status.ok())
       return status;
     ServeSmall(*acceptor);
   }
   if (!m_settings.client_address.empty()) {
-    if (const absl::Status status =
+    if (absl::Status status =
             Listen(m_settings.client_address, m_client_acceptor);
         !status.ok())
       return status;
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -232,7 +232,7 @@
 
 void GatewayCore::CallServer(const std::string& server,
                              HttpRequest request,
-                             std::function<void(OrderResult)> handler) {
+                             const std::function<void(OrderResult)>& handler) {
   const auto found = servers().find(server);
   if (found == servers().end()) {
     asio::post(m_io, [handler] { handler(OrderResult::kRefused); });
@@ -333,57 +333,58 @@
 
 void GatewayCore::RunActions() {
   for (CoordinationAction& action : m_coordination.TakeActions()) {
-    std::visit(Overloaded{
-                   [&](SendDatagram& send) {
-                     error_code error;
-                     const auto ip = asio::ip::make_address_v4(send.ip, error);
-                     if (!error)
-                       m_peer_socket.send_to(
-                           asio::buffer(send.bytes),
-                           udp::endpoint(ip, m_settings.peer_port), 0, error);
-                   },
-                   [&](ProbeServer& probe) { Probe(probe.server); },
-                   [&](ReadLease&) {
-                     m_store->ReadLease([this](std::optional<LeaseRow> row) {
-                       m_coordination.OnLease(Now(), row);
-                       RunActions();
-                     });
-                   },
-                   [&](WriteLease& write) {
-                     m_store->WriteLease(
-                         write.row, write.expected_version,
-                         [this](LeaseWriteResult result, const LeaseRow& row) {
-                           const bool before = m_coordination.is_coordinator();
-                           m_coordination.OnLeaseWritten(Now(), result, row);
-                           if (before != m_coordination.is_coordinator())
-                             Log("coordinator",
-                                 {{"self", before ? "0" : "1"},
-                                  {"fence", std::to_string(row.fence)}});
-                           RunActions();
-                         });
-                   },
-                   [&](ReadServerList&) {
-                     const TimePoint asked = Now();
-                     m_store->ReadServers([this, asked](auto list) {
-                       if (list)
-                         m_coordination.OnServerList(Now(), asked, list->first,
-                                                     std::move(list->second));
-                       else
-                         m_coordination.OnServerListFailed(Now());
-                       if (m_seen_servers != m_coordination.servers())
-                         OnServersChanged();
-                       RunActions();
-                     });
-                   },
-                   [&](ReadConfiguration&) {
-                     m_store->ReadConfiguration([this](auto table) {
-                       if (!table)
-                         m_coordination.OnConfigurationFailed(Now());
-                       AdoptTable(std::move(table));
-                     });
-                   },
-               },
-               action);
+    std::visit(
+        Overloaded{
+            [&](SendDatagram& send) {
+              error_code error;
+              const auto ip = asio::ip::make_address_v4(send.ip, error);
+              if (!error)
+                m_peer_socket.send_to(asio::buffer(send.bytes),
+                                      udp::endpoint(ip, m_settings.peer_port),
+                                      0, error);
+            },
+            [&](ProbeServer& probe) { Probe(probe.server); },
+            [&](ReadLease&) {
+              m_store->ReadLease([this](const std::optional<LeaseRow>& row) {
+                m_coordination.OnLease(Now(), row);
+                RunActions();
+              });
+            },
+            [&](WriteLease& write) {
+              m_store->WriteLease(
+                  write.row, write.expected_version,
+                  [this](LeaseWriteResult result, const LeaseRow& row) {
+                    const bool before = m_coordination.is_coordinator();
+                    m_coordination.OnLeaseWritten(Now(), result, row);
+                    if (before != m_coordination.is_coordinator())
+                      Log("coordinator",
+                          {{"self", before ? "0" : "1"},
+                           {"fence", std::to_string(row.fence)}});
+                    RunActions();
+                  });
+            },
+            [&](ReadServerList&) {
+              const TimePoint asked = Now();
+              m_store->ReadServers([this, asked](auto list) {
+                if (list)
+                  m_coordination.OnServerList(Now(), asked, list->first,
+                                              std::move(list->second));
+                else
+                  m_coordination.OnServerListFailed(Now());
+                if (m_seen_servers != m_coordination.servers())
+                  OnServersChanged();
+                RunActions();
+              });
+            },
+            [&](ReadConfiguration&) {
+              m_store->ReadConfiguration([this](auto table) {
+                if (!table)
+                  m_coordination.OnConfigurationFailed(Now());
+                AdoptTable(std::move(table));
+              });
+            },
+        },
+        action);
   }
 }
 
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -79,7 +79,7 @@
   void ReportLost(const std::string& server);
   void CallServer(const std::string& server,
                   HttpRequest request,
-                  std::function<void(OrderResult)> handler);
+                  const std::function<void(OrderResult)>& handler);
 
   void OnSessionClosed(ClientSession* session);
   void CountRejected(int status);
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -35,10 +35,9 @@
 constexpr Duration kPlainSilence = milliseconds(400);
 // Answers up to this size are held until they are complete, so that a broken
 // one can be repeated.
-constexpr size_t kMaxHeldBytes = 256 * 1024;
+constexpr size_t kMaxHeldBytes = size_t{256} * 1024;
 // A client that takes less than this holds the server's stream back.
-constexpr size_t kMaxPendingBytes = 128 * 1024;
-constexpr Duration kOrderTimeout = milliseconds(1500);
+constexpr size_t kMaxPendingBytes = size_t{128} * 1024;
 
 std::string RetryAfterSeconds(Duration after) {
   char text[24];
@@ -408,7 +407,7 @@
   m_session->BeginParts(m_head.status, m_head.passed_headers);
 }
 
-void Exchange::PassEvents(std::string bytes) {
+void Exchange::PassEvents(const std::string& bytes) {
   if (!m_events.in_order()) {
     m_core.Log("events_out_of_order",
                {{"id", m_request.attempt_id}, {"server", m_server}});
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -63,7 +63,7 @@
   void Repath(const std::string& lost);
   void OnRepathed(OrderResult result, LayerPath path);
   void Commit();
-  void PassEvents(std::string bytes);
+  void PassEvents(const std::string& bytes);
   void RelayWhole();
   void OnDeadline();
   void AnswerOwn(int status, const char* outcome, const char* detail);
--- a/src/gateway_session.cc
+++ b/src/gateway_session.cc
@@ -20,7 +20,7 @@
 
 constexpr size_t kReadBytes = 4096;
 // Bytes of the next request that are taken while one is answered.
-constexpr size_t kMaxAheadBytes = 64 * 1024;
+constexpr size_t kMaxAheadBytes = size_t{64} * 1024;
 constexpr Duration kBodyTimeout = seconds(10);
 // Time in which a client may take the last answer before the connection is
 // closed for good.
--- a/src/http_call.cc
+++ b/src/http_call.cc
@@ -215,7 +215,7 @@
 void TryConnect(asio::io_context& io,
                 const std::string& address,
                 Duration timeout,
-                std::function<void(ConnectResult)> handler) {
+                const std::function<void(ConnectResult)>& handler) {
   const auto endpoint = ParseEndpoint(address);
   if (!endpoint) {
     asio::post(io, [handler] { handler(ConnectResult::kRefused); });
--- a/test/layer_fleet.h
+++ b/test/layer_fleet.h
@@ -54,7 +54,8 @@
                        const std::string& kind,
                        int count) {
   for (int i = 0; i < count; ++i) {
-    const std::string id = data_center + "-" + kind + "-" + std::to_string(i);
+    std::string id = data_center;
+    id.append("-").append(kind).append("-").append(std::to_string(i));
     servers[id] = EmptyServer(id, data_center, kind);
   }
 }
@@ -103,22 +104,23 @@
 
 // Random kinds, ranges and states over three data centers.
 inline ServerMap RandomFleet(Random& random) {
-  static const char* const kKinds[] = {"a100s", "l4", "t4"};
-  static const char* const kDataCenters[] = {"regina", "brandon", "lethbridge"};
+  const std::vector<std::string> kinds = {"a100s", "l4", "t4"};
+  const std::vector<std::string> data_centers = {"regina", "brandon",
+                                                 "lethbridge"};
   ServerMap servers;
   const uint64_t count = 30 + random.Below(60);
   for (uint64_t i = 0; i < count; ++i) {
     const std::string id = "s" + std::to_string(i);
     BackendServer server =
-        EmptyServer(id, kDataCenters[random.Below(3)], kKinds[random.Below(3)]);
+        EmptyServer(id, data_centers[random.Below(3)], kinds[random.Below(3)]);
     const int most = MostLayers(Engine(), server.kind);
     const int half = (most + 1) / 2;
     const int size =
         half + static_cast<int>(random.Below(static_cast<uint64_t>(half)));
     // Clamped, so that the ends are held as often as the middle.
-    const int raw =
-        static_cast<int>(random.Below(static_cast<uint64_t>(kLayers + size))) -
-        size;
+    const auto places =
+        static_cast<uint64_t>(kLayers) + static_cast<uint64_t>(size);
+    const int raw = static_cast<int>(random.Below(places)) - size;
     const int from = std::clamp(raw, 0, kLayers - size);
     if (random.Below(6) != 0)
       server.layers = LayerRange{from, from + size};
