--- a/include/trefoilwick/forwarding.h
+++ b/include/trefoilwick/forwarding.h
@@ -170,6 +170,10 @@
   // `ratio` of the requests of the window plus `slack` may be sent again.
   RetryWindow(double ratio, double slack, Duration window)
       : m_ratio(ratio), m_slack(slack), m_window(window) {}
+  void SetLimits(double ratio, double slack) {
+    m_ratio = ratio;
+    m_slack = slack;
+  }
   void OnRequest(TimePoint now);
   struct Counts {
     double requests = 0;
--- a/include/trefoilwick/gateway.h
+++ b/include/trefoilwick/gateway.h
@@ -200,6 +200,8 @@
   Gateway(Gateway&&) noexcept;
   // Opens the listeners and begins to coordinate.
   absl::Status Start();
+  // Takes over limits and bounds; addresses stay as they were at the start.
+  void Reload(const GatewaySettings& settings);
   // Stops taking work and ends when the requests in progress have ended.
   void Leave();
 
--- a/include/trefoilwick/http_call.h
+++ b/include/trefoilwick/http_call.h
@@ -40,6 +40,10 @@
 // `silence` bounds the time without acknowledgement.
 void SetSocketOptions(boost::asio::ip::tcp::socket& socket, Duration silence);
 
+// True when an idle connection can be used: readable means that it was closed,
+// or that it holds bytes which belong to no request.
+bool IsOpenAndQuiet(boost::asio::ip::tcp::socket& socket);
+
 enum class CallError : uint8_t {
   kNone,
   // No byte of the request was sent.
--- a/include/trefoilwick/kernel.h
+++ b/include/trefoilwick/kernel.h
@@ -284,9 +284,18 @@
   std::map<Key, std::unique_ptr<LatencyHistogram>> m_histograms;
 };
 
-// Configures log4cplus: one line per record on standard error. `level` is a
-// log4cplus level name.
-void InitLogging(const std::string& process_name, const std::string& level);
+// Where log lines go.
+enum class LogTarget : uint8_t {
+  kStandardError,
+  // Lines that the reader of standard output does not take at once are left
+  // out and counted, so that logging never blocks.
+  kStandardOutput,
+};
+
+// Configures log4cplus: one line per record. `level` is a log4cplus level name.
+void InitLogging(const std::string& process_name,
+                 const std::string& level,
+                 LogTarget target = LogTarget::kStandardError);
 
 // Logs one state change as `component=... event=... key=value ...`. Values
 // that contain spaces or quotes are quoted.
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -229,6 +229,13 @@
       });
 }
 
+void GatewayCore::Reload(const GatewaySettings& settings) {
+  m_settings.max_connections = settings.max_connections;
+  m_settings.grace = settings.grace;
+  m_settings.directory_ttl = settings.directory_ttl;
+  m_retries.SetLimits(settings.retry_ratio, settings.retry_slack);
+}
+
 void GatewayCore::Leave() {
   if (std::exchange(m_leaving, true))
     return;
@@ -267,6 +274,10 @@
   return m_core->Start();
 }
 
+void Gateway::Reload(const GatewaySettings& settings) {
+  m_core->Reload(settings);
+}
+
 void Gateway::Leave() {
   m_core->Leave();
 }
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -35,6 +35,7 @@
   ~GatewayCore();
 
   absl::Status Start();
+  void Reload(const GatewaySettings& settings);
   void Leave();
 
   boost::asio::io_context& io() { return m_io; }
--- a/src/gateway_upstream.cc
+++ b/src/gateway_upstream.cc
@@ -39,13 +39,7 @@
     idle.pop_back();
     if (last.until <= now)
       continue;
-    // Readable means closed, or bytes that belong to no request.
-    error_code error;
-    char byte;
-    last.socket->non_blocking(true, error);
-    last.socket->receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
-                         error);
-    if (error == asio::error::would_block)
+    if (IsOpenAndQuiet(*last.socket))
       return std::move(last.socket);
   }
   return nullptr;
--- a/src/http_call.cc
+++ b/src/http_call.cc
@@ -71,6 +71,14 @@
   setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms, sizeof silence_ms);
 }
 
+bool IsOpenAndQuiet(tcp::socket& socket) {
+  error_code error;
+  char byte = 0;
+  socket.non_blocking(true, error);
+  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error == asio::error::would_block;
+}
+
 // One call, from connecting to the complete answer.
 class HttpCaller::Exchange : public std::enable_shared_from_this<Exchange> {
  public:
@@ -128,9 +136,8 @@
     while (!kept.empty()) {
       Kept last = std::move(kept.back());
       kept.pop_back();
-      error_code error;
       const bool young = BootClock().Now() - last.since < kKeptLife;
-      if (young && last.socket->available(error) == 0 && !error) {
+      if (young && IsOpenAndQuiet(*last.socket)) {
         m_socket = std::move(last.socket);
         return true;
       }
--- a/src/kernel.cc
+++ b/src/kernel.cc
@@ -1,5 +1,9 @@
 #include "trefoilwick/kernel.h"
 
+#include <limits.h>
+#include <poll.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <boost/histogram.hpp>
 #include <boost/histogram/accumulators/thread_safe.hpp>
@@ -248,10 +252,50 @@
       visit(key.labels, *histogram);
 }
 
-void InitLogging(const std::string& process_name, const std::string& level) {
+namespace {
+
+// Writes a line only when the reader can take it now.
+class StandardOutputAppender final : public log4cplus::Appender {
+ public:
+  StandardOutputAppender() = default;
+  ~StandardOutputAppender() override { destructorImpl(); }
+  StandardOutputAppender(const StandardOutputAppender&) = delete;
+  StandardOutputAppender& operator=(const StandardOutputAppender&) = delete;
+  void close() override {}
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    std::string line = formatEvent(event);
+    if (m_omitted > 0)
+      line = "event=lines_omitted count=" + std::to_string(m_omitted) + "\n" +
+             line;
+    pollfd ready{STDOUT_FILENO, POLLOUT, 0};
+    // A pipe that is ready takes PIPE_BUF bytes without blocking.
+    if (line.size() > PIPE_BUF || poll(&ready, 1, 0) != 1 ||
+        (ready.revents & POLLOUT) == 0 ||
+        write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+      ++m_omitted;
+      return;
+    }
+    m_omitted = 0;
+  }
+
+ private:
+  uint64_t m_omitted = 0;
+};
+
+}  // namespace
+
+void InitLogging(const std::string& process_name,
+                 const std::string& level,
+                 LogTarget target) {
   static log4cplus::Initializer initializer;
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(true, true));
+  log4cplus::SharedAppenderPtr appender;
+  if (target == LogTarget::kStandardOutput)
+    appender = log4cplus::SharedAppenderPtr(new StandardOutputAppender());
+  else
+    appender = log4cplus::SharedAppenderPtr(
+        new log4cplus::ConsoleAppender(true, true));
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
       "time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p process=" + process_name +
       " %m%n"));
--- /dev/null
+++ b/test/adapter_call_test.cc
@@ -0,0 +1,220 @@
+// Calls of the gateway to the store and to servers, over sockets.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "gateway_harness.h"
+#include "store.h"
+
+namespace trefoilwick {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kTimeout = milliseconds(300);
+
+std::string Ok(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+class AdapterCallTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AdapterCallTest);
+  CPPUNIT_TEST(AnswerArrives);
+  CPPUNIT_TEST(SilenceEndsWithTheTimeout);
+  CPPUNIT_TEST(RefusedConnectionWasNotSent);
+  CPPUNIT_TEST(ConnectionIsKept);
+  CPPUNIT_TEST(ConnectTellsRefusalFromSilence);
+  CPPUNIT_TEST(StoreReadsServersAndSkipsForeignRows);
+  CPPUNIT_TEST(StoreFailuresAreNoEmptyList);
+  CPPUNIT_TEST(LeaseConflictShowsTheHolder);
+  CPPUNIT_TEST(DroppedHistoryIsReadAnew);
+  CPPUNIT_TEST_SUITE_END();
+
+  static CallResult Call(const std::string& address) {
+    asio::io_context io;
+    HttpCaller caller(io, milliseconds(200));
+    CallResult out;
+    caller.Call(address, HttpRequest{boost::beast::http::verb::get, "/x", 11},
+                kTimeout, [&](CallResult result) { out = std::move(result); });
+    io.run();
+    return out;
+  }
+
+  // Runs one call of the store against a scripted answer.
+  template <typename Start>
+  static void WithStore(const ScriptedServer::Handler& handler, Start start) {
+    ScriptedServer server(handler);
+    asio::io_context io;
+    platform::PlatformStore store(io, server.address());
+    start(store);
+    io.run();
+  }
+
+ public:
+  void AnswerArrives() {
+    ScriptedServer server(
+        [](const std::string&) { return Script{Ok("hello")}; });
+    const CallResult result = Call(server.address());
+    CPPUNIT_ASSERT(result.error == CallError::kNone);
+    CPPUNIT_ASSERT_EQUAL(std::string("hello"), result.response.body());
+  }
+
+  // Open connections may go silent without a reset.
+  void SilenceEndsWithTheTimeout() {
+    ScriptedServer server([](const std::string&) {
+      return Script{"", true, false, seconds(2)};
+    });
+    const auto start = std::chrono::steady_clock::now();
+    CPPUNIT_ASSERT(Call(server.address()).error == CallError::kUnknown);
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start < seconds(1));
+  }
+
+  void RefusedConnectionWasNotSent() {
+    const std::string nobody = "127.0.0.1:" + std::to_string(FreePort());
+    CPPUNIT_ASSERT(Call(nobody).error == CallError::kNotSent);
+    CPPUNIT_ASSERT(Call("no address").error == CallError::kNotSent);
+  }
+
+  void ConnectionIsKept() {
+    std::atomic<int> calls{0};
+    ScriptedServer server([&](const std::string&) {
+      ++calls;
+      return Script{Ok("x"), false};
+    });
+    asio::io_context io;
+    HttpCaller caller(io, milliseconds(200));
+    int done = 0;
+    // The scripted server serves one connection at a time: the second call
+    // only succeeds on the first one's.
+    caller.Call(
+        server.address(), HttpRequest{boost::beast::http::verb::get, "/1", 11},
+        kTimeout, [&](CallResult first) {
+          done += first.error == CallError::kNone ? 1 : 0;
+          caller.Call(server.address(),
+                      HttpRequest{boost::beast::http::verb::get, "/2", 11},
+                      kTimeout, [&](CallResult second) {
+                        done += second.error == CallError::kNone ? 1 : 0;
+                        caller.DropKept();
+                      });
+        });
+    io.run();
+    CPPUNIT_ASSERT_EQUAL(2, done);
+  }
+
+  void ConnectTellsRefusalFromSilence() {
+    ScriptedServer server([](const std::string&) { return Script{}; });
+    asio::io_context io;
+    ConnectResult up = ConnectResult::kSilent;
+    ConnectResult down = ConnectResult::kSilent;
+    TryConnect(io, server.address(), seconds(1),
+               [&](ConnectResult result) { up = result; });
+    TryConnect(io, "127.0.0.1:" + std::to_string(FreePort()), seconds(1),
+               [&](ConnectResult result) { down = result; });
+    io.run();
+    CPPUNIT_ASSERT(up == ConnectResult::kAccepted);
+    CPPUNIT_ASSERT(down == ConnectResult::kRefused);
+  }
+
+  void StoreReadsServersAndSkipsForeignRows() {
+    std::optional<std::pair<int64_t, ServerMap>> list;
+    // {"service":"p","address":"a:1","zone":"z","state":"ready"} in base64,
+    // then bytes that are no row.
+    WithStore(
+        [](const std::string&) {
+          return Script{
+              Ok(R"({"rows":[{"key":"i-1","value":"eyJzZXJ2aWNlIjoicCIsImFkZHJ)"
+                 R"(lc3MiOiJhOjEiLCJ6b25lIjoieiIsInN0YXRlIjoicmVhZHkifQ==",)"
+                 R"("ver":4},{"key":"i-2","value":"AAAA","ver":5},)"
+                 R"({"key":7}],"truncated":false,"ver":9})")};
+        },
+        [&](platform::PlatformStore& store) {
+          store.ReadServers([&](auto read) { list = std::move(read); });
+        });
+    CPPUNIT_ASSERT(list.has_value());
+    CPPUNIT_ASSERT_EQUAL(int64_t{9}, list->first);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, list->second.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("a:1"), list->second.at("i-1").address);
+  }
+
+  // A store that turns an instance away has not said that no server exists.
+  void StoreFailuresAreNoEmptyList() {
+    for (const char* answer :
+         {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 429 Many\r\nContent-Length: 2\r\n\r\n{}",
+          "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnot",
+          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", ""}) {
+      bool called = false;
+      WithStore([answer](const std::string&) { return Script{answer}; },
+                [&](platform::PlatformStore& store) {
+                  store.ReadServers([&](auto list) {
+                    called = true;
+                    CPPUNIT_ASSERT(!list.has_value());
+                  });
+                });
+      CPPUNIT_ASSERT(called);
+    }
+  }
+
+  void LeaseConflictShowsTheHolder() {
+    LeaseWriteResult result = LeaseWriteResult::kUnknown;
+    LeaseRow holder;
+    // {"fence":3,"ip":"h","incarnation":1}
+    WithStore(
+        [](const std::string&) {
+          std::string answer =
+              Ok(R"({"rows":[{"key":"lease","value":"eyJmZW5jZSI6MywiaXAiOiJo)"
+                 R"(IiwiaW5jYXJuYXRpb24iOjF9","ver":8}],"ver":9})");
+          answer.replace(answer.find("200 OK"), 6, "412 No");
+          return Script{answer};
+        },
+        [&](platform::PlatformStore& store) {
+          store.WriteLease(LeaseRow(), 2,
+                           [&](LeaseWriteResult got, const LeaseRow& row) {
+                             result = got;
+                             holder = row;
+                           });
+        });
+    CPPUNIT_ASSERT(result == LeaseWriteResult::kConflict);
+    CPPUNIT_ASSERT_EQUAL(int64_t{3}, holder.fence);
+    CPPUNIT_ASSERT_EQUAL(int64_t{8}, holder.row_version);
+  }
+
+  // The store may drop its history: the row itself is read then.
+  void DroppedHistoryIsReadAnew() {
+    // {"version":4,"services":[],"routes":[]}
+    const std::string row =
+        Ok(R"({"rows":[{"key":"config","value":"eyJ2ZXJzaW9uIjo0LCJzZXJ2aWNl)"
+           R"(cyI6W10sInJvdXRlcyI6W119","ver":6}],"ver":7})");
+    std::vector<std::string> targets;
+    int tables = 0;
+    WithStore(
+        [&](const std::string& request) {
+          targets.push_back(request.substr(4, request.find(' ', 4) - 4));
+          return Script{targets.size() == 2
+                            ? "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n"
+                            : row};
+        },
+        [&](platform::PlatformStore& store) {
+          const auto watch = [&](auto handler) {
+            store.WatchConfiguration(milliseconds(100), handler);
+          };
+          watch([&, watch](const auto& first) {
+            tables += first ? 1 : 0;
+            watch([&, watch](const auto& second) {
+              tables += second ? 1 : 0;
+              watch([&](const auto& third) { tables += third ? 1 : 0; });
+            });
+          });
+        });
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, targets.size());
+    CPPUNIT_ASSERT(targets[0].starts_with("/rows-get"));
+    CPPUNIT_ASSERT(targets[1].starts_with("/rows-feed"));
+    CPPUNIT_ASSERT(targets[2].starts_with("/rows-get"));
+    CPPUNIT_ASSERT_EQUAL(2, tables);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdapterCallTest);
+
+}  // namespace
+}  // namespace trefoilwick
--- a/test/kernel_test.cc
+++ b/test/kernel_test.cc
@@ -1,6 +1,7 @@
 #include "trefoilwick/kernel.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <unistd.h>
 
 namespace trefoilwick {
 namespace {
@@ -13,6 +14,7 @@
   CPPUNIT_TEST(HistogramQuantile);
   CPPUNIT_TEST(PrometheusText);
   CPPUNIT_TEST(StableHashIsStable);
+  CPPUNIT_TEST(LoggingToAFullPipeDoesNotBlock);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -68,6 +70,34 @@
     CPPUNIT_ASSERT_EQUAL(StableHash("chain-1"), StableHash("chain-1"));
     CPPUNIT_ASSERT(StableHash("chain-1") != StableHash("chain-1", 1));
   }
+
+  // A reader of the log that stops must not stop the process; lines that it
+  // missed are counted once it reads again.
+  void LoggingToAFullPipeDoesNotBlock() {
+    int ends[2];
+    CPPUNIT_ASSERT_EQUAL(0, pipe(ends));
+    const int saved = dup(STDOUT_FILENO);
+    dup2(ends[1], STDOUT_FILENO);
+    InitLogging("test", "INFO", LogTarget::kStandardOutput);
+    // More than a pipe holds.
+    constexpr int kLines = 5000;
+    for (int i = 0; i < kLines; ++i)
+      LogStateChange("test", "filling", {{"line", std::to_string(i)}});
+    std::string text(1 << 20, '\0');
+    const ssize_t filled = read(ends[0], text.data(), text.size());
+    LogStateChange("test", "again");
+    const ssize_t more = read(ends[0], text.data(), text.size());
+    InitLogging("test", "INFO");
+    dup2(saved, STDOUT_FILENO);
+    for (const int fd : {ends[0], ends[1], saved})
+      close(fd);
+    CPPUNIT_ASSERT(filled > 0);
+    CPPUNIT_ASSERT(more > 0);
+    const std::string last(text.data(), static_cast<size_t>(more));
+    CPPUNIT_ASSERT(last.find("event=lines_omitted count=") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(last.find("event=again") != std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(KernelTest);
