--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -193,6 +193,7 @@
   int64_t m_list_version = 0;
   TimePoint m_list_fresh_at;
   bool m_list_call_pending = false;
+  int m_list_failures = 0;
   TimePoint m_next_list_call;
 
   int64_t m_config_version = 0;
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -31,6 +31,8 @@
 // A follower reads the list itself when the coordinator's news are late.
 constexpr Duration kListStale = milliseconds(1100);
 constexpr Duration kListRetry = milliseconds(900);
+// Factor on the time between calls to a store that does not answer.
+constexpr int kMostBackoff = 3;
 constexpr Duration kConfigRetry = milliseconds(500);
 constexpr Duration kMemberSilence = milliseconds(1500);
 // A server that refused a request is left out by all for this long.
@@ -253,6 +255,7 @@
                                 int64_t version,
                                 ServerMap servers) {
   m_list_call_pending = false;
+  m_list_failures = 0;
   m_store_answered = now;
   m_list_fresh_at = std::max(m_list_fresh_at, asked);
   if (version < m_list_version || (m_list_version > 0 && servers == *m_servers))
@@ -302,7 +305,8 @@
 
 void Coordination::OnServerListFailed(TimePoint now) {
   m_list_call_pending = false;
-  m_next_list_call = now + kListRetry;
+  m_list_failures = std::min(m_list_failures + 1, kMostBackoff);
+  m_next_list_call = now + kListRetry * m_list_failures;
 }
 
 void Coordination::OnConfigurationFailed(TimePoint now) {
@@ -494,8 +498,13 @@
                 std::max(0, beat.sends.requests - m_reported_sends.requests),
                 std::max(0, beat.sends.retries - m_reported_sends.retries)};
             SetOrders(beat.orders);
-            for (const std::string& server : beat.lost)
-              HearOfLost(server);
+            for (const std::string& server : beat.lost) {
+              // The coordinator goes on probing for all.
+              if (const auto mark = m_lost.find(server); mark != m_lost.end())
+                mark->second.until = now + kLostLife;
+              else
+                HearOfLost(server);
+            }
             // A list that is as new as the coordinator's is as fresh, too.
             if (m_list_version >= beat.list_version && m_list_version > 0)
               m_list_fresh_at = std::max(m_list_fresh_at, now - beat.list_age);
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -42,6 +42,7 @@
 constexpr Duration kConfigWatch = seconds(1);
 constexpr Duration kWatchCheck = milliseconds(250);
 constexpr Duration kConfigRetry = milliseconds(500);
+constexpr int kMostWatchBackoff = 3;
 constexpr int kMaxLogLinesPerSecond = 200;
 
 }  // namespace
@@ -311,9 +312,11 @@
   m_coordination.OnTick(now);
   RunActions();
   TellLost();
-  for (const std::string& server : m_coordination.Lost(now))
-    if (now - m_probed[server] >= kLostProbeInterval)
-      Probe(server);
+  // One instance probes lost servers for all that hear it.
+  if (!m_coordination.HearsCoordinator(now))
+    for (const std::string& server : m_coordination.Lost(now))
+      if (now - m_probed[server] >= kLostProbeInterval)
+        Probe(server);
   if (m_seen_servers != m_coordination.servers())
     OnServersChanged();
   PlaceLayers(now);
@@ -403,10 +406,12 @@
     const bool failed = !table;
     AdoptTable(std::move(table));
     if (!failed) {
+      m_watch_failures = 0;
       WatchConfiguration();
       return;
     }
-    m_watch_timer.expires_after(kConfigRetry);
+    m_watch_failures = std::min(m_watch_failures + 1, kMostWatchBackoff);
+    m_watch_timer.expires_after(kConfigRetry * m_watch_failures);
     m_watch_timer.async_wait([this](error_code error) {
       if (!error)
         WatchConfiguration();
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -140,6 +140,7 @@
   boost::asio::steady_timer m_tick_timer;
   boost::asio::steady_timer m_watch_timer;
   TimePoint m_last_tick;
+  int m_watch_failures = 0;
 
   std::unordered_map<ClientSession*, std::shared_ptr<ClientSession>> m_sessions;
   std::unordered_set<Exchange*> m_exchanges;
--- a/test/coordination_test.cc
+++ b/test/coordination_test.cc
@@ -221,6 +221,7 @@
   CPPUNIT_TEST(LoadsAreCountedOnce);
   CPPUNIT_TEST(LayersAboutToBeGivenUpAreNotUsed);
   CPPUNIT_TEST(LostServersAreProbedBeforeBelieved);
+  CPPUNIT_TEST(CoordinatorKeepsLostMarksAlive);
   CPPUNIT_TEST(BadOwnLinkIsNotAnnounced);
   CPPUNIT_TEST(CallsDoNotGrowWithInstances);
   CPPUNIT_TEST(RandomBytesAreIgnored);
@@ -407,6 +408,27 @@
     CPPUNIT_ASSERT(other.Lost(now).empty());
   }
 
+  // In a large deployment not every instance may probe each lost server again
+  // and again.
+  void CoordinatorKeepsLostMarksAlive() {
+    Cluster cluster(2);
+    for (const char* id : {"a", "b", "c"})
+      cluster.store().servers[id] = Server(id);
+    cluster.Run(seconds(3));
+    const int first = cluster.IndexOf(cluster.Coordinator());
+    Coordination& coordinator = *cluster.At(first).coordination;
+    Coordination& other = *cluster.At(1 - first).coordination;
+    other.MarkLost(cluster.now(), "a");
+    for (int second = 0; second < 6; ++second) {
+      coordinator.MarkLost(cluster.now(), "a");
+      cluster.Run(seconds(1));
+      CPPUNIT_ASSERT(other.Lost(cluster.now()).contains("a"));
+    }
+    coordinator.MarkFound("a");
+    cluster.Run(seconds(3));
+    CPPUNIT_ASSERT(other.Lost(cluster.now()).empty());
+  }
+
   // An instance whose own link is down finds every server lost.
   void BadOwnLinkIsNotAnnounced() {
     Cluster cluster(2);
