--- a/test/adapter_call_test.cc
+++ b/test/adapter_call_test.cc
@@ -88,11 +88,11 @@
     // only succeeds on the first one's.
     caller.Call(
         server.address(), HttpRequest{boost::beast::http::verb::get, "/1", 11},
-        kTimeout, [&](CallResult first) {
+        kTimeout, [&](const CallResult& first) {
           done += first.error == CallError::kNone ? 1 : 0;
           caller.Call(server.address(),
                       HttpRequest{boost::beast::http::verb::get, "/2", 11},
-                      kTimeout, [&](CallResult second) {
+                      kTimeout, [&](const CallResult& second) {
                         done += second.error == CallError::kNone ? 1 : 0;
                         caller.DropKept();
                       });
