Split the recovery of requests from gateway_exchange.cc

Change: what a request does about lost, leaving and silent servers is in gateway_exchange_recovery.cc; m_resuming is gone. No behaviour changes.

--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -104,7 +104,6 @@
   EventSplitter m_events;
   bool m_is_head_request = false;
   bool m_waiting = false;
-  bool m_resuming = false;
   bool m_streaming = false;
   bool m_raw_parts = false;
   bool m_committed = false;
--- /dev/null
+++ b/src/gateway_exchange_recovery.cc
@@ -0,0 +1,131 @@
+// What a request does when servers of its path are lost, leave or fall silent.
+#include <algorithm>
+
+#include "gateway_core.h"
+#include "gateway_exchange.h"
+
+namespace trefoilwick::detail {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Largest share of KV memory in use on the parts of a replaced path.
+constexpr double kMostRepathUse = 0.95;
+// Silence after which the servers of a path are probed: in mid-stream, and
+// before the first event, when the prompt is still read.
+constexpr Duration kLeastEventSilence = milliseconds(70);
+constexpr Duration kEventSilence = milliseconds(180);
+constexpr Duration kFirstEventSilence = milliseconds(350);
+constexpr Duration kPlainSilence = milliseconds(400);
+
+}  // namespace
+
+void Exchange::OnServerLost(const std::string& server) {
+  if (!UsesServer(server) || m_ended)
+    return;
+  if (server == m_server) {
+    if (m_call->offered())
+      OnUpstreamBroken();
+    return;
+  }
+  Repath(server);
+}
+
+void Exchange::OnServerLeaving(const std::string& server) {
+  if (m_call && m_call->offered() && server != m_server && UsesServer(server))
+    Repath(server);
+}
+
+void Exchange::Repath(const std::string& lost) {
+  if (m_repathing || !m_call || !m_call->offered())
+    return;
+  const EngineModel* engine = Engine();
+  if (engine == nullptr)
+    return;
+  PathRequest wanted = MakePathRequest();
+  wanted.excluded.erase(m_server);
+  wanted.excluded.insert(lost);
+  wanted.first_part = m_path.front();
+  LoadMap loads = m_core.coordination().Loads(m_core.Now());
+  const auto choice =
+      ChoosePath(*engine, m_core.servers(), loads, wanted, kMostRepathUse);
+  // To read a request again over the link between data centers takes longer
+  // than to start it anew on a path within another one.
+  const bool crosses =
+      choice && CountCrossings(choice->path, m_core.servers()) >
+                    CountCrossings(m_path, m_core.servers());
+  if (!choice || crosses) {
+    m_avoid.insert(lost);
+    if (MoveElsewhere())
+      return;
+  }
+  if (!choice) {
+    m_core.Log("no_other_path", {{"id", m_request.attempt_id}, {"lost", lost}});
+    return;
+  }
+  m_repathing = true;
+  m_core.Log("repath", {{"id", m_request.attempt_id},
+                        {"lost", lost},
+                        {"last_event", std::to_string(m_events.last_id())}});
+  m_core.CallServer(
+      m_server,
+      m_core.dialect().RepathOrder(m_request.attempt_id, choice->path,
+                                   m_core.coordination().fence(),
+                                   m_core.servers()),
+      [weak = weak_from_this(), path = choice->path](OrderResult result) {
+        if (const auto self = weak.lock())
+          self->OnRepathed(result, path);
+      });
+}
+
+void Exchange::OnRepathed(OrderResult result, LayerPath path) {
+  m_repathing = false;
+  if (m_ended || !m_call)
+    return;
+  m_core.Log("repathed",
+             {{"id", m_request.attempt_id},
+              {"result", std::to_string(static_cast<int>(result))}});
+  if (result == OrderResult::kAccepted) {
+    ++m_repaths;
+    ReleaseLoad();
+    m_path = std::move(path);
+    TakeLoad();
+    m_last_progress = m_core.Now();
+    return;
+  }
+  MoveElsewhere();
+}
+
+bool Exchange::MoveElsewhere() {
+  if (!m_route->MayRepeat() ||
+      !(m_forward.MayResume() || m_forward.MaySendAgain()))
+    return false;
+  m_core.Log("move", {{"id", m_request.attempt_id},
+                      {"server", m_server},
+                      {"last_event", std::to_string(m_events.last_id())}});
+  // Many streams move at once: they spread over the other data centers.
+  m_data_center = m_core.OtherDataCenter(m_server);
+  if (m_call)
+    m_call->Cancel();
+  m_call = nullptr;
+  Act(m_forward.OnServerEvent(ServerEvent::kBroken));
+  return true;
+}
+
+void Exchange::OnTick(TimePoint now) {
+  if (m_ended || !m_call || !m_call->offered())
+    return;
+  Duration limit = kPlainSilence;
+  if (!m_path.empty())
+    limit = m_events.any() ? std::clamp(m_event_interval * 5 / 2,
+                                        kLeastEventSilence, kEventSilence)
+                           : kFirstEventSilence;
+  if (now - m_last_progress < limit)
+    return;
+  m_core.Probe(m_server);
+  for (const PathPart& part : m_path)
+    m_core.Probe(part.server);
+}
+
+}  // namespace trefoilwick::detail
