Call the platform's services through HttpCaller instead of cpprestsdk's client

Debian's libcpprest is not instrumented, so that the sanitizer misses decrements of reference counts made inside it and reports the release of pplx objects as a race.

Change: HttpChannel posts to HttpCaller, the client that `route` already uses. The look at an exception's text to tell "not sent" from "lost", and the stream that kept the library from sending a write twice, are not needed any more.

--- a/src/platform_http.cc
+++ b/src/platform_http.cc
@@ -1,10 +1,12 @@
 // HTTP/JSON adapters of the platform's services (docs/design.md, section 10).
-#include <condition_variable>
-#include <cstring>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <cctype>
+#include <future>
 #include <nlohmann/json.hpp>
+#include <thread>
 
-#include "cpprest/http_client.h"
-#include "cpprest/producerconsumerstream.h"
+#include "trefoilwick/http_call.h"
 #include "trefoilwick/platform.h"
 
 namespace trefoilwick {
@@ -12,11 +14,19 @@
 namespace {
 
 using Json = nlohmann::json;
-namespace http = web::http;
-
-// An answer larger than this is abandoned, so that a faulty server cannot
-// exhaust the memory of an instance.
-constexpr uint64_t kMaxAnswerBytes = uint64_t{64} << 20;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kPreconditionFailed = 412;
+constexpr int kServiceUnavailable = 503;
+// Time to establish a connection, within the deadline of the call.
+constexpr Duration kConnectTimeout = std::chrono::seconds(1);
+// Beyond its deadline a call reports the failure itself; the wait for it must
+// still end when the thread of the channel does not run.
+constexpr Duration kWaitMargin = std::chrono::seconds(1);
 
 struct HttpAnswer {
   // 0: no complete answer arrived.
@@ -28,7 +38,7 @@
 };
 
 struct HttpQuery {
-  http::method method;
+  http::verb method;
   // Percent-encoded path and query.
   std::string path;
   std::string body{};
@@ -36,145 +46,96 @@
   bool if_absent = false;
 };
 
-// Result of a call, shared between the waiting thread and the library's
-// continuations, which may outlive the wait.
-class PendingAnswer {
- public:
-  void SetStatus(int status) {
-    std::lock_guard lock(m_mutex);
-    m_status = status;
-  }
-  void Finish(std::string body) {
-    std::lock_guard lock(m_mutex);
-    if (m_done)
-      return;
-    m_done = true;
-    m_answer.status = m_status;
-    m_answer.body = std::move(body);
-    m_changed.notify_all();
-  }
-  void Fail(const std::string& error, bool not_sent) {
-    std::lock_guard lock(m_mutex);
-    if (m_done)
-      return;
-    m_done = true;
-    m_answer.error = error;
-    m_answer.not_sent = not_sent;
-    m_changed.notify_all();
-  }
-  HttpAnswer Wait(Duration deadline) {
-    std::unique_lock lock(m_mutex);
-    if (!m_changed.wait_for(lock, deadline, [this] { return m_done; })) {
-      m_done = true;
-      m_answer.error = "deadline exceeded";
-    }
-    return m_answer;
-  }
-
- private:
-  std::mutex m_mutex;
-  std::condition_variable m_changed;
-  bool m_done = false;
-  int m_status = 0;
-  HttpAnswer m_answer;
-};
+// "http://IP:PORT/" -> "IP:PORT".
+std::string AddressOf(std::string url) {
+  constexpr std::string_view kScheme = "http://";
+  if (url.starts_with(kScheme))
+    url.erase(0, kScheme.size());
+  return url.substr(0, url.find('/'));
+}
 
-// cpprestsdk reports a refused connection and a failed write of the request
-// headers with the same code; only the first is certain not to have been sent.
-// An unexpected text falls back to the safe reading.
-bool IsConnectFailure(const http::http_exception& error) {
-  return std::strstr(error.what(), "Failed to connect to any resolved") !=
-             nullptr &&
-         error.error_code() ==
-             std::make_error_condition(std::errc::host_unreachable);
+HttpAnswer ReadAnswer(CallResult result) {
+  HttpAnswer answer;
+  if (result.error == CallError::kNone) {
+    answer.status = static_cast<int>(result.response.result_int());
+    answer.body = std::move(result.response.body());
+    return answer;
+  }
+  answer.not_sent = result.error == CallError::kNotSent;
+  answer.error = answer.not_sent ? "no connection" : "no complete answer";
+  return answer;
 }
 
+// Blocking calls to one service. Safe for concurrent use: connections belong to
+// the channel's own thread.
 class HttpChannel {
  public:
   HttpChannel(const std::string& base_url, Duration deadline)
-      : m_client(base_url, MakeConfig(deadline)), m_deadline(deadline) {}
+      : m_caller(m_io, std::min(kConnectTimeout, deadline)),
+        m_address(AddressOf(base_url)),
+        m_deadline(deadline),
+        m_work(m_io.get_executor()),
+        m_thread([this] { m_io.run(); }) {}
+  HttpChannel(const HttpChannel&) = delete;
+  HttpChannel& operator=(const HttpChannel&) = delete;
+  ~HttpChannel() {
+    m_io.stop();
+    m_thread.join();
+  }
 
   HttpAnswer Call(const HttpQuery& query) {
-    auto pending = std::make_shared<PendingAnswer>();
-    pplx::cancellation_token_source cancel;
-    try {
-      Send(query, pending, cancel.get_token());
-    } catch (const std::exception& error) {
-      pending->Fail(error.what(), false);
-    }
-    HttpAnswer answer = pending->Wait(m_deadline);
-    // Frees the connection of a call that has not ended, such as one whose
-    // body is trickled; without effect on one that has.
-    if (answer.status == 0)
-      cancel.cancel();
-    return answer;
+    const auto answered = std::make_shared<std::promise<HttpAnswer>>();
+    std::future<HttpAnswer> answer = answered->get_future();
+    asio::post(m_io, [this, request = MakeRequest(query), answered]() mutable {
+      m_caller.Call(m_address, std::move(request), m_deadline,
+                    [answered](CallResult result) {
+                      answered->set_value(ReadAnswer(std::move(result)));
+                    });
+    });
+    if (answer.wait_for(m_deadline + kWaitMargin) == std::future_status::ready)
+      return answer.get();
+    return HttpAnswer{0, "", false, "deadline exceeded"};
   }
 
  private:
-  static http::client::http_client_config MakeConfig(Duration deadline) {
-    http::client::http_client_config config;
-    config.set_timeout(deadline);
-    return config;
-  }
-
-  void Send(const HttpQuery& query,
-            const std::shared_ptr<PendingAnswer>& pending,
-            const pplx::cancellation_token& token) {
-    http::http_request request(query.method);
-    request.set_request_uri(query.path);
+  static HttpRequest MakeRequest(const HttpQuery& query) {
+    HttpRequest request{query.method, query.path, 11};
     if (query.if_absent)
-      request.headers().add("If-None-Match", "*");
-    if (query.method != http::methods::GET)
-      SetBody(request, query);
-    request.set_progress_handler(
-        [pending](http::message_direction::direction direction,
-                  utility::size64_t bytes) {
-          if (direction == http::message_direction::download &&
-              bytes > kMaxAnswerBytes)
-            pending->Fail("answer too large", false);
-        });
-    m_client.request(request, token)
-        .then([pending](const http::http_response& response) {
-          pending->SetStatus(response.status_code());
-          return response.extract_vector();
-        })
-        .then([pending](const pplx::task<std::vector<unsigned char>>& task) {
-          try {
-            const std::vector<unsigned char> body = task.get();
-            pending->Finish(std::string(body.begin(), body.end()));
-          } catch (const http::http_exception& error) {
-            pending->Fail(error.what(), IsConnectFailure(error));
-          } catch (const std::exception& error) {
-            pending->Fail(error.what(), false);
-          }
-        });
-  }
-
-  // cpprestsdk sends a request again by itself when a pooled connection is
-  // closed before the answer. A write may already have taken effect then, and
-  // the answer to the second copy would be a failed check. A stream that can
-  // be read once keeps the second copy from carrying a body.
-  static void SetBody(http::http_request& request, const HttpQuery& query) {
-    concurrency::streams::producer_consumer_buffer<uint8_t> buffer;
-    buffer
-        .putn_nocopy(reinterpret_cast<const uint8_t*>(query.body.data()),
-                     query.body.size())
-        .wait();
-    buffer.close(std::ios_base::out).wait();
-    request.set_body(buffer.create_istream(), query.body.size(),
-                     query.content_type);
+      request.set(http::field::if_none_match, "*");
+    if (!query.content_type.empty())
+      request.set(http::field::content_type, query.content_type);
+    request.body() = query.body;
+    return request;
   }
 
-  http::client::http_client m_client;
+  asio::io_context m_io{1};
+  HttpCaller m_caller;
+  std::string m_address;
   Duration m_deadline;
+  asio::executor_work_guard<asio::io_context::executor_type> m_work;
+  std::thread m_thread;
 };
 
+// Percent-encodes everything but unreserved characters (RFC 3986).
 std::string Encode(const std::string& text) {
-  return web::uri::encode_data_string(text);
+  constexpr char kHex[] = "0123456789ABCDEF";
+  constexpr std::string_view kPlain = "-._~";
+  std::string out;
+  for (const unsigned char byte : text) {
+    if (std::isalnum(byte) ||
+        kPlain.find(static_cast<char>(byte)) != std::string_view::npos) {
+      out += static_cast<char>(byte);
+      continue;
+    }
+    out += '%';
+    out += kHex[byte >> 4];
+    out += kHex[byte & 15];
+  }
+  return out;
 }
 
 absl::Status ReadFailure(const HttpAnswer& answer) {
-  if (answer.status == http::status_codes::NotFound)
+  if (answer.status == kNotFound)
     return MakeStatus(absl::StatusCode::kNotFound, "not found");
   return MakeStatus(absl::StatusCode::kUnavailable,
                     answer.error.empty()
@@ -193,7 +154,7 @@
                                : answer.error;
   if (answer.not_sent)
     return MakeStatus(absl::StatusCode::kUnavailable, text);
-  if (answer.status == http::status_codes::ServiceUnavailable) {
+  if (answer.status == kServiceUnavailable) {
     const Json body = ParseJson(answer.body);
     if (body.is_object() && body.contains("applied") &&
         body["applied"] == Json(false))
@@ -205,7 +166,7 @@
 // Parses `body` with `parse`; a body of another shape is an unusable answer.
 template <typename T, typename Parse>
 absl::StatusOr<T> ParseAnswer(const HttpAnswer& answer, Parse parse) {
-  if (answer.status != http::status_codes::OK)
+  if (answer.status != kOk)
     return ReadFailure(answer);
   try {
     return parse(Json::parse(answer.body));
@@ -246,7 +207,7 @@
   absl::StatusOr<StoreRow> Get(const std::string& table,
                                const std::string& key) override {
     const HttpAnswer answer = m_channel.Call(
-        {.method = http::methods::GET,
+        {.method = http::verb::get,
          .path = "/tables/" + Encode(table) + "/rows/" + Encode(key)});
     return ParseAnswer<StoreRow>(
         answer, [&](const Json& json) { return ParseRow(json, key); });
@@ -254,7 +215,7 @@
 
   absl::StatusOr<std::vector<int64_t>> Transact(
       const StoreTransaction& transaction) override {
-    HttpQuery query{.method = http::methods::POST,
+    HttpQuery query{.method = http::verb::post,
                     .path = "/transact",
                     .content_type = "application/json"};
     try {
@@ -265,10 +226,10 @@
     }
     const HttpAnswer answer = m_channel.Call(query);
     const Json body = ParseJson(answer.body);
-    if (answer.status == http::status_codes::Conflict && body.is_object() &&
+    if (answer.status == kConflict && body.is_object() &&
         body.contains("failed"))
       return MakeStatus(absl::StatusCode::kFailedPrecondition, answer.body);
-    if (answer.status != http::status_codes::OK)
+    if (answer.status != kOk)
       return WriteFailure(answer);
     try {
       auto versions = body.at("versions").get<std::vector<int64_t>>();
@@ -285,7 +246,7 @@
                                              const std::string& after,
                                              int limit) override {
     const HttpAnswer answer = m_channel.Call(
-        {.method = http::methods::GET,
+        {.method = http::verb::get,
          .path = "/tables/" + Encode(table) + "/rows?prefix=" + Encode(prefix) +
                  "&after=" + Encode(after) +
                  "&limit=" + std::to_string(limit)});
@@ -308,8 +269,8 @@
 
   absl::StatusOr<std::string> GetObject(const std::string& name) override {
     HttpAnswer answer = m_channel.Call(
-        {.method = http::methods::GET, .path = "/objects/" + Encode(name)});
-    if (answer.status != http::status_codes::OK)
+        {.method = http::verb::get, .path = "/objects/" + Encode(name)});
+    if (answer.status != kOk)
       return ReadFailure(answer);
     return std::move(answer.body);
   }
@@ -318,14 +279,14 @@
                          const std::string& bytes,
                          bool if_absent) override {
     const HttpAnswer answer =
-        m_channel.Call({.method = http::methods::PUT,
+        m_channel.Call({.method = http::verb::put,
                         .path = "/objects/" + Encode(name),
                         .body = bytes,
                         .content_type = "application/octet-stream",
                         .if_absent = if_absent});
     if (answer.status >= 200 && answer.status < 300)
       return absl::OkStatus();
-    if (if_absent && answer.status == http::status_codes::PreconditionFailed)
+    if (if_absent && answer.status == kPreconditionFailed)
       return MakeStatus(absl::StatusCode::kFailedPrecondition, "exists");
     return WriteFailure(answer);
   }
@@ -366,8 +327,8 @@
 
   absl::StatusOr<InstanceListing> List() override {
     const HttpAnswer answer =
-        m_channel.Call({.method = http::methods::GET, .path = "/instances"});
-    if (answer.status == http::status_codes::NotFound)
+        m_channel.Call({.method = http::verb::get, .path = "/instances"});
+    if (answer.status == kNotFound)
       return MakeStatus(absl::StatusCode::kUnavailable, "no instance list");
     return ParseAnswer<InstanceListing>(answer, [](const Json& json) {
       InstanceListing listing;
