Hold second copies of layers, and move those into a gap

Cause: each data center held one copy of the model with room for 122,000 to 347,000 tokens, three to ten times what requests use, so that the loss or departure of any server took it out of service. The gap was closed by shifting all ranges around it: 7 to 13 orders, after which single servers had room for 9,000 tokens.

Change: a data center keeps 12,000 tokens a server and holds further copies with the rest. Gaps are closed by empty servers, by neighbours that load more, by servers whose layers others hold as well, and only then by a shift. Servers that hold little widen two at a time.

--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -26,6 +26,9 @@
 constexpr Duration kSuspension = milliseconds(800);
 constexpr Duration kSweepInterval = seconds(1);
 constexpr Duration kPlacementInterval = milliseconds(200);
+// Time for the news that layers are to be given up to reach every instance: a
+// tick of the coordinator and the way there.
+constexpr Duration kGiveUpNotice = milliseconds(120);
 // An order that does not show in the list after this long is given again.
 constexpr Duration kOrderLife = seconds(4);
 // Longer than the time between two entries of a server in the list.
@@ -320,6 +323,10 @@
   if (m_seen_servers != m_coordination.servers())
     OnServersChanged();
   PlaceLayers(now);
+  if (m_coordination.is_coordinator())
+    SendDueOrders(now);
+  else
+    m_orders.clear();
   std::vector<std::shared_ptr<Exchange>> active;
   for (Exchange* exchange : m_exchanges)
     active.push_back(exchange->shared_from_this());
@@ -469,7 +476,7 @@
     return;
   m_next_placement = now + kPlacementInterval;
   std::erase_if(m_orders, [&](const auto& entry) {
-    return now - entry.second.sent > kOrderLife;
+    return now - entry.second.send_at > kOrderLife;
   });
   // While nothing is placed the list still fills: a layout for some of the
   // servers would have to be changed for the rest.
@@ -485,12 +492,32 @@
     LogLayout(*service.engine, name, lost);
     for (const PlacementOrder& order : PlanPlacement(
              *service.engine, *m_coordination.listed(), name, lost, pending))
-      SendOrder(order);
+      Announce(now, order);
   }
-  AnnounceOrders();
+  ShareOrders();
 }
 
-void GatewayCore::AnnounceOrders() {
+// Every instance hears of layers to be given up before their server does: that
+// one refuses each request that still asks for them.
+void GatewayCore::Announce(TimePoint now, const PlacementOrder& order) {
+  const auto server = m_coordination.listed()->find(order.server);
+  const bool gives_up = server->second.layers &&
+                        (server->second.layers->from < order.layers.from ||
+                         server->second.layers->to > order.layers.to);
+  m_orders[order.server] = {order.layers, gives_up ? now + kGiveUpNotice : now,
+                            false};
+}
+
+void GatewayCore::SendDueOrders(TimePoint now) {
+  for (auto& [id, order] : m_orders) {
+    if (order.sent || order.send_at > now)
+      continue;
+    order.sent = true;
+    SendOrder({id, order.layers});
+  }
+}
+
+void GatewayCore::ShareOrders() {
   std::map<std::string, LayerRange> orders;
   for (const auto& [id, order] : m_orders)
     orders[id] = order.layers;
@@ -514,7 +541,6 @@
 }
 
 void GatewayCore::SendOrder(const PlacementOrder& order) {
-  m_orders[order.server] = {order.layers, Now()};
   const int64_t seq = m_order_seq[order.server];
   Log("place", {{"server", order.server},
                 {"from", std::to_string(order.layers.from)},
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -20,10 +20,12 @@
 class ClientSession;
 class Exchange;
 
-// An order that was sent and does not show in the server list yet.
+// An order that does not show in the server list yet.
 struct PendingOrder {
   LayerRange layers;
-  TimePoint sent;
+  // When it is, or was, sent.
+  TimePoint send_at;
+  bool sent = false;
 };
 
 class GatewayCore {
@@ -106,10 +108,12 @@
   void OnServersChanged();
   bool AnyLayersHeld() const;
   void PlaceLayers(TimePoint now);
-  void AnnounceOrders();
+  void ShareOrders();
   void LogLayout(const EngineModel& engine,
                  const std::string& service,
                  const std::set<std::string>& lost);
+  void Announce(TimePoint now, const PlacementOrder& order);
+  void SendDueOrders(TimePoint now);
   void SendOrder(const PlacementOrder& order);
   void OnOrderResult(const PlacementOrder& order, OrderResult result);
   void TellLost();
--- a/src/layer_path_placement.cc
+++ b/src/layer_path_placement.cc
@@ -8,27 +8,34 @@
 namespace {
 
 constexpr double kBytesPerMb = 1e6;
-// Tokens that a server must keep room for beside its layers.
+// Room for tokens that a data center keeps for each of its servers. Memory
+// beyond it holds second copies of layers.
+constexpr double kTokensPerServer = 12'000;
+// A data center that cannot keep this much room for its share of a burst does
+// not stand alone.
 constexpr double kLeastTokens = 5'000;
-// Room that each of several copies in a data center must keep.
-constexpr double kCopyTokens = 120'000;
+// Room that a server keeps when it takes the layers of a gap; the next level is
+// tried when no server has that much.
+constexpr double kRoomLevels[] = {60'000, 40'000, 25'000};
+// The same when a gap is closed by shifting the ranges of a whole chain.
+constexpr double kShiftLevels[] = {60'000, 40'000, 25'000, 12'000, 5'000};
+// A server with less room gives up layers that others hold as well.
+constexpr double kTrimTokens = 30'000;
 // More room than any layer needs.
 constexpr double kManyTokens = 1e6;
-// Gaps are closed so that every server keeps as large a share as possible of
-// the room that an even tiling gives.
-constexpr double kFirstShare = 0.8;
-constexpr double kLastShare = 0.03;
-constexpr double kShareStep = 0.85;
-// A server with less than this share of the room that an even tiling gives
-// gives up layers that others hold as well.
-constexpr double kTrimShare = 0.5;
-constexpr double kTrimTokens = 80'000;
+// What a layer with one holder lacks, as room for tokens.
+constexpr double kSecondHolderTokens = 150'000;
+// Servers of a group that widen their ranges at a time: loads beyond a few slow
+// one another down.
+constexpr int kMostWidening = 2;
 
 // A server that may be given layers.
 struct Slot {
   const BackendServer* server = nullptr;
   const AcceleratorKind* kind = nullptr;
   int most = 0;
+  // Layers that it holds in an even layout of its group.
+  int nominal = 0;
   // What it holds now, and after the order that it carries out.
   std::optional<LayerRange> held;
   std::optional<LayerRange> planned;
@@ -53,7 +60,12 @@
     const int most = MostLayers(engine, server.kind);
     if (most == 0)
       continue;
-    Slot slot{&server, &kind->second, most, server.layers, server.layers, {}};
+    Slot slot;
+    slot.server = &server;
+    slot.kind = &kind->second;
+    slot.most = most;
+    slot.held = server.layers;
+    slot.planned = server.layers;
     if (const auto order = pending.find(id); order != pending.end()) {
       slot.pending = true;
       slot.planned = order->second;
@@ -141,54 +153,67 @@
   return tokens;
 }
 
-// Deals the servers, the largest first, into `copies` groups of like memory.
-std::vector<Group> Deal(const Group& sorted, size_t copies) {
-  std::vector<Group> hands(copies);
-  std::vector<double> memory(copies, 0);
-  for (Slot* slot : sorted) {
-    const size_t least = static_cast<size_t>(
-        std::min_element(memory.begin(), memory.end()) - memory.begin());
-    hands[least].push_back(slot);
-    memory[least] += slot->kind->memory_mb;
+// Layers, counted once for each holder, that a group holds beside the room that
+// it keeps for tokens: at least one copy, and no more than fit.
+int LayersToHold(const EngineModel& engine, const Group& group) {
+  double memory = 0;
+  int most = 0;
+  for (const Slot* slot : group) {
+    memory += slot->kind->memory_mb;
+    most += slot->most;
   }
-  return hands;
+  const double kept_mb = kTokensPerServer * static_cast<double>(group.size()) *
+                         engine.kv_bytes_per_token / kBytesPerMb;
+  const int fit = static_cast<int>((memory - kept_mb) / engine.layer_mb);
+  return std::clamp(fit, std::min(engine.layers, most), most);
 }
 
-// The most copies of the model for which every one keeps room for requests.
-std::vector<Group> ChooseCopies(const EngineModel& engine,
-                                const Group& sorted) {
-  std::vector<Group> chosen = Deal(sorted, 1);
-  for (size_t copies = 2; copies <= sorted.size(); ++copies) {
-    const std::vector<Group> hands = Deal(sorted, copies);
-    const bool room =
-        std::all_of(hands.begin(), hands.end(), [&](const Group& hand) {
-          return LeastTokens(engine, hand,
-                             ShareLayers(engine, hand, engine.layers)) >=
-                 kCopyTokens;
-        });
-    const bool too_long = chosen.front().size() > kMostPathParts;
-    if (!room && !too_long)
-      break;
-    chosen = hands;
+void SetNominal(const EngineModel& engine, const Group& group) {
+  const std::vector<int> shares =
+      ShareLayers(engine, group, LayersToHold(engine, group));
+  for (size_t i = 0; i < shares.size(); ++i)
+    group[i]->nominal = shares[i];
+}
+
+// Gives consecutive ranges from `first` on.
+void Lay(const Group& servers, const std::vector<int>& shares, int first) {
+  for (size_t i = 0; i < shares.size(); ++i) {
+    if (shares[i] > 0)
+      servers[i]->target = LayerRange{first, first + shares[i]};
+    first += shares[i];
   }
-  return chosen;
 }
 
-// Tilings of all layers over servers that hold none.
+// Lays servers that hold nothing over the model, copy after copy. The last copy
+// is a part of one, of the smallest servers: a second copy of some layers that
+// is also the first to move when a layer is lost.
 void TileEmpty(const EngineModel& engine, Group& group) {
   std::stable_sort(group.begin(), group.end(),
                    [](const Slot* a, const Slot* b) {
                      return a->kind->memory_mb > b->kind->memory_mb;
                    });
-  for (const Group& copy : ChooseCopies(engine, group)) {
-    const std::vector<int> shares = ShareLayers(engine, copy, engine.layers);
-    int at = 0;
-    for (size_t i = 0; i < shares.size(); ++i) {
-      if (shares[i] > 0)
-        copy[i]->target = LayerRange{at, at + shares[i]};
-      at += shares[i];
-    }
+  Group rest = group;
+  Group copy;
+  int sum = 0;
+  while (!rest.empty()) {
+    // The smallest server that ends the copy, else the largest.
+    const auto last = std::find_if(
+        rest.rbegin(), rest.rend(),
+        [&](const Slot* slot) { return sum + slot->nominal >= engine.layers; });
+    const auto next = last == rest.rend() ? rest.begin() : last.base() - 1;
+    copy.push_back(*next);
+    sum += (*next)->nominal;
+    rest.erase(next);
+    if (sum < engine.layers)
+      continue;
+    Lay(copy, ShareLayers(engine, copy, engine.layers), 0);
+    copy.clear();
+    sum = 0;
   }
+  std::vector<int> shares;
+  for (const Slot* slot : copy)
+    shares.push_back(slot->nominal);
+  Lay(copy, shares, engine.layers - sum);
 }
 
 // Servers whose ranges follow one another, chosen greedily by reach; the
@@ -250,27 +275,75 @@
   return layers;
 }
 
-// Gives the beginning of a gap to empty servers, the largest first.
-void FillByEmpty(const EngineModel& engine,
-                 Group& group,
-                 double tokens,
-                 LayerRange& gap) {
+// True when other servers hold, and go on to hold, every layer of the slot.
+bool IsSpare(const Group& group, const Slot& slot) {
+  if (!slot.target || slot.pending)
+    return false;
+  for (int layer = slot.target->from; layer < slot.target->to; ++layer) {
+    const bool elsewhere =
+        std::any_of(group.begin(), group.end(), [&](const Slot* other) {
+          return other != &slot && other->held &&
+                 other->held->Contains(layer) && other->target &&
+                 other->target->Contains(layer);
+        });
+    if (!elsewhere)
+      return false;
+  }
+  return true;
+}
+
+// Gives the beginning of a gap to servers that `may_take` it: to the smallest
+// that can take all of it, else to the largest.
+template <typename MayTake>
+void FillWhole(const EngineModel& engine,
+               const Group& group,
+               double tokens,
+               LayerRange& gap,
+               MayTake may_take) {
   while (gap.size() > 0) {
     Slot* best = nullptr;
     int most = 0;
     for (Slot* slot : group) {
+      if (!may_take(*slot))
+        continue;
       const int layers =
-          slot->target ? 0 : LayersWithRoom(engine, *slot, tokens);
-      if (layers > most) {
+          std::min(gap.size(), LayersWithRoom(engine, *slot, tokens));
+      const bool smaller =
+          best != nullptr && layers == most && slot->most < best->most;
+      if (layers > most || smaller) {
         most = layers;
         best = slot;
       }
     }
     if (best == nullptr)
       return;
-    const int taken = std::min(most, gap.size());
-    best->target = LayerRange{gap.from, gap.from + taken};
-    gap.from += taken;
+    best->target = LayerRange{gap.from, gap.from + most};
+    gap.from += most;
+  }
+}
+
+// Servers next to the gap load its layers beside their own.
+void FillByWidening(const EngineModel& engine,
+                    const Group& group,
+                    double tokens,
+                    LayerRange& gap) {
+  for (Slot* slot : group) {
+    if (!slot->target || slot->pending)
+      continue;
+    const int free =
+        LayersWithRoom(engine, *slot, tokens) - slot->target->size();
+    const int taken = std::clamp(free, 0, gap.size());
+    if (slot->target->to >= gap.from && slot->target->from < gap.from) {
+      const int to = std::max(slot->target->to, gap.from + taken);
+      gap.from = std::max(gap.from, to);
+      slot->target->to = to;
+    } else if (slot->target->from <= gap.to && slot->target->to > gap.to) {
+      const int from = std::min(slot->target->from, gap.to - taken);
+      gap.to = std::min(gap.to, from);
+      slot->target->from = from;
+    }
+    if (gap.size() <= 0)
+      return;
   }
 }
 
@@ -348,16 +421,22 @@
   return true;
 }
 
-// Closes all gaps, with as much room for tokens as can be kept.
-void CloseGaps(const EngineModel& engine, Group& group, double possible) {
-  for (double share = kFirstShare; share > kLastShare; share *= kShareStep) {
-    const double tokens = std::max(kLeastTokens, share * possible);
+// Closes all gaps, with as much room for tokens as can be kept: by servers that
+// hold nothing, by neighbours that load more, by servers whose layers others
+// hold as well, and at last by a shift of all ranges around the gap.
+void CloseGaps(const EngineModel& engine, const Group& group) {
+  for (const double tokens : kRoomLevels) {
     for (LayerRange gap : FindGaps(engine.layers, group)) {
-      FillByEmpty(engine, group, tokens, gap);
-      if (gap.size() > 0)
-        FillByNeighbours(engine, group, tokens, gap);
+      FillWhole(engine, group, tokens, gap,
+                [](const Slot& slot) { return !slot.target; });
+      FillByWidening(engine, group, tokens, gap);
+      FillWhole(engine, group, tokens, gap,
+                [&](const Slot& slot) { return IsSpare(group, slot); });
     }
   }
+  for (const double tokens : kShiftLevels)
+    for (const LayerRange& gap : FindGaps(engine.layers, group))
+      FillByNeighbours(engine, group, tokens, gap);
 }
 
 // Gives up layers at the ends of servers that are short of room, where others
@@ -403,25 +482,73 @@
   }
 }
 
-// Layers around the scarcest one, about half of what a server may hold.
+// How much a layer lacks, by its holders to be: room for tokens, and a second
+// holder.
+std::vector<double> LackByLayer(const EngineModel& engine, const Group& group) {
+  const std::vector<double> tokens = TokensByLayer(engine, group);
+  std::vector<int> holders(tokens.size(), 0);
+  for (const Slot* slot : group)
+    if (slot->target)
+      for (int i = slot->target->from;
+           i < std::min(slot->target->to, engine.layers); ++i)
+        ++holders[static_cast<size_t>(i)];
+  std::vector<double> lack(tokens.size());
+  for (size_t i = 0; i < tokens.size(); ++i)
+    lack[i] = kManyTokens - std::min(tokens[i], kManyTokens) +
+              (holders[i] < 2 ? kSecondHolderTokens : 0);
+  return lack;
+}
+
+// As many layers as the server holds in an even layout, where they lack most.
 LayerRange ScarcestRange(const EngineModel& engine,
-                         const std::vector<double>& tokens,
+                         const std::vector<double>& lack,
                          const Slot& slot) {
-  const int size = std::max(1, slot.most / 2);
-  LayerRange best{0, std::min(size, engine.layers)};
-  double least = -1;
+  const int size = std::clamp(slot.nominal, 1, engine.layers);
+  LayerRange best{0, size};
+  double most = -1;
   for (int from = 0; from + size <= engine.layers; ++from) {
     double sum = 0;
     for (int layer = from; layer < from + size; ++layer)
-      sum += std::min(tokens[static_cast<size_t>(layer)], kManyTokens);
-    if (least < 0 || sum < least) {
-      least = sum;
+      sum += lack[static_cast<size_t>(layer)];
+    if (sum > most) {
+      most = sum;
       best = {from, from + size};
     }
   }
   return best;
 }
 
+// Widens servers that hold less than in an even layout, towards the layer that
+// lacks more.
+void Widen(const EngineModel& engine, const Group& group) {
+  int widening = 0;
+  for (const Slot* slot : group)
+    widening += slot->pending ? 1 : 0;
+  for (Slot* slot : group) {
+    if (widening >= kMostWidening)
+      return;
+    // One layer less is left as it is: orders have a price.
+    if (!slot->target || slot->pending ||
+        slot->target->size() >= slot->nominal - 1)
+      continue;
+    const std::vector<double> lack = LackByLayer(engine, group);
+    LayerRange& range = *slot->target;
+    while (range.size() < slot->nominal) {
+      const double before =
+          range.from > 0 ? lack[static_cast<size_t>(range.from - 1)] : -1;
+      const double after =
+          range.to < engine.layers ? lack[static_cast<size_t>(range.to)] : -1;
+      if (before < 0 && after < 0)
+        break;
+      if (before > after)
+        --range.from;
+      else
+        ++range.to;
+    }
+    ++widening;
+  }
+}
+
 // Lets another server take in a layer at an end of the one with least room,
 // when it keeps clearly more; Trim then lets that one give the layer up.
 void Relieve(const EngineModel& engine, const Group& group, double tokens) {
@@ -454,9 +581,10 @@
   }
 }
 
-// Sets the targets of a group: what is held, widened over gaps, and replicas
-// on servers that are empty.
+// Sets the targets of a group: what is held, with gaps closed, and copies of
+// scarce layers on servers that are empty or hold little.
 void SetTargets(const EngineModel& engine, Group& group) {
+  SetNominal(engine, group);
   bool any = false;
   for (Slot* slot : group) {
     slot->target = slot->planned;
@@ -466,19 +594,16 @@
     TileEmpty(engine, group);
     return;
   }
-  const double possible =
-      LeastTokens(engine, group, ShareLayers(engine, group, engine.layers));
-  CloseGaps(engine, group, possible);
-  const double enough = std::min(kTrimTokens, kTrimShare * possible);
+  CloseGaps(engine, group);
   const auto gaps = FindGaps(engine.layers, group);
-  Trim(engine, group, enough, gaps);
+  Trim(engine, group, kTrimTokens, gaps);
   if (gaps.empty())
-    Relieve(engine, group, enough);
-  for (Slot* slot : group) {
-    if (slot->target)
-      continue;
-    slot->target = ScarcestRange(engine, TokensByLayer(engine, group), *slot);
-  }
+    Relieve(engine, group, kTrimTokens);
+  for (Slot* slot : group)
+    if (!slot->target && slot->nominal > 0)
+      slot->target = ScarcestRange(engine, LackByLayer(engine, group), *slot);
+  if (gaps.empty())
+    Widen(engine, group);
 }
 
 // True when other servers hold, and go on to hold, what the slot gives up.
