Let requests stay on leaving servers, and begun streams wait for a server

Streams were broken off (LOST) when both servers that the route allows had refused the rest, and when the retry budget was spent.

Change: a request moves at a moment spread over 0.3 to 0.75 of the drain time, inside its data center first. A server that disappears from the list counts as leaving. Servers that refused, or have ended, are no attempts (the rule counts servers that run the request and have not ended). A stream in progress waits for the retry budget and for a server until its deadline; what has not begun is still refused at once. A refusing server is left out by a request for 0.7 s, not for good.

--- a/include/trefoilwick/forwarding.h
+++ b/include/trefoilwick/forwarding.h
@@ -88,7 +88,7 @@
   class Builder;
 
   SendState state() const { return m_state; }
-  // Servers that bytes of the request went to.
+  // Servers that may have run the request and have not ended since.
   const std::set<std::string>& sent_to() const { return m_sent_to; }
   int sends() const { return m_sends; }
   // No further server may be sent to, only those of sent_to() again.
@@ -99,6 +99,8 @@
   // A server was chosen and the first byte is about to leave.
   void OnSend(const std::string& server);
   ForwardDecision OnServerEvent(ServerEvent event);
+  // The server has ended: it does not count any more.
+  void OnServerEnded(const std::string& server) { m_sent_to.erase(server); }
   // No server can be used now.
   ForwardDecision OnNoServer();
   // The client's deadline or the time-out of the route has passed.
@@ -122,7 +124,9 @@
   // A part of an answer went to the client.
   bool m_relaying = false;
   int m_sends = 0;
+  int m_refusals = 0;
   int m_connect_failures = 0;
+  std::string m_last_server;
   std::set<std::string> m_sent_to;
 };
 
@@ -135,6 +139,30 @@
   ForwardState m_state;
 };
 
+// When a request in progress moves off servers that announced that they leave.
+// They serve on for a while, so that most requests end by themselves. Moves are
+// spread over that time: each reads a prompt again.
+class DeparturePlan {
+ public:
+  // A server leaves and serves on for `drain`. `unit` in [0, 1) spreads the
+  // requests.
+  void Add(const std::string& server,
+           TimePoint now,
+           Duration drain,
+           double unit);
+  void Clear() { m_servers.clear(); }
+  const std::set<std::string>& servers() const { return m_servers; }
+  // True when the request should try to move now; then not again for a while.
+  bool TakeTurn(TimePoint now);
+  // The servers may end soon: moving far is better than staying.
+  bool MustMove(TimePoint now) const { return now >= m_must_move_at; }
+
+ private:
+  std::set<std::string> m_servers;
+  TimePoint m_next_try;
+  TimePoint m_must_move_at;
+};
+
 // Cuts the body of an event stream into complete events and keeps the id of
 // the last one, so that another server can continue after it.
 class EventSplitter {
@@ -181,6 +209,11 @@
   };
   // Sends of this instance in the window.
   Counts Local(TimePoint now) const;
+  // True when the budget has one left. Parameters as of TryRetry.
+  bool MayRetry(TimePoint now,
+                const Counts& elsewhere,
+                size_t others,
+                bool begun) const;
   // Takes one from the budget; false when it is spent. `elsewhere` are the
   // sends of the other instances, as last heard; each of these `others` is
   // taken to retry as much as this one since. The last part of the budget is
--- a/include/trefoilwick/gateway.h
+++ b/include/trefoilwick/gateway.h
@@ -183,6 +183,8 @@
   size_t memory_bytes = 128 << 20;
   // Time from SIGTERM to SIGKILL.
   Duration grace = std::chrono::seconds(8);
+  // Time for which a server that announced that it leaves serves on.
+  Duration server_drain = std::chrono::seconds(2);
   double retry_ratio = 0.2;
   double retry_slack = 100;
   Duration retry_window = std::chrono::seconds(10);
--- a/src/forwarding.cc
+++ b/src/forwarding.cc
@@ -9,12 +9,27 @@
 
 // Servers that may refuse a connection before the request is given up.
 constexpr int kMaxConnectFailures = 4;
-// Sends of one stream, to as many servers as its route allows.
+// Sends of one stream that may have run, to as many servers as its route
+// allows.
 constexpr int kMaxStreamSends = 5;
+// Refusals after which a stream that did not begin is given up.
+constexpr int kMaxRefusals = 4;
 // Part of the retry budget that covers the error of what is heard of others.
 constexpr double kBudgetReserve = 0.2;
 constexpr double kBudgetForNew = 0.55;
 
+// Parts of the time that a leaving server serves on: when requests move off it,
+// and when they do so even to another data center.
+constexpr double kFirstMove = 0.3;
+constexpr double kLastMove = 0.75;
+constexpr double kMustMove = 0.8;
+constexpr Duration kMoveRetry = std::chrono::milliseconds(100);
+
+Duration Part(Duration whole, double share) {
+  return Duration(
+      static_cast<int64_t>(static_cast<double>(whole.count()) * share));
+}
+
 // Value of the field `id` of an event, or -1.
 int64_t EventId(std::string_view event) {
   constexpr std::string_view kField = "id:";
@@ -58,6 +73,7 @@
 
 void ForwardState::OnSend(const std::string& server) {
   m_sent_to.insert(server);
+  m_last_server = server;
   ++m_sends;
   m_state = SendState::kOffered;
 }
@@ -73,10 +89,16 @@
 // A plain service has one place to go to, so that a second send goes to a
 // second server. The first server of a path can be sent to again with another
 // path.
+//
+// A stream in progress has nothing to lose by further sends that are refused:
+// its client would only begin anew.
 bool ForwardState::SendsLeft() const {
-  const int most =
-      m_kind == RouteKind::kStream ? kMaxStreamSends : m_max_attempts;
-  return m_sends < most && m_connect_failures < kMaxConnectFailures;
+  if (m_kind != RouteKind::kStream)
+    return m_sends < m_max_attempts && m_connect_failures < kMaxConnectFailures;
+  if (m_sends - m_refusals >= kMaxStreamSends)
+    return false;
+  return m_relaying || (m_refusals < kMaxRefusals &&
+                        m_connect_failures < kMaxConnectFailures);
 }
 
 bool ForwardState::MayResume() const {
@@ -102,6 +124,8 @@
       m_state = m_may_have_run ? SendState::kUnknown : SendState::kNotRun;
       break;
     case ServerEvent::kRefused:
+      m_sent_to.erase(m_last_server);
+      ++m_refusals;
       m_state = m_may_have_run ? SendState::kUnknown : SendState::kNotRun;
       break;
     case ServerEvent::kAnswered:
@@ -142,6 +166,25 @@
   return GiveUp(true);
 }
 
+void DeparturePlan::Add(const std::string& server,
+                        TimePoint now,
+                        Duration drain,
+                        double unit) {
+  if (m_servers.empty()) {
+    m_next_try =
+        now + Part(drain, kFirstMove + (kLastMove - kFirstMove) * unit);
+    m_must_move_at = now + Part(drain, kMustMove);
+  }
+  m_servers.insert(server);
+}
+
+bool DeparturePlan::TakeTurn(TimePoint now) {
+  if (m_servers.empty() || now < m_next_try)
+    return false;
+  m_next_try = now + kMoveRetry;
+  return true;
+}
+
 std::string EventSplitter::Feed(std::string_view bytes) {
   m_partial.append(bytes);
   std::string out;
@@ -212,16 +255,23 @@
   return sum;
 }
 
-bool RetryWindow::TryRetry(TimePoint now,
+bool RetryWindow::MayRetry(TimePoint now,
                            const Counts& elsewhere,
                            size_t others,
-                           bool begun) {
+                           bool begun) const {
   const Counts local = Local(now);
   const double budget =
       m_ratio * (local.requests + elsewhere.requests) + m_slack;
   const double unheard = local.recent_retries * static_cast<double>(others);
   const double usable = budget * (begun ? 1 - kBudgetReserve : kBudgetForNew);
-  if (local.retries + elsewhere.retries + unheard + 1 > usable)
+  return local.retries + elsewhere.retries + unheard + 1 <= usable;
+}
+
+bool RetryWindow::TryRetry(TimePoint now,
+                           const Counts& elsewhere,
+                           size_t others,
+                           bool begun) {
+  if (!MayRetry(now, elsewhere, others, begun))
     return false;
   ++At(now).retries;
   return true;
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -29,6 +29,9 @@
 // Time for the news that layers are to be given up to reach every instance: a
 // tick of the coordinator and the way there.
 constexpr Duration kGiveUpNotice = milliseconds(120);
+// A server that is not listed for longer than this has ended: entries that
+// lapse while the store is away are back within two seconds.
+constexpr Duration kEndedAfter = milliseconds(2500);
 // An order that does not show in the list after this long is given again.
 constexpr Duration kOrderLife = seconds(4);
 // Longer than the time between two entries of a server in the list.
@@ -162,15 +165,29 @@
                     static_cast<std::ptrdiff_t>(m_random.Below(others.size())));
 }
 
+RetryWindow::Counts GatewayCore::SendsElsewhere(TimePoint now) const {
+  const SendCounts sends = m_coordination.SendsElsewhere(now);
+  return {static_cast<double>(sends.requests),
+          static_cast<double>(sends.retries), 0};
+}
+
 bool GatewayCore::TryRetry(bool begun) {
   const TimePoint now = Now();
-  const SendCounts elsewhere = m_coordination.SendsElsewhere(now);
-  return m_retries.TryRetry(now,
-                            {static_cast<double>(elsewhere.requests),
-                             static_cast<double>(elsewhere.retries), 0},
+  return m_retries.TryRetry(now, SendsElsewhere(now),
+                            m_coordination.Members(now).size() - 1, begun);
+}
+
+bool GatewayCore::MayRetry(bool begun) const {
+  const TimePoint now = Now();
+  return m_retries.MayRetry(now, SendsElsewhere(now),
                             m_coordination.Members(now).size() - 1, begun);
 }
 
+bool GatewayCore::HasEnded(const std::string& server, TimePoint now) const {
+  const auto ended = m_ended.find(server);
+  return ended != m_ended.end() && ended->second <= now;
+}
+
 void GatewayCore::MarkRefusing(const std::string& address) {
   for (const auto& [id, server] : servers())
     if (server.address == address)
@@ -200,6 +217,8 @@
   for (int i = 0; i < kProbeConnects; ++i)
     TryConnect(m_io, found->second.address, kProbeTimeout,
                [this, server, silent](ConnectResult result) {
+                 if (result == ConnectResult::kRefused)
+                   m_ended[server] = Now();
                  if (result == ConnectResult::kAccepted)
                    m_coordination.MarkFound(server);
                  else if (result == ConnectResult::kRefused ||
@@ -447,21 +466,28 @@
     return server == listed.end() ||
            server->second.layers == entry.second.layers;
   });
-  for (const auto& [id, server] : *m_seen_servers) {
-    if (server.state != ServerState::kDraining)
+  if (before)
+    NoticeLeaving(*before);
+  ServeWaiting();
+}
+
+// Tells requests about servers that announced that they leave, or are not
+// listed any more: they serve on for a while.
+void GatewayCore::NoticeLeaving(const ServerMap& before) {
+  const TimePoint now = Now();
+  for (const auto& [id, server] : before) {
+    if (server.state == ServerState::kDraining)
       continue;
-    const auto old = before ? before->find(id) : m_seen_servers->end();
-    if (before && old != before->end() &&
-        old->second.state == ServerState::kDraining)
+    const auto found = m_seen_servers->find(id);
+    const bool listed = found != m_seen_servers->end();
+    if (listed && found->second.state != ServerState::kDraining)
       continue;
-    std::vector<std::shared_ptr<Exchange>> users;
+    if (!listed)
+      m_ended.emplace(id, now + kEndedAfter);
     for (Exchange* exchange : m_exchanges)
       if (exchange->UsesServer(id))
-        users.push_back(exchange->shared_from_this());
-    for (const auto& exchange : users)
-      exchange->OnServerLeaving(id);
+        exchange->OnServerLeaving(id, now);
   }
-  ServeWaiting();
 }
 
 bool GatewayCore::AnyLayersHeld() const {
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -52,6 +52,8 @@
   RetryWindow& retries() { return m_retries; }
   // Takes one retry from the budget; `begun` for an answer in progress.
   bool TryRetry(bool begun);
+  // True when TryRetry would succeed.
+  bool MayRetry(bool begun) const;
   Random& random() { return m_random; }
   Metrics& metrics() { return m_metrics; }
   bool leaving() const { return m_leaving; }
@@ -76,6 +78,9 @@
   // A random data center with servers of the same service, other than the
   // server's own; empty when there is none.
   std::string OtherDataCenter(const std::string& server);
+  // The server is gone for good: its port is closed, or the list has been
+  // without it for longer than an outage of the store explains.
+  bool HasEnded(const std::string& server, TimePoint now) const;
   // Asks whether a server still accepts connections; one that does not is
   // marked lost, which OnServerLost tells to its requests.
   void Probe(const std::string& server);
@@ -106,7 +111,9 @@
   void WatchConfiguration();
   void AdoptTable(std::shared_ptr<const RouteTable> table);
   void OnServersChanged();
+  void NoticeLeaving(const ServerMap& before);
   bool AnyLayersHeld() const;
+  RetryWindow::Counts SendsElsewhere(TimePoint now) const;
   void PlaceLayers(TimePoint now);
   void ShareOrders();
   void LogLayout(const EngineModel& engine,
@@ -152,6 +159,8 @@
   LoadMap m_local_loads;
   std::map<std::string, TimePoint> m_probed;
   std::set<std::string> m_told_lost;
+  // When a server was found to have ended.
+  std::map<std::string, TimePoint> m_ended;
   std::map<std::string, PendingOrder> m_orders;
   // Orders that each server has begun, as far as known. A server starts with
   // none; an order that names another number is refused, so that a late copy
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -32,6 +32,10 @@
 // A client that takes less than this holds the server's stream back.
 constexpr size_t kMaxPendingBytes = size_t{128} * 1024;
 
+// A server that refused or failed a request is not used for it again for this
+// long.
+constexpr Duration kAvoidLife = milliseconds(700);
+
 std::string RetryAfterSeconds(Duration after) {
   char text[24];
   snprintf(text, sizeof text, "%.2f", static_cast<double>(after.count()) / 1e6);
@@ -141,15 +145,41 @@
     OnDeadline();
     return;
   }
+  NoteEndedServers();
   if (m_core.ListUsable(now) && Choose()) {
-    if (std::exchange(m_waiting, false))
-      m_core.RemoveWaiting(this);
-    Send();
-    return;
+    if (m_forward.sends() == 0 || m_core.TryRetry(m_committed)) {
+      if (std::exchange(m_waiting, false))
+        m_core.RemoveWaiting(this);
+      Send();
+      return;
+    }
+    // An answer in progress waits for the budget; the rest can be refused
+    // truthfully at once.
+    if (!m_committed) {
+      m_refusal = "the retry budget is spent";
+      m_hold_until = now;
+    }
   }
   WaitOrRefuse();
 }
 
+void Exchange::Avoid(const std::string& server) {
+  m_avoid[server] = m_core.Now() + kAvoidLife;
+}
+
+bool Exchange::AvoidsNow(const std::string& server) const {
+  const auto found = m_avoid.find(server);
+  return found != m_avoid.end() && found->second > m_core.Now();
+}
+
+void Exchange::NoteEndedServers() {
+  const TimePoint now = m_core.Now();
+  const std::set<std::string> sent_to = m_forward.sent_to();
+  for (const std::string& server : sent_to)
+    if (m_core.HasEnded(server, now))
+      m_forward.OnServerEnded(server);
+}
+
 void Exchange::WaitOrRefuse() {
   const TimePoint now = m_core.Now();
   // A stream in progress has all of its time; one that did not begin is
@@ -193,7 +223,9 @@
   wanted.data_center =
       m_data_center.empty() ? m_core.settings().data_center : m_data_center;
   wanted.excluded = m_core.Avoided(m_core.Now());
-  wanted.excluded.insert(m_avoid.begin(), m_avoid.end());
+  for (const auto& [server, until] : m_avoid)
+    if (until > m_core.Now())
+      wanted.excluded.insert(server);
   if (m_forward.servers_used_up())
     wanted.first_servers = m_forward.sent_to();
   return wanted;
@@ -219,7 +251,7 @@
   double best_cost = 0;
   for (const auto& [id, server] : m_core.servers()) {
     if (server.service != m_service || server.state != ServerState::kReady ||
-        lost.contains(id) || m_avoid.contains(id) ||
+        lost.contains(id) || AvoidsNow(id) ||
         (m_forward.servers_used_up() && !m_forward.sent_to().contains(id)))
       continue;
     const auto load = loads.find(id);
@@ -258,6 +290,7 @@
   m_body.clear();
   m_streaming = false;
   m_repathing = false;
+  m_departure.Clear();
   m_last_progress = now;
   m_offered_at = now;
   m_call = std::make_shared<UpstreamCall>(m_core.io(), m_core.dialect(),
@@ -317,11 +350,6 @@
 void Exchange::SendAgain() {
   m_call = nullptr;
   ReleaseLoad();
-  if (m_forward.sends() > 0 && !m_core.TryRetry(m_committed)) {
-    m_refusal = "the retry budget is spent";
-    Act(m_forward.OnNoServer());
-    return;
-  }
   if (m_events.any())
     m_events.Resume();
   m_hold_until = std::max(m_hold_until, m_core.Now() + milliseconds(300));
@@ -331,7 +359,7 @@
 void Exchange::OnUpstreamConnectFailed(bool refused) {
   const auto self = shared_from_this();
   m_call = nullptr;
-  m_avoid.insert(m_server);
+  Avoid(m_server);
   if (refused)
     m_core.ReportLost(m_server);
   else
@@ -456,7 +484,7 @@
                            first != m_core.servers().end() &&
                            m_head.fault_address != first->second.address;
   if (!names_other) {
-    m_avoid.insert(m_server);
+    Avoid(m_server);
     return;
   }
   m_core.MarkRefusing(m_head.fault_address);
@@ -464,7 +492,7 @@
     const auto server = m_core.servers().find(part.server);
     if (server != m_core.servers().end() &&
         server->second.address == m_head.fault_address) {
-      m_avoid.insert(part.server);
+      Avoid(part.server);
       m_core.Probe(part.server);
     }
   }
@@ -484,7 +512,7 @@
     Act(m_forward.OnServerEvent(ServerEvent::kRefused));
     return;
   }
-  m_avoid.insert(m_server);
+  Avoid(m_server);
   m_core.Probe(m_server);
   Act(m_forward.OnServerEvent(ServerEvent::kBroken));
 }
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -29,8 +29,9 @@
   void TryDispatch();
   // A server of its path does not answer.
   void OnServerLost(const std::string& server);
-  // Moves off a server that is about to leave.
-  void OnServerLeaving(const std::string& server);
+  // A server of its path is about to leave: the request stays while it can, and
+  // moves before the server ends.
+  void OnServerLeaving(const std::string& server, TimePoint now);
   // Checks for silence; called every tick.
   void OnTick(TimePoint now);
 
@@ -61,6 +62,13 @@
   // Leaves the server and goes on elsewhere, when that is allowed.
   bool MoveElsewhere();
   void Repath(const std::string& lost);
+  // Another path that keeps the first part and uses none of `without`.
+  std::optional<PathChoice> FindOtherPath(const std::set<std::string>& without);
+  void OrderRepath(const std::string& lost, LayerPath path);
+  void MoveOffLeaving(TimePoint now);
+  void NoteEndedServers();
+  void Avoid(const std::string& server);
+  bool AvoidsNow(const std::string& server) const;
   void OnRepathed(OrderResult result, LayerPath path);
   void Commit();
   void PassEvents(const std::string& bytes);
@@ -96,7 +104,8 @@
   std::shared_ptr<UpstreamCall> m_call;
   std::string m_server;
   LayerPath m_path;
-  std::set<std::string> m_avoid;
+  // Servers that this request does not use before the given moments.
+  std::map<std::string, TimePoint> m_avoid;
   // Where the path should lie; empty for this instance's own data center.
   std::string m_data_center;
   AnswerHead m_head;
@@ -108,6 +117,7 @@
   bool m_raw_parts = false;
   bool m_committed = false;
   bool m_repathing = false;
+  DeparturePlan m_departure;
   int m_repaths = 0;
   bool m_load_taken = false;
   bool m_ended = false;
--- a/src/gateway_exchange_recovery.cc
+++ b/src/gateway_exchange_recovery.cc
@@ -18,7 +18,6 @@
 constexpr Duration kEventSilence = milliseconds(180);
 constexpr Duration kFirstEventSilence = milliseconds(350);
 constexpr Duration kPlainSilence = milliseconds(400);
-
 }  // namespace
 
 void Exchange::OnServerLost(const std::string& server) {
@@ -32,31 +31,67 @@
   Repath(server);
 }
 
-void Exchange::OnServerLeaving(const std::string& server) {
-  if (m_call && m_call->offered() && server != m_server && UsesServer(server))
-    Repath(server);
+void Exchange::OnServerLeaving(const std::string& server, TimePoint now) {
+  if (m_ended || !UsesServer(server))
+    return;
+  m_departure.Add(server, now, m_core.settings().server_drain,
+                  m_core.random().Unit());
 }
 
-void Exchange::Repath(const std::string& lost) {
-  if (m_repathing || !m_call || !m_call->offered())
+void Exchange::MoveOffLeaving(TimePoint now) {
+  if (m_repathing || !m_departure.TakeTurn(now))
     return;
+  const std::set<std::string>& leaving = m_departure.servers();
+  if (!leaving.contains(m_server)) {
+    const auto choice = FindOtherPath(leaving);
+    const bool crosses =
+        choice && CountCrossings(choice->path, m_core.servers()) >
+                      CountCrossings(m_path, m_core.servers());
+    // Until it must move, the data center may close the gap.
+    if (choice && !crosses) {
+      OrderRepath(*leaving.begin(), choice->path);
+      return;
+    }
+    if (!m_departure.MustMove(now))
+      return;
+  }
   const EngineModel* engine = Engine();
-  if (engine == nullptr)
+  if (engine == nullptr || !m_core.MayRetry(m_committed))
     return;
   PathRequest wanted = MakePathRequest();
+  wanted.excluded.insert(leaving.begin(), leaving.end());
+  if (ChoosePath(*engine, m_core.servers(), m_core.coordination().Loads(now),
+                 wanted, kMostRepathUse))
+    MoveElsewhere();
+}
+
+std::optional<PathChoice> Exchange::FindOtherPath(
+    const std::set<std::string>& without) {
+  const EngineModel* engine = Engine();
+  if (engine == nullptr || m_path.empty())
+    return std::nullopt;
+  PathRequest wanted = MakePathRequest();
   wanted.excluded.erase(m_server);
-  wanted.excluded.insert(lost);
+  wanted.excluded.insert(without.begin(), without.end());
   wanted.first_part = m_path.front();
-  LoadMap loads = m_core.coordination().Loads(m_core.Now());
-  const auto choice =
-      ChoosePath(*engine, m_core.servers(), loads, wanted, kMostRepathUse);
+  return ChoosePath(*engine, m_core.servers(),
+                    m_core.coordination().Loads(m_core.Now()), wanted,
+                    kMostRepathUse);
+}
+
+void Exchange::Repath(const std::string& lost) {
+  if (m_repathing || !m_call || !m_call->offered())
+    return;
+  const auto choice = FindOtherPath({lost});
   // To read a request again over the link between data centers takes longer
   // than to start it anew on a path within another one.
   const bool crosses =
       choice && CountCrossings(choice->path, m_core.servers()) >
                     CountCrossings(m_path, m_core.servers());
   if (!choice || crosses) {
-    m_avoid.insert(lost);
+    Avoid(lost);
+    // Many streams move at once: they spread over the other data centers.
+    m_data_center = m_core.OtherDataCenter(m_server);
     if (MoveElsewhere())
       return;
   }
@@ -64,16 +99,20 @@
     m_core.Log("no_other_path", {{"id", m_request.attempt_id}, {"lost", lost}});
     return;
   }
+  OrderRepath(lost, choice->path);
+}
+
+void Exchange::OrderRepath(const std::string& lost, LayerPath path) {
   m_repathing = true;
   m_core.Log("repath", {{"id", m_request.attempt_id},
                         {"lost", lost},
                         {"last_event", std::to_string(m_events.last_id())}});
+  HttpRequest order = m_core.dialect().RepathOrder(
+      m_request.attempt_id, path, m_core.coordination().fence(),
+      m_core.servers());
   m_core.CallServer(
-      m_server,
-      m_core.dialect().RepathOrder(m_request.attempt_id, choice->path,
-                                   m_core.coordination().fence(),
-                                   m_core.servers()),
-      [weak = weak_from_this(), path = choice->path](OrderResult result) {
+      m_server, std::move(order),
+      [weak = weak_from_this(), path = std::move(path)](OrderResult result) {
         if (const auto self = weak.lock())
           self->OnRepathed(result, path);
       });
@@ -90,11 +129,14 @@
     ++m_repaths;
     ReleaseLoad();
     m_path = std::move(path);
+    m_departure.Clear();
     TakeLoad();
     m_last_progress = m_core.Now();
     return;
   }
-  MoveElsewhere();
+  // A server that only leaves still serves.
+  if (m_departure.servers().empty())
+    MoveElsewhere();
 }
 
 bool Exchange::MoveElsewhere() {
@@ -104,8 +146,6 @@
   m_core.Log("move", {{"id", m_request.attempt_id},
                       {"server", m_server},
                       {"last_event", std::to_string(m_events.last_id())}});
-  // Many streams move at once: they spread over the other data centers.
-  m_data_center = m_core.OtherDataCenter(m_server);
   if (m_call)
     m_call->Cancel();
   m_call = nullptr;
@@ -116,6 +156,9 @@
 void Exchange::OnTick(TimePoint now) {
   if (m_ended || !m_call || !m_call->offered())
     return;
+  MoveOffLeaving(now);
+  if (!m_call || !m_call->offered())
+    return;
   Duration limit = kPlainSilence;
   if (!m_path.empty())
     limit = m_events.any() ? std::clamp(m_event_interval * 5 / 2,
--- a/test/forwarding_test.cc
+++ b/test/forwarding_test.cc
@@ -50,6 +50,9 @@
   CPPUNIT_TEST(DeadlineWhileOfferedIsUnknown);
   CPPUNIT_TEST(StreamGoesOnAtAnotherServer);
   CPPUNIT_TEST(ServersNeverExceedTheRoute);
+  CPPUNIT_TEST(RefusalsAreNoAttempts);
+  CPPUNIT_TEST(EndedServersDoNotCount);
+  CPPUNIT_TEST(RequestsStayOnLeavingServers);
   CPPUNIT_TEST(EventsAreCutAtTheirEnds);
   CPPUNIT_TEST(ResumedStreamSkipsWhatWasPassedOn);
   CPPUNIT_TEST(MissingEventStopsTheStream);
@@ -196,6 +199,66 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2}, state.sent_to().size());
   }
 
+  // While servers were replaced, both servers that a route allows had refused
+  // the rest of a stream, which was broken off although others had room.
+  void RefusalsAreNoAttempts() {
+    ForwardState state = StateOf(MakeRoute(RouteKind::kStream, 2, true));
+    state.OnSend("a");
+    state.OnServerEvent(ServerEvent::kAnswerBegun);
+    state.OnServerEvent(ServerEvent::kBroken);
+    for (int i = 0; i < 20; ++i) {
+      state.OnSend("refuses-" + std::to_string(i));
+      CPPUNIT_ASSERT(
+          Is<SendToServer>(state.OnServerEvent(ServerEvent::kRefused)));
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, state.sent_to().size());
+    // One that did not begin is refused in the end, truthfully.
+    ForwardState fresh = StateOf(MakeRoute(RouteKind::kStream, 2, true));
+    ForwardDecision last = KeepWaiting{};
+    for (int i = 0; i < 20 && !Is<RefuseNotRun>(last); ++i) {
+      fresh.OnSend("refuses-" + std::to_string(i));
+      last = fresh.OnServerEvent(ServerEvent::kRefused);
+    }
+    CPPUNIT_ASSERT(Is<RefuseNotRun>(last));
+  }
+
+  // A stream that outlived two servers may go on at a third.
+  void EndedServersDoNotCount() {
+    ForwardState state = StateOf(MakeRoute(RouteKind::kStream, 2, true));
+    for (const char* server : {"a", "b"}) {
+      state.OnSend(server);
+      state.OnServerEvent(ServerEvent::kAnswerBegun);
+      state.OnServerEvent(ServerEvent::kBroken);
+    }
+    CPPUNIT_ASSERT(state.servers_used_up());
+    state.OnServerEnded("a");
+    CPPUNIT_ASSERT(!state.servers_used_up());
+  }
+
+  // All streams of a leaving server once moved at the same moment: each paused
+  // for longer than its route allows, and filled the memory of others.
+  void RequestsStayOnLeavingServers() {
+    constexpr Duration kDrain = seconds(2);
+    const TimePoint start{seconds(100)};
+    TimePoint earliest = start + kDrain;
+    TimePoint latest = start;
+    for (int i = 0; i < 10; ++i) {
+      DeparturePlan plan;
+      plan.Add("a", start, kDrain, i / 10.0);
+      TimePoint now = start;
+      while (!plan.TakeTurn(now))
+        now += milliseconds(10);
+      earliest = std::min(earliest, now);
+      latest = std::max(latest, now);
+      CPPUNIT_ASSERT(!plan.MustMove(now));
+      CPPUNIT_ASSERT(!plan.TakeTurn(now + milliseconds(10)));
+      CPPUNIT_ASSERT(plan.TakeTurn(now + milliseconds(200)));
+    }
+    CPPUNIT_ASSERT(earliest >= start + kDrain / 4);
+    CPPUNIT_ASSERT(latest - earliest >= kDrain / 4);
+    CPPUNIT_ASSERT(latest < start + kDrain * 4 / 5);
+  }
+
   void EventsAreCutAtTheirEnds() {
     EventSplitter events;
     CPPUNIT_ASSERT_EQUAL(std::string(), events.Feed("id: 0\ndata: a"));
