Notice lost servers by streams that fall silent together

Change: silence is checked every 15 ms; servers all of whose streams (two or more) are silent for twice their own interval, 45 ms at least, are probed at once; a probe waits 20 ms, over ten round trips between data centers. The rule is in liveness.h, without I/O.

What remains is the time to read the prompts again: 0.1 to 0.3 s, as all streams of a server move at once.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -140,6 +140,7 @@
   ReceiveDatagram();
   WatchConfiguration();
   ScheduleTick();
+  ScheduleSilenceCheck();
   Log("start",
       {{"ip", m_settings.ip}, {"data_center", m_settings.data_center}});
   return absl::OkStatus();
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -40,7 +40,9 @@
 constexpr Duration kLostBeforePlacing = milliseconds(300);
 constexpr Duration kOrderTimeout = milliseconds(1500);
 constexpr Duration kServerConnect = milliseconds(400);
-constexpr Duration kProbeTimeout = milliseconds(50);
+// Well above a round trip between data centers; two opening packets are sent.
+constexpr Duration kProbeTimeout = milliseconds(20);
+constexpr Duration kSilenceCheckInterval = milliseconds(15);
 constexpr int kProbeConnects = 2;
 constexpr Duration kProbeInterval = milliseconds(300);
 // A lost server is probed again before its mark ends.
@@ -80,6 +82,7 @@
       m_peer_buffer(kMaxDatagramBytes + 1),
       m_tick_timer(io),
       m_watch_timer(io),
+      m_silence_timer(io),
       m_last_tick(m_clock.Now()) {}
 
 GatewayCore::~GatewayCore() = default;
@@ -313,6 +316,26 @@
   });
 }
 
+void GatewayCore::ScheduleSilenceCheck() {
+  m_silence_timer.expires_after(kSilenceCheckInterval);
+  m_silence_timer.async_wait([this](error_code error) {
+    if (error)
+      return;
+    CheckSilence();
+    ScheduleSilenceCheck();
+  });
+}
+
+void GatewayCore::CheckSilence() {
+  const TimePoint now = Now();
+  std::vector<StreamProgress> streams;
+  for (const Exchange* exchange : m_exchanges)
+    if (const auto progress = exchange->Progress(now))
+      streams.push_back(*progress);
+  for (const std::string& server : SuspectServers(streams))
+    Probe(server);
+}
+
 void GatewayCore::NoticeSuspension(TimePoint now) {
   if (now - m_last_tick > kSuspension) {
     Log("suspended",
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -14,6 +14,7 @@
 #include "trefoilwick/coordination.h"
 #include "trefoilwick/forwarding.h"
 #include "trefoilwick/gateway.h"
+#include "trefoilwick/liveness.h"
 
 namespace trefoilwick::detail {
 
@@ -125,6 +126,8 @@
   void OnOrderResult(const PlacementOrder& order, OrderResult result);
   void TellLost();
   void ContinueLeaving(TimePoint now);
+  void ScheduleSilenceCheck();
+  void CheckSilence();
 
   boost::asio::io_context& m_io;
   GatewaySettings m_settings;
@@ -150,6 +153,7 @@
   std::vector<char> m_peer_buffer;
   boost::asio::steady_timer m_tick_timer;
   boost::asio::steady_timer m_watch_timer;
+  boost::asio::steady_timer m_silence_timer;
   TimePoint m_last_tick;
   int m_watch_failures = 0;
 
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -8,6 +8,7 @@
 #include "gateway_session.h"
 #include "gateway_upstream.h"
 #include "trefoilwick/forwarding.h"
+#include "trefoilwick/liveness.h"
 
 namespace trefoilwick::detail {
 
@@ -36,6 +37,8 @@
   void OnTick(TimePoint now);
 
   int rank() const { return m_rank; }
+  // Null when it is no stream on a path, or has not begun.
+  std::optional<StreamProgress> Progress(TimePoint now) const;
   TimePoint began() const { return m_began; }
   bool UsesServer(const std::string& server) const;
   const std::string& attempt_id() const { return m_request.attempt_id; }
--- a/src/gateway_exchange_recovery.cc
+++ b/src/gateway_exchange_recovery.cc
@@ -12,10 +12,8 @@
 
 // Largest share of KV memory in use on the parts of a replaced path.
 constexpr double kMostRepathUse = 0.95;
-// Silence after which the servers of a path are probed: in mid-stream, and
-// before the first event, when the prompt is still read.
-constexpr Duration kLeastEventSilence = milliseconds(70);
-constexpr Duration kEventSilence = milliseconds(180);
+// Silence after which servers are probed: before the first event of a stream,
+// when the prompt is still read, and of a plain service.
 constexpr Duration kFirstEventSilence = milliseconds(350);
 constexpr Duration kPlainSilence = milliseconds(400);
 }  // namespace
@@ -153,17 +151,24 @@
   return true;
 }
 
+std::optional<StreamProgress> Exchange::Progress(TimePoint now) const {
+  if (m_ended || !m_call || !m_call->offered() || m_path.empty() ||
+      m_repathing || !m_events.any())
+    return std::nullopt;
+  return StreamProgress{&m_path,
+                        AssessSilence(now - m_last_progress, m_event_interval)};
+}
+
 void Exchange::OnTick(TimePoint now) {
   if (m_ended || !m_call || !m_call->offered())
     return;
   MoveOffLeaving(now);
   if (!m_call || !m_call->offered())
     return;
-  Duration limit = kPlainSilence;
-  if (!m_path.empty())
-    limit = m_events.any() ? std::clamp(m_event_interval * 5 / 2,
-                                        kLeastEventSilence, kEventSilence)
-                           : kFirstEventSilence;
+  // The silence check looks after streams that have begun.
+  if (!m_path.empty() && m_events.any())
+    return;
+  const Duration limit = m_path.empty() ? kPlainSilence : kFirstEventSilence;
   if (now - m_last_progress < limit)
     return;
   m_core.Probe(m_server);
--- /dev/null
+++ b/test/liveness_test.cc
@@ -0,0 +1,60 @@
+#include "trefoilwick/liveness.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace trefoilwick {
+namespace {
+
+using std::chrono::milliseconds;
+
+class LivenessTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LivenessTest);
+  CPPUNIT_TEST(SilenceIsMeasuredByThePaceOfTheStream);
+  CPPUNIT_TEST(SharedServerIsSuspectedEarly);
+  CPPUNIT_TEST(ServerWithALivingStreamIsNot);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against probes of servers that are only slow, and against a pause
+  // of a fast stream that is noticed when it is already late.
+  void SilenceIsMeasuredByThePaceOfTheStream() {
+    CPPUNIT_ASSERT(AssessSilence(milliseconds(40), milliseconds(22)) ==
+                   Silence::kNone);
+    CPPUNIT_ASSERT(AssessSilence(milliseconds(50), milliseconds(22)) ==
+                   Silence::kShort);
+    CPPUNIT_ASSERT(AssessSilence(milliseconds(75), milliseconds(22)) ==
+                   Silence::kLong);
+    CPPUNIT_ASSERT(AssessSilence(milliseconds(75), milliseconds(60)) ==
+                   Silence::kNone);
+    CPPUNIT_ASSERT(AssessSilence(milliseconds(200), milliseconds(300)) ==
+                   Silence::kLong);
+  }
+
+  // Every stream through a dark server paused for 0.3 s where 0.2 s count as on
+  // time: each waited until it alone was suspicious.
+  void SharedServerIsSuspectedEarly() {
+    const LayerPath first = {{"a", {0, 10}}, {"dark", {10, 20}}};
+    const LayerPath second = {{"b", {0, 10}}, {"dark", {10, 20}}};
+    const LayerPath third = {{"a", {0, 10}}, {"c", {10, 20}}};
+    const auto suspects = SuspectServers({{&first, Silence::kShort},
+                                          {&second, Silence::kShort},
+                                          {&third, Silence::kNone}});
+    CPPUNIT_ASSERT(suspects == std::set<std::string>{"dark"});
+  }
+
+  // One short pause is no evidence.
+  void ServerWithALivingStreamIsNot() {
+    const LayerPath path = {{"a", {0, 10}}, {"b", {10, 20}}};
+    CPPUNIT_ASSERT(SuspectServers({{&path, Silence::kShort}}).empty());
+    CPPUNIT_ASSERT(
+        SuspectServers({{&path, Silence::kShort}, {&path, Silence::kNone}})
+            .empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{2},
+                         SuspectServers({{&path, Silence::kLong}}).size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LivenessTest);
+
+}  // namespace
+}  // namespace trefoilwick
