--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -17,6 +17,9 @@
 
 // Share of the client's time that a request may wait for a server.
 constexpr int kHoldDivisor = 8;
+// A process that starts has its configuration after about 0.1 s, and the servers
+// after about 0.4 s.
+constexpr Duration kStartHold = milliseconds(600);
 // Clients give a stream up that does not begin within about two seconds.
 constexpr Duration kMostHold = milliseconds(1300);
 constexpr Duration kDefaultTimeout = std::chrono::seconds(20);
@@ -66,7 +69,6 @@
 }
 
 void Exchange::Begin(http::request<http::string_body> request) {
-  m_table = m_core.table();
   m_is_head_request = request.method() == http::verb::head;
   auto parsed = m_core.dialect().ReadRequest(request.base());
   if (!parsed.ok()) {
@@ -75,19 +77,20 @@
   }
   m_request = std::move(*parsed);
   m_request.body = std::move(request.body());
-  if (!m_table) {
-    m_refusal = "no configuration is known yet";
-    AnswerRefusal();
-    return;
-  }
+  m_hold_until = m_began + kStartHold;
+  TryDispatch();
+}
+
+bool Exchange::Resolve() {
+  m_table = m_core.table();
   m_route = m_table->FindRoute(m_request.host, m_request.target);
   if (m_route == nullptr) {
     AnswerOwn(404, "not_run", "no route matches");
-    return;
+    return false;
   }
   if (!Authorize(*m_table)) {
     AnswerOwn(401, "not_run", "the key is unknown");
-    return;
+    return false;
   }
   m_forward = ForwardState::Builder().SetRoute(*m_route).Build();
   const Duration timeout =
@@ -96,14 +99,15 @@
       std::min(timeout, m_request.patience.value_or(timeout));
   m_deadline = m_began + patience;
   m_hold_until = m_began + std::min(patience / kHoldDivisor, kMostHold);
+  if (!m_core.coordination().has_servers())
+    m_hold_until = std::max(m_hold_until, m_began + kStartHold);
   m_timer.expires_after(m_deadline - m_core.Now());
   m_timer.async_wait([weak = weak_from_this()](error_code error) {
     const auto self = weak.lock();
     if (!error && self)
       self->OnDeadline();
   });
-  m_events = EventSplitter();
-  TryDispatch();
+  return true;
 }
 
 bool Exchange::Authorize(const RouteTable& table) {
@@ -141,10 +145,18 @@
   if (m_ended || m_call)
     return;
   const TimePoint now = m_core.Now();
+  if (!m_core.table()) {
+    m_refusal = "no configuration is known yet";
+    WaitOrRefuse();
+    return;
+  }
+  if (!m_table && !Resolve())
+    return;
   if (now >= m_deadline) {
     OnDeadline();
     return;
   }
+  m_refusal = "no server has room";
   NoteEndedServers();
   if (m_core.ListUsable(now) && Choose()) {
     if (m_forward.sends() == 0 || m_core.TryRetry(m_committed)) {
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -51,6 +51,8 @@
   void OnUpstreamBroken() override;
 
  private:
+  // Finds route and account in the configuration; false when it answered.
+  bool Resolve();
   bool Authorize(const RouteTable& table);
   const EngineModel* Engine() const;
   PathRequest MakePathRequest() const;
--- a/test/adapter_gateway_test.cc
+++ b/test/adapter_gateway_test.cc
@@ -103,6 +103,7 @@
   CPPUNIT_TEST(ChunkedBodyIsPassedOn);
   CPPUNIT_TEST(RequestsOnOneConnection);
   CPPUNIT_TEST(WithoutConfigurationNothingIsDenied);
+  CPPUNIT_TEST(RequestWaitsForTheFirstConfiguration);
   CPPUNIT_TEST(SmallInterfaces);
   CPPUNIT_TEST(LeavingFinishesWhatIsBegun);
   CPPUNIT_TEST_SUITE_END();
@@ -362,6 +363,22 @@
     CPPUNIT_ASSERT(Has(answer, "Retry-After"));
   }
 
+  // After a loss of all instances requests arrive before the configuration
+  // does. Refusing them cost their clients a second try.
+  void RequestWaitsForTheFirstConfiguration() {
+    ScriptedServer server(
+        [](const std::string&) { return Script{Sealed("x")}; });
+    GatewayHarness harness;
+    harness.AddServer("s0", "desk", server.address());
+    harness.Start();
+    std::string answer;
+    std::thread client([&] { answer = harness.Client(Request("GET /get/x")); });
+    std::this_thread::sleep_for(milliseconds(100));
+    harness.SetTable(Table());
+    client.join();
+    CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 200"));
+  }
+
   void SmallInterfaces() {
     ScriptedServer server(
         [](const std::string&) { return Script{Sealed("x")}; });
--- a/test/gateway_harness.h
+++ b/test/gateway_harness.h
@@ -238,6 +238,10 @@
     CPPUNIT_FAIL("the gateway did not become ready");
   }
 
+  void SetTable(std::shared_ptr<const RouteTable> table) {
+    asio::post(m_io, [this, table] { m_store.table = table; });
+  }
+
   void Leave() {
     asio::post(m_io, [this] { m_gateway->Leave(); });
   }
