--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -17,8 +17,8 @@
 
 // Share of the client's time that a request may wait for a server.
 constexpr int kHoldDivisor = 8;
-// A process that starts has its configuration after about 0.1 s, and the servers
-// after about 0.4 s.
+// A process that starts has its configuration after about 0.1 s, and the
+// servers after about 0.4 s.
 constexpr Duration kStartHold = milliseconds(600);
 // Clients give a stream up that does not begin within about two seconds.
 constexpr Duration kMostHold = milliseconds(1300);
