Move requests off layers that a server gives up to load others

Cause: a shift of ranges needs servers to give layers up before they can load others.

Change: when such an order is announced, requests on the given-up layers get another path within 150 ms, if one exists in their data centers.

--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -107,6 +107,7 @@
   void OnLayersReported(TimePoint now,
                         const std::string& server,
                         LayerRange layers);
+  const std::map<std::string, LayerRange>& orders() const { return m_orders; }
   void SetAccepting(bool accepting) { m_accepting = accepting; }
   // This instance found that a server does not accept connections. The mark
   // ends unless it is repeated.
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -498,9 +498,31 @@
   });
   if (before)
     NoticeLeaving(*before);
+  NoticeOrders();
   ServeWaiting();
 }
 
+// A server begins to load layers only when the requests on those that it gives
+// up for them have ended: they move off at once.
+void GatewayCore::NoticeOrders() {
+  const TimePoint now = Now();
+  const auto seen = std::exchange(m_seen_orders, m_coordination.orders());
+  for (const auto& [id, order] : m_seen_orders) {
+    const auto old = seen.find(id);
+    const auto server = m_coordination.listed()->find(id);
+    if ((old != seen.end() && old->second == order) ||
+        server == m_coordination.listed()->end() || !server->second.layers)
+      continue;
+    const LayerRange& held = *server->second.layers;
+    const bool loads = order.from < held.from || order.to > held.to;
+    const bool gives_up = order.from > held.from || order.to < held.to;
+    if (!loads || !gives_up)
+      continue;
+    for (Exchange* exchange : m_exchanges)
+      exchange->OnLayersGivenUp(id, order, now);
+  }
+}
+
 // Tells requests about servers that announced that they leave, or are not
 // listed any more: they serve on for a while.
 void GatewayCore::NoticeLeaving(const ServerMap& before) {
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -115,6 +115,7 @@
   void AdoptTable(std::shared_ptr<const RouteTable> table);
   void OnServersChanged();
   void NoticeLeaving(const ServerMap& before);
+  void NoticeOrders();
   bool AnyLayersHeld() const;
   RetryWindow::Counts SendsElsewhere(TimePoint now) const;
   void PlaceLayers(TimePoint now);
@@ -174,6 +175,8 @@
   LoadMap m_local_loads;
   std::map<std::string, TimePoint> m_probed;
   std::set<std::string> m_told_lost;
+  // Orders whose servers wait for requests to move off.
+  std::map<std::string, LayerRange> m_seen_orders;
   // When a server was found to have ended.
   std::map<std::string, TimePoint> m_ended;
   std::map<std::string, PendingOrder> m_orders;
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -33,6 +33,10 @@
   // A server of its path is about to leave: the request stays while it can, and
   // moves before the server ends.
   void OnServerLeaving(const std::string& server, TimePoint now);
+  // A server of its path is about to hold only `layers`.
+  void OnLayersGivenUp(const std::string& server,
+                       const LayerRange& layers,
+                       TimePoint now);
   // Checks for silence; called every tick.
   void OnTick(TimePoint now);
 
@@ -69,8 +73,10 @@
   void Repath(const std::string& lost);
   // Another path that keeps the first part and uses none of `without`.
   std::optional<PathChoice> FindOtherPath(const std::set<std::string>& without);
-  void OrderRepath(const std::string& lost, LayerPath path);
+  // `needed` when the present path serves no longer.
+  void OrderRepath(const std::string& lost, LayerPath path, bool needed);
   void MoveOffLeaving(TimePoint now);
+  void MoveOffGivenUp(TimePoint now);
   void NoteEndedServers();
   void Avoid(const std::string& server);
   bool AvoidsNow(const std::string& server) const;
@@ -122,7 +128,10 @@
   bool m_raw_parts = false;
   bool m_committed = false;
   bool m_repathing = false;
+  bool m_repath_is_needed = false;
   DeparturePlan m_departure;
+  // When it moves off layers that a server gives up.
+  std::optional<TimePoint> m_evacuate_at;
   int m_repaths = 0;
   bool m_load_taken = false;
   bool m_ended = false;
--- a/src/gateway_exchange_recovery.cc
+++ b/src/gateway_exchange_recovery.cc
@@ -16,6 +16,8 @@
 // when the prompt is still read, and of a plain service.
 constexpr Duration kFirstEventSilence = milliseconds(350);
 constexpr Duration kPlainSilence = milliseconds(400);
+// Requests move off layers that a server gives up within this time.
+constexpr Duration kEvacuation = milliseconds(150);
 }  // namespace
 
 void Exchange::OnServerLost(const std::string& server) {
@@ -47,7 +49,7 @@
                       CountCrossings(m_path, m_core.servers());
     // Until it must move, the data center may close the gap.
     if (choice && !crosses) {
-      OrderRepath(*leaving.begin(), choice->path);
+      OrderRepath(*leaving.begin(), choice->path, false);
       return;
     }
     if (!m_departure.MustMove(now))
@@ -63,6 +65,30 @@
     MoveElsewhere();
 }
 
+void Exchange::OnLayersGivenUp(const std::string& server,
+                               const LayerRange& layers,
+                               TimePoint now) {
+  // The first part of a path cannot change.
+  if (m_ended || !m_call || !m_call->offered() || server == m_server)
+    return;
+  for (const PathPart& part : m_path)
+    if (part.server == server &&
+        (part.layers.from < layers.from || part.layers.to > layers.to))
+      m_evacuate_at = now + Duration(static_cast<int64_t>(
+                                m_core.random().Unit() *
+                                static_cast<double>(kEvacuation.count())));
+}
+
+void Exchange::MoveOffGivenUp(TimePoint now) {
+  if (!m_evacuate_at || now < *m_evacuate_at || m_repathing)
+    return;
+  m_evacuate_at.reset();
+  const auto choice = FindOtherPath({});
+  if (choice && CountCrossings(choice->path, m_core.servers()) <=
+                    CountCrossings(m_path, m_core.servers()))
+    OrderRepath("", choice->path, false);
+}
+
 std::optional<PathChoice> Exchange::FindOtherPath(
     const std::set<std::string>& without) {
   const EngineModel* engine = Engine();
@@ -97,11 +123,14 @@
     m_core.Log("no_other_path", {{"id", m_request.attempt_id}, {"lost", lost}});
     return;
   }
-  OrderRepath(lost, choice->path);
+  OrderRepath(lost, choice->path, true);
 }
 
-void Exchange::OrderRepath(const std::string& lost, LayerPath path) {
+void Exchange::OrderRepath(const std::string& lost,
+                           LayerPath path,
+                           bool needed) {
   m_repathing = true;
+  m_repath_is_needed = needed;
   m_core.Log("repath", {{"id", m_request.attempt_id},
                         {"lost", lost},
                         {"last_event", std::to_string(m_events.last_id())}});
@@ -132,8 +161,8 @@
     m_last_progress = m_core.Now();
     return;
   }
-  // A server that only leaves still serves.
-  if (m_departure.servers().empty())
+  // Servers that leave, or give layers up, still serve what is in progress.
+  if (m_repath_is_needed)
     MoveElsewhere();
 }
 
@@ -163,6 +192,7 @@
   if (m_ended || !m_call || !m_call->offered())
     return;
   MoveOffLeaving(now);
+  MoveOffGivenUp(now);
   if (!m_call || !m_call->offered())
     return;
   // The silence check looks after streams that have begun.
