Serve waiting requests in order, those that can be on time first

Change: newcomers queue behind whoever goes before them; answers in progress go first, then what can still be on time by rank and age, then what is late. One that finds no room keeps those behind from taking it. The order is in forwarding.h.

--- a/include/trefoilwick/forwarding.h
+++ b/include/trefoilwick/forwarding.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "trefoilwick/route_table.h"
 
@@ -139,6 +140,30 @@
   ForwardState m_state;
 };
 
+// A request that waits for room at the servers of a service.
+struct WaitingRequest {
+  std::string service;
+  // 0 is the most urgent.
+  int rank = 0;
+  TimePoint began;
+  // Time from then to the first part of an answer that is on time.
+  Duration latency_target{0};
+  // A part of the answer is with the client.
+  bool in_progress = false;
+};
+
+// True when `a` is served before `b`: answers in progress first, then those
+// that can still be on time, by rank and age. What is late already earns little
+// more by being less late, and would make others late. Load pattern: a burst
+// beyond the room of the servers.
+bool GoesBefore(const WaitingRequest& a,
+                const WaitingRequest& b,
+                TimePoint now);
+
+// Indexes in the order of service.
+std::vector<size_t> OrderWaiting(const std::vector<WaitingRequest>& requests,
+                                 TimePoint now);
+
 // When a request in progress moves off servers that announced that they leave.
 // They serve on for a while, so that most requests end by themselves. Moves are
 // spread over that time: each reads a prompt again.
--- a/src/forwarding.cc
+++ b/src/forwarding.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <numeric>
+#include <tuple>
 
 namespace trefoilwick {
 
@@ -23,6 +25,9 @@
 constexpr double kFirstMove = 0.3;
 constexpr double kLastMove = 0.75;
 constexpr double kMustMove = 0.8;
+// From the moment at which a server has room to the first event, when servers
+// are busy.
+constexpr Duration kTimeToFirstEvent = std::chrono::milliseconds(100);
 constexpr Duration kMoveRetry = std::chrono::milliseconds(100);
 
 Duration Part(Duration whole, double share) {
@@ -166,6 +171,29 @@
   return GiveUp(true);
 }
 
+bool GoesBefore(const WaitingRequest& a,
+                const WaitingRequest& b,
+                TimePoint now) {
+  const auto key = [&](const WaitingRequest& request) {
+    const bool late =
+        !request.in_progress &&
+        now - request.began > request.latency_target - kTimeToFirstEvent;
+    return std::make_tuple(!request.in_progress, late, request.rank,
+                           request.began);
+  };
+  return key(a) < key(b);
+}
+
+std::vector<size_t> OrderWaiting(const std::vector<WaitingRequest>& requests,
+                                 TimePoint now) {
+  std::vector<size_t> order(requests.size());
+  std::iota(order.begin(), order.end(), size_t{0});
+  std::stable_sort(order.begin(), order.end(), [&](size_t a, size_t b) {
+    return GoesBefore(requests[a], requests[b], now);
+  });
+  return order;
+}
+
 void DeparturePlan::Add(const std::string& server,
                         TimePoint now,
                         Duration drain,
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -129,16 +129,33 @@
 void GatewayCore::ServeWaiting() {
   if (m_waiting.empty())
     return;
-  std::vector<std::shared_ptr<Exchange>> order;
-  for (Exchange* exchange : m_waiting)
-    order.push_back(exchange->shared_from_this());
-  std::stable_sort(order.begin(), order.end(),
-                   [](const auto& a, const auto& b) {
-                     return std::make_pair(a->rank(), a->began()) <
-                            std::make_pair(b->rank(), b->began());
-                   });
-  for (const auto& exchange : order)
-    exchange->TryDispatch();
+  std::vector<std::shared_ptr<Exchange>> waiting;
+  std::vector<WaitingRequest> requests;
+  for (Exchange* exchange : m_waiting) {
+    waiting.push_back(exchange->shared_from_this());
+    requests.push_back(exchange->Waiting());
+  }
+  // Whoever finds no room keeps those behind from taking what it waits for.
+  std::set<std::string> full;
+  for (const size_t i : OrderWaiting(requests, Now())) {
+    if (full.contains(requests[i].service))
+      waiting[i]->WaitOn();
+    else if (!waiting[i]->TryDispatch())
+      full.insert(requests[i].service);
+  }
+}
+
+bool GatewayCore::MustQueue(const Exchange& exchange) const {
+  const WaitingRequest request = exchange.Waiting();
+  const TimePoint now = Now();
+  return std::any_of(m_waiting.begin(), m_waiting.end(),
+                     [&](const Exchange* other) {
+                       if (other == &exchange)
+                         return false;
+                       const WaitingRequest ahead = other->Waiting();
+                       return ahead.service == request.service &&
+                              GoesBefore(ahead, request, now);
+                     });
 }
 
 void GatewayCore::AddLoad(const LayerPath& path, double tokens, int sign) {
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -70,6 +70,8 @@
   void RemoveExchange(Exchange* exchange);
   // Room may have become free: lets waiting requests try.
   void ServeWaiting();
+  // Requests that wait go before this one.
+  bool MustQueue(const Exchange& exchange) const;
 
   void AddLoad(const LayerPath& path, double tokens, int sign);
   void AddLoad(const std::string& server, int sign);
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -141,29 +141,33 @@
   return m_request.prompt_tokens + answer;
 }
 
-void Exchange::TryDispatch() {
+bool Exchange::TryDispatch() {
   if (m_ended || m_call)
-    return;
+    return true;
   const TimePoint now = m_core.Now();
   if (!m_core.table()) {
     m_refusal = "no configuration is known yet";
     WaitOrRefuse();
-    return;
+    return true;
   }
   if (!m_table && !Resolve())
-    return;
+    return true;
   if (now >= m_deadline) {
     OnDeadline();
-    return;
+    return true;
   }
   m_refusal = "no server has room";
   NoteEndedServers();
+  if (!m_waiting && m_core.MustQueue(*this)) {
+    WaitOrRefuse();
+    return false;
+  }
   if (m_core.ListUsable(now) && Choose()) {
     if (m_forward.sends() == 0 || m_core.TryRetry(m_committed)) {
       if (std::exchange(m_waiting, false))
         m_core.RemoveWaiting(this);
       Send();
-      return;
+      return true;
     }
     // An answer in progress waits for the budget; the rest can be refused
     // truthfully at once.
@@ -171,8 +175,25 @@
       m_refusal = "the retry budget is spent";
       m_hold_until = now;
     }
+    WaitOrRefuse();
+    return true;
   }
   WaitOrRefuse();
+  // One that may use few servers keeps nobody else waiting.
+  return m_forward.servers_used_up();
+}
+
+WaitingRequest Exchange::Waiting() const {
+  WaitingRequest out;
+  if (m_route != nullptr) {
+    out.service =
+        m_route->services.empty() ? "" : m_route->services.front().service;
+    out.latency_target = m_route->latency_target;
+  }
+  out.rank = m_rank;
+  out.began = m_began;
+  out.in_progress = m_committed;
+  return out;
 }
 
 void Exchange::Avoid(const std::string& server) {
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -26,8 +26,11 @@
   void OnClientLeft();
   // Everything written so far is with the client.
   void OnClientDrained();
-  // Looks for a server again; called while the request waits.
-  void TryDispatch();
+  // Looks for a server; false when there is no room and the request waits.
+  bool TryDispatch();
+  // Waits on, or gives up when it has waited for too long.
+  void WaitOn() { WaitOrRefuse(); }
+  WaitingRequest Waiting() const;
   // A server of its path does not answer.
   void OnServerLost(const std::string& server);
   // A server of its path is about to leave: the request stays while it can, and
--- a/test/forwarding_test.cc
+++ b/test/forwarding_test.cc
@@ -53,6 +53,8 @@
   CPPUNIT_TEST(RefusalsAreNoAttempts);
   CPPUNIT_TEST(EndedServersDoNotCount);
   CPPUNIT_TEST(RequestsStayOnLeavingServers);
+  CPPUNIT_TEST(WaitingRequestsAreOrdered);
+  CPPUNIT_TEST(BurstLeavesUrgentWorkOnTime);
   CPPUNIT_TEST(EventsAreCutAtTheirEnds);
   CPPUNIT_TEST(ResumedStreamSkipsWhatWasPassedOn);
   CPPUNIT_TEST(MissingEventStopsTheStream);
@@ -259,6 +261,73 @@
     CPPUNIT_ASSERT(latest < start + kDrain * 4 / 5);
   }
 
+  // Guards against an answer in progress that waits behind new work, and
+  // against late work that goes before what can still be on time.
+  void WaitingRequestsAreOrdered() {
+    const TimePoint now{seconds(100)};
+    const auto waiting = [&](int rank, milliseconds age, bool in_progress) {
+      return WaitingRequest{"pool", rank, now - age, milliseconds(500),
+                            in_progress};
+    };
+    const std::vector<WaitingRequest> requests = {
+        waiting(0, milliseconds(900), false),
+        waiting(1, milliseconds(300), false),
+        waiting(0, milliseconds(100), false),
+        waiting(0, milliseconds(200), false),
+        waiting(2, milliseconds(3000), true)};
+    CPPUNIT_ASSERT(OrderWaiting(requests, now) ==
+                   (std::vector<size_t>{4, 3, 2, 1, 0}));
+  }
+
+  // Replays the burst of malabar scale-1: two seconds at 1.6 times what fits.
+  // In order of age all of it was late.
+  void BurstLeavesUrgentWorkOnTime() {
+    constexpr int kPlaces = 100;
+    constexpr milliseconds kWork(1600);
+    constexpr milliseconds kTarget(500);
+    struct Entry {
+      WaitingRequest request;
+      bool started = false;
+    };
+    std::vector<Entry> all;
+    std::vector<TimePoint> ends;
+    int on_time = 0;
+    int urgent = 0;
+    int urgent_on_time = 0;
+    const TimePoint begin{seconds(100)};
+    for (int ms = 0; ms < 8000; ms += 10) {
+      const TimePoint now = begin + milliseconds(ms);
+      std::erase_if(ends, [&](TimePoint end) { return end <= now; });
+      // 62.5 a second fill the places; 100 a second from second 2 to 4.
+      const bool burst = ms >= 2000 && ms < 4000;
+      if (ms % (burst ? 10 : 20) == 0)
+        all.push_back(
+            {{"pool", static_cast<int>(all.size() % 3), now, kTarget, false}});
+      std::vector<WaitingRequest> waiting;
+      std::vector<size_t> index;
+      for (size_t i = 0; i < all.size(); ++i)
+        if (!all[i].started) {
+          waiting.push_back(all[i].request);
+          index.push_back(i);
+        }
+      for (const size_t i : OrderWaiting(waiting, now)) {
+        if (ends.size() >= kPlaces)
+          break;
+        Entry& entry = all[index[i]];
+        entry.started = true;
+        ends.push_back(now + kWork);
+        const bool in_time = now - entry.request.began <= kTarget;
+        on_time += in_time ? 1 : 0;
+        if (entry.request.rank == 0)
+          urgent_on_time += in_time ? 1 : 0;
+      }
+    }
+    for (const Entry& entry : all)
+      urgent += entry.request.rank == 0 ? 1 : 0;
+    CPPUNIT_ASSERT_EQUAL(urgent, urgent_on_time);
+    CPPUNIT_ASSERT(on_time > static_cast<int>(all.size()) * 85 / 100);
+  }
+
   void EventsAreCutAtTheirEnds() {
     EventSplitter events;
     CPPUNIT_ASSERT_EQUAL(std::string(), events.Feed("id: 0\ndata: a"));
