Read the configuration as soon as the store answers again; stop taking work at 3 s

The coordinator had reached the store for its lease at 26.3 s, but the watch of the configuration hung in a call of 1.8 s and then waited 1.5 s. Now the first answer of the store after a failure, to whatever call, reads configuration and list; after a failure the watch uses short calls, and the coordinator repeats them every 0.5 s. The listener now closes 3 s after SIGTERM, when clients have learned of the leaving.

Both tests fail without the change.

--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -89,6 +89,7 @@
                     ServerMap servers);
   void OnServerListFailed(TimePoint now);
   void OnConfiguration(int64_t version) { m_config_version = version; }
+  void OnConfigurationRead(TimePoint now) { NoteStoreAnswered(now); }
   void OnConfigurationFailed(TimePoint now);
   // The process stood still: nothing believed before may be used.
   void OnSuspended(TimePoint now);
@@ -157,6 +158,7 @@
     TimePoint until;
   };
 
+  void NoteStoreAnswered(TimePoint now);
   // Derives the server maps from what was read, reported and ordered.
   void UpdateServers(TimePoint now);
   void SendReport(TimePoint now);
@@ -187,6 +189,8 @@
   TimePoint m_beat_heard;
   TimePoint m_next_lease_call;
   TimePoint m_store_answered;
+  // A call to the store failed since the last answer.
+  bool m_store_failing = false;
   TimePoint m_next_report;
   TimePoint m_next_beat;
   int m_beats = 0;
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -129,6 +129,18 @@
   ReadListIfStale(now);
 }
 
+// After an outage the first answer, to whatever call, is the sign to read what
+// may have changed: each kind of call by itself may wait for seconds yet.
+void Coordination::NoteStoreAnswered(TimePoint now) {
+  m_store_answered = now;
+  if (!std::exchange(m_store_failing, false))
+    return;
+  m_list_failures = 0;
+  m_next_list_call = now;
+  m_next_config_call = now + kConfigRetry;
+  m_actions.emplace_back(ReadConfiguration{});
+}
+
 void Coordination::TryTakeOver(TimePoint now) {
   if (m_lease_call_pending || now < m_next_lease_call || !m_accepting)
     return;
@@ -143,9 +155,11 @@
 
 void Coordination::OnLease(TimePoint now, const std::optional<LeaseRow>& row) {
   m_lease_call_pending = false;
-  if (!row)
+  if (!row) {
+    m_store_failing = true;
     return;
-  m_store_answered = now;
+  }
+  NoteStoreAnswered(now);
   const bool first = !m_knows_lease;
   const bool changed = row->fence != m_fence;
   if (row->row_version > 0 && row->holder_ip != m_ip && (first || changed)) {
@@ -190,7 +204,7 @@
   m_lease_call_pending = false;
   switch (result) {
     case LeaseWriteResult::kWritten:
-      m_store_answered = now;
+      NoteStoreAnswered(now);
       m_lease = row;
       m_fence = row.fence;
       m_next_lease_call = now + kLeaseRenewal;
@@ -209,7 +223,7 @@
       }
       return;
     case LeaseWriteResult::kConflict:
-      m_store_answered = now;
+      NoteStoreAnswered(now);
       // The row shows who holds it now, or one of our own writes whose answer
       // was lost.
       if (row.holder_ip == m_ip && row.holder_incarnation == m_incarnation &&
@@ -225,6 +239,7 @@
         StepDown(now);
       return;
     case LeaseWriteResult::kUnknown:
+      m_store_failing = true;
       m_next_lease_call = now + kLeaseRetry;
       return;
   }
@@ -260,8 +275,8 @@
                                 int64_t version,
                                 ServerMap servers) {
   m_list_call_pending = false;
+  NoteStoreAnswered(now);
   m_list_failures = 0;
-  m_store_answered = now;
   m_list_fresh_at = std::max(m_list_fresh_at, asked);
   if (version < m_list_version || (m_list_version > 0 && servers == *m_read)) {
     UpdateServers(now);
@@ -336,11 +351,13 @@
 
 void Coordination::OnServerListFailed(TimePoint now) {
   m_list_call_pending = false;
+  m_store_failing = true;
   m_list_failures = std::min(m_list_failures + 1, kMostBackoff);
   m_next_list_call = now + kListRetry * m_list_failures;
 }
 
 void Coordination::OnConfigurationFailed(TimePoint now) {
+  m_store_failing = true;
   m_next_config_call = now + kConfigRetry;
 }
 
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -27,10 +27,8 @@
 constexpr int kBacklog = 512;
 constexpr size_t kMaxSmallRequest = 8192;
 constexpr Duration kSmallTimeout = seconds(10);
-// After this part of the grace period new requests are refused, so that those
-// in progress can end.
-constexpr double kRefuseAfter = 0.6;
-// Clients have learned of the leaving after this long.
+// Clients have learned of the leaving after this long. What arrives later might
+// not end within the grace period.
 constexpr Duration kLeaveNotice = seconds(3);
 constexpr Duration kLeaveMargin = milliseconds(400);
 
@@ -249,16 +247,11 @@
   const Duration past = now - m_leave_began;
   if (past < kLeaveNotice)
     return;
-  const bool late =
-      past > Duration(static_cast<int64_t>(
-                 kRefuseAfter * static_cast<double>(m_settings.grace.count())));
   error_code ignored;
-  if (late)
-    m_client_acceptor.close(ignored);
+  m_client_acceptor.close(ignored);
   for (const auto& [raw, session] : m_sessions)
     session->CloseWhenIdle();
-  const bool idle = m_sessions.empty() && late;
-  if (idle || past > m_settings.grace - kLeaveMargin) {
+  if (m_sessions.empty() || past > m_settings.grace - kLeaveMargin) {
     Log("stop", {{"requests", std::to_string(m_exchanges.size())}});
     m_io.stop();
   }
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -454,7 +454,9 @@
             },
             [&](ReadConfiguration&) {
               m_store->ReadConfiguration([this](auto table) {
-                if (!table)
+                if (table)
+                  m_coordination.OnConfigurationRead(Now());
+                else
                   m_coordination.OnConfigurationFailed(Now());
                 AdoptTable(std::move(table));
               });
@@ -475,20 +477,34 @@
     });
     return;
   }
-  m_store->WatchConfiguration(kConfigWatch, [this](auto table) {
-    const bool failed = !table;
+  const auto done = [this](std::shared_ptr<const RouteTable> table) {
+    OnConfigurationWatched(std::move(table));
+  };
+  // After a failure a short call shows sooner that the store is back.
+  if (m_watch_failures > 0)
+    m_store->ReadConfiguration(done);
+  else
+    m_store->WatchConfiguration(kConfigWatch, done);
+}
+
+void GatewayCore::OnConfigurationWatched(
+    std::shared_ptr<const RouteTable> table) {
+  if (table) {
+    m_watch_failures = 0;
+    m_coordination.OnConfigurationRead(Now());
     AdoptTable(std::move(table));
-    if (!failed) {
-      m_watch_failures = 0;
+    RunActions();
+    WatchConfiguration();
+    return;
+  }
+  m_coordination.OnConfigurationFailed(Now());
+  // The others hear of a change from the coordinator.
+  const int most = m_coordination.is_coordinator() ? 1 : kMostWatchBackoff;
+  m_watch_failures = std::min(m_watch_failures + 1, most);
+  m_watch_timer.expires_after(kConfigRetry * m_watch_failures);
+  m_watch_timer.async_wait([this](error_code error) {
+    if (!error)
       WatchConfiguration();
-      return;
-    }
-    m_watch_failures = std::min(m_watch_failures + 1, kMostWatchBackoff);
-    m_watch_timer.expires_after(kConfigRetry * m_watch_failures);
-    m_watch_timer.async_wait([this](error_code error) {
-      if (!error)
-        WatchConfiguration();
-    });
   });
 }
 
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -114,6 +114,7 @@
   void NoticeSuspension(TimePoint now);
   void RunActions();
   void WatchConfiguration();
+  void OnConfigurationWatched(std::shared_ptr<const RouteTable> table);
   void AdoptTable(std::shared_ptr<const RouteTable> table);
   void OnServersChanged();
   void NoticeLeaving(const ServerMap& before);
--- a/test/adapter_gateway_test.cc
+++ b/test/adapter_gateway_test.cc
@@ -106,6 +106,7 @@
   CPPUNIT_TEST(RequestWaitsForTheFirstConfiguration);
   CPPUNIT_TEST(SmallInterfaces);
   CPPUNIT_TEST(LeavingFinishesWhatIsBegun);
+  CPPUNIT_TEST(LeavingTakesNothingAfterTheNotice);
   CPPUNIT_TEST_SUITE_END();
 
   static void Prepare(GatewayHarness& harness,
@@ -372,7 +373,7 @@
     harness.AddServer("s0", "desk", server.address());
     harness.Start();
     std::string answer;
-    std::thread client([&] { answer = harness.Client(Request("GET /get/x")); });
+    std::jthread client([&] { answer = harness.Client(Request("GET /get/x")); });
     std::this_thread::sleep_for(milliseconds(100));
     harness.SetTable(Table());
     client.join();
@@ -406,7 +407,7 @@
     GatewayHarness harness;
     Prepare(harness, {&server});
     std::string answer;
-    std::thread client([&] { answer = harness.Client(Request("GET /get/x")); });
+    std::jthread client([&] { answer = harness.Client(Request("GET /get/x")); });
     std::this_thread::sleep_for(milliseconds(200));
     harness.Leave();
     std::this_thread::sleep_for(milliseconds(200));
@@ -418,6 +419,27 @@
     CPPUNIT_ASSERT(answer.ends_with("done"));
     CPPUNIT_ASSERT(Has(answer, "Connection: close"));
   }
+
+  // A request taken 4.8 s after SIGTERM was cut at the end of the grace period
+  // (hunt: motionhall mix, seed 141298386369). Clients know better after 3 s.
+  void LeavingTakesNothingAfterTheNotice() {
+    ScriptedServer server([](const std::string&) {
+      return Script{"", true, false, seconds(8)};
+    });
+    GatewayHarness harness;
+    harness.settings().grace = seconds(8);
+    Prepare(harness, {&server});
+    std::jthread client([&] { harness.Client(Request("GET /get/x")); });
+    std::this_thread::sleep_for(milliseconds(200));
+    harness.Leave();
+    std::this_thread::sleep_for(milliseconds(1000));
+    CPPUNIT_ASSERT(
+        harness.Client(Request("GET /none/x")).starts_with("HTTP/1.1 404"));
+    std::this_thread::sleep_for(milliseconds(2300));
+    CPPUNIT_ASSERT_EQUAL(std::string("no connection"),
+                         harness.Client(Request("GET /none/x")));
+    client.join();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AdapterGatewayTest);
--- a/test/coordination_test.cc
+++ b/test/coordination_test.cc
@@ -221,6 +221,7 @@
   CPPUNIT_TEST(LoadsAreCountedOnce);
   CPPUNIT_TEST(LayersAboutToBeGivenUpAreNotUsed);
   CPPUNIT_TEST(ReportedLayersGoBeforeTheList);
+  CPPUNIT_TEST(FirstAnswerAfterAnOutageReadsEverything);
   CPPUNIT_TEST(LostServersAreProbedBeforeBelieved);
   CPPUNIT_TEST(CoordinatorKeepsLostMarksAlive);
   CPPUNIT_TEST(BadOwnLinkIsNotAnnounced);
@@ -412,6 +413,41 @@
           !cluster.At(i).coordination->servers()->at("a").layers.has_value());
   }
 
+  // Guards against a configuration that comes into force seconds late after an
+  // outage: each kind of call waited for its own next try (hunt: malabar
+  // trouble-3, seed 527101950141).
+  void FirstAnswerAfterAnOutageReadsEverything() {
+    const auto count = [](Coordination& coordination) {
+      std::pair<int, int> reads;
+      for (const auto& action : coordination.TakeActions()) {
+        reads.first += std::holds_alternative<ReadConfiguration>(action);
+        reads.second += std::holds_alternative<ReadServerList>(action);
+      }
+      return reads;
+    };
+    TimePoint now{seconds(100)};
+    Coordination coordination = Coordination::Builder()
+                                    .SetAddress("10.0.0.1", "regina")
+                                    .SetIncarnation(1)
+                                    .Build(now);
+    coordination.OnServerList(now, now, 1, {{"a", Server("a")}});
+    for (int i = 0; i < 3; ++i)
+      coordination.OnServerListFailed(now);
+    coordination.OnTick(now);
+    CPPUNIT_ASSERT(count(coordination) == std::make_pair(0, 0));
+    LeaseRow row;
+    row.fence = 3;
+    row.holder_ip = "10.0.0.2";
+    row.row_version = 5;
+    now += seconds(2);
+    coordination.OnLease(now, row);
+    coordination.OnTick(now);
+    CPPUNIT_ASSERT(count(coordination) == std::make_pair(1, 1));
+    // Once is enough.
+    coordination.OnLease(now, row);
+    CPPUNIT_ASSERT_EQUAL(0, count(coordination).first);
+  }
+
   void LostServersAreProbedBeforeBelieved() {
     Cluster cluster(2);
     for (const char* id : {"a", "b", "c"})
