--- a/test/adapter_gateway_test.cc
+++ b/test/adapter_gateway_test.cc
@@ -373,7 +373,8 @@
     harness.AddServer("s0", "desk", server.address());
     harness.Start();
     std::string answer;
-    std::jthread client([&] { answer = harness.Client(Request("GET /get/x")); });
+    std::jthread client(
+        [&] { answer = harness.Client(Request("GET /get/x")); });
     std::this_thread::sleep_for(milliseconds(100));
     harness.SetTable(Table());
     client.join();
@@ -407,7 +408,8 @@
     GatewayHarness harness;
     Prepare(harness, {&server});
     std::string answer;
-    std::jthread client([&] { answer = harness.Client(Request("GET /get/x")); });
+    std::jthread client(
+        [&] { answer = harness.Client(Request("GET /get/x")); });
     std::this_thread::sleep_for(milliseconds(200));
     harness.Leave();
     std::this_thread::sleep_for(milliseconds(200));
