Bound the probes of servers

Streams slower than their pace made 133 instances probe all servers of their paths, two connections each, three times a second; a new connection costs a server 1 ms, which slowed it more.

Change: a probe opens a second connection only when the first is not answered in 8 ms; a server found alive is probed half as often each time; the instances share 120 probes a second, at least 3 each.

--- a/include/trefoilwick/http_call.h
+++ b/include/trefoilwick/http_call.h
@@ -84,12 +84,13 @@
   std::map<std::string, std::vector<Kept>> m_kept;
 };
 
-// Connects to `address` and closes at once: true when somebody accepted.
-// `refused` tells a refusal from silence.
+// Connects to `address` and closes at once. A second attempt begins when there
+// is no answer after `second_after`, since an opening packet may be lost.
 enum class ConnectResult : uint8_t { kAccepted, kRefused, kSilent };
 void TryConnect(boost::asio::io_context& io,
                 const std::string& address,
                 Duration timeout,
+                Duration second_after,
                 const std::function<void(ConnectResult)>& handler);
 
 }  // namespace trefoilwick
--- a/include/trefoilwick/liveness.h
+++ b/include/trefoilwick/liveness.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -35,4 +36,25 @@
 std::set<std::string> SuspectServers(
     const std::vector<StreamProgress>& streams);
 
+// Bounds the probes of an instance. A probe is a new connection, which costs
+// its server about as much as a step of all its requests: probes of servers
+// that are only slow would make them slower.
+class ProbeLimiter {
+ public:
+  // True when the server may be probed now, which then counts. `instances`
+  // share a budget for the whole deployment.
+  bool Take(const std::string& server, TimePoint now, size_t instances);
+  // The server accepted the connection: it is probed less often from now on.
+  void OnAlive(const std::string& server, TimePoint now);
+
+ private:
+  struct Server {
+    TimePoint next;
+    Duration interval{0};
+  };
+  std::map<std::string, Server> m_servers;
+  double m_tokens = 0;
+  TimePoint m_refilled;
+};
+
 }  // namespace trefoilwick
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -47,13 +47,11 @@
 // it stays empty for the layers of that one.
 constexpr Duration kFreshServer = milliseconds(1200);
 constexpr Duration kServerConnect = milliseconds(400);
-// Well above a round trip between data centers; two opening packets are sent.
-constexpr Duration kProbeTimeout = milliseconds(20);
+// Well above a round trip between data centers. One opening packet may be lost:
+// a second one follows.
+constexpr Duration kProbeTimeout = milliseconds(25);
+constexpr Duration kSecondProbeAfter = milliseconds(8);
 constexpr Duration kSilenceCheckInterval = milliseconds(15);
-constexpr int kProbeConnects = 2;
-constexpr Duration kProbeInterval = milliseconds(300);
-// A lost server is probed again before its mark ends.
-constexpr Duration kLostProbeInterval = milliseconds(900);
 constexpr Duration kConfigWatch = seconds(1);
 constexpr Duration kWatchCheck = milliseconds(250);
 constexpr Duration kConfigRetry = milliseconds(500);
@@ -235,23 +233,24 @@
     m_coordination.MarkFound(server);
     return;
   }
-  TimePoint& last = m_probed[server];
-  if (last != TimePoint{} && now - last < kProbeInterval)
+  if (!m_probes.Take(server, now, m_coordination.Members(now).size()))
     return;
-  last = now;
-  // One opening packet may be lost: two are sent, and one answer suffices.
-  auto silent = std::make_shared<int>(0);
-  for (int i = 0; i < kProbeConnects; ++i)
-    TryConnect(m_io, found->second.address, kProbeTimeout,
-               [this, server, silent](ConnectResult result) {
-                 if (result == ConnectResult::kRefused)
-                   m_ended[server] = Now();
-                 if (result == ConnectResult::kAccepted)
+  TryConnect(m_io, found->second.address, kProbeTimeout, kSecondProbeAfter,
+             [this, server](ConnectResult result) {
+               switch (result) {
+                 case ConnectResult::kAccepted:
+                   m_probes.OnAlive(server, Now());
                    m_coordination.MarkFound(server);
-                 else if (result == ConnectResult::kRefused ||
-                          ++*silent == kProbeConnects)
+                   return;
+                 case ConnectResult::kRefused:
+                   m_ended[server] = Now();
+                   ReportLost(server);
+                   return;
+                 case ConnectResult::kSilent:
                    ReportLost(server);
-               });
+                   return;
+               }
+             });
 }
 
 void GatewayCore::ReportLost(const std::string& server) {
@@ -384,8 +383,7 @@
   // One instance probes lost servers for all that hear it.
   if (!m_coordination.HearsCoordinator(now))
     for (const std::string& server : m_coordination.Lost(now))
-      if (now - m_probed[server] >= kLostProbeInterval)
-        Probe(server);
+      Probe(server);
   if (m_seen_servers != m_coordination.servers())
     OnServersChanged();
   PlaceLayers(now);
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -176,7 +176,7 @@
   std::unordered_set<Exchange*> m_exchanges;
   std::vector<Exchange*> m_waiting;
   LoadMap m_local_loads;
-  std::map<std::string, TimePoint> m_probed;
+  ProbeLimiter m_probes;
   std::set<std::string> m_told_lost;
   // Orders whose servers wait for requests to move off.
   std::map<std::string, LayerRange> m_seen_orders;
--- a/src/http_call.cc
+++ b/src/http_call.cc
@@ -219,42 +219,80 @@
       ->Start();
 }
 
+// A probe of an address by up to two connections.
+class ConnectProbe : public std::enable_shared_from_this<ConnectProbe> {
+ public:
+  ConnectProbe(asio::io_context& io,
+               tcp::endpoint endpoint,
+               std::function<void(ConnectResult)> handler)
+      : m_endpoint(std::move(endpoint)),
+        m_handler(std::move(handler)),
+        m_sockets{tcp::socket(io), tcp::socket(io)},
+        m_second(io),
+        m_timer(io) {}
+
+  void Start(Duration timeout, Duration second_after) {
+    Connect(0);
+    m_second.expires_after(second_after);
+    m_second.async_wait([self = shared_from_this()](error_code error) {
+      if (!error && !self->m_done)
+        self->Connect(1);
+    });
+    m_timer.expires_after(timeout);
+    m_timer.async_wait([self = shared_from_this()](error_code error) {
+      if (!error && !self->m_done)
+        self->AllowLateAnswer();
+    });
+  }
+
+ private:
+  void Connect(int which) {
+    m_sockets[which].async_connect(m_endpoint, [self = shared_from_this()](
+                                                   error_code error) {
+      self->Finish(error ? ConnectResult::kRefused : ConnectResult::kAccepted);
+    });
+  }
+
+  // A process that stood still finds both the answer and the timer due.
+  void AllowLateAnswer() {
+    m_timer.expires_after(kLateAnswer);
+    m_timer.async_wait([self = shared_from_this()](error_code error) {
+      if (!error)
+        self->Finish(ConnectResult::kSilent);
+    });
+  }
+
+  void Finish(ConnectResult result) {
+    if (std::exchange(m_done, true))
+      return;
+    m_second.cancel();
+    m_timer.cancel();
+    error_code ignored;
+    for (tcp::socket& socket : m_sockets)
+      socket.close(ignored);
+    m_handler(result);
+  }
+
+  tcp::endpoint m_endpoint;
+  std::function<void(ConnectResult)> m_handler;
+  tcp::socket m_sockets[2];
+  asio::steady_timer m_second;
+  asio::steady_timer m_timer;
+  bool m_done = false;
+};
+
 void TryConnect(asio::io_context& io,
                 const std::string& address,
                 Duration timeout,
+                Duration second_after,
                 const std::function<void(ConnectResult)>& handler) {
   const auto endpoint = ParseEndpoint(address);
   if (!endpoint) {
     asio::post(io, [handler] { handler(ConnectResult::kRefused); });
     return;
   }
-  auto socket = std::make_shared<tcp::socket>(io);
-  auto timer = std::make_shared<asio::steady_timer>(io);
-  auto done = std::make_shared<bool>(false);
-  timer->expires_after(timeout);
-  timer->async_wait([=](error_code error) {
-    if (error || *done)
-      return;
-    // A process that stood still finds both the answer and the timer due.
-    timer->expires_after(kLateAnswer);
-    timer->async_wait([=](error_code late_error) {
-      if (late_error || *done)
-        return;
-      *done = true;
-      error_code ignored;
-      socket->close(ignored);
-      handler(ConnectResult::kSilent);
-    });
-  });
-  socket->async_connect(*endpoint, [=](error_code error) {
-    if (*done)
-      return;
-    *done = true;
-    timer->cancel();
-    error_code ignored;
-    socket->close(ignored);
-    handler(error ? ConnectResult::kRefused : ConnectResult::kAccepted);
-  });
+  std::make_shared<ConnectProbe>(io, *endpoint, handler)
+      ->Start(timeout, second_after);
 }
 
 }  // namespace trefoilwick
--- a/src/liveness.cc
+++ b/src/liveness.cc
@@ -16,6 +16,15 @@
 constexpr Duration kLeastSharedSilence = milliseconds(45);
 // Streams that must be silent at the same time.
 constexpr int kSilentTogether = 2;
+// Time between two probes of a server by one instance, doubled with each that
+// finds it alive, and forgotten when there was none for a while.
+constexpr Duration kProbeInterval = milliseconds(300);
+constexpr Duration kMostProbeInterval = std::chrono::seconds(5);
+// Probes a second of all instances together, the least of each of them, and how
+// many may follow at once: a long path.
+constexpr double kProbesPerSecond = 120;
+constexpr double kLeastProbesPerSecond = 3;
+constexpr double kProbeBurst = 12;
 
 }  // namespace
 
@@ -50,4 +59,30 @@
   return suspects;
 }
 
+bool ProbeLimiter::Take(const std::string& server,
+                        TimePoint now,
+                        size_t instances) {
+  const double rate = std::max(
+      kLeastProbesPerSecond,
+      kProbesPerSecond / static_cast<double>(std::max(size_t{1}, instances)));
+  const double seconds = static_cast<double>((now - m_refilled).count()) / 1e6;
+  m_tokens = std::min(kProbeBurst, m_tokens + rate * seconds);
+  m_refilled = now;
+  Server& known = m_servers[server];
+  if (now < known.next || m_tokens < 1)
+    return false;
+  m_tokens -= 1;
+  if (now - known.next > kMostProbeInterval)
+    known.interval = Duration(0);
+  known.interval = std::max(known.interval, kProbeInterval);
+  known.next = now + known.interval;
+  return true;
+}
+
+void ProbeLimiter::OnAlive(const std::string& server, TimePoint now) {
+  Server& known = m_servers[server];
+  known.interval = std::min(known.interval * 2, kMostProbeInterval);
+  known.next = std::max(known.next, now + known.interval);
+}
+
 }  // namespace trefoilwick
--- a/test/adapter_call_test.cc
+++ b/test/adapter_call_test.cc
@@ -106,10 +106,10 @@
     asio::io_context io;
     ConnectResult up = ConnectResult::kSilent;
     ConnectResult down = ConnectResult::kSilent;
-    TryConnect(io, server.address(), seconds(1),
+    TryConnect(io, server.address(), seconds(1), milliseconds(100),
                [&](ConnectResult result) { up = result; });
     TryConnect(io, "127.0.0.1:" + std::to_string(FreePort()), seconds(1),
-               [&](ConnectResult result) { down = result; });
+               milliseconds(100), [&](ConnectResult result) { down = result; });
     io.run();
     CPPUNIT_ASSERT(up == ConnectResult::kAccepted);
     CPPUNIT_ASSERT(down == ConnectResult::kRefused);
--- a/test/liveness_test.cc
+++ b/test/liveness_test.cc
@@ -12,6 +12,8 @@
   CPPUNIT_TEST(SilenceIsMeasuredByThePaceOfTheStream);
   CPPUNIT_TEST(SharedServerIsSuspectedEarly);
   CPPUNIT_TEST(ServerWithALivingStreamIsNot);
+  CPPUNIT_TEST(ProbesOfSlowServersAreFew);
+  CPPUNIT_TEST(LostServerIsProbedAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -52,6 +54,45 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2},
                          SuspectServers({{&path, Silence::kLong}}).size());
   }
+
+  // 133 instances that probed every slow server three times a second opened
+  // 924,000 connections in a day, which made the servers slower still (malabar
+  // grown, scale-2).
+  void ProbesOfSlowServersAreFew() {
+    constexpr size_t kInstances = 133;
+    constexpr int kServers = 99;
+    ProbeLimiter limiter;
+    const TimePoint start{std::chrono::seconds(100)};
+    int probes = 0;
+    for (int ms = 0; ms < 30'000; ms += 15) {
+      const TimePoint now = start + milliseconds(ms);
+      for (int i = 0; i < kServers; ++i) {
+        const std::string server = "s" + std::to_string(i);
+        if (!limiter.Take(server, now, kInstances))
+          continue;
+        ++probes;
+        limiter.OnAlive(server, now);
+      }
+    }
+    CPPUNIT_ASSERT(probes < 110);
+    CPPUNIT_ASSERT(probes > 30);
+  }
+
+  // A server that was alive a while ago is asked again without delay.
+  void LostServerIsProbedAtOnce() {
+    ProbeLimiter limiter;
+    TimePoint now{std::chrono::seconds(100)};
+    for (int i = 0; i < 8; ++i) {
+      now += std::chrono::seconds(6);
+      CPPUNIT_ASSERT(limiter.Take("a", now, 13));
+      CPPUNIT_ASSERT(!limiter.Take("a", now + milliseconds(100), 13));
+      limiter.OnAlive("a", now);
+    }
+    // All servers of a long path at once.
+    now += std::chrono::seconds(6);
+    for (int i = 0; i < 12; ++i)
+      CPPUNIT_ASSERT(limiter.Take("b" + std::to_string(i), now, 13));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LivenessTest);
