Lead paths over data centers only when none has room, within what the links carry

Once servers were crowded, the cost of a crossing (732) was below that of a crowded local server, and two thirds of all tokens passed the links between data centers, which carry 25,000 of the 142,000 prompt tokens a second.

Change: a path inside one data center, near or far, goes before all that cross. Crossing paths share half of what a link carries; where no data center holds all layers an instance may always lead one request over it after a pause.

--- a/include/trefoilwick/layer_path.h
+++ b/include/trefoilwick/layer_path.h
@@ -84,6 +84,10 @@
   std::set<std::string> first_servers;
   // Set for a request in progress, whose first part must stay as it is.
   std::optional<PathPart> first_part;
+  // The path may lead through several data centers when none has room for it.
+  // All such paths share the links between them, which carry a small part of the
+  // traffic only.
+  bool may_cross = false;
 };
 
 struct PathChoice {
@@ -92,19 +96,50 @@
   double token_ms = 0;
   // Largest share of KV memory in use on a part, this request included.
   double peak_use = 0;
+  // What the choice was made by: weighted milliseconds.
+  double cost = 0;
 };
 
 // The cheapest whole path by estimated time, with a penalty on servers that
-// are nearly full and on links between data centers. `most_use` bounds the
-// share of KV memory in use on each part. Null when there is no such path.
-// Load pattern: steady traffic that must spread over unequal servers, and
-// bursts that fill the memory of some of them.
+// are nearly full and on links between data centers. A path inside one data
+// center goes before all that cross, however crowded. `most_use` bounds the
+// share of KV memory in use on each part. Null when there is no such path. Load
+// pattern: steady traffic that must spread over unequal servers, and bursts
+// that fill the memory of some of them.
 std::optional<PathChoice> ChoosePath(const EngineModel& engine,
                                      const ServerMap& servers,
                                      const LoadMap& loads,
                                      const PathRequest& request,
                                      double most_use);
 
+// True when some data center holds all layers of the service by itself, on
+// ready servers that are not excluded.
+bool HasLocalPath(const EngineModel& engine,
+                  const ServerMap& servers,
+                  const std::string& service,
+                  const std::set<std::string>& excluded);
+
+// Bounds the paths that one instance leads over the links between data centers.
+// Load pattern: every data center lacks a layer; beyond what the links carry,
+// crossing paths slow each other down until nothing is on time.
+class CrossingBudget {
+ public:
+  // `tokens` pass a link `crossings` times; true when that fits. `instances`
+  // share the links. `needed` when no data center holds all layers: then a
+  // request fits after a pause, however small the share is.
+  bool Fits(TimePoint now,
+            const EngineModel& engine,
+            size_t instances,
+            double tokens,
+            int crossings,
+            bool needed);
+  void Take(double tokens, int crossings) { m_tokens -= tokens * crossings; }
+
+ private:
+  double m_tokens = 0;
+  TimePoint m_refilled;
+};
+
 // One order to a server: hold exactly `layers`.
 struct PlacementOrder {
   std::string server;
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -213,6 +213,23 @@
   return ended != m_ended.end() && ended->second <= now;
 }
 
+bool GatewayCore::TakeCrossing(const EngineModel& engine,
+                               const PathChoice& choice,
+                               double tokens) {
+  const int crossings = CountCrossings(choice.path, servers());
+  if (crossings == 0)
+    return true;
+  const TimePoint now = Now();
+  const std::string& service = servers().at(choice.path.front().server).service;
+  const bool needed =
+      !HasLocalPath(engine, servers(), service, m_coordination.Lost(now));
+  if (!m_crossings.Fits(now, engine, m_coordination.Members(now).size(), tokens,
+                        crossings, needed))
+    return false;
+  m_crossings.Take(tokens, crossings);
+  return true;
+}
+
 void GatewayCore::MarkRefusing(const std::string& address) {
   for (const auto& [id, server] : servers())
     if (server.address == address)
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -63,6 +63,12 @@
   // The server list may be used for sending.
   bool ListUsable(TimePoint now) const;
 
+  // True when the path may lead over the links between data centers as it does;
+  // counts it.
+  bool TakeCrossing(const EngineModel& engine,
+                    const PathChoice& choice,
+                    double tokens);
+
   // Requests that wait for a server.
   void AddWaiting(Exchange* exchange);
   void RemoveWaiting(Exchange* exchange);
@@ -155,6 +161,7 @@
   ConnectionPool m_pool;
   HttpCaller m_server_calls;
   RetryWindow m_retries;
+  CrossingBudget m_crossings;
   std::shared_ptr<const RouteTable> m_table;
   std::shared_ptr<const ServerMap> m_seen_servers;
   std::shared_ptr<const ServerMap> m_seen_list;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -265,10 +265,12 @@
 }
 
 bool Exchange::ChooseEngine(const EngineModel& engine) {
-  const auto choice = ChoosePath(engine, m_core.servers(),
-                                 m_core.coordination().Loads(m_core.Now()),
-                                 MakePathRequest(), kMostUse);
-  if (!choice)
+  PathRequest wanted = MakePathRequest();
+  wanted.may_cross = true;
+  const auto choice =
+      ChoosePath(engine, m_core.servers(),
+                 m_core.coordination().Loads(m_core.Now()), wanted, kMostUse);
+  if (!choice || !m_core.TakeCrossing(engine, *choice, wanted.tokens))
     return false;
   m_path = choice->path;
   m_server = m_path.front().server;
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -75,7 +75,10 @@
   bool MoveElsewhere();
   void Repath(const std::string& lost);
   // Another path that keeps the first part and uses none of `without`.
-  std::optional<PathChoice> FindOtherPath(const std::set<std::string>& without);
+  std::optional<PathChoice> FindOtherPath(const std::set<std::string>& without,
+                                          bool may_cross);
+  // The path leads through several data centers.
+  bool Crosses() const;
   // `needed` when the present path serves no longer.
   void OrderRepath(const std::string& lost, LayerPath path, bool needed);
   void MoveOffLeaving(TimePoint now);
--- a/src/gateway_exchange_recovery.cc
+++ b/src/gateway_exchange_recovery.cc
@@ -43,12 +43,8 @@
     return;
   const std::set<std::string>& leaving = m_departure.servers();
   if (!leaving.contains(m_server)) {
-    const auto choice = FindOtherPath(leaving);
-    const bool crosses =
-        choice && CountCrossings(choice->path, m_core.servers()) >
-                      CountCrossings(m_path, m_core.servers());
     // Until it must move, the data center may close the gap.
-    if (choice && !crosses) {
+    if (const auto choice = FindOtherPath(leaving, Crosses())) {
       OrderRepath(*leaving.begin(), choice->path, false);
       return;
     }
@@ -83,14 +79,17 @@
   if (!m_evacuate_at || now < *m_evacuate_at || m_repathing)
     return;
   m_evacuate_at.reset();
-  const auto choice = FindOtherPath({});
-  if (choice && CountCrossings(choice->path, m_core.servers()) <=
-                    CountCrossings(m_path, m_core.servers()))
+  if (const auto choice = FindOtherPath({}, Crosses()))
     OrderRepath("", choice->path, false);
 }
 
+bool Exchange::Crosses() const {
+  return CountCrossings(m_path, m_core.servers()) > 0;
+}
+
 std::optional<PathChoice> Exchange::FindOtherPath(
-    const std::set<std::string>& without) {
+    const std::set<std::string>& without,
+    bool may_cross) {
   const EngineModel* engine = Engine();
   if (engine == nullptr || m_path.empty())
     return std::nullopt;
@@ -98,26 +97,28 @@
   wanted.excluded.erase(m_server);
   wanted.excluded.insert(without.begin(), without.end());
   wanted.first_part = m_path.front();
-  return ChoosePath(*engine, m_core.servers(),
-                    m_core.coordination().Loads(m_core.Now()), wanted,
-                    kMostRepathUse);
+  wanted.may_cross = may_cross;
+  auto choice = ChoosePath(*engine, m_core.servers(),
+                           m_core.coordination().Loads(m_core.Now()), wanted,
+                           kMostRepathUse);
+  if (choice && !m_core.TakeCrossing(*engine, *choice, wanted.tokens))
+    return std::nullopt;
+  return choice;
 }
 
 void Exchange::Repath(const std::string& lost) {
   if (m_repathing || !m_call || !m_call->offered())
     return;
-  const auto choice = FindOtherPath({lost});
-  // To read a request again over the link between data centers takes longer
-  // than to start it anew on a path within another one.
-  const bool crosses =
-      choice && CountCrossings(choice->path, m_core.servers()) >
-                    CountCrossings(m_path, m_core.servers());
-  if (!choice || crosses) {
+  auto choice = FindOtherPath({lost}, Crosses());
+  if (!choice) {
+    // To read a request again over the link between data centers takes longer
+    // than to start it anew on a path within another one. Many streams move at
+    // once: they spread over the other data centers.
     Avoid(lost);
-    // Many streams move at once: they spread over the other data centers.
     m_data_center = m_core.OtherDataCenter(m_server);
     if (MoveElsewhere())
       return;
+    choice = FindOtherPath({lost}, true);
   }
   if (!choice) {
     m_core.Log("no_other_path", {{"id", m_request.attempt_id}, {"lost", lost}});
--- a/src/layer_path.cc
+++ b/src/layer_path.cc
@@ -21,6 +21,11 @@
 constexpr double kRemoteEntry = 250;
 // Share of KV memory above which a server is avoided.
 constexpr double kComfortableUse = 0.6;
+// Part of what a link between data centers carries that may be used.
+constexpr double kLinkShare = 0.5;
+constexpr double kCrossingBurstSeconds = 2;
+// Largest request, twice over a link.
+constexpr double kLeastCrossingTokens = 6'000;
 // Weight of a prompt's prefill against the tokens of its answer.
 constexpr double kAnswerTokens = 60;
 
@@ -208,13 +213,20 @@
                   static_cast<int>(found->memory_mb / engine.layer_mb));
 }
 
-std::optional<PathChoice> ChoosePath(const EngineModel& engine,
-                                     const ServerMap& servers,
-                                     const LoadMap& loads,
-                                     const PathRequest& request,
-                                     double most_use) {
-  const std::vector<Candidate> candidates =
+namespace {
+
+std::optional<PathChoice> ChooseAmong(const EngineModel& engine,
+                                      const ServerMap& servers,
+                                      const LoadMap& loads,
+                                      const PathRequest& request,
+                                      double most_use,
+                                      const std::string* data_center) {
+  std::vector<Candidate> candidates =
       Candidates(engine, servers, loads, request, most_use);
+  if (data_center != nullptr)
+    std::erase_if(candidates, [&](const Candidate& candidate) {
+      return candidate.server->data_center != *data_center;
+    });
   const int count = static_cast<int>(candidates.size());
   const auto held = [&](int who, int layer) {
     return candidates[who].server->layers->Contains(layer);
@@ -258,14 +270,16 @@
                                                 return a.cost < b.cost;
                                               }) -
                              last.begin());
-  if (last[who].cost == kInfinity)
+  const double last_cost = last[who].cost;
+  if (last_cost == kInfinity)
     return std::nullopt;
   std::vector<int> by_layer(engine.layers);
   for (int layer = engine.layers - 1; layer >= 0; --layer) {
     by_layer[layer] = who;
     who = table[layer][who].previous;
   }
-  PathChoice choice{JoinRepeats(by_layer, candidates), 0, 0};
+  PathChoice choice{JoinRepeats(by_layer, candidates), 0, 0, 0};
+  choice.cost = last_cost;
   if (choice.path.size() > kMostPathParts)
     return std::nullopt;
   std::map<std::string, const Candidate*> by_id;
@@ -289,7 +303,71 @@
   // candidate, so this ends.
   PathRequest without = request;
   without.excluded.insert(full.begin(), full.end());
-  return ChoosePath(engine, servers, loads, without, most_use);
+  return ChooseAmong(engine, servers, loads, without, most_use, data_center);
+}
+
+}  // namespace
+
+std::optional<PathChoice> ChoosePath(const EngineModel& engine,
+                                     const ServerMap& servers,
+                                     const LoadMap& loads,
+                                     const PathRequest& request,
+                                     double most_use) {
+  std::set<std::string> data_centers;
+  for (const auto& [id, server] : servers)
+    if (server.service == request.service && server.layers)
+      data_centers.insert(server.data_center);
+  std::optional<PathChoice> best;
+  for (const std::string& data_center : data_centers) {
+    const auto choice =
+        ChooseAmong(engine, servers, loads, request, most_use, &data_center);
+    if (choice && (!best || choice->cost < best->cost))
+      best = choice;
+  }
+  if (best || !request.may_cross)
+    return best;
+  return ChooseAmong(engine, servers, loads, request, most_use, nullptr);
+}
+
+bool HasLocalPath(const EngineModel& engine,
+                  const ServerMap& servers,
+                  const std::string& service,
+                  const std::set<std::string>& excluded) {
+  std::map<std::string, std::vector<bool>> held;
+  for (const auto& [id, server] : servers) {
+    if (server.service != service || !server.layers ||
+        server.state != ServerState::kReady || excluded.contains(id))
+      continue;
+    std::vector<bool>& layers = held[server.data_center];
+    layers.resize(static_cast<size_t>(engine.layers), false);
+    for (int i = server.layers->from;
+         i < std::min(server.layers->to, engine.layers); ++i)
+      layers[static_cast<size_t>(i)] = true;
+  }
+  return std::any_of(held.begin(), held.end(), [](const auto& entry) {
+    return std::find(entry.second.begin(), entry.second.end(), false) ==
+           entry.second.end();
+  });
+}
+
+bool CrossingBudget::Fits(TimePoint now,
+                          const EngineModel& engine,
+                          size_t instances,
+                          double tokens,
+                          int crossings,
+                          bool needed) {
+  if (engine.pipe_mbps <= 0 || engine.activation_bytes <= 0)
+    return true;
+  const double link_tokens =
+      engine.pipe_mbps * 1e6 / 8 / engine.activation_bytes;
+  const double rate = link_tokens * kLinkShare /
+                      static_cast<double>(std::max(size_t{1}, instances));
+  const double seconds = static_cast<double>((now - m_refilled).count()) / 1e6;
+  const double share = rate * kCrossingBurstSeconds;
+  const double least = std::max(share, kLeastCrossingTokens);
+  m_tokens = std::min(least, m_tokens + rate * seconds);
+  m_refilled = now;
+  return tokens * crossings <= std::min(m_tokens, needed ? least : share);
 }
 
 }  // namespace trefoilwick
--- a/test/layer_path_placement_test.cc
+++ b/test/layer_path_placement_test.cc
@@ -189,6 +189,7 @@
     request.service = kPool;
     request.tokens = 900;
     request.data_center = "regina";
+    request.may_cross = true;
     const auto choice = ChoosePath(Engine(), servers, {}, request, 0.95);
     CPPUNIT_ASSERT(choice.has_value());
     CPPUNIT_ASSERT(IsWholePath(choice->path, kLayers, servers));
--- a/test/layer_path_test.cc
+++ b/test/layer_path_test.cc
@@ -25,6 +25,8 @@
   CPPUNIT_TEST(GoesElsewhereWhenMemoryIsFull);
   CPPUNIT_TEST(GoesElsewhereWhenPlacesAreFull);
   CPPUNIT_TEST(AnotherDataCenterRatherThanACrossing);
+  CPPUNIT_TEST(NoCrossingWhileADataCenterHoldsAll);
+  CPPUNIT_TEST(CrossingsStayBelowTheLink);
   CPPUNIT_TEST(KeepsTheFirstPartOfARequestInProgress);
   CPPUNIT_TEST(OnlyAllowedFirstServers);
   CPPUNIT_TEST(NoPathWithoutAHolder);
@@ -94,12 +96,70 @@
                          DataCenterOf(servers, *choice));
   }
 
+  // Crowded servers made two thirds of all tokens cross the links, which then
+  // held up everything (malabar grown, scale-2).
+  void NoCrossingWhileADataCenterHoldsAll() {
+    ServerMap servers = TiledFleet({"regina", "brandon"});
+    LoadMap loads;
+    for (const auto& [id, server] : servers)
+      loads[id].token_layers = (server.data_center == "regina" ? 0.79 : 0.9) *
+                               KvCapacity(Engine(), server);
+    PathRequest request = Request("regina");
+    request.tokens = 10;
+    request.may_cross = true;
+    const auto crowded =
+        ChoosePath(Engine(), servers, loads, request, kMostUse);
+    CPPUNIT_ASSERT(crowded.has_value());
+    CPPUNIT_ASSERT_EQUAL(0, CountCrossings(crowded->path, servers));
+    request.may_cross = false;
+    CPPUNIT_ASSERT(HasLocalPath(Engine(), servers, kPool, {}));
+    // Each data center lacks a layer: then it may cross.
+    for (auto& [id, server] : servers) {
+      const bool first = server.data_center == "regina";
+      if (server.layers->Contains(first ? 20 : 60))
+        request.excluded.insert(id);
+    }
+    CPPUNIT_ASSERT(!HasLocalPath(Engine(), servers, kPool, request.excluded));
+    CPPUNIT_ASSERT(
+        !ChoosePath(Engine(), servers, {}, request, kMostUse).has_value());
+    request.may_cross = true;
+    const auto choice = ChoosePath(Engine(), servers, {}, request, kMostUse);
+    CPPUNIT_ASSERT(choice.has_value());
+    CPPUNIT_ASSERT(CountCrossings(choice->path, servers) > 0);
+  }
+
+  // All instances together stay below what a link carries.
+  void CrossingsStayBelowTheLink() {
+    constexpr size_t kInstances = 13;
+    constexpr double kTokens = 950;
+    CrossingBudget budget;
+    // A share too small for one request is for what has no other way.
+    CPPUNIT_ASSERT(!budget.Fits(TimePoint{std::chrono::seconds(50)}, Engine(),
+                                1000, kTokens, 2, false));
+    CPPUNIT_ASSERT(budget.Fits(TimePoint{std::chrono::seconds(99)}, Engine(),
+                               1000, kTokens, 2, true));
+    TimePoint now{std::chrono::seconds(100)};
+    double tokens = 0;
+    for (int ms = 0; ms < 10'000; ms += 10) {
+      now += std::chrono::milliseconds(10);
+      if (!budget.Fits(now, Engine(), kInstances, kTokens, 2, false))
+        continue;
+      budget.Take(kTokens, 2);
+      tokens += 2 * kTokens;
+    }
+    const double link =
+        Engine().pipe_mbps * 1e6 / 8 / Engine().activation_bytes * 10;
+    CPPUNIT_ASSERT(tokens * kInstances < link * 0.8);
+    CPPUNIT_ASSERT(tokens * kInstances > link * 0.3);
+  }
+
   // A server refuses a new path whose first part differs from the old one.
   void KeepsTheFirstPartOfARequestInProgress() {
     ServerMap servers = TiledFleet({"regina", "brandon"});
     const auto before =
         ChoosePath(Engine(), servers, {}, Request("regina"), kMostUse);
     PathRequest request = Request("regina");
+    request.may_cross = true;
     request.first_part =
         PathPart{before->path[0].server, {0, before->path[0].layers.to - 1}};
     request.excluded.insert(before->path[2].server);
@@ -146,6 +206,7 @@
       const ServerMap servers = RandomFleet(random);
       LoadMap loads;
       PathRequest request = Request("regina");
+      request.may_cross = i % 4 != 0;
       for (const auto& [id, server] : servers) {
         loads[id].token_layers =
             random.Unit() * 0.7 * KvCapacity(Engine(), server);
@@ -158,6 +219,8 @@
       if (!choice)
         continue;
       ++found;
+      CPPUNIT_ASSERT(request.may_cross ||
+                     CountCrossings(choice->path, servers) == 0);
       CPPUNIT_ASSERT(IsWholePath(choice->path, kLayers, servers));
       CPPUNIT_ASSERT(choice->peak_use <= kMostUse);
       for (const PathPart& part : choice->path) {
