Add a fault soak with real processes

Real instances on loopback; store, servers and clients are stand-ins in the soak. Faults come from outside: a proxy that delays, resets, cuts one way or silences; signals; a store that is down, silent, slow or loses answers; servers that crash, fail or leave; changing configurations.

make soak meant the fault matrix with many pairs: that is now make matrix-pairs.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
-.PHONY: setup build demo test bench bench-quick matrix soak lint format clean
+.PHONY: setup build demo test bench bench-quick matrix matrix-pairs soak lint \
+	format clean
 
 setup:
 	scripts/setup
@@ -28,8 +29,12 @@
 matrix: build
 	build/default/fault_matrix_test --print
 
-soak: build
+matrix-pairs: build
 	build/default/fault_matrix_test --print --pairs 20000
 
+SEEDS ?= 50
+soak: build
+	soak/soak.py --bin build/default/trefoilwick --seeds $(SEEDS)
+
 clean:
 	rm -rf build
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,195 @@
+"""Promises, checked from what clients and servers saw.
+
+Each check returns findings as text. `calm(begin, end, instance)` tells whether
+nothing harmed that instance, its links or the store in that time.
+"""
+
+import collections
+import re
+
+import servers
+
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+# A short time of being in touch before bounds hold.
+IN_TOUCH_S = 3.0
+DRAIN_S = 2.0
+APPLY_S = 2.0
+ANSWER_MARGIN_S = 0.5
+# After its client has left, work may go on for this long.
+CANCEL_S = 0.6
+SERVED_AFTER_FAULTS = 0.95
+
+
+def expected_answer(attempt):
+    if attempt.kind == "stream":
+        return b"".join(servers.event_bytes(attempt.ident, number)
+                        for number in range(
+                            1, servers.event_count(attempt.ident) + 1))
+    return servers.plain_body(attempt.ident, attempt.request)
+
+
+def mixed_answers(attempts):
+    """A client gets another answer than the whole answer to its request."""
+    found = []
+    for attempt in attempts:
+        if attempt.status is None:
+            continue
+        if attempt.answered_id not in ("", attempt.ident):
+            found.append(f"{attempt.ident}: answer to {attempt.answered_id}")
+        if attempt.status == 200:
+            whole = expected_answer(attempt)
+            if not attempt.sealed:
+                found.append(f"{attempt.ident}: success without a seal")
+            if attempt.complete and attempt.answer != whole:
+                found.append(f"{attempt.ident}: complete with a wrong body of "
+                             f"{len(attempt.answer)} bytes")
+            elif not whole.startswith(attempt.answer):
+                found.append(f"{attempt.ident}: pieces missing or twice")
+        elif attempt.sealed and attempt.status != 500:
+            found.append(f"{attempt.ident}: seal on status {attempt.status}")
+    return found
+
+
+def run_twice(attempts, runs):
+    """A request that is not idempotent runs more than once."""
+    once = {a.ident for a in attempts if a.kind == "once"}
+    counts = collections.Counter(r.attempt for r in runs if r.attempt in once)
+    return [f"{ident}: ran {count} times"
+            for ident, count in counts.items() if count > 1]
+
+
+def refused_but_run(attempts, runs):
+    """A refusal says that the request did not run, though it did."""
+    ran = {run.attempt for run in runs}
+    return [f"{a.ident}: status {a.status}, but it ran" for a in attempts
+            if a.kind == "once" and not a.sealed and a.ident in ran
+            and a.status in NOT_RUN_STATUSES]
+
+
+def not_asked(attempts, runs, account):
+    """A server runs what no client sent, or for another client account."""
+    sent = {a.ident: a for a in attempts}
+    found = []
+    for run in runs:
+        attempt = sent.get(run.attempt)
+        if attempt is None:
+            found.append(f"{run.attempt}: no client sent it")
+        elif (run.request, run.body) != (attempt.request, attempt.body):
+            found.append(f"{run.attempt}: changed to {run.request}")
+        elif run.account != account:
+            found.append(f"{run.attempt}: account {run.account!r}")
+    return found
+
+
+def bad_paths(runs):
+    """A token is made on a path without every layer once and in order."""
+    return [f"{run.attempt}: {run.tokens_on_bad_path} tokens" for run in runs
+            if run.tokens_on_bad_path]
+
+
+def too_many_servers(attempts, runs, most):
+    """More than three requests run on more servers than their route allows."""
+    by_attempt = collections.defaultdict(set)
+    for run in runs:
+        by_attempt[run.attempt].add(run.server)
+    # Servers that ended meanwhile do not count; the soak cannot tell for each
+    # run, so it allows for one.
+    over = [ident for ident, used in by_attempt.items() if len(used) > most + 1]
+    return [f"{len(over)} requests on too many servers: {over[:3]}"
+            ] if len(over) > 3 else []
+
+
+def after_drain(arrivals, closed, calm, instances):
+    """A request reaches a server long after its leaving was announced."""
+    found = []
+    for at, server, attempt in arrivals:
+        limit = closed.get(server)
+        if limit and at > limit[0] + 0.1 and at < limit[1] and any(
+                calm(limit[0] - DRAIN_S - IN_TOUCH_S, at, instance)
+                for instance in instances(attempt)):
+            found.append(f"{attempt}: reached {server} "
+                         f"{at - limit[0]:.2f} s too late")
+    return found
+
+
+def unanswered(attempts, calm):
+    """No answer at the deadline, by an instance that nothing harmed."""
+    return [f"{a.ident}: no answer from {a.instance}" for a in attempts
+            if a.sent and a.status is None and not a.client_left
+            and a.ended >= a.deadline
+            and calm(a.sent - IN_TOUCH_S, a.ended, a.instance)]
+
+
+def lost_around_stop(attempts, stops, calm_but_stop, broken_off):
+    """A planned stop cuts a request in progress."""
+    found = []
+    for a in attempts:
+        if (not a.sent or a.complete or a.client_left or a.never_sent
+                or a.ident in broken_off or a.ended >= a.deadline):
+            continue
+        for stopped, ended in stops.get(a.instance, []):
+            in_time = a.sent <= stopped + 3 and a.ended < ended - 0.1
+            if (a.ended > stopped and in_time
+                    and calm_but_stop(a.sent - IN_TOUCH_S, a.ended,
+                                      a.instance)):
+                found.append(f"{a.ident}: cut {a.ended - stopped:.2f} s after "
+                             f"SIGTERM of {a.instance}")
+    return found
+
+
+def work_after_client_left(attempts, runs, calm):
+    """Servers go on with most requests whose client has left."""
+    left = {a.ident: a for a in attempts if a.client_left and a.kind != "once"
+            and calm(a.sent - IN_TOUCH_S, a.ended + 1, a.instance)}
+    late = [r.attempt for r in runs if r.attempt in left
+            and (r.ended is None or r.ended > left[r.attempt].ended + CANCEL_S)]
+    return [f"{len(late)} of {len(left)} ran on: {late[:3]}"
+            ] if len(late) > max(3, len(left) / 4) else []
+
+
+def stale_configuration(attempts, runs, changes, calm):
+    """A change is not in force in time.
+
+    `changes` has (time, prefix, present) for each route added or removed.
+    """
+    ran = {run.attempt for run in runs}
+    found = []
+    for a in attempts:
+        prefix = re.sub(r"^\w+ (/[^/]+/).*", r"\1", a.request)
+        before = [c for c in changes if c[1] == prefix and a.sent
+                  and c[0] + APPLY_S < a.sent]
+        later = [c for c in changes if c[1] == prefix and a.sent
+                 and a.sent - APPLY_S <= c[0] <= a.ended]
+        if not before or later or not calm(a.sent - APPLY_S - IN_TOUCH_S,
+                                           a.ended, a.instance):
+            continue
+        present = before[-1][2]
+        if present and a.status in (401, 403, 404) and not a.sealed:
+            found.append(f"{a.ident}: {a.status} for an added route")
+        if not present and a.ident in ran:
+            found.append(f"{a.ident}: ran on a removed route")
+    return found
+
+
+def denied(attempts, changing):
+    """Proper requests get a 4xx that is no refusal."""
+    found = [a.ident for a in attempts if a.status and not a.sealed
+             and 400 <= a.status < 500 and a.status not in NOT_RUN_STATUSES
+             and not any(prefix in a.request for prefix in changing)]
+    return [f"{len(found)} denied: {found[:3]}"
+            ] if len(found) > 5 + len(attempts) / 500 else []
+
+
+def not_recovered(attempts, since):
+    """Service does not come back when faults have ended."""
+    owed = [a for a in attempts if a.sent and a.sent > since
+            and not a.client_left]
+    served = sum(a.complete and a.status == 200 for a in owed)
+    if len(owed) < 20:
+        return [f"only {len(owed)} requests were sent after the last fault"]
+    if served < SERVED_AFTER_FAULTS * len(owed):
+        missed = [a.ident for a in owed
+                  if not (a.complete and a.status == 200)]
+        return [f"{served} of {len(owed)} served after the last fault; "
+                f"missed {missed[:4]}"]
+    return []
--- /dev/null
+++ b/soak/clients.py
@@ -0,0 +1,161 @@
+"""Clients: ask the directory, keep connections open until their instance is
+gone, and record how far each answer got."""
+
+import asyncio
+import dataclasses
+import json
+import random
+import time
+
+import http_lite
+
+ATTEMPT_TIME_S = 8.0
+CONNECT_S = 1.0
+# An answer is late when nothing came this long after the client's deadline.
+ANSWER_MARGIN_S = 0.5
+
+
+@dataclasses.dataclass
+class Attempt:
+    """One request as its client saw it."""
+
+    ident: str
+    kind: str
+    request: str
+    body: bytes
+    key: str
+    instance: str
+    sent: float = None
+    deadline: float = None
+    ended: float = None
+    status: int = None
+    sealed: bool = False
+    complete: bool = False
+    answer: bytes = b""
+    answered_id: str = ""
+    client_left: bool = False
+    # The connection could not be made, or was closed before the request.
+    never_sent: bool = False
+    # The answer asked to close the connection.
+    closes: bool = False
+
+
+class Client:
+    def __init__(self, world, index, seed):
+        self.world = world
+        self.zone = world.zones[index % len(world.zones)]
+        self.random = random.Random(f"{seed}-{index}")
+        self._connections = {}
+        self._addresses = []
+        self._known_until = 0.0
+
+    async def run(self, end):
+        while time.monotonic() < end:
+            await self._one()
+            await asyncio.sleep(self.random.expovariate(12))
+
+    async def _one(self):
+        await self._resolve()
+        if not self._addresses:
+            return
+        # Open connections are used until their instance is gone.
+        instance = self.random.choice(
+            self._addresses + list(self._connections))
+        kind, target, method = self.random.choice(self.world.calls)
+        ident = f"{self.random.getrandbits(64):016x}"
+        body = b"" if method == "GET" else ident.encode() * 4
+        attempt = Attempt(ident, kind, f"{method} {target}", body,
+                          self.world.key, instance)
+        self.world.attempts.append(attempt)
+        await self._send(attempt)
+
+    async def _resolve(self):
+        now = time.monotonic()
+        if now < self._known_until:
+            return
+        directories = list(self.world.directories(self.zone))
+        self.random.shuffle(directories)
+        for host, port in directories[:3]:
+            try:
+                answer = await asyncio.wait_for(
+                    self._ask(host, port), CONNECT_S)
+            except (OSError, asyncio.TimeoutError, ValueError,
+                    asyncio.IncompleteReadError):
+                continue
+            if answer.get("addresses"):
+                self._addresses = answer["addresses"]
+                self._known_until = now + min(answer["ttlS"], 5)
+                return
+
+    async def _ask(self, host, port):
+        reader, writer = await asyncio.open_connection(host, port)
+        try:
+            writer.write(http_lite.head_bytes(
+                f"GET /resolve?name=soak.example&region=r&zone={self.zone} "
+                "HTTP/1.1", {"Host": "soak.example"}))
+            head = await http_lite.read_head(reader)
+            if head is None:
+                raise ValueError("no answer")
+            return json.loads(await http_lite.read_body(reader, head))
+        finally:
+            writer.close()
+
+    async def _connection(self, instance):
+        if instance in self._connections:
+            return self._connections.pop(instance)
+        host, port = self.world.front(instance)
+        return await asyncio.wait_for(asyncio.open_connection(host, port),
+                                      CONNECT_S)
+
+    async def _send(self, attempt):
+        try:
+            reader, writer = await self._connection(attempt.instance)
+        except (OSError, asyncio.TimeoutError):
+            attempt.never_sent = True
+            self._addresses = [a for a in self._addresses
+                               if a != attempt.instance]
+            return
+        if reader.at_eof() or writer.transport.is_closing():
+            attempt.never_sent = True
+            return
+        leaves_after = (self.random.uniform(0.05, 1)
+                        if self.random.random() < 0.05 else None)
+        attempt.sent = time.monotonic()
+        attempt.deadline = attempt.sent + ATTEMPT_TIME_S
+        try:
+            await asyncio.wait_for(
+                self._exchange(attempt, reader, writer),
+                leaves_after or ATTEMPT_TIME_S + ANSWER_MARGIN_S)
+        except asyncio.TimeoutError:
+            attempt.client_left = leaves_after is not None
+        except (OSError, asyncio.IncompleteReadError, ValueError):
+            pass
+        attempt.ended = time.monotonic()
+        if attempt.complete and self._keeps(attempt, writer):
+            self._connections[attempt.instance] = (reader, writer)
+        else:
+            writer.close()
+
+    def _keeps(self, attempt, writer):
+        return not attempt.closes and not writer.transport.is_closing()
+
+    async def _exchange(self, attempt, reader, writer):
+        method, target = attempt.request.split(" ")
+        writer.write(http_lite.head_bytes(f"{method} {target} HTTP/1.1", {
+            "Host": "soak.example", "Attempt-Id": attempt.ident,
+            "Credential": attempt.key, "Token-Counts": "60,160",
+            "Deadline-Ms": int(ATTEMPT_TIME_S * 1000),
+            "Content-Length": len(attempt.body)}) + attempt.body)
+        head = await http_lite.read_head(reader)
+        if head is None:
+            return
+        attempt.status = int(head.first_line.split(" ")[1])
+        attempt.sealed = bool(head.get("server-seal"))
+        attempt.answered_id = head.get("attempt-id")
+        attempt.closes = head.get("connection").lower() == "close"
+        if head.get("transfer-encoding") == "chunked":
+            while chunk := await http_lite.read_chunk(reader):
+                attempt.answer += chunk
+        else:
+            attempt.answer = await http_lite.read_body(reader, head)
+        attempt.complete = True
--- /dev/null
+++ b/soak/http_lite.py
@@ -0,0 +1,90 @@
+"""Minimal HTTP/1.1 over asyncio streams, for stand-ins and clients.
+
+Unlike a client library it shows how far an answer got before its connection
+ended, and lets a stand-in break off at any byte.
+"""
+
+import asyncio
+
+MAX_HEAD = 65536
+
+
+class Head:
+    """First line and headers; header names are in lower case."""
+
+    def __init__(self, first_line, headers):
+        self.first_line = first_line
+        self.headers = headers
+
+    def get(self, name, default=""):
+        return self.headers.get(name.lower(), default)
+
+
+async def read_head(reader):
+    """Reads a head; None when the connection ended before one began."""
+    try:
+        raw = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    lines = raw.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        if name:
+            headers[name.strip().lower()] = value.strip()
+    return Head(lines[0], headers)
+
+
+async def read_chunk(reader):
+    """One chunk; empty at the end of the body."""
+    size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
+    data = await reader.readexactly(size + 2)
+    return data[:-2]
+
+
+async def read_body(reader, head):
+    if head.get("transfer-encoding") == "chunked":
+        parts = []
+        while chunk := await read_chunk(reader):
+            parts.append(chunk)
+        return b"".join(parts)
+    return await reader.readexactly(int(head.get("content-length", "0")))
+
+
+def head_bytes(first_line, headers):
+    lines = [first_line] + [f"{name}: {value}"
+                            for name, value in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def answer_bytes(status, body=b"", headers=None):
+    return head_bytes(f"HTTP/1.1 {status} Status",
+                      {"Content-Length": len(body), **(headers or {})}) + body
+
+
+def abort(writer):
+    """Resets the connection."""
+    if writer.transport:
+        writer.transport.abort()
+
+
+async def serve(handler, host, port):
+    """Calls `handler(head, body, reader, writer)` for each request.
+
+    The handler writes the answer; a false result closes the connection.
+    """
+
+    async def connection(reader, writer):
+        try:
+            while head := await read_head(reader):
+                body = await read_body(reader, head)
+                if not await handler(head, body, reader, writer):
+                    break
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError,
+                asyncio.LimitOverrunError, ValueError):
+            pass
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(connection, host, port, limit=MAX_HEAD)
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,87 @@
+"""A TCP forwarder on loopback whose links can be harmed while they are open."""
+
+import asyncio
+import socket
+
+
+class Proxy:
+    """Forwards `listen` (IP, port) to `target`.
+
+    Bytes in a direction that is cut wait until it is healed, as they do with
+    TCP over a partition. Connections that are silenced never carry a byte
+    again, while new ones work.
+    """
+
+    def __init__(self, listen, target):
+        self.listen = listen
+        self.target = target
+        self.delay_s = 0.0
+        self._open = {True: asyncio.Event(), False: asyncio.Event()}
+        self._writers = set()
+        self._silenced = set()
+        self._server = None
+        self.heal()
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._connection,
+                                                  *self.listen)
+
+    async def stop(self):
+        """Closes the port and resets every connection."""
+        if self._server:
+            self._server.close()
+            self._server = None
+        self.reset()
+
+    def heal(self):
+        self.delay_s = 0.0
+        self._open[True].set()
+        self._open[False].set()
+
+    def cut(self, up=True, down=True):
+        """Holds bytes towards the target (`up`) or from it (`down`)."""
+        if up:
+            self._open[True].clear()
+        if down:
+            self._open[False].clear()
+
+    def reset(self):
+        for writer in list(self._writers):
+            if writer.transport:
+                writer.transport.abort()
+
+    def silence(self):
+        self._silenced |= self._writers
+
+    async def _connection(self, reader, writer):
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        for end in (writer, far_writer):
+            end.get_extra_info("socket").setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._writers |= {writer, far_writer}
+        await asyncio.gather(self._pump(reader, far_writer, True),
+                             self._pump(far_reader, writer, False))
+        for end in (writer, far_writer):
+            self._writers.discard(end)
+            self._silenced.discard(end)
+            end.close()
+
+    async def _pump(self, reader, writer, up):
+        try:
+            while data := await reader.read(65536):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                await self._open[up].wait()
+                if writer in self._silenced:
+                    continue
+                writer.write(data)
+                await writer.drain()
+            if writer not in self._silenced:
+                writer.write_eof()
+        except (ConnectionError, OSError, RuntimeError):
+            if writer.transport:
+                writer.transport.abort()
--- /dev/null
+++ b/soak/soak.py
@@ -0,0 +1,512 @@
+#!/usr/bin/env python3
+"""Randomized fault soak: real instances as processes on loopback.
+
+Store, backend servers and clients are stand-ins in this process. Faults come
+from outside the instances, several at a time: links that are delayed, reset,
+cut one way or silenced; signals; a store that is down, silent, slow or loses
+answers; servers that crash, fail, cut answers or leave; configurations that
+change. What clients and servers saw is checked against the promises.
+
+  soak.py --bin TREFOILWICK [--seeds 50 | --seed N ...] [--jobs 3]
+"""
+
+import argparse
+import asyncio
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import checks
+import clients
+import servers
+import store
+from proxy import Proxy
+
+ZONES = ("east", "west")
+START_S = 4.0
+FAULTS_S = 12.0
+# Time for everything to come back, and then to show that it did.
+SETTLE_S = 6.0
+CALM_S = 4.0
+GRACE_S = 5
+ACCOUNT = "club"
+KEY = "key-of-club"
+MODEL, RECORDS = "model-pool", "records"
+KINDS = {"big": 6000.0, "small": 4000.0}
+CALLS = [("stream", "/draft/a", "POST"), ("stream", "/draft/b", "POST"),
+         ("once", "/ballot/x", "POST"), ("again", "/lookup/y", "GET")]
+CHANGING = ("/added-0/", "/added-1/")
+
+
+def settings_text(ip, zone, store_port):
+    return f"""ip = "{ip}"
+zone = "{zone}"
+portRange = [7340, 7355]
+[listen]
+front = "{ip}:8227"
+ready = "{ip}:8220"
+directory = "{ip}:8224"
+[limits]
+cpuShare = 0.5
+cores = 1
+memoryMb = 182
+maxFds = 1024
+[bounds]
+graceS = {GRACE_S}
+drainMs = 2000
+retryRatio = 0.2
+retrySlack = 400
+retryWindowS = 10
+[platform]
+address = "{ip}:{store_port}"
+"""
+
+
+def report_exception(loop, context):
+    """Connections that are open at the end are cancelled without a word."""
+    if not isinstance(context.get("exception"), asyncio.CancelledError):
+        loop.default_exception_handler(context)
+
+
+class Instance:
+    """A real process behind two proxies: towards clients and the store."""
+
+    def __init__(self, world, ip, zone):
+        self.world = world
+        self.ip = ip
+        self.zone = zone
+        self.process = None
+        self.wanted = True
+        # Times in which it, its links or its signals were harmed.
+        self.harmed = []
+        # (SIGTERM, end) of planned stops.
+        self.stops = []
+        self.client_link = Proxy((ip, 9227), (ip, 8227))
+        self.store_link = Proxy((ip, 9223), world.store_address)
+        self.file = world.directory / f"{ip}.toml"
+        self.log = world.directory / f"{ip}.log"
+
+    async def start(self):
+        self.file.write_text(settings_text(self.ip, self.zone, 9223))
+        await self.client_link.start()
+        await self.store_link.start()
+        self.spawn()
+
+    def spawn(self):
+        with open(self.log, "ab") as log:
+            self.process = subprocess.Popen(
+                [self.world.binary, "route"], stdout=log, stderr=log,
+                env={**os.environ, "TREFOILWICK_BOOT": str(self.file)})
+
+    async def supervise(self):
+        """Restarts the process after each end, as the platform does."""
+        while self.wanted:
+            await asyncio.sleep(0.1)
+            code = self.process.poll()
+            if code is None:
+                continue
+            if code not in (0, -signal.SIGKILL):
+                self.world.findings.append(
+                    f"{self.ip} ended by itself with {code}")
+            await asyncio.sleep(0.3)
+            self.spawn()
+
+    def send(self, number):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def term(self):
+        stopped = time.monotonic()
+        self.send(signal.SIGTERM)
+        end = stopped + GRACE_S
+        process = self.process
+        while process.poll() is None and time.monotonic() < end:
+            await asyncio.sleep(0.05)
+        if process.poll() is None:
+            process.kill()
+        self.stops.append((stopped, time.monotonic()))
+
+    async def kill(self):
+        self.wanted = False
+        if self.process and self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+            self.process.wait()
+
+
+class World:
+    """Everything of one seed."""
+
+    def __init__(self, binary, seed, count, directory, block):
+        self.binary = binary
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.directory = directory
+        self.block = block
+        self.store = store.Store()
+        self.store_address = (f"127.{block}.0.1", 8223)
+        self.journal = servers.Journal()
+        self.attempts = []
+        self.findings = []
+        self.zones = ZONES
+        self.calls = CALLS + [("again", p + "z", "GET") for p in CHANGING]
+        self.key = KEY
+        self.store_harmed = []
+        self.server_harmed = []
+        self.changes = []
+        self.closed = {}
+        self.broken_off = set()
+        self.version = 0
+        self.present = set()
+        self.servers = []
+        self.told = []
+        self.instances = [
+            Instance(self, f"127.{block}.1.{1 + i}", ZONES[i % len(ZONES)])
+            for i in range(count)]
+        self._make_servers()
+
+    def _make_servers(self):
+        for index in range(14):
+            zone = ZONES[index % 2]
+            model = index < 12
+            ip = f"127.{self.block}.2.{1 + index}"
+            proxy = Proxy((ip, 8080), (ip, 8081))
+            args = (self, f"i-{index}", MODEL if model else RECORDS, zone,
+                    proxy, (ip, 8081))
+            self.servers.append(
+                servers.ModelServer(*args, kind="big" if index % 4 < 2 else
+                                    "small")
+                if model else servers.RecordsServer(*args))
+
+    # What stand-ins and clients ask.
+
+    def at(self, address):
+        return next((s for s in self.servers if s.address == address), None)
+
+    def directories(self, zone):
+        near = [i for i in self.instances if i.zone == zone]
+        return [(i.ip, 8224) for i in near + self.instances]
+
+    def front(self, instance):
+        return instance.split(":")[0], 9227
+
+    async def register(self, server):
+        if self.store.fault in (store.StoreFault.DOWN, store.StoreFault.SILENT):
+            return
+        self.store.put("servers", server.ident, server.row())
+        await self.store.announce()
+
+    def check_order(self, server, layers):
+        room = KINDS[server.kind] / 1000
+        if layers[1] - layers[0] > room:
+            self.findings.append(f"{server.ident} was ordered to hold {layers}")
+
+    # Configuration.
+
+    async def configure(self, present):
+        now = time.monotonic()
+        for prefix in CHANGING:
+            if (prefix in present) != (prefix in self.present):
+                self.changes.append((now, prefix, prefix in present))
+        self.present = set(present)
+        self.version += self.random.randint(1, 5)
+        self.store.put("op", "config", self._configuration())
+        await self.store.announce()
+
+    def _configuration(self):
+        def route(prefix, kind, service, rank):
+            return {"name": prefix.strip("/"), "host": "soak.example",
+                    "prefix": prefix, "kind": kind, "service": service,
+                    "timeoutMs": 8000, "targetLatencyMs": 500,
+                    "priority": rank, "maxAttempts": 2, "public": False,
+                    "resumable": kind == "stream", "gapAimMs": 200}
+
+        routes = [route("/draft/", "stream", MODEL, 0),
+                  route("/ballot/", "non_idempotent", RECORDS, 1),
+                  route("/lookup/", "idempotent", RECORDS, 1)]
+        routes += [route(p, "idempotent", RECORDS, 2) for p in
+                   sorted(self.present)]
+        engine = {"slots": 64, "kvTokenBytes": 80000, "layers": servers.LAYERS,
+                  "layerMb": 1000.0, "actBytes": 100, "pipeMbps": 9000.0,
+                  "step_ms": 0.5, "per_seq_ms": 0.01, "read_per_s": 272000.0,
+                  "loads_at_once": 6, "usual": {"prompt": 60, "answer": 50},
+                  "models": [{"name": "m", "loadS": 1.0}],
+                  "kinds": [{"name": name, "mb": mb, "pace": 1, "readX": 1}
+                            for name, mb in KINDS.items()]}
+        return {"version": self.version, "routes": routes,
+                "services": [{"name": MODEL, "engine": engine},
+                             {"name": RECORDS}],
+                "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536,
+                           "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+                "tenants": [{"name": ACCOUNT, "apiKeys": [KEY]}]}
+
+    # Faults. Each runs for a while and puts everything back.
+
+    def harm(self, times, seconds):
+        now = time.monotonic()
+        times.append((now, now + seconds))
+
+    async def harm_process(self, instance):
+        how = self.random.choice(("term", "kill", "stop", "hup", "term"))
+        self.told.append(f"{how} {instance.ip}")
+        if how == "term":
+            await instance.term()
+            # Its start is a fault for whoever comes later.
+            self.harm(instance.harmed, 1)
+        elif how == "kill":
+            self.harm(instance.harmed, 1.5)
+            instance.send(signal.SIGKILL)
+        elif how == "stop":
+            pause = self.random.uniform(0.2, 3)
+            self.harm(instance.harmed, pause + 0.5)
+            instance.send(signal.SIGSTOP)
+            await asyncio.sleep(pause)
+            instance.send(signal.SIGCONT)
+        else:
+            instance.send(signal.SIGHUP)
+
+    async def harm_link(self, link, times):
+        how = self.random.choice(("delay", "reset", "up", "down", "both",
+                                  "silence"))
+        self.told.append(f"{how} {link.listen[0]}:{link.listen[1]}")
+        lasts = self.random.uniform(0.3, 3)
+        self.harm(times, lasts + 1)
+        if how == "delay":
+            link.delay_s = self.random.uniform(0.01, 0.3)
+        elif how == "reset":
+            link.reset()
+        elif how == "silence":
+            link.silence()
+        else:
+            link.cut(up=how != "down", down=how != "up")
+        await asyncio.sleep(lasts)
+        link.heal()
+
+    async def harm_store(self):
+        fault = self.random.choice([f for f in store.StoreFault
+                                    if f is not store.StoreFault.NONE])
+        self.told.append(f"store {fault.value}")
+        lasts = self.random.uniform(0.5, 4)
+        self.harm(self.store_harmed, lasts + 1)
+        self.store.fault = fault
+        await asyncio.sleep(lasts)
+        self.store.fault = store.StoreFault.NONE
+
+    async def harm_server(self, server):
+        if not server.alive or server.draining:
+            return
+        how = self.random.choice(server.FAULTS + ("crash", "crash", "leave",
+                                                  "late orders"))
+        self.told.append(f"server {server.ident} {how}")
+        lasts = self.random.uniform(0.5, 4)
+        self.harm(self.server_harmed, lasts + 2)
+        if how == "crash":
+            await server.crash()
+            await asyncio.sleep(lasts)
+            if self.random.random() < 0.5:
+                self.store.remove("servers", server.ident)
+                server.ident += "n"
+            await server.start()
+        elif how == "leave":
+            begin = time.monotonic()
+            await server.leave(checks.DRAIN_S)
+            self.closed[server.ident] = (begin + checks.DRAIN_S,
+                                         time.monotonic())
+            server.ident += "n"
+            await server.start()
+        elif how == "late orders":
+            server.order_delay_s = 1.5
+            await asyncio.sleep(lasts)
+            server.order_delay_s = 0.0
+        else:
+            server.fault = how
+            await asyncio.sleep(lasts)
+            server.fault = None
+
+    async def change_configuration(self):
+        self.told.append("configuration")
+        await self.configure({p for p in CHANGING
+                              if self.random.random() < 0.5})
+
+    def next_fault(self):
+        instance = self.random.choice(self.instances)
+        server = self.random.choice(self.servers)
+        return self.random.choice((
+            lambda: self.harm_process(instance),
+            lambda: self.harm_process(instance),
+            lambda: self.harm_link(instance.client_link, instance.harmed),
+            lambda: self.harm_link(instance.store_link, instance.harmed),
+            lambda: self.harm_link(server.proxy, self.server_harmed),
+            lambda: self.harm_server(server),
+            lambda: self.harm_server(server),
+            self.harm_store,
+            self.change_configuration))()
+
+    async def harm_until(self, end):
+        tasks = []
+        while time.monotonic() < end:
+            for _ in range(self.random.choice((1, 1, 1, 2, 3))):
+                tasks.append(asyncio.create_task(self.next_fault()))
+            await asyncio.sleep(self.random.uniform(0.1, 1.2))
+        await asyncio.gather(*tasks)
+
+    # The run.
+
+    async def run(self):
+        asyncio.get_running_loop().set_exception_handler(report_exception)
+        await self.store.start(*self.store_address)
+        await self.configure({CHANGING[0]})
+        for server in self.servers:
+            await server.start()
+        for instance in self.instances:
+            await instance.start()
+        supervisors = [asyncio.create_task(i.supervise())
+                       for i in self.instances]
+        try:
+            await asyncio.sleep(START_S)
+            end = time.monotonic() + FAULTS_S
+            # Clients go on until the end of the calm time, which is not known.
+            load = [asyncio.create_task(
+                clients.Client(self, i, self.seed).run(float("inf")))
+                for i in range(8)]
+            await self.harm_until(end)
+            await asyncio.sleep(SETTLE_S)
+            calm_since = time.monotonic()
+            await asyncio.sleep(CALM_S)
+            for task in load + supervisors:
+                task.cancel()
+            results = await asyncio.gather(*load, *supervisors,
+                                           return_exceptions=True)
+            for result in results:
+                if isinstance(result, Exception):
+                    raise result
+            now = time.monotonic()
+            for attempt in self.attempts:
+                attempt.ended = attempt.ended or now
+            self.check(calm_since, now)
+        finally:
+            for instance in self.instances:
+                await instance.kill()
+
+    @staticmethod
+    def _overlaps(times, begin, end):
+        return any(a < end and b > begin for a, b in times)
+
+    def calm(self, begin, end, instance, but_stop=False):
+        found = next(i for i in self.instances if i.ip in instance)
+        stops = [] if but_stop else found.stops
+        return not (self._overlaps(found.harmed + stops, begin, end)
+                    or self._overlaps(self.store_harmed, begin, end))
+
+    def check(self, calm_since, now):
+        attempts, runs = self.attempts, self.journal.runs
+        done = [a for a in attempts if a.ended < now or a.complete]
+        by_ident = {a.ident: a for a in attempts}
+
+        def instances(attempt):
+            return [by_ident[attempt].instance] if attempt in by_ident else []
+
+        def calm_but_stop(begin, end, instance):
+            return self.calm(begin, end, instance, True) and not (
+                self._overlaps(self.server_harmed, begin, end))
+
+        self.findings += [
+            f"{name}: {text}" for name, texts in (
+                ("mixed", checks.mixed_answers(attempts)),
+                ("twice", checks.run_twice(attempts, runs)),
+                ("refused", checks.refused_but_run(attempts, runs)),
+                ("not asked", checks.not_asked(attempts, runs, ACCOUNT)),
+                ("path", checks.bad_paths(runs)),
+                ("attempts", checks.too_many_servers(attempts, runs, 2)),
+                ("drain", checks.after_drain(
+                    self.journal.arrivals, self.closed, self.calm, instances)),
+                ("unanswered", checks.unanswered(done, self.calm)),
+                ("lost", checks.lost_around_stop(
+                    done, {f"{i.ip}:8227": i.stops for i in self.instances},
+                    calm_but_stop, self.broken_off)),
+                ("gone", checks.work_after_client_left(done, runs, self.calm)),
+                ("configuration", checks.stale_configuration(
+                    done, runs, self.changes, self.calm)),
+                ("denied", checks.denied(attempts, CHANGING)),
+                ("recover", checks.not_recovered(
+                    [a for a in done if "added" not in a.request], calm_since)),
+            ) for text in texts]
+
+
+def run_seed(args, seed, block):
+    directory = Path(args.logs) / f"seed-{seed}"
+    directory.mkdir(parents=True, exist_ok=True)
+    for old in directory.glob("*.log"):
+        old.unlink()
+    world = World(args.bin, seed, args.instances, directory, block)
+    asyncio.run(world.run())
+    served = sum(a.complete and a.status == 200 for a in world.attempts)
+    print(f"seed {seed}: {len(world.attempts)} requests, {served} served, "
+          f"{len(world.told)} faults, {len(world.findings)} findings",
+          flush=True)
+    for finding in world.findings[:12]:
+        print("  " + finding)
+    if world.findings:
+        (directory / "faults.txt").write_text("\n".join(world.told) + "\n")
+    return not world.findings
+
+
+def run_in_parallel(args, seeds):
+    """One process a seed, each with its own block of loopback addresses."""
+    running, failed, queue = {}, [], list(seeds)
+    while queue or running:
+        for block in range(10, 10 + args.jobs):
+            if block not in running and queue:
+                seed = queue.pop(0)
+                running[block] = seed, subprocess.Popen(
+                    [sys.executable, __file__, "--bin", args.bin, "--logs",
+                     args.logs, "--instances", str(args.instances), "--block",
+                     str(block), "--seed", str(seed)])
+        time.sleep(0.2)
+        for block, (seed, process) in list(running.items()):
+            if process.poll() is not None:
+                del running[block]
+                if process.returncode:
+                    failed.append(seed)
+    return failed
+
+
+def regression_seeds():
+    """Seeds that failed once; the rest of each line is the cause."""
+    path = Path(__file__).with_name("regressions.txt")
+    return [int(line.split()[0]) for line in path.read_text().splitlines()
+            if line and not line.startswith("#")]
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--bin", required=True, help="the program")
+    parser.add_argument("--seed", type=int, nargs="*", default=[])
+    parser.add_argument("--seeds", type=int, default=0,
+                        help="this many fresh seeds")
+    parser.add_argument("--regressions", action="store_true",
+                        help="the seeds of regressions.txt")
+    parser.add_argument("--instances", type=int, default=6)
+    parser.add_argument("--jobs", type=int, default=3)
+    parser.add_argument("--logs", default="build/soak")
+    parser.add_argument("--block", type=int, help=argparse.SUPPRESS)
+    args = parser.parse_args()
+    if args.block is not None:
+        sys.exit(0 if run_seed(args, args.seed[0], args.block) else 1)
+    fresh = random.SystemRandom()
+    seeds = args.seed + [fresh.randrange(10**9) for _ in range(args.seeds)]
+    if args.regressions:
+        seeds += regression_seeds()
+    failed = run_in_parallel(args, seeds)
+    print(f"{len(seeds) - len(failed)} passed, {len(failed)} failed")
+    if failed:
+        print("failed seeds:", *failed)
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    main()
