--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -17,6 +17,10 @@
 
 namespace trefoilwick {
 
+namespace detail {
+class ServerNames;
+}
+
 struct ClusterMember {
   std::string ip;
   std::string data_center;
@@ -201,6 +205,7 @@
   };
   std::shared_ptr<const ServerMap> m_read = std::make_shared<const ServerMap>();
   std::map<std::string, ReportedLayers> m_reported;
+  std::shared_ptr<detail::ServerNames> m_names;
   std::shared_ptr<const ServerMap> m_servers =
       std::make_shared<const ServerMap>();
   std::shared_ptr<const ServerMap> m_usable =
--- a/include/trefoilwick/layer_path.h
+++ b/include/trefoilwick/layer_path.h
@@ -85,8 +85,8 @@
   // Set for a request in progress, whose first part must stay as it is.
   std::optional<PathPart> first_part;
   // The path may lead through several data centers when none has room for it.
-  // All such paths share the links between them, which carry a small part of the
-  // traffic only.
+  // All such paths share the links between them, which carry a small part of
+  // the traffic only.
   bool may_cross = false;
 };
 
--- a/src/cluster.thrift
+++ b/src/cluster.thrift
@@ -2,8 +2,9 @@
 // Compact protocol, one message a datagram.
 namespace cpp trefoilwick.wire
 
+// Load of the server at a position of the sorted ids of a server list.
 struct Load {
-  1: string server
+  1: i32 server
   2: i64 token_layers
   3: i32 sequences
 }
@@ -23,13 +24,20 @@
   // First and repeated sends of the current retry window.
   11: i32 requests
   12: i32 retries
+  // Hash of the ids that the positions in `loads` refer to.
+  13: i64 names_key
 }
 
 struct Member {
-  1: string ip
-  2: string data_center
-  3: bool accepting
-  4: i32 cpu_milli
+  // IPv4 address.
+  1: i32 ip
+  2: bool accepting
+  3: i32 cpu_milli
+}
+
+struct DataCenterMembers {
+  1: string data_center
+  2: list<Member> members
 }
 
 // An order to a server that the server list does not show yet.
@@ -48,7 +56,7 @@
   // Milliseconds since the server list was read.
   5: i32 list_age_ms
   // Left out of most beats of a large deployment.
-  6: list<Member> members
+  6: list<DataCenterMembers> members
   7: list<Load> loads
   8: list<string> down
   9: bool store_reachable
@@ -58,6 +66,8 @@
   12: i32 retries
   // Layers that servers reported after the list was read.
   13: list<Order> held
+  // Hash of the ids that the positions in `loads` refer to.
+  14: i64 names_key
 }
 
 struct Server {
--- a/src/cluster_codec.cc
+++ b/src/cluster_codec.cc
@@ -3,6 +3,8 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <algorithm>
+#include <boost/asio/ip/address_v4.hpp>
 #include <cmath>
 
 #include "cluster_types.h"
@@ -14,6 +16,9 @@
 using apache::thrift::protocol::TCompactProtocolT;
 using apache::thrift::transport::TMemoryBuffer;
 
+// Instances learn of a new list within a second, in which a few may follow.
+constexpr size_t kRememberedLists = 6;
+
 std::string Encode(const wire::Message& message) {
   auto buffer = std::make_shared<TMemoryBuffer>();
   TCompactProtocolT<TMemoryBuffer> protocol(buffer);
@@ -21,23 +26,63 @@
   return buffer->getBufferAsString();
 }
 
-std::vector<wire::Load> ToWire(const LoadMap& loads) {
+std::vector<wire::Load> ToWire(const LoadMap& loads,
+                               const ServerNames::List& names) {
   std::vector<wire::Load> out;
   for (const auto& [server, load] : loads) {
-    if (load.sequences == 0 && load.token_layers < 1)
+    const auto at =
+        std::lower_bound(names.ids.begin(), names.ids.end(), server);
+    if (at == names.ids.end() || *at != server ||
+        (load.sequences == 0 && load.token_layers < 1))
       continue;
     wire::Load& item = out.emplace_back();
-    item.server = server;
+    item.server = static_cast<int32_t>(at - names.ids.begin());
     item.token_layers = std::llround(load.token_layers);
     item.sequences = load.sequences;
   }
   return out;
 }
 
-LoadMap FromWire(const std::vector<wire::Load>& loads) {
+std::optional<LoadMap> FromWire(const std::vector<wire::Load>& loads,
+                                int64_t names_key,
+                                const ServerNames& names) {
+  const ServerNames::List* list = names.Find(names_key);
+  if (list == nullptr)
+    return std::nullopt;
   LoadMap out;
-  for (const wire::Load& item : loads)
-    out[item.server] = {static_cast<double>(item.token_layers), item.sequences};
+  for (const wire::Load& item : loads) {
+    if (item.server < 0 || static_cast<size_t>(item.server) >= list->ids.size())
+      return std::nullopt;
+    out[list->ids[static_cast<size_t>(item.server)]] = {
+        static_cast<double>(item.token_layers), item.sequences};
+  }
+  return out;
+}
+
+int32_t AddressNumber(const std::string& ip) {
+  boost::system::error_code error;
+  const auto address = boost::asio::ip::make_address_v4(ip, error);
+  return error ? 0 : static_cast<int32_t>(address.to_uint());
+}
+
+std::string AddressText(int32_t number) {
+  return boost::asio::ip::address_v4(static_cast<uint32_t>(number)).to_string();
+}
+
+std::vector<wire::DataCenterMembers> ToWire(
+    const std::vector<ClusterMember>& members) {
+  std::map<std::string, wire::DataCenterMembers> groups;
+  for (const ClusterMember& member : members) {
+    wire::DataCenterMembers& group = groups[member.data_center];
+    group.data_center = member.data_center;
+    wire::Member& item = group.members.emplace_back();
+    item.ip = AddressNumber(member.ip);
+    item.accepting = member.accepting;
+    item.cpu_milli = member.cpu_milli;
+  }
+  std::vector<wire::DataCenterMembers> out;
+  for (auto& [data_center, group] : groups)
+    out.push_back(std::move(group));
   return out;
 }
 
@@ -45,12 +90,12 @@
   return duration.count() / 1000;
 }
 
-InstanceReport FromWire(const wire::Report& report) {
+InstanceReport FromWire(const wire::Report& report, const ServerNames& names) {
   return {{report.ip, report.data_center, report.accepting, report.cpu_milli},
           report.incarnation,
           report.config_version,
           report.list_version,
-          FromWire(report.loads),
+          FromWire(report.loads, report.names_key, names),
           {report.requests, report.retries}};
 }
 
@@ -74,17 +119,18 @@
   return out;
 }
 
-CoordinatorBeat FromWire(const wire::Beat& beat) {
+CoordinatorBeat FromWire(const wire::Beat& beat, const ServerNames& names) {
   CoordinatorBeat out;
   out.fence = beat.fence;
   out.ip = beat.ip;
   out.config_version = beat.config_version;
   out.list_version = beat.list_version;
   out.list_age = std::chrono::milliseconds(beat.list_age_ms);
-  for (const wire::Member& member : beat.members)
-    out.members.push_back(
-        {member.ip, member.data_center, member.accepting, member.cpu_milli});
-  out.loads = FromWire(beat.loads);
+  for (const wire::DataCenterMembers& group : beat.members)
+    for (const wire::Member& member : group.members)
+      out.members.push_back({AddressText(member.ip), group.data_center,
+                             member.accepting, member.cpu_milli});
+  out.loads = FromWire(beat.loads, beat.names_key, names);
   out.lost.insert(beat.down.begin(), beat.down.end());
   out.store_reachable = beat.store_reachable;
   out.orders = FromWire(beat.orders);
@@ -115,7 +161,30 @@
 
 }  // namespace
 
-std::string EncodeReport(const InstanceReport& report) {
+void ServerNames::Update(const ServerMap& servers) {
+  List list;
+  uint64_t hash = 0;
+  for (const auto& [id, server] : servers) {
+    list.ids.push_back(id);
+    hash = StableHash(id, hash);
+  }
+  list.key = static_cast<int64_t>(hash);
+  if (list.key == newest().key)
+    return;
+  m_lists.push_front(std::move(list));
+  if (m_lists.size() > kRememberedLists)
+    m_lists.pop_back();
+}
+
+const ServerNames::List* ServerNames::Find(int64_t key) const {
+  for (const List& list : m_lists)
+    if (list.key == key)
+      return &list;
+  return nullptr;
+}
+
+std::string EncodeReport(const InstanceReport& report,
+                         const ServerNames& names) {
   wire::Message message;
   wire::Report& out = message.report;
   out.ip = report.member.ip;
@@ -125,14 +194,16 @@
   out.incarnation = report.incarnation;
   out.config_version = report.config_version;
   out.list_version = report.list_version;
-  out.loads = ToWire(report.loads);
+  if (report.loads)
+    out.loads = ToWire(*report.loads, names.newest());
+  out.names_key = names.newest().key;
   out.requests = report.sends.requests;
   out.retries = report.sends.retries;
   message.__isset.report = true;
   return Encode(message);
 }
 
-std::string EncodeBeat(const CoordinatorBeat& beat) {
+std::string EncodeBeat(const CoordinatorBeat& beat, const ServerNames& names) {
   wire::Message message;
   wire::Beat& out = message.beat;
   out.fence = beat.fence;
@@ -140,14 +211,10 @@
   out.config_version = beat.config_version;
   out.list_version = beat.list_version;
   out.list_age_ms = static_cast<int32_t>(Millis(beat.list_age));
-  for (const ClusterMember& member : beat.members) {
-    wire::Member& item = out.members.emplace_back();
-    item.ip = member.ip;
-    item.data_center = member.data_center;
-    item.accepting = member.accepting;
-    item.cpu_milli = member.cpu_milli;
-  }
-  out.loads = ToWire(beat.loads);
+  out.members = ToWire(beat.members);
+  if (beat.loads)
+    out.loads = ToWire(*beat.loads, names.newest());
+  out.names_key = names.newest().key;
   out.down.assign(beat.lost.begin(), beat.lost.end());
   out.store_reachable = beat.store_reachable;
   out.orders = ToWire(beat.orders);
@@ -194,7 +261,8 @@
   return Encode(message);
 }
 
-std::optional<ClusterMessage> DecodeClusterMessage(const std::string& bytes) {
+std::optional<ClusterMessage> DecodeClusterMessage(const std::string& bytes,
+                                                   const ServerNames& names) {
   wire::Message message;
   try {
     std::string copy = bytes;
@@ -207,9 +275,9 @@
     return std::nullopt;
   }
   if (message.__isset.report)
-    return FromWire(message.report);
+    return FromWire(message.report, names);
   if (message.__isset.beat)
-    return FromWire(message.beat);
+    return FromWire(message.beat, names);
   if (message.__isset.servers)
     return FromWire(message.servers);
   if (message.__isset.lost)
--- a/src/cluster_codec.h
+++ b/src/cluster_codec.h
@@ -2,6 +2,7 @@
 // (src/cluster.thrift), one message a datagram.
 #pragma once
 
+#include <deque>
 #include <optional>
 #include <set>
 #include <string>
@@ -12,12 +13,32 @@
 
 namespace trefoilwick::detail {
 
+// Remembers the ids of the last server lists, so that loads name a server by
+// its position among them: ids are most of the bytes of a beat otherwise.
+class ServerNames {
+ public:
+  struct List {
+    int64_t key = 0;
+    // Sorted.
+    std::vector<std::string> ids;
+  };
+  void Update(const ServerMap& servers);
+  // The newest list; empty before the first.
+  const List& newest() const { return m_lists.front(); }
+  // Null when it is not remembered.
+  const List* Find(int64_t key) const;
+
+ private:
+  std::deque<List> m_lists = {List()};
+};
+
 struct InstanceReport {
   ClusterMember member;
   int64_t incarnation = 0;
   int64_t config_version = 0;
   int64_t list_version = 0;
-  LoadMap loads;
+  // Null when they refer to a list that the receiver does not know.
+  std::optional<LoadMap> loads;
   SendCounts sends;
 };
 
@@ -28,7 +49,8 @@
   int64_t list_version = 0;
   Duration list_age{0};
   std::vector<ClusterMember> members;
-  LoadMap loads;
+  // Null when they refer to a list that the receiver does not know.
+  std::optional<LoadMap> loads;
   std::set<std::string> lost;
   bool store_reachable = true;
   std::map<std::string, LayerRange> orders;
@@ -57,12 +79,14 @@
                                     LostServers,
                                     RefusingServers>;
 
-std::string EncodeReport(const InstanceReport& report);
-std::string EncodeBeat(const CoordinatorBeat& beat);
+std::string EncodeReport(const InstanceReport& report,
+                         const ServerNames& names);
+std::string EncodeBeat(const CoordinatorBeat& beat, const ServerNames& names);
 std::string EncodeServerList(const ServerListMessage& list);
 std::string EncodeLost(const std::vector<std::string>& servers);
 std::string EncodeRefusing(const std::vector<std::string>& servers);
 // Null when the bytes are no message.
-std::optional<ClusterMessage> DecodeClusterMessage(const std::string& bytes);
+std::optional<ClusterMessage> DecodeClusterMessage(const std::string& bytes,
+                                                   const ServerNames& names);
 
 }  // namespace trefoilwick::detail
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -78,6 +78,7 @@
   out.m_data_center = m_data_center;
   out.m_cpu_milli = m_cpu_milli;
   out.m_incarnation = m_incarnation;
+  out.m_names = std::make_shared<detail::ServerNames>();
   out.m_beat_heard = now;
   // Instances start together: spread their first calls.
   out.m_next_lease_call = now + Duration(StableHash(m_ip) % 200'000);
@@ -312,6 +313,7 @@
 }
 
 void Coordination::UpdateServers(TimePoint now) {
+  m_names->Update(*m_read);
   auto servers = std::make_shared<ServerMap>(*m_read);
   std::erase_if(m_reported, [&](const auto& entry) {
     const auto read = servers->find(entry.first);
@@ -454,7 +456,9 @@
 }
 
 void Coordination::SendReport(TimePoint now) {
-  m_next_report = now + kReportInterval;
+  m_next_report =
+      now + (m_members.size() > kLargeDeployment ? kLargeBeatInterval
+                                                 : kReportInterval);
   detail::InstanceReport report;
   report.member = {m_ip, m_data_center, m_accepting, m_cpu_milli};
   report.incarnation = m_incarnation;
@@ -465,7 +469,7 @@
   report.sends = m_local_sends;
   m_reported_sends = m_local_sends;
   m_actions.emplace_back(
-      SendDatagram{m_coordinator_ip, detail::EncodeReport(report)});
+      SendDatagram{m_coordinator_ip, detail::EncodeReport(report, *m_names)});
 }
 
 void Coordination::SendBeats(TimePoint now) {
@@ -488,7 +492,7 @@
   beat.sends.requests += m_local_sends.requests;
   beat.sends.retries += m_local_sends.retries;
   beat.store_reachable = now - m_store_answered < kStoreSilence;
-  const std::string bytes = detail::EncodeBeat(beat);
+  const std::string bytes = detail::EncodeBeat(beat, *m_names);
   for (const auto& [ip, peer] : m_peers) {
     if (now - peer.heard > kMemberSilence)
       continue;
@@ -508,7 +512,7 @@
 }
 
 void Coordination::OnDatagram(TimePoint now, const std::string& bytes) {
-  const auto message = detail::DecodeClusterMessage(bytes);
+  const auto message = detail::DecodeClusterMessage(bytes, *m_names);
   if (!message)
     return;
   std::visit(
@@ -522,7 +526,8 @@
             peer.member = report.member;
             peer.list_version = report.list_version;
             peer.heard = now;
-            peer.loads = report.loads;
+            if (report.loads)
+              peer.loads = *report.loads;
             peer.sends = report.sends;
             if (is_new && behind)
               SendList(now, report.member.ip);
@@ -542,8 +547,10 @@
               m_beat_heard = now;
             if (!beat.members.empty())
               m_members = beat.members;
-            m_cluster_loads = beat.loads;
-            m_loads_in_sum = m_reported_loads;
+            if (beat.loads) {
+              m_cluster_loads = *beat.loads;
+              m_loads_in_sum = m_reported_loads;
+            }
             m_sends_elsewhere = {
                 std::max(0, beat.sends.requests - m_reported_sends.requests),
                 std::max(0, beat.sends.retries - m_reported_sends.retries)};
--- a/src/gen/cluster_types.cpp
+++ b/src/gen/cluster_types.cpp
@@ -18,7 +18,7 @@
 }
 
 
-void Load::__set_server(const std::string& val) {
+void Load::__set_server(const int32_t val) {
   this->server = val;
 }
 
@@ -58,8 +58,8 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->server);
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->server);
           this->__isset.server = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -98,8 +98,8 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("Load");
 
-  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->server);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("token_layers", ::apache::thrift::protocol::T_I64, 2);
@@ -123,13 +123,13 @@
   swap(a.__isset, b.__isset);
 }
 
-Load::Load(const Load& other0) {
+Load::Load(const Load& other0) noexcept {
   server = other0.server;
   token_layers = other0.token_layers;
   sequences = other0.sequences;
   __isset = other0.__isset;
 }
-Load& Load::operator=(const Load& other1) {
+Load& Load::operator=(const Load& other1) noexcept {
   server = other1.server;
   token_layers = other1.token_layers;
   sequences = other1.sequences;
@@ -197,6 +197,10 @@
 void Report::__set_retries(const int32_t val) {
   this->retries = val;
 }
+
+void Report::__set_names_key(const int64_t val) {
+  this->names_key = val;
+}
 std::ostream& operator<<(std::ostream& out, const Report& obj)
 {
   obj.printTo(out);
@@ -345,6 +349,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->names_key);
+          this->__isset.names_key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -426,6 +438,10 @@
   xfer += oprot->writeI32(this->retries);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("names_key", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->names_key);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -445,6 +461,7 @@
   swap(a.store_reachable, b.store_reachable);
   swap(a.requests, b.requests);
   swap(a.retries, b.retries);
+  swap(a.names_key, b.names_key);
   swap(a.__isset, b.__isset);
 }
 
@@ -461,6 +478,7 @@
   store_reachable = other14.store_reachable;
   requests = other14.requests;
   retries = other14.retries;
+  names_key = other14.names_key;
   __isset = other14.__isset;
 }
 Report& Report::operator=(const Report& other15) {
@@ -476,6 +494,7 @@
   store_reachable = other15.store_reachable;
   requests = other15.requests;
   retries = other15.retries;
+  names_key = other15.names_key;
   __isset = other15.__isset;
   return *this;
 }
@@ -494,6 +513,7 @@
   out << ", " << "store_reachable=" << to_string(store_reachable);
   out << ", " << "requests=" << to_string(requests);
   out << ", " << "retries=" << to_string(retries);
+  out << ", " << "names_key=" << to_string(names_key);
   out << ")";
 }
 
@@ -502,14 +522,10 @@
 }
 
 
-void Member::__set_ip(const std::string& val) {
+void Member::__set_ip(const int32_t val) {
   this->ip = val;
 }
 
-void Member::__set_data_center(const std::string& val) {
-  this->data_center = val;
-}
-
 void Member::__set_accepting(const bool val) {
   this->accepting = val;
 }
@@ -546,22 +562,14 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->ip);
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ip);
           this->__isset.ip = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->data_center);
-          this->__isset.data_center = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->accepting);
           this->__isset.accepting = true;
@@ -569,7 +577,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->cpu_milli);
           this->__isset.cpu_milli = true;
@@ -594,19 +602,15 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("Member");
 
-  xfer += oprot->writeFieldBegin("ip", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->ip);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("data_center", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->data_center);
+  xfer += oprot->writeFieldBegin("ip", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->ip);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("accepting", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeFieldBegin("accepting", ::apache::thrift::protocol::T_BOOL, 2);
   xfer += oprot->writeBool(this->accepting);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("cpu_milli", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeFieldBegin("cpu_milli", ::apache::thrift::protocol::T_I32, 3);
   xfer += oprot->writeI32(this->cpu_milli);
   xfer += oprot->writeFieldEnd();
 
@@ -618,22 +622,19 @@
 void swap(Member &a, Member &b) {
   using ::std::swap;
   swap(a.ip, b.ip);
-  swap(a.data_center, b.data_center);
   swap(a.accepting, b.accepting);
   swap(a.cpu_milli, b.cpu_milli);
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other16) {
+Member::Member(const Member& other16) noexcept {
   ip = other16.ip;
-  data_center = other16.data_center;
   accepting = other16.accepting;
   cpu_milli = other16.cpu_milli;
   __isset = other16.__isset;
 }
-Member& Member::operator=(const Member& other17) {
+Member& Member::operator=(const Member& other17) noexcept {
   ip = other17.ip;
-  data_center = other17.data_center;
   accepting = other17.accepting;
   cpu_milli = other17.cpu_milli;
   __isset = other17.__isset;
@@ -643,13 +644,144 @@
   using ::apache::thrift::to_string;
   out << "Member(";
   out << "ip=" << to_string(ip);
-  out << ", " << "data_center=" << to_string(data_center);
   out << ", " << "accepting=" << to_string(accepting);
   out << ", " << "cpu_milli=" << to_string(cpu_milli);
   out << ")";
 }
 
 
+DataCenterMembers::~DataCenterMembers() noexcept {
+}
+
+
+void DataCenterMembers::__set_data_center(const std::string& val) {
+  this->data_center = val;
+}
+
+void DataCenterMembers::__set_members(const std::vector<Member> & val) {
+  this->members = val;
+}
+std::ostream& operator<<(std::ostream& out, const DataCenterMembers& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DataCenterMembers::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->data_center);
+          this->__isset.data_center = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size18;
+            ::apache::thrift::protocol::TType _etype21;
+            xfer += iprot->readListBegin(_etype21, _size18);
+            this->members.resize(_size18);
+            uint32_t _i22;
+            for (_i22 = 0; _i22 < _size18; ++_i22)
+            {
+              xfer += this->members[_i22].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t DataCenterMembers::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DataCenterMembers");
+
+  xfer += oprot->writeFieldBegin("data_center", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->data_center);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
+    std::vector<Member> ::const_iterator _iter23;
+    for (_iter23 = this->members.begin(); _iter23 != this->members.end(); ++_iter23)
+    {
+      xfer += (*_iter23).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DataCenterMembers &a, DataCenterMembers &b) {
+  using ::std::swap;
+  swap(a.data_center, b.data_center);
+  swap(a.members, b.members);
+  swap(a.__isset, b.__isset);
+}
+
+DataCenterMembers::DataCenterMembers(const DataCenterMembers& other24) {
+  data_center = other24.data_center;
+  members = other24.members;
+  __isset = other24.__isset;
+}
+DataCenterMembers& DataCenterMembers::operator=(const DataCenterMembers& other25) {
+  data_center = other25.data_center;
+  members = other25.members;
+  __isset = other25.__isset;
+  return *this;
+}
+void DataCenterMembers::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DataCenterMembers(";
+  out << "data_center=" << to_string(data_center);
+  out << ", " << "members=" << to_string(members);
+  out << ")";
+}
+
+
 Order::~Order() noexcept {
 }
 
@@ -759,17 +891,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Order::Order(const Order& other18) {
-  server = other18.server;
-  layer_from = other18.layer_from;
-  layer_to = other18.layer_to;
-  __isset = other18.__isset;
+Order::Order(const Order& other26) {
+  server = other26.server;
+  layer_from = other26.layer_from;
+  layer_to = other26.layer_to;
+  __isset = other26.__isset;
 }
-Order& Order::operator=(const Order& other19) {
-  server = other19.server;
-  layer_from = other19.layer_from;
-  layer_to = other19.layer_to;
-  __isset = other19.__isset;
+Order& Order::operator=(const Order& other27) {
+  server = other27.server;
+  layer_from = other27.layer_from;
+  layer_to = other27.layer_to;
+  __isset = other27.__isset;
   return *this;
 }
 void Order::printTo(std::ostream& out) const {
@@ -806,7 +938,7 @@
   this->list_age_ms = val;
 }
 
-void Beat::__set_members(const std::vector<Member> & val) {
+void Beat::__set_members(const std::vector<DataCenterMembers> & val) {
   this->members = val;
 }
 
@@ -837,6 +969,10 @@
 void Beat::__set_held(const std::vector<Order> & val) {
   this->held = val;
 }
+
+void Beat::__set_names_key(const int64_t val) {
+  this->names_key = val;
+}
 std::ostream& operator<<(std::ostream& out, const Beat& obj)
 {
   obj.printTo(out);
@@ -909,14 +1045,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size20;
-            ::apache::thrift::protocol::TType _etype23;
-            xfer += iprot->readListBegin(_etype23, _size20);
-            this->members.resize(_size20);
-            uint32_t _i24;
-            for (_i24 = 0; _i24 < _size20; ++_i24)
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->members.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
             {
-              xfer += this->members[_i24].read(iprot);
+              xfer += this->members[_i32].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -929,14 +1065,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size25;
-            ::apache::thrift::protocol::TType _etype28;
-            xfer += iprot->readListBegin(_etype28, _size25);
-            this->loads.resize(_size25);
-            uint32_t _i29;
-            for (_i29 = 0; _i29 < _size25; ++_i29)
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->loads.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
             {
-              xfer += this->loads[_i29].read(iprot);
+              xfer += this->loads[_i37].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -949,14 +1085,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->down.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->down.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->down.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += iprot->readString(this->down[_i34]);
+              xfer += iprot->readString(this->down[_i42]);
             }
             xfer += iprot->readListEnd();
           }
@@ -977,14 +1113,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size35;
-            ::apache::thrift::protocol::TType _etype38;
-            xfer += iprot->readListBegin(_etype38, _size35);
-            this->orders.resize(_size35);
-            uint32_t _i39;
-            for (_i39 = 0; _i39 < _size35; ++_i39)
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->orders.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
             {
-              xfer += this->orders[_i39].read(iprot);
+              xfer += this->orders[_i47].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1013,14 +1149,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->held.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _etype43;
-            xfer += iprot->readListBegin(_etype43, _size40);
-            this->held.resize(_size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->held.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += this->held[_i44].read(iprot);
+              xfer += this->held[_i52].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1029,6 +1165,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->names_key);
+          this->__isset.names_key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1069,10 +1213,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter45;
-    for (_iter45 = this->members.begin(); _iter45 != this->members.end(); ++_iter45)
+    std::vector<DataCenterMembers> ::const_iterator _iter53;
+    for (_iter53 = this->members.begin(); _iter53 != this->members.end(); ++_iter53)
     {
-      xfer += (*_iter45).write(oprot);
+      xfer += (*_iter53).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1081,10 +1225,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<Load> ::const_iterator _iter46;
-    for (_iter46 = this->loads.begin(); _iter46 != this->loads.end(); ++_iter46)
+    std::vector<Load> ::const_iterator _iter54;
+    for (_iter54 = this->loads.begin(); _iter54 != this->loads.end(); ++_iter54)
     {
-      xfer += (*_iter46).write(oprot);
+      xfer += (*_iter54).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1093,10 +1237,10 @@
   xfer += oprot->writeFieldBegin("down", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->down.size()));
-    std::vector<std::string> ::const_iterator _iter47;
-    for (_iter47 = this->down.begin(); _iter47 != this->down.end(); ++_iter47)
+    std::vector<std::string> ::const_iterator _iter55;
+    for (_iter55 = this->down.begin(); _iter55 != this->down.end(); ++_iter55)
     {
-      xfer += oprot->writeString((*_iter47));
+      xfer += oprot->writeString((*_iter55));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1109,10 +1253,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<Order> ::const_iterator _iter48;
-    for (_iter48 = this->orders.begin(); _iter48 != this->orders.end(); ++_iter48)
+    std::vector<Order> ::const_iterator _iter56;
+    for (_iter56 = this->orders.begin(); _iter56 != this->orders.end(); ++_iter56)
     {
-      xfer += (*_iter48).write(oprot);
+      xfer += (*_iter56).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1129,15 +1273,19 @@
   xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held.size()));
-    std::vector<Order> ::const_iterator _iter49;
-    for (_iter49 = this->held.begin(); _iter49 != this->held.end(); ++_iter49)
+    std::vector<Order> ::const_iterator _iter57;
+    for (_iter57 = this->held.begin(); _iter57 != this->held.end(); ++_iter57)
     {
-      xfer += (*_iter49).write(oprot);
+      xfer += (*_iter57).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("names_key", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->names_key);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1158,40 +1306,43 @@
   swap(a.requests, b.requests);
   swap(a.retries, b.retries);
   swap(a.held, b.held);
+  swap(a.names_key, b.names_key);
   swap(a.__isset, b.__isset);
 }
 
-Beat::Beat(const Beat& other50) {
-  fence = other50.fence;
-  ip = other50.ip;
-  config_version = other50.config_version;
-  list_version = other50.list_version;
-  list_age_ms = other50.list_age_ms;
-  members = other50.members;
-  loads = other50.loads;
-  down = other50.down;
-  store_reachable = other50.store_reachable;
-  orders = other50.orders;
-  requests = other50.requests;
-  retries = other50.retries;
-  held = other50.held;
-  __isset = other50.__isset;
-}
-Beat& Beat::operator=(const Beat& other51) {
-  fence = other51.fence;
-  ip = other51.ip;
-  config_version = other51.config_version;
-  list_version = other51.list_version;
-  list_age_ms = other51.list_age_ms;
-  members = other51.members;
-  loads = other51.loads;
-  down = other51.down;
-  store_reachable = other51.store_reachable;
-  orders = other51.orders;
-  requests = other51.requests;
-  retries = other51.retries;
-  held = other51.held;
-  __isset = other51.__isset;
+Beat::Beat(const Beat& other58) {
+  fence = other58.fence;
+  ip = other58.ip;
+  config_version = other58.config_version;
+  list_version = other58.list_version;
+  list_age_ms = other58.list_age_ms;
+  members = other58.members;
+  loads = other58.loads;
+  down = other58.down;
+  store_reachable = other58.store_reachable;
+  orders = other58.orders;
+  requests = other58.requests;
+  retries = other58.retries;
+  held = other58.held;
+  names_key = other58.names_key;
+  __isset = other58.__isset;
+}
+Beat& Beat::operator=(const Beat& other59) {
+  fence = other59.fence;
+  ip = other59.ip;
+  config_version = other59.config_version;
+  list_version = other59.list_version;
+  list_age_ms = other59.list_age_ms;
+  members = other59.members;
+  loads = other59.loads;
+  down = other59.down;
+  store_reachable = other59.store_reachable;
+  orders = other59.orders;
+  requests = other59.requests;
+  retries = other59.retries;
+  held = other59.held;
+  names_key = other59.names_key;
+  __isset = other59.__isset;
   return *this;
 }
 void Beat::printTo(std::ostream& out) const {
@@ -1210,6 +1361,7 @@
   out << ", " << "requests=" << to_string(requests);
   out << ", " << "retries=" << to_string(retries);
   out << ", " << "held=" << to_string(held);
+  out << ", " << "names_key=" << to_string(names_key);
   out << ")";
 }
 
@@ -1425,29 +1577,29 @@
   swap(a.__isset, b.__isset);
 }
 
-Server::Server(const Server& other52) {
-  id = other52.id;
-  service_name = other52.service_name;
-  address = other52.address;
-  data_center = other52.data_center;
-  draining = other52.draining;
-  kind = other52.kind;
-  layer_from = other52.layer_from;
-  layer_to = other52.layer_to;
-  born = other52.born;
-  __isset = other52.__isset;
-}
-Server& Server::operator=(const Server& other53) {
-  id = other53.id;
-  service_name = other53.service_name;
-  address = other53.address;
-  data_center = other53.data_center;
-  draining = other53.draining;
-  kind = other53.kind;
-  layer_from = other53.layer_from;
-  layer_to = other53.layer_to;
-  born = other53.born;
-  __isset = other53.__isset;
+Server::Server(const Server& other60) {
+  id = other60.id;
+  service_name = other60.service_name;
+  address = other60.address;
+  data_center = other60.data_center;
+  draining = other60.draining;
+  kind = other60.kind;
+  layer_from = other60.layer_from;
+  layer_to = other60.layer_to;
+  born = other60.born;
+  __isset = other60.__isset;
+}
+Server& Server::operator=(const Server& other61) {
+  id = other61.id;
+  service_name = other61.service_name;
+  address = other61.address;
+  data_center = other61.data_center;
+  draining = other61.draining;
+  kind = other61.kind;
+  layer_from = other61.layer_from;
+  layer_to = other61.layer_to;
+  born = other61.born;
+  __isset = other61.__isset;
   return *this;
 }
 void Server::printTo(std::ostream& out) const {
@@ -1541,14 +1693,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->servers.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->servers.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += this->servers[_i58].read(iprot);
+              xfer += this->servers[_i66].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1589,10 +1741,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<Server> ::const_iterator _iter59;
-    for (_iter59 = this->servers.begin(); _iter59 != this->servers.end(); ++_iter59)
+    std::vector<Server> ::const_iterator _iter67;
+    for (_iter67 = this->servers.begin(); _iter67 != this->servers.end(); ++_iter67)
     {
-      xfer += (*_iter59).write(oprot);
+      xfer += (*_iter67).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1612,19 +1764,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerList::ServerList(const ServerList& other60) {
-  fence = other60.fence;
-  version = other60.version;
-  age_ms = other60.age_ms;
-  servers = other60.servers;
-  __isset = other60.__isset;
+ServerList::ServerList(const ServerList& other68) {
+  fence = other68.fence;
+  version = other68.version;
+  age_ms = other68.age_ms;
+  servers = other68.servers;
+  __isset = other68.__isset;
 }
-ServerList& ServerList::operator=(const ServerList& other61) {
-  fence = other61.fence;
-  version = other61.version;
-  age_ms = other61.age_ms;
-  servers = other61.servers;
-  __isset = other61.__isset;
+ServerList& ServerList::operator=(const ServerList& other69) {
+  fence = other69.fence;
+  version = other69.version;
+  age_ms = other69.age_ms;
+  servers = other69.servers;
+  __isset = other69.__isset;
   return *this;
 }
 void ServerList::printTo(std::ostream& out) const {
@@ -1722,14 +1874,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lost.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->lost.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->lost.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              xfer += iprot->readString(this->lost[_i66]);
+              xfer += iprot->readString(this->lost[_i74]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1742,14 +1894,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->refusing.clear();
-            uint32_t _size67;
-            ::apache::thrift::protocol::TType _etype70;
-            xfer += iprot->readListBegin(_etype70, _size67);
-            this->refusing.resize(_size67);
-            uint32_t _i71;
-            for (_i71 = 0; _i71 < _size67; ++_i71)
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->refusing.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
             {
-              xfer += iprot->readString(this->refusing[_i71]);
+              xfer += iprot->readString(this->refusing[_i79]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1794,10 +1946,10 @@
     xfer += oprot->writeFieldBegin("lost", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->lost.size()));
-      std::vector<std::string> ::const_iterator _iter72;
-      for (_iter72 = this->lost.begin(); _iter72 != this->lost.end(); ++_iter72)
+      std::vector<std::string> ::const_iterator _iter80;
+      for (_iter80 = this->lost.begin(); _iter80 != this->lost.end(); ++_iter80)
       {
-        xfer += oprot->writeString((*_iter72));
+        xfer += oprot->writeString((*_iter80));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1807,10 +1959,10 @@
     xfer += oprot->writeFieldBegin("refusing", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->refusing.size()));
-      std::vector<std::string> ::const_iterator _iter73;
-      for (_iter73 = this->refusing.begin(); _iter73 != this->refusing.end(); ++_iter73)
+      std::vector<std::string> ::const_iterator _iter81;
+      for (_iter81 = this->refusing.begin(); _iter81 != this->refusing.end(); ++_iter81)
       {
-        xfer += oprot->writeString((*_iter73));
+        xfer += oprot->writeString((*_iter81));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1831,21 +1983,21 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other74) {
-  report = other74.report;
-  beat = other74.beat;
-  servers = other74.servers;
-  lost = other74.lost;
-  refusing = other74.refusing;
-  __isset = other74.__isset;
-}
-Message& Message::operator=(const Message& other75) {
-  report = other75.report;
-  beat = other75.beat;
-  servers = other75.servers;
-  lost = other75.lost;
-  refusing = other75.refusing;
-  __isset = other75.__isset;
+Message::Message(const Message& other82) {
+  report = other82.report;
+  beat = other82.beat;
+  servers = other82.servers;
+  lost = other82.lost;
+  refusing = other82.refusing;
+  __isset = other82.__isset;
+}
+Message& Message::operator=(const Message& other83) {
+  report = other83.report;
+  beat = other83.beat;
+  servers = other83.servers;
+  lost = other83.lost;
+  refusing = other83.refusing;
+  __isset = other83.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
--- a/src/gen/cluster_types.h
+++ b/src/gen/cluster_types.h
@@ -27,6 +27,8 @@
 
 class Member;
 
+class DataCenterMembers;
+
 class Order;
 
 class Beat;
@@ -47,22 +49,22 @@
 class Load : public virtual ::apache::thrift::TBase {
  public:
 
-  Load(const Load&);
-  Load& operator=(const Load&);
+  Load(const Load&) noexcept;
+  Load& operator=(const Load&) noexcept;
   Load() noexcept
-       : server(),
+       : server(0),
          token_layers(0),
          sequences(0) {
   }
 
   virtual ~Load() noexcept;
-  std::string server;
+  int32_t server;
   int64_t token_layers;
   int32_t sequences;
 
   _Load__isset __isset;
 
-  void __set_server(const std::string& val);
+  void __set_server(const int32_t val);
 
   void __set_token_layers(const int64_t val);
 
@@ -95,7 +97,7 @@
 std::ostream& operator<<(std::ostream& out, const Load& obj);
 
 typedef struct _Report__isset {
-  _Report__isset() : ip(false), data_center(false), incarnation(false), accepting(false), cpu_milli(false), config_version(false), list_version(false), loads(false), down(false), store_reachable(false), requests(false), retries(false) {}
+  _Report__isset() : ip(false), data_center(false), incarnation(false), accepting(false), cpu_milli(false), config_version(false), list_version(false), loads(false), down(false), store_reachable(false), requests(false), retries(false), names_key(false) {}
   bool ip :1;
   bool data_center :1;
   bool incarnation :1;
@@ -108,6 +110,7 @@
   bool store_reachable :1;
   bool requests :1;
   bool retries :1;
+  bool names_key :1;
 } _Report__isset;
 
 class Report : public virtual ::apache::thrift::TBase {
@@ -125,7 +128,8 @@
            list_version(0),
            store_reachable(0),
            requests(0),
-           retries(0) {
+           retries(0),
+           names_key(0) {
   }
 
   virtual ~Report() noexcept;
@@ -141,6 +145,7 @@
   bool store_reachable;
   int32_t requests;
   int32_t retries;
+  int64_t names_key;
 
   _Report__isset __isset;
 
@@ -168,6 +173,8 @@
 
   void __set_retries(const int32_t val);
 
+  void __set_names_key(const int64_t val);
+
   bool operator == (const Report & rhs) const
   {
     if (!(ip == rhs.ip))
@@ -194,6 +201,8 @@
       return false;
     if (!(retries == rhs.retries))
       return false;
+    if (!(names_key == rhs.names_key))
+      return false;
     return true;
   }
   bool operator != (const Report &rhs) const {
@@ -213,9 +222,8 @@
 std::ostream& operator<<(std::ostream& out, const Report& obj);
 
 typedef struct _Member__isset {
-  _Member__isset() : ip(false), data_center(false), accepting(false), cpu_milli(false) {}
+  _Member__isset() : ip(false), accepting(false), cpu_milli(false) {}
   bool ip :1;
-  bool data_center :1;
   bool accepting :1;
   bool cpu_milli :1;
 } _Member__isset;
@@ -223,26 +231,22 @@
 class Member : public virtual ::apache::thrift::TBase {
  public:
 
-  Member(const Member&);
-  Member& operator=(const Member&);
+  Member(const Member&) noexcept;
+  Member& operator=(const Member&) noexcept;
   Member() noexcept
-         : ip(),
-           data_center(),
+         : ip(0),
            accepting(0),
            cpu_milli(0) {
   }
 
   virtual ~Member() noexcept;
-  std::string ip;
-  std::string data_center;
+  int32_t ip;
   bool accepting;
   int32_t cpu_milli;
 
   _Member__isset __isset;
 
-  void __set_ip(const std::string& val);
-
-  void __set_data_center(const std::string& val);
+  void __set_ip(const int32_t val);
 
   void __set_accepting(const bool val);
 
@@ -252,8 +256,6 @@
   {
     if (!(ip == rhs.ip))
       return false;
-    if (!(data_center == rhs.data_center))
-      return false;
     if (!(accepting == rhs.accepting))
       return false;
     if (!(cpu_milli == rhs.cpu_milli))
@@ -276,6 +278,55 @@
 
 std::ostream& operator<<(std::ostream& out, const Member& obj);
 
+typedef struct _DataCenterMembers__isset {
+  _DataCenterMembers__isset() : data_center(false), members(false) {}
+  bool data_center :1;
+  bool members :1;
+} _DataCenterMembers__isset;
+
+class DataCenterMembers : public virtual ::apache::thrift::TBase {
+ public:
+
+  DataCenterMembers(const DataCenterMembers&);
+  DataCenterMembers& operator=(const DataCenterMembers&);
+  DataCenterMembers() noexcept
+                    : data_center() {
+  }
+
+  virtual ~DataCenterMembers() noexcept;
+  std::string data_center;
+  std::vector<Member>  members;
+
+  _DataCenterMembers__isset __isset;
+
+  void __set_data_center(const std::string& val);
+
+  void __set_members(const std::vector<Member> & val);
+
+  bool operator == (const DataCenterMembers & rhs) const
+  {
+    if (!(data_center == rhs.data_center))
+      return false;
+    if (!(members == rhs.members))
+      return false;
+    return true;
+  }
+  bool operator != (const DataCenterMembers &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DataCenterMembers & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DataCenterMembers &a, DataCenterMembers &b);
+
+std::ostream& operator<<(std::ostream& out, const DataCenterMembers& obj);
+
 typedef struct _Order__isset {
   _Order__isset() : server(false), layer_from(false), layer_to(false) {}
   bool server :1;
@@ -334,7 +385,7 @@
 std::ostream& operator<<(std::ostream& out, const Order& obj);
 
 typedef struct _Beat__isset {
-  _Beat__isset() : fence(false), ip(false), config_version(false), list_version(false), list_age_ms(false), members(false), loads(false), down(false), store_reachable(false), orders(false), requests(false), retries(false), held(false) {}
+  _Beat__isset() : fence(false), ip(false), config_version(false), list_version(false), list_age_ms(false), members(false), loads(false), down(false), store_reachable(false), orders(false), requests(false), retries(false), held(false), names_key(false) {}
   bool fence :1;
   bool ip :1;
   bool config_version :1;
@@ -348,6 +399,7 @@
   bool requests :1;
   bool retries :1;
   bool held :1;
+  bool names_key :1;
 } _Beat__isset;
 
 class Beat : public virtual ::apache::thrift::TBase {
@@ -363,7 +415,8 @@
          list_age_ms(0),
          store_reachable(0),
          requests(0),
-         retries(0) {
+         retries(0),
+         names_key(0) {
   }
 
   virtual ~Beat() noexcept;
@@ -372,7 +425,7 @@
   int64_t config_version;
   int64_t list_version;
   int32_t list_age_ms;
-  std::vector<Member>  members;
+  std::vector<DataCenterMembers>  members;
   std::vector<Load>  loads;
   std::vector<std::string>  down;
   bool store_reachable;
@@ -380,6 +433,7 @@
   int32_t requests;
   int32_t retries;
   std::vector<Order>  held;
+  int64_t names_key;
 
   _Beat__isset __isset;
 
@@ -393,7 +447,7 @@
 
   void __set_list_age_ms(const int32_t val);
 
-  void __set_members(const std::vector<Member> & val);
+  void __set_members(const std::vector<DataCenterMembers> & val);
 
   void __set_loads(const std::vector<Load> & val);
 
@@ -409,6 +463,8 @@
 
   void __set_held(const std::vector<Order> & val);
 
+  void __set_names_key(const int64_t val);
+
   bool operator == (const Beat & rhs) const
   {
     if (!(fence == rhs.fence))
@@ -437,6 +493,8 @@
       return false;
     if (!(held == rhs.held))
       return false;
+    if (!(names_key == rhs.names_key))
+      return false;
     return true;
   }
   bool operator != (const Beat &rhs) const {
