--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "trefoilwick/layer_path.h"
+#include "trefoilwick/liveness.h"
 
 namespace trefoilwick {
 
@@ -126,7 +127,8 @@
   void MarkLost(TimePoint now, const std::string& server);
   void MarkFound(const std::string& server);
 
-  // A server refused a request for now; the others hear of it.
+  // A server refused a request; it is left out for a while, here and by the
+  // others, which hear of it.
   void MarkRefusing(TimePoint now, const std::string& server);
   std::set<std::string> Refusing(TimePoint now) const;
 
@@ -243,8 +245,7 @@
   std::map<std::string, Peer> m_peers;
   std::vector<ClusterMember> m_members;
   std::map<std::string, LostMark> m_lost;
-  // Until when each server is left out.
-  std::map<std::string, TimePoint> m_refusing;
+  RefusalMarks m_refusing;
   std::vector<CoordinationAction> m_actions;
 };
 
--- a/include/trefoilwick/liveness.h
+++ b/include/trefoilwick/liveness.h
@@ -57,4 +57,24 @@
   TimePoint m_refilled;
 };
 
+// Servers left out for a while because they refused a request. One that refuses
+// again as soon as it is used again is left out for twice as long each time.
+// Load pattern: servers that leave while the store cannot tell so refuse
+// everything, and with nothing in progress look the most free.
+class RefusalMarks {
+ public:
+  // True when the server was not left out already.
+  bool Add(const std::string& server, TimePoint now);
+  std::set<std::string> Active(TimePoint now) const;
+  // Forgets what is long past.
+  void Sweep(TimePoint now);
+
+ private:
+  struct Mark {
+    TimePoint until;
+    Duration life{0};
+  };
+  std::map<std::string, Mark> m_marks;
+};
+
 }  // namespace trefoilwick
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -35,8 +35,6 @@
 constexpr int kMostBackoff = 3;
 constexpr Duration kConfigRetry = milliseconds(500);
 constexpr Duration kMemberSilence = milliseconds(1500);
-// A server that refused a request is left out by all for this long.
-constexpr Duration kRefusalLife = milliseconds(500);
 constexpr Duration kLostLife = seconds(2);
 // A report of a server goes before the list for longer than the list lags.
 constexpr Duration kReportedLife = seconds(3);
@@ -107,8 +105,7 @@
 }
 
 void Coordination::OnTick(TimePoint now) {
-  std::erase_if(m_refusing,
-                [&](const auto& entry) { return entry.second <= now; });
+  m_refusing.Sweep(now);
   std::erase_if(m_lost,
                 [&](const auto& entry) { return entry.second.until <= now; });
   if (std::any_of(m_reported.begin(), m_reported.end(),
@@ -409,19 +406,12 @@
 }
 
 void Coordination::MarkRefusing(TimePoint now, const std::string& server) {
-  TimePoint& until = m_refusing[server];
-  const bool is_new = until <= now;
-  until = now + kRefusalLife;
-  if (is_new)
+  if (m_refusing.Add(server, now))
     Broadcast(now, detail::EncodeRefusing({server}));
 }
 
 std::set<std::string> Coordination::Refusing(TimePoint now) const {
-  std::set<std::string> out;
-  for (const auto& [server, until] : m_refusing)
-    if (until > now)
-      out.insert(server);
-  return out;
+  return m_refusing.Active(now);
 }
 
 void Coordination::HearOfLost(const std::string& server) {
@@ -603,7 +593,7 @@
           },
           [&](const detail::RefusingServers& refusing) {
             for (const std::string& server : refusing.servers)
-              m_refusing[server] = now + kRefusalLife;
+              m_refusing.Add(server, now);
           },
           [&](const detail::ConfigurationMessage& configuration) {
             if (configuration.version > m_config_version)
--- a/src/liveness.cc
+++ b/src/liveness.cc
@@ -25,6 +25,11 @@
 constexpr double kProbesPerSecond = 120;
 constexpr double kLeastProbesPerSecond = 3;
 constexpr double kProbeBurst = 12;
+constexpr Duration kRefusalLife = milliseconds(500);
+constexpr Duration kMostRefusalLife = std::chrono::seconds(4);
+// A server that refuses within this time after its mark ended has refused all
+// along.
+constexpr Duration kRefusesAgain = milliseconds(1000);
 
 }  // namespace
 
@@ -85,4 +90,30 @@
   known.next = std::max(known.next, now + known.interval);
 }
 
+bool RefusalMarks::Add(const std::string& server, TimePoint now) {
+  Mark& mark = m_marks[server];
+  // Requests that were sent before the mark do not make it last longer.
+  if (now < mark.until)
+    return false;
+  const bool again =
+      mark.life > Duration(0) && now - mark.until <= kRefusesAgain;
+  mark.life = again ? std::min(mark.life * 2, kMostRefusalLife) : kRefusalLife;
+  mark.until = now + mark.life;
+  return true;
+}
+
+std::set<std::string> RefusalMarks::Active(TimePoint now) const {
+  std::set<std::string> out;
+  for (const auto& [server, mark] : m_marks)
+    if (now < mark.until)
+      out.insert(server);
+  return out;
+}
+
+void RefusalMarks::Sweep(TimePoint now) {
+  std::erase_if(m_marks, [&](const auto& entry) {
+    return now - entry.second.until > kRefusesAgain;
+  });
+}
+
 }  // namespace trefoilwick
--- a/test/liveness_test.cc
+++ b/test/liveness_test.cc
@@ -14,6 +14,9 @@
   CPPUNIT_TEST(ServerWithALivingStreamIsNot);
   CPPUNIT_TEST(ProbesOfSlowServersAreFew);
   CPPUNIT_TEST(LostServerIsProbedAtOnce);
+  CPPUNIT_TEST(ServerThatGoesOnRefusingIsLeftOutLonger);
+  CPPUNIT_TEST(RequestsSentBeforeTheMarkDoNotProlongIt);
+  CPPUNIT_TEST(OldRefusalsAreForgotten);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -93,6 +96,43 @@
     for (int i = 0; i < 12; ++i)
       CPPUNIT_ASSERT(limiter.Take("b" + std::to_string(i), now, 13));
   }
+
+  // Eight servers that left while the store was down cost the retry budget:
+  // each was tried again by all instances every 0.5 s (motionhall grown,
+  // trouble-3, seconds 22 to 32).
+  void ServerThatGoesOnRefusingIsLeftOutLonger() {
+    RefusalMarks marks;
+    TimePoint now{std::chrono::seconds(100)};
+    int refusals = 0;
+    for (const TimePoint end = now + std::chrono::seconds(10); now < end;
+         now += milliseconds(10))
+      if (marks.Active(now).empty()) {
+        CPPUNIT_ASSERT(marks.Add("leaving", now));
+        ++refusals;
+      }
+    CPPUNIT_ASSERT_EQUAL(5, refusals);
+  }
+
+  void RequestsSentBeforeTheMarkDoNotProlongIt() {
+    RefusalMarks marks;
+    const TimePoint now{std::chrono::seconds(100)};
+    CPPUNIT_ASSERT(marks.Add("a", now));
+    CPPUNIT_ASSERT(!marks.Add("a", now + milliseconds(400)));
+    CPPUNIT_ASSERT_EQUAL(size_t{1},
+                         marks.Active(now + milliseconds(499)).size());
+    CPPUNIT_ASSERT(marks.Active(now + milliseconds(501)).empty());
+  }
+
+  // A server that was full for a moment must not stay left out for seconds when
+  // it is full again much later.
+  void OldRefusalsAreForgotten() {
+    RefusalMarks marks;
+    TimePoint now{std::chrono::seconds(100)};
+    for (int i = 0; i < 4; ++i, now += milliseconds(2600)) {
+      CPPUNIT_ASSERT(marks.Add("a", now));
+      CPPUNIT_ASSERT(marks.Active(now + milliseconds(600)).empty());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LivenessTest);
