--- a/test/coordination_test.cc
+++ b/test/coordination_test.cc
@@ -595,14 +595,21 @@
     CPPUNIT_ASSERT(bytes <= 100'000);
   }
 
-  // The list went out again with every beat until the next report.
+  // The list went out again with every beat until the next report; orders let
+  // beats follow each other at once.
   void ListIsSentOnceToEach() {
     Cluster cluster(6);
+    cluster.store().servers["a"] = Server("a");
     cluster.Run(seconds(4));
+    const int first = cluster.IndexOf(cluster.Coordinator());
     cluster.lists_sent.clear();
     ++cluster.store().version;
     cluster.store().servers["b"] = Server("b");
-    cluster.Run(seconds(2));
+    for (int i = 0; i < 20; ++i) {
+      cluster.Run(milliseconds(100));
+      cluster.At(first).coordination->SetOrders(cluster.now(),
+                                                {{"a", LayerRange{i, 40}}});
+    }
     CPPUNIT_ASSERT_EQUAL(size_t{5}, cluster.lists_sent.size());
     for (const auto& [ip, count] : cluster.lists_sent)
       CPPUNIT_ASSERT_EQUAL(1, count);
