Decide by majority whether a server is lost before layers are placed anew

Change: instances report which servers they cannot reach; the coordinator places layers only for servers that most of those that had time to try cannot reach. A server that only this instance cannot reach is not used first, but behind another. An instance that heard of a loss does not tell all others again (117 x 117 datagrams for each lost server).

The new tests fail without the change: they need the verdict, the field of paths, and one announcement.

--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -153,8 +153,11 @@
   LoadMap Loads(TimePoint now) const;
   // Servers believed lost.
   std::set<std::string> Lost(TimePoint now) const;
-  // Servers lost for at least that long.
-  std::set<std::string> LostFor(TimePoint now, Duration at_least) const;
+  // Servers that this instance cannot reach and others do: they may serve
+  // behind another server.
+  std::set<std::string> UnreachableHere(TimePoint now) const;
+  // Servers lost for at least that long, for most instances.
+  std::set<std::string> ConfirmedLost(TimePoint now, Duration at_least) const;
 
  private:
   friend class Builder;
@@ -165,6 +168,7 @@
     TimePoint heard;
     LoadMap loads;
     SendCounts sends;
+    std::set<std::string> lost;
     // The list was sent, and is not sent again before it can have been
     // acknowledged.
     int64_t list_sent = 0;
@@ -174,6 +178,10 @@
     TimePoint since;
     TimePoint until;
   };
+  // The coordinator by what the others report, the others by its beats.
+  LossVerdict Verdict(TimePoint now,
+                      const std::string& server,
+                      const LostMark& mark) const;
 
   void NoteStoreAnswered(TimePoint now);
   // Derives the server maps from what was read, reported and ordered.
@@ -192,7 +200,7 @@
   void StepDown(TimePoint now);
   void ReadListIfStale(TimePoint now);
   void Broadcast(TimePoint now, const std::string& bytes);
-  void HearOfLost(const std::string& server);
+  void HearOfLost(TimePoint now, const std::string& server);
   void NoteConfigVersion(TimePoint now, int64_t version);
   // Members that would coordinate before this one.
   int TakeOverRank() const;
@@ -265,6 +273,10 @@
   std::map<std::string, Peer> m_peers;
   std::vector<ClusterMember> m_members;
   std::map<std::string, LostMark> m_lost;
+  // Servers that others told of, and when.
+  std::map<std::string, TimePoint> m_heard_lost;
+  // Servers that most instances cannot reach, by the last beat.
+  std::set<std::string> m_deployment_lost;
   RefusalMarks m_refusing;
   std::vector<CoordinationAction> m_actions;
 };
--- a/include/trefoilwick/layer_path.h
+++ b/include/trefoilwick/layer_path.h
@@ -80,6 +80,8 @@
   std::string data_center;
   // Servers not to use.
   std::set<std::string> excluded;
+  // Servers that cannot be reached from here, but by other servers.
+  std::set<std::string> not_first;
   // Servers that may be the first; empty for any.
   std::set<std::string> first_servers;
   // Set for a request in progress, whose first part must stay as it is.
--- a/include/trefoilwick/liveness.h
+++ b/include/trefoilwick/liveness.h
@@ -36,6 +36,28 @@
 std::set<std::string> SuspectServers(
     const std::vector<StreamProgress>& streams);
 
+// What another instance last said of the servers that it cannot reach.
+struct LossReport {
+  TimePoint heard;
+  const std::set<std::string>* lost = nullptr;
+};
+
+enum class LossVerdict : uint8_t {
+  // The others may not have tried yet.
+  kOpen,
+  kConfirmed,
+  // Most others reach the server: only the way from here is cut.
+  kContradicted,
+};
+
+// Whether a server that this instance cannot reach since `since` is lost, by
+// majority of those that have had time to try. Load pattern: the way between
+// some servers and some instances is cut, the coordinator among them.
+LossVerdict AssessLoss(const std::string& server,
+                       TimePoint since,
+                       TimePoint now,
+                       const std::vector<LossReport>& others);
+
 // Bounds the probes of an instance. A probe is a new connection, which costs
 // its server about as much as a step of all its requests: probes of servers
 // that are only slow would make them slower.
--- a/src/cluster.thrift
+++ b/src/cluster.thrift
@@ -19,8 +19,8 @@
   6: i64 config_version
   7: i64 list_version
   8: list<Load> loads
+  // Servers that it cannot reach.
   9: list<string> down
-  10: bool store_reachable
   // First and repeated sends of the current retry window.
   11: i32 requests
   12: i32 retries
@@ -58,6 +58,7 @@
   // Left out of most beats of a large deployment.
   6: list<DataCenterMembers> members
   7: list<Load> loads
+  // Servers that most instances cannot reach.
   8: list<string> down
   9: bool store_reachable
   10: list<Order> orders
--- a/src/cluster_codec.cc
+++ b/src/cluster_codec.cc
@@ -116,7 +116,8 @@
           report.config_version,
           report.list_version,
           FromWire(report.loads, report.names_key, names),
-          {report.requests, report.retries}};
+          {report.requests, report.retries},
+          {report.down.begin(), report.down.end()}};
 }
 
 std::map<std::string, LayerRange> FromWire(
@@ -260,6 +261,7 @@
   if (report.loads)
     out.loads = ToWire(*report.loads, names.newest());
   out.names_key = names.newest().key;
+  out.down.assign(report.lost.begin(), report.lost.end());
   out.requests = report.sends.requests;
   out.retries = report.sends.retries;
   message.__isset.report = true;
--- a/src/cluster_codec.h
+++ b/src/cluster_codec.h
@@ -40,6 +40,8 @@
   // Null when they refer to a list that the receiver does not know.
   std::optional<LoadMap> loads;
   SendCounts sends;
+  // Servers that the instance cannot reach.
+  std::set<std::string> lost;
 };
 
 struct CoordinatorBeat {
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -52,6 +52,9 @@
 constexpr Duration kRelieveAfter = seconds(2);
 constexpr Duration kMemberSilence = milliseconds(1500);
 constexpr Duration kLostLife = seconds(2);
+// A beat that was made when the others had tried to reach a lost server has
+// arrived after this time.
+constexpr Duration kVerdictKnown = milliseconds(900);
 // A report of a server goes before the list for longer than the list lags.
 constexpr Duration kReportedLife = seconds(3);
 
@@ -165,6 +168,9 @@
   if (std::any_of(m_reported.begin(), m_reported.end(),
                   [&](const auto& entry) { return entry.second.until <= now; }))
     UpdateServers(now);
+  std::erase_if(m_heard_lost, [&](const auto& entry) {
+    return now - entry.second > kLostLife;
+  });
   if (m_is_coordinator) {
     if (now >= m_next_lease_call && !m_lease_call_pending) {
       m_lease_call_pending = true;
@@ -459,6 +465,12 @@
   // With most servers lost it is rather the link of this instance.
   if (!is_new || m_lost.size() * 2 > m_servers->size())
     return;
+  // The coordinator counts who cannot reach the server.
+  m_next_report = now;
+  // What another one told everybody is not told again.
+  const auto heard = m_heard_lost.find(server);
+  if (heard != m_heard_lost.end() && now - heard->second < kLostLife)
+    return;
   Broadcast(now, detail::EncodeLost({server}));
 }
 
@@ -477,7 +489,8 @@
   return m_refusing.Active(now);
 }
 
-void Coordination::HearOfLost(const std::string& server) {
+void Coordination::HearOfLost(TimePoint now, const std::string& server) {
+  m_heard_lost[server] = now;
   if (!m_lost.contains(server) && m_servers->contains(server))
     m_actions.emplace_back(ProbeServer{server});
 }
@@ -487,14 +500,44 @@
 }
 
 std::set<std::string> Coordination::Lost(TimePoint now) const {
-  return LostFor(now, Duration(0));
+  std::set<std::string> out;
+  for (const auto& [server, mark] : m_lost)
+    if (mark.until > now)
+      out.insert(server);
+  return out;
 }
 
-std::set<std::string> Coordination::LostFor(TimePoint now,
-                                            Duration at_least) const {
+LossVerdict Coordination::Verdict(TimePoint now,
+                                  const std::string& server,
+                                  const LostMark& mark) const {
+  if (!m_is_coordinator) {
+    if (!HearsCoordinator(now) || now - mark.since < kVerdictKnown)
+      return LossVerdict::kOpen;
+    return m_deployment_lost.contains(server) ? LossVerdict::kConfirmed
+                                              : LossVerdict::kContradicted;
+  }
+  std::vector<LossReport> others;
+  for (const auto& [ip, peer] : m_peers)
+    if (now - peer.heard <= kMemberSilence)
+      others.push_back({peer.heard, &peer.lost});
+  return AssessLoss(server, mark.since, now, others);
+}
+
+std::set<std::string> Coordination::UnreachableHere(TimePoint now) const {
   std::set<std::string> out;
   for (const auto& [server, mark] : m_lost)
-    if (mark.until > now && now - mark.since >= at_least)
+    if (mark.until > now &&
+        Verdict(now, server, mark) == LossVerdict::kContradicted)
+      out.insert(server);
+  return out;
+}
+
+std::set<std::string> Coordination::ConfirmedLost(TimePoint now,
+                                                  Duration at_least) const {
+  std::set<std::string> out;
+  for (const auto& [server, mark] : m_lost)
+    if (mark.until > now && now - mark.since >= at_least &&
+        Verdict(now, server, mark) == LossVerdict::kConfirmed)
       out.insert(server);
   return out;
 }
@@ -540,6 +583,7 @@
   report.loads = m_local_loads;
   m_reported_loads = m_local_loads;
   report.sends = m_local_sends;
+  report.lost = Lost(now);
   m_reported_sends = m_local_sends;
   m_actions.emplace_back(
       SendDatagram{m_coordinator_ip, detail::EncodeReport(report, *m_names)});
@@ -557,7 +601,10 @@
   if (!large || ++m_beats % kMembersEvery == 0)
     beat.members = Members(now);
   beat.loads = Loads(now);
-  beat.lost = Lost(now);
+  for (const auto& [server, mark] : m_lost)
+    if (mark.until > now &&
+        Verdict(now, server, mark) != LossVerdict::kContradicted)
+      beat.lost.insert(server);
   beat.orders = m_orders;
   for (const auto& [server, reported] : m_reported)
     beat.held[server] = reported.layers;
@@ -612,6 +659,7 @@
             if (report.loads)
               peer.loads = *report.loads;
             peer.sends = report.sends;
+            peer.lost = report.lost;
             if (is_new && behind)
               SendList(now, report.member.ip, peer);
             if (is_new && report.config_version < m_config_version)
@@ -644,12 +692,13 @@
             for (const auto& [server, layers] : beat.held)
               m_reported[server] = {layers, now + kReportedLife};
             UpdateServers(now);
+            m_deployment_lost = beat.lost;
             for (const std::string& server : beat.lost) {
               // The coordinator goes on probing for all.
               if (const auto mark = m_lost.find(server); mark != m_lost.end())
                 mark->second.until = now + kLostLife;
               else
-                HearOfLost(server);
+                HearOfLost(now, server);
             }
             // A list that is as new as the coordinator's is as fresh, too.
             if (m_list_version >= beat.list_version && m_list_version > 0)
@@ -674,7 +723,7 @@
           },
           [&](const detail::LostServers& lost) {
             for (const std::string& server : lost.servers)
-              HearOfLost(server);
+              HearOfLost(now, server);
           },
       },
       *message);
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -222,8 +222,7 @@
     return true;
   const TimePoint now = Now();
   const std::string& service = servers().at(choice.path.front().server).service;
-  const bool needed =
-      !HasLocalPath(engine, servers(), service, m_coordination.Lost(now));
+  const bool needed = !HasLocalPath(engine, servers(), service, Avoided(now));
   if (!m_crossings.Fits(now, engine, m_coordination.Members(now).size(), tokens,
                         crossings, needed))
     return false;
@@ -240,6 +239,8 @@
 
 std::set<std::string> GatewayCore::Avoided(TimePoint now) {
   std::set<std::string> out = m_coordination.Lost(now);
+  for (const std::string& server : m_coordination.UnreachableHere(now))
+    out.erase(server);
   out.merge(m_coordination.Refusing(now));
   return out;
 }
@@ -398,10 +399,12 @@
   m_coordination.OnTick(now);
   RunActions();
   TellLost();
-  // One instance probes lost servers for all that hear it.
-  if (!m_coordination.HearsCoordinator(now))
-    for (const std::string& server : m_coordination.Lost(now))
-      Probe(server);
+  // One instance probes lost servers for all that hear it, but for those that
+  // only this one cannot reach.
+  for (const std::string& server : m_coordination.HearsCoordinator(now)
+                                       ? m_coordination.UnreachableHere(now)
+                                       : m_coordination.Lost(now))
+    Probe(server);
   if (m_seen_servers != m_coordination.servers())
     OnServersChanged();
   PlaceLayers(now);
@@ -645,7 +648,12 @@
   std::map<std::string, LayerRange> pending;
   for (const auto& [id, order] : m_orders)
     pending[id] = order.layers;
-  const auto lost = m_coordination.LostFor(now, kLostBeforePlacing);
+  const auto lost = m_coordination.ConfirmedLost(now, kLostBeforePlacing);
+  // No order reaches these: they stay as they are.
+  for (const std::string& id : m_coordination.UnreachableHere(now))
+    if (const auto server = m_coordination.listed()->find(id);
+        server != m_coordination.listed()->end() && server->second.layers)
+      pending.try_emplace(id, *server->second.layers);
   const std::set<std::string> fresh = FreshServers(now);
   for (const auto& [name, service] : m_table->services()) {
     if (!service.engine || service.engine->layers == 0)
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -256,6 +256,7 @@
   wanted.data_center =
       m_data_center.empty() ? m_core.settings().data_center : m_data_center;
   wanted.excluded = m_core.Avoided(m_core.Now());
+  wanted.not_first = m_core.coordination().UnreachableHere(m_core.Now());
   for (const auto& [server, until] : m_avoid)
     if (until > m_core.Now())
       wanted.excluded.insert(server);
@@ -279,7 +280,8 @@
 
 bool Exchange::ChoosePlain() {
   const LoadMap loads = m_core.coordination().Loads(m_core.Now());
-  const std::set<std::string> lost = m_core.Avoided(m_core.Now());
+  std::set<std::string> lost = m_core.Avoided(m_core.Now());
+  lost.merge(m_core.coordination().UnreachableHere(m_core.Now()));
   // Work on a server of another data center counts as a little more.
   constexpr double kRemotePenalty = 1.5;
   const BackendServer* best = nullptr;
--- a/src/gen/cluster_types.cpp
+++ b/src/gen/cluster_types.cpp
@@ -186,10 +186,6 @@
   this->down = val;
 }
 
-void Report::__set_store_reachable(const bool val) {
-  this->store_reachable = val;
-}
-
 void Report::__set_requests(const int32_t val) {
   this->requests = val;
 }
@@ -325,14 +321,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->store_reachable);
-          this->__isset.store_reachable = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 11:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->requests);
@@ -426,10 +414,6 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("store_reachable", ::apache::thrift::protocol::T_BOOL, 10);
-  xfer += oprot->writeBool(this->store_reachable);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I32, 11);
   xfer += oprot->writeI32(this->requests);
   xfer += oprot->writeFieldEnd();
@@ -458,7 +442,6 @@
   swap(a.list_version, b.list_version);
   swap(a.loads, b.loads);
   swap(a.down, b.down);
-  swap(a.store_reachable, b.store_reachable);
   swap(a.requests, b.requests);
   swap(a.retries, b.retries);
   swap(a.names_key, b.names_key);
@@ -475,7 +458,6 @@
   list_version = other14.list_version;
   loads = other14.loads;
   down = other14.down;
-  store_reachable = other14.store_reachable;
   requests = other14.requests;
   retries = other14.retries;
   names_key = other14.names_key;
@@ -491,7 +473,6 @@
   list_version = other15.list_version;
   loads = other15.loads;
   down = other15.down;
-  store_reachable = other15.store_reachable;
   requests = other15.requests;
   retries = other15.retries;
   names_key = other15.names_key;
@@ -510,7 +491,6 @@
   out << ", " << "list_version=" << to_string(list_version);
   out << ", " << "loads=" << to_string(loads);
   out << ", " << "down=" << to_string(down);
-  out << ", " << "store_reachable=" << to_string(store_reachable);
   out << ", " << "requests=" << to_string(requests);
   out << ", " << "retries=" << to_string(retries);
   out << ", " << "names_key=" << to_string(names_key);
--- a/src/gen/cluster_types.h
+++ b/src/gen/cluster_types.h
@@ -99,7 +99,7 @@
 std::ostream& operator<<(std::ostream& out, const Load& obj);
 
 typedef struct _Report__isset {
-  _Report__isset() : ip(false), data_center(false), incarnation(false), accepting(false), cpu_milli(false), config_version(false), list_version(false), loads(false), down(false), store_reachable(false), requests(false), retries(false), names_key(false) {}
+  _Report__isset() : ip(false), data_center(false), incarnation(false), accepting(false), cpu_milli(false), config_version(false), list_version(false), loads(false), down(false), requests(false), retries(false), names_key(false) {}
   bool ip :1;
   bool data_center :1;
   bool incarnation :1;
@@ -109,7 +109,6 @@
   bool list_version :1;
   bool loads :1;
   bool down :1;
-  bool store_reachable :1;
   bool requests :1;
   bool retries :1;
   bool names_key :1;
@@ -128,7 +127,6 @@
            cpu_milli(0),
            config_version(0),
            list_version(0),
-           store_reachable(0),
            requests(0),
            retries(0),
            names_key(0) {
@@ -144,7 +142,6 @@
   int64_t list_version;
   std::vector<Load>  loads;
   std::vector<std::string>  down;
-  bool store_reachable;
   int32_t requests;
   int32_t retries;
   int64_t names_key;
@@ -169,8 +166,6 @@
 
   void __set_down(const std::vector<std::string> & val);
 
-  void __set_store_reachable(const bool val);
-
   void __set_requests(const int32_t val);
 
   void __set_retries(const int32_t val);
@@ -197,8 +192,6 @@
       return false;
     if (!(down == rhs.down))
       return false;
-    if (!(store_reachable == rhs.store_reachable))
-      return false;
     if (!(requests == rhs.requests))
       return false;
     if (!(retries == rhs.retries))
--- a/src/layer_path.cc
+++ b/src/layer_path.cc
@@ -239,8 +239,10 @@
         continue;
       Cell& cell = table[layer][who];
       if (layer == 0) {
-        if (request.first_servers.empty() || request.first_part ||
-            request.first_servers.contains(here.server->id))
+        const std::string& id = here.server->id;
+        if (request.first_part || (!request.not_first.contains(id) &&
+                                   (request.first_servers.empty() ||
+                                    request.first_servers.contains(id))))
           cell.cost =
               here.layer_cost + (here.server->data_center == request.data_center
                                      ? 0
--- a/src/liveness.cc
+++ b/src/liveness.cc
@@ -25,6 +25,10 @@
 constexpr double kProbesPerSecond = 120;
 constexpr double kLeastProbesPerSecond = 3;
 constexpr double kProbeBurst = 12;
+// Others hear of a lost server, and probe it, within this time.
+constexpr Duration kTrialTime = milliseconds(100);
+// Without word from half of the others an instance decides alone.
+constexpr Duration kMostVerdictWait = milliseconds(1200);
 constexpr Duration kRefusalLife = milliseconds(500);
 constexpr Duration kMostRefusalLife = std::chrono::seconds(4);
 // A server that refuses within this time after its mark ended has refused all
@@ -64,6 +68,27 @@
   return suspects;
 }
 
+LossVerdict AssessLoss(const std::string& server,
+                       TimePoint since,
+                       TimePoint now,
+                       const std::vector<LossReport>& others) {
+  size_t lost = 1;
+  size_t asked = 1;
+  for (const LossReport& other : others) {
+    const bool agrees = other.lost->contains(server);
+    if (!agrees && other.heard < since + kTrialTime)
+      continue;
+    ++asked;
+    lost += agrees ? 1 : 0;
+  }
+  if (lost * 2 > others.size() + 1)
+    return LossVerdict::kConfirmed;
+  if (asked * 2 <= others.size() + 1 && now - since < kMostVerdictWait)
+    return LossVerdict::kOpen;
+  return lost * 2 > asked ? LossVerdict::kConfirmed
+                          : LossVerdict::kContradicted;
+}
+
 bool ProbeLimiter::Take(const std::string& server,
                         TimePoint now,
                         size_t instances) {
--- a/test/coordination_test.cc
+++ b/test/coordination_test.cc
@@ -247,6 +247,8 @@
   CPPUNIT_TEST(BadOwnLinkIsNotAnnounced);
   CPPUNIT_TEST(CallsDoNotGrowWithInstances);
   CPPUNIT_TEST(CallsDuringAnOutageAreBounded);
+  CPPUNIT_TEST(ServerThatOnlyTheCoordinatorMissesIsKept);
+  CPPUNIT_TEST(LossIsToldToAllOnce);
   CPPUNIT_TEST(SmallCoordinatorIsRelieved);
   CPPUNIT_TEST(RelaysLeaveTheLinkToOthers);
   CPPUNIT_TEST(ListIsSentOnceToEach);
@@ -546,6 +548,48 @@
     CPPUNIT_ASSERT(few <= 25);
   }
 
+  void ServerThatOnlyTheCoordinatorMissesIsKept() {
+    Cluster cluster(5);
+    for (const char* id : {"a", "b", "c", "d", "e"})
+      cluster.store().servers[id] = Server(id);
+    cluster.Run(seconds(3));
+    const int first = cluster.IndexOf(cluster.Coordinator());
+    Coordination& coordinator = *cluster.At(first).coordination;
+    coordinator.MarkLost(cluster.now(), "a");
+    coordinator.MarkLost(cluster.now(), "b");
+    for (int i = 0; i < 5; ++i)
+      if (i != first)
+        cluster.At(i).coordination->MarkLost(cluster.now(), "b");
+    cluster.Run(milliseconds(400));
+    const std::set<std::string> all =
+        coordinator.ConfirmedLost(cluster.now(), milliseconds(300));
+    CPPUNIT_ASSERT(all == std::set<std::string>{"b"});
+    CPPUNIT_ASSERT(coordinator.UnreachableHere(cluster.now()) ==
+                   std::set<std::string>{"a"});
+    // A follower that alone misses a server learns the same from beats.
+    Coordination& other = *cluster.At((first + 1) % 5).coordination;
+    other.MarkLost(cluster.now(), "c");
+    cluster.Run(milliseconds(1000));
+    CPPUNIT_ASSERT(other.UnreachableHere(cluster.now()) ==
+                   std::set<std::string>{"c"});
+  }
+
+  // Each of 117 instances told all others of each lost server: 13,600
+  // datagrams.
+  void LossIsToldToAllOnce() {
+    Cluster cluster(5);
+    for (const char* id : {"a", "b", "c", "d", "e"})
+      cluster.store().servers[id] = Server(id);
+    cluster.Run(seconds(3));
+    Coordination& node = *cluster.At(1).coordination;
+    node.OnDatagram(cluster.now(), detail::EncodeLost({"a"}));
+    node.TakeActions();
+    node.MarkLost(cluster.now(), "a");
+    CPPUNIT_ASSERT(node.TakeActions().empty());
+    node.MarkLost(cluster.now(), "b");
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, node.TakeActions().size());
+  }
+
   // After a loss of all instances one with a link of 14 Mbit/s coordinated 117
   // others; its beats came so late that the next took the lease each two
   // seconds (motionhall grown, a drawn day).
--- a/test/layer_path_test.cc
+++ b/test/layer_path_test.cc
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(CrossingsStayBelowTheLink);
   CPPUNIT_TEST(KeepsTheFirstPartOfARequestInProgress);
   CPPUNIT_TEST(OnlyAllowedFirstServers);
+  CPPUNIT_TEST(ServerOutOfReachServesBehindAnother);
   CPPUNIT_TEST(NoPathWithoutAHolder);
   CPPUNIT_TEST(RandomFleetsGiveWholePaths);
   CPPUNIT_TEST(WholePathFindsEachDefect);
@@ -183,6 +184,25 @@
     CPPUNIT_ASSERT_EQUAL(home->path[0].server, choice->path[0].server);
   }
 
+  // Instances left servers out that only they could not reach, and had no whole
+  // path in their data center (motionhall, partly-reachable-servers).
+  void ServerOutOfReachServesBehindAnother() {
+    const ServerMap servers = TiledFleet({"regina"});
+    const auto usual =
+        ChoosePath(Engine(), servers, {}, Request("regina"), kMostUse);
+    PathRequest request = Request("regina");
+    for (const PathPart& part : usual->path)
+      if (part.server != usual->path.front().server)
+        request.not_first.insert(part.server);
+    const auto choice = ChoosePath(Engine(), servers, {}, request, kMostUse);
+    CPPUNIT_ASSERT(choice.has_value());
+    CPPUNIT_ASSERT(choice->path == usual->path);
+    for (const auto& [id, server] : servers)
+      request.not_first.insert(id);
+    CPPUNIT_ASSERT(
+        !ChoosePath(Engine(), servers, {}, request, kMostUse).has_value());
+  }
+
   void NoPathWithoutAHolder() {
     ServerMap servers = TiledFleet({"regina"});
     PathRequest request = Request("regina");
--- a/test/liveness_test.cc
+++ b/test/liveness_test.cc
@@ -17,6 +17,8 @@
   CPPUNIT_TEST(ServerThatGoesOnRefusingIsLeftOutLonger);
   CPPUNIT_TEST(RequestsSentBeforeTheMarkDoNotProlongIt);
   CPPUNIT_TEST(OldRefusalsAreForgotten);
+  CPPUNIT_TEST(LossIsDecidedByThoseThatTried);
+  CPPUNIT_TEST(LossIsDecidedAloneWhenNobodyAnswers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -133,6 +135,37 @@
       CPPUNIT_ASSERT(marks.Active(now + milliseconds(600)).empty());
     }
   }
+
+  // A coordinator that alone could not reach six servers placed all layers anew
+  // and left three data centers without a whole model (motionhall,
+  // partly-reachable-servers).
+  void LossIsDecidedByThoseThatTried() {
+    const TimePoint since{std::chrono::seconds(100)};
+    const TimePoint now = since + milliseconds(400);
+    const std::set<std::string> none;
+    const std::set<std::string> lost = {"a"};
+    const LossReport before{since + milliseconds(20), &none};
+    const LossReport reaches{since + milliseconds(200), &none};
+    const LossReport agrees{since + milliseconds(60), &lost};
+    CPPUNIT_ASSERT(AssessLoss("a", since, now, {before, before, before}) ==
+                   LossVerdict::kOpen);
+    CPPUNIT_ASSERT(AssessLoss("a", since, now, {agrees, agrees, before}) ==
+                   LossVerdict::kConfirmed);
+    CPPUNIT_ASSERT(AssessLoss("a", since, now, {reaches, reaches, agrees}) ==
+                   LossVerdict::kContradicted);
+    CPPUNIT_ASSERT(AssessLoss("a", since, now, {reaches, agrees, agrees}) ==
+                   LossVerdict::kConfirmed);
+  }
+
+  void LossIsDecidedAloneWhenNobodyAnswers() {
+    const TimePoint since{std::chrono::seconds(100)};
+    const std::set<std::string> none;
+    const LossReport before{since, &none};
+    CPPUNIT_ASSERT(AssessLoss("a", since, since, {}) ==
+                   LossVerdict::kConfirmed);
+    CPPUNIT_ASSERT(AssessLoss("a", since, since + std::chrono::seconds(2),
+                              {before, before}) == LossVerdict::kConfirmed);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LivenessTest);
