--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -572,9 +572,7 @@
 }
 
 void Coordination::SendReport(TimePoint now) {
-  m_next_report =
-      now + (m_members.size() > kLargeDeployment ? kLargeBeatInterval
-                                                 : kReportInterval);
+  m_next_report = now + kReportInterval;
   detail::InstanceReport report;
   report.member = {m_ip, m_data_center, m_accepting, m_cpu_milli};
   report.incarnation = m_incarnation;
