--- a/src/cluster_codec.cc
+++ b/src/cluster_codec.cc
@@ -101,6 +101,7 @@
     item.cpu_milli = member.cpu_milli;
   }
   std::vector<wire::DataCenterMembers> out;
+  out.reserve(groups.size());
   for (auto& [data_center, group] : groups)
     out.push_back(std::move(group));
   return out;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -520,13 +520,11 @@
   const bool names_other = !m_head.fault_address.empty() &&
                            first != m_core.servers().end() &&
                            m_head.fault_address != first->second.address;
-  if (!m_path.empty() && first != m_core.servers().end())
-    m_core.MarkRefusing(names_other ? m_head.fault_address
-                                    : first->second.address);
   if (!names_other) {
     Avoid(m_server);
     return;
   }
+  m_core.MarkRefusing(m_head.fault_address);
   for (const PathPart& part : m_path) {
     const auto server = m_core.servers().find(part.server);
     if (server != m_core.servers().end() &&
