Do not spend the slack of the retry budget anew after a loss of all instances

Change: for one window after its start an instance uses a quarter of the slack, and 3 repeats while it has not heard of any other instance.

StartedInstancesDoNotSpendTheSlackAnew fails without the change: 133 x 445.

--- a/include/trefoilwick/forwarding.h
+++ b/include/trefoilwick/forwarding.h
@@ -225,6 +225,18 @@
     m_ratio = ratio;
     m_slack = slack;
   }
+  // How much this instance knows of what the deployment sent in the window.
+  enum class Knowledge : uint8_t {
+    // It runs for longer than the window.
+    kAll,
+    // It started within the window: what ended processes sent is forgotten.
+    kSinceStart,
+    // It started within the window and has not heard of any other instance.
+    kOwnOnly,
+  };
+  // Bounds the slack that may be used accordingly. Load pattern: all instances
+  // are lost and start again while servers refuse.
+  void SetKnowledge(Knowledge knowledge) { m_knowledge = knowledge; }
   void OnRequest(TimePoint now);
   struct Counts {
     double requests = 0;
@@ -257,11 +269,13 @@
     double retries = 0;
   };
   Slice& At(TimePoint now);
+  double UsableSlack() const;
   int64_t IndexOf(TimePoint now) const;
 
   double m_ratio;
   double m_slack;
   Duration m_window;
+  Knowledge m_knowledge = Knowledge::kAll;
   Slice m_slices[kSlices];
 };
 
--- a/src/forwarding.cc
+++ b/src/forwarding.cc
@@ -19,6 +19,11 @@
 // Part of the retry budget that covers the error of what is heard of others.
 constexpr double kBudgetReserve = 0.2;
 constexpr double kBudgetForNew = 0.55;
+// Part of the slack that an instance uses while it does not know what was sent
+// before it started, and the sends of one that has not heard of any other: 133
+// may start together.
+constexpr double kSlackSinceStart = 0.25;
+constexpr double kSlackAlone = 3;
 
 // Parts of the time that a leaving server serves on: when requests move off it,
 // and when they do so even to another data center.
@@ -283,13 +288,25 @@
   return sum;
 }
 
+double RetryWindow::UsableSlack() const {
+  switch (m_knowledge) {
+    case Knowledge::kAll:
+      return m_slack;
+    case Knowledge::kSinceStart:
+      return m_slack * kSlackSinceStart;
+    case Knowledge::kOwnOnly:
+      return std::min(m_slack, kSlackAlone);
+  }
+  return 0;
+}
+
 bool RetryWindow::MayRetry(TimePoint now,
                            const Counts& elsewhere,
                            size_t others,
                            bool begun) const {
   const Counts local = Local(now);
   const double budget =
-      m_ratio * (local.requests + elsewhere.requests) + m_slack;
+      m_ratio * (local.requests + elsewhere.requests) + UsableSlack();
   const double unheard = local.recent_retries * static_cast<double>(others);
   const double usable = budget * (begun ? 1 - kBudgetReserve : kBudgetForNew);
   return local.retries + elsewhere.retries + unheard + 1 <= usable;
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -89,7 +89,10 @@
       m_tick_timer(io),
       m_watch_timer(io),
       m_silence_timer(io),
-      m_last_tick(m_clock.Now()) {}
+      m_started(m_clock.Now()),
+      m_last_tick(m_clock.Now()) {
+  m_retries.SetKnowledge(RetryWindow::Knowledge::kOwnOnly);
+}
 
 GatewayCore::~GatewayCore() = default;
 
@@ -197,6 +200,14 @@
           static_cast<double>(sends.retries), 0};
 }
 
+RetryWindow::Knowledge GatewayCore::KnownSends(TimePoint now) const {
+  if (now - m_started > m_settings.retry_window)
+    return RetryWindow::Knowledge::kAll;
+  return m_coordination.Members(now).size() > 1
+             ? RetryWindow::Knowledge::kSinceStart
+             : RetryWindow::Knowledge::kOwnOnly;
+}
+
 bool GatewayCore::TryRetry(bool begun) {
   const TimePoint now = Now();
   return m_retries.TryRetry(now, SendsElsewhere(now),
@@ -394,6 +405,7 @@
   const TimePoint now = Now();
   NoticeSuspension(now);
   const RetryWindow::Counts sends = m_retries.Local(now);
+  m_retries.SetKnowledge(KnownSends(now));
   m_coordination.SetLocalSends(
       {static_cast<int>(sends.requests), static_cast<int>(sends.retries)});
   m_coordination.OnTick(now);
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -130,6 +130,7 @@
   void NoticeOrders();
   bool AnyLayersHeld() const;
   RetryWindow::Counts SendsElsewhere(TimePoint now) const;
+  RetryWindow::Knowledge KnownSends(TimePoint now) const;
   void PlaceLayers(TimePoint now);
   void ShareOrders();
   void LogLayout(const EngineModel& engine,
@@ -179,6 +180,7 @@
   boost::asio::steady_timer m_tick_timer;
   boost::asio::steady_timer m_watch_timer;
   boost::asio::steady_timer m_silence_timer;
+  TimePoint m_started;
   TimePoint m_last_tick;
   bool m_store_answers = true;
   TimePoint m_store_lost_at;
--- a/test/forwarding_test.cc
+++ b/test/forwarding_test.cc
@@ -61,6 +61,7 @@
   CPPUNIT_TEST(EventsSurviveAnyCut);
   CPPUNIT_TEST(RetryWindowBoundsAllInstances);
   CPPUNIT_TEST(RetryWindowForgets);
+  CPPUNIT_TEST(StartedInstancesDoNotSpendTheSlackAnew);
   CPPUNIT_TEST(LastRetriesAreForAnswersInProgress);
   CPPUNIT_TEST_SUITE_END();
 
@@ -417,6 +418,33 @@
     CPPUNIT_ASSERT(fresh + begun <= 100);
   }
 
+  // After a loss of all instances each of 133 had the whole slack again, and
+  // knew nothing of what had been sent before (malabar-gnomon grown, a drawn
+  // day: BUDGET).
+  void StartedInstancesDoNotSpendTheSlackAnew() {
+    constexpr int kInstances = 133;
+    constexpr double kSlack = 557;
+    const TimePoint start(seconds(1000));
+    const auto spend = [&](RetryWindow& window) {
+      int sent = 0;
+      while (window.TryRetry(start, {}, 0, true))
+        ++sent;
+      return sent;
+    };
+    int alone = 0;
+    for (int i = 0; i < kInstances; ++i) {
+      RetryWindow window(0.2, kSlack, seconds(10));
+      window.SetKnowledge(RetryWindow::Knowledge::kOwnOnly);
+      alone += spend(window);
+    }
+    CPPUNIT_ASSERT(alone > 0);
+    CPPUNIT_ASSERT(alone < kSlack);
+    RetryWindow before(0.2, kSlack, seconds(10));
+    RetryWindow after(0.2, kSlack, seconds(10));
+    after.SetKnowledge(RetryWindow::Knowledge::kSinceStart);
+    CPPUNIT_ASSERT(spend(before) + spend(after) <= kSlack);
+  }
+
   void RetryWindowForgets() {
     RetryWindow window(0, 10, seconds(10));
     const TimePoint start(seconds(1000));
