--- a/test/gateway_harness.h
+++ b/test/gateway_harness.h
@@ -244,7 +244,7 @@
     CPPUNIT_FAIL("the gateway did not become ready");
   }
 
-  void SetTable(std::shared_ptr<const RouteTable> table) {
+  void SetTable(const std::shared_ptr<const RouteTable>& table) {
     asio::post(m_io, [this, table] { m_store.table = table; });
   }
 
