Spread streams that lost a server by what servers still have to read

Likewise 30 streams of a lost later server were read one after the other by the only other holder (80 to 140 ms). An instance took 2.5 ms for each move. Ruled out: the orders themselves (10 ms) and the retry budget (no refusal).

Change: an instance keeps the time for which servers read what it sent them; paths cost more by it. Streams of a lost server count for all instances that move such streams at the same moment. A stream starts anew elsewhere when that is sooner than a repath. Four streams that are overdue together are suspicious, and a loss that another instance tells is believed without a probe when all own streams on the server are overdue.

--- a/include/trefoilwick/layer_path.h
+++ b/include/trefoilwick/layer_path.h
@@ -86,6 +86,9 @@
   std::set<std::string> first_servers;
   // Set for a request in progress, whose first part must stay as it is.
   std::optional<PathPart> first_part;
+  // Milliseconds that servers still read prompts sent to them before; none for
+  // those that are missing.
+  std::map<std::string, double> backlog_ms;
   // The path may lead through several data centers when none has room for it.
   // All such paths share the links between them, which carry a small part of
   // the traffic only.
@@ -121,6 +124,37 @@
                   const std::string& service,
                   const std::set<std::string>& excluded);
 
+// Prompts that servers have been sent and not read yet, as far as one instance
+// knows. Load pattern: a server is lost and all of its streams are read again
+// at the same moment; sent to the one cheapest path they wait for each other.
+class ReadingBacklog {
+ public:
+  // The parts of `path` are sent `tokens` to read. Servers in `kept` hold them
+  // already. `copies` is the number of requests like this one that all
+  // instances send together, over those of this instance.
+  void Add(TimePoint now,
+           const EngineModel& engine,
+           const ServerMap& servers,
+           const LayerPath& path,
+           const std::set<std::string>& kept,
+           double tokens,
+           double copies);
+  // By server, those that still read.
+  std::map<std::string, double> Milliseconds(TimePoint now);
+
+ private:
+  std::map<std::string, TimePoint> m_read_until;
+};
+
+// Milliseconds until the parts of `path`, less the servers in `kept`, have read
+// `tokens`, after what is in `backlog_ms`.
+double ReadingTime(const EngineModel& engine,
+                   const ServerMap& servers,
+                   const LayerPath& path,
+                   const std::set<std::string>& kept,
+                   double tokens,
+                   const std::map<std::string, double>& backlog_ms);
+
 // Bounds the paths that one instance leads over the links between data centers.
 // Load pattern: every data center lacks a layer; beyond what the links carry,
 // crossing paths slow each other down until nothing is on time.
@@ -142,6 +176,26 @@
   TimePoint m_refilled;
 };
 
+// What is known of the length of a request, in tokens; 0 when it is not.
+struct TokenEstimate {
+  double prompt = 0;
+  // The client's estimate of the answer, and the longest that it accepts.
+  double answer_hint = 0;
+  double most_answer = 0;
+  // Mean of all answers of the model.
+  double usual_answer = 0;
+};
+
+// Tokens of KV memory to reserve for a request: what it holds on average over
+// its time. Load pattern: a burst that fills the memory. With the full length
+// reserved, servers refused work while a quarter of their memory was free.
+double ReservedTokens(const TokenEstimate& estimate);
+
+// Largest share of a server's KV memory that reservations may take. Streams in
+// progress go on to more than new ones may take: whoever lost a server keeps
+// what was begun.
+double MostMemoryUse(bool in_progress);
+
 // One order to a server: hold exactly `layers`.
 struct PlacementOrder {
   std::string server;
--- a/include/trefoilwick/liveness.h
+++ b/include/trefoilwick/liveness.h
@@ -15,6 +15,9 @@
 // How long a stream has been without an event.
 enum class Silence : uint8_t {
   kNone,
+  // The next event is overdue: evidence beside that of another instance, or of
+  // several other streams.
+  kOverdue,
   // Suspicious when others on the same server are silent as well.
   kShort,
   // Suspicious by itself.
@@ -36,6 +39,12 @@
 std::set<std::string> SuspectServers(
     const std::vector<StreamProgress>& streams);
 
+// True when every stream on the server is at least overdue, and there is one.
+// With the word of an instance that could not reach the server this is proof
+// enough: a probe of one's own would make the pause of each stream longer.
+bool CorroboratesLoss(const std::string& server,
+                      const std::vector<StreamProgress>& streams);
+
 // What another instance last said of the servers that it cannot reach.
 struct LossReport {
   TimePoint heard;
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -49,14 +49,16 @@
 constexpr Duration kServerConnect = milliseconds(400);
 // Well above a round trip between data centers. One opening packet may be lost:
 // a second one follows.
-constexpr Duration kProbeTimeout = milliseconds(25);
-constexpr Duration kSecondProbeAfter = milliseconds(8);
-constexpr Duration kSilenceCheckInterval = milliseconds(15);
+constexpr Duration kProbeTimeout = milliseconds(20);
+constexpr Duration kSecondProbeAfter = milliseconds(7);
+constexpr Duration kSilenceCheckInterval = milliseconds(10);
 constexpr Duration kConfigWatch = seconds(1);
 constexpr Duration kWatchCheck = milliseconds(250);
 constexpr Duration kConfigRetry = milliseconds(500);
 constexpr int kMostWatchBackoff = 6;
 constexpr int kMaxLogLinesPerSecond = 200;
+// Requests move off a lost server within this time.
+constexpr Duration kRecoveryTime = milliseconds(300);
 
 }  // namespace
 
@@ -179,6 +181,20 @@
   m_coordination.SetLocalLoads(m_local_loads);
 }
 
+double GatewayCore::RecoveryCopies(const std::string& server, TimePoint now) {
+  Recovery& recovery = m_recoveries[server];
+  if (now < recovery.until)
+    return recovery.copies;
+  recovery = {1, now + kRecoveryTime};
+  const auto own = m_local_loads.find(server);
+  const LoadMap loads = m_coordination.Loads(now);
+  const auto all = loads.find(server);
+  if (own != m_local_loads.end() && all != loads.end())
+    recovery.copies = std::max(1.0, static_cast<double>(all->second.sequences) /
+                                        std::max(1, own->second.sequences));
+  return recovery.copies;
+}
+
 std::string GatewayCore::OtherDataCenter(const std::string& server) {
   const auto from = servers().find(server);
   if (from == servers().end())
@@ -379,16 +395,28 @@
   });
 }
 
-void GatewayCore::CheckSilence() {
+std::vector<StreamProgress> GatewayCore::Streams() const {
   const TimePoint now = Now();
   std::vector<StreamProgress> streams;
   for (const Exchange* exchange : m_exchanges)
     if (const auto progress = exchange->Progress(now))
       streams.push_back(*progress);
-  for (const std::string& server : SuspectServers(streams))
+  return streams;
+}
+
+void GatewayCore::CheckSilence() {
+  for (const std::string& server : SuspectServers(Streams()))
     Probe(server);
 }
 
+// Another instance cannot reach the server.
+void GatewayCore::OnLossHeard(const std::string& server) {
+  if (CorroboratesLoss(server, Streams()))
+    ReportLost(server);
+  // A server that answers is used again.
+  Probe(server);
+}
+
 void GatewayCore::NoticeSuspension(TimePoint now) {
   if (now - m_last_tick > kSuspension) {
     Log("suspended",
@@ -433,6 +461,8 @@
   if (now >= m_next_sweep) {
     m_next_sweep = now + kSweepInterval;
     m_pool.Sweep(now);
+    std::erase_if(m_recoveries,
+                  [&](const auto& entry) { return entry.second.until <= now; });
   }
   if (m_leaving)
     ContinueLeaving(now);
@@ -450,7 +480,7 @@
                                       udp::endpoint(ip, m_settings.peer_port),
                                       0, error);
             },
-            [&](ProbeServer& probe) { Probe(probe.server); },
+            [&](ProbeServer& probe) { OnLossHeard(probe.server); },
             [&](ReadLease&) {
               m_store->ReadLease([this](const std::optional<LeaseRow>& row) {
                 NoteStore(row.has_value());
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -79,6 +79,12 @@
   // Requests that wait go before this one.
   bool MustQueue(const Exchange& exchange) const;
 
+  // Prompts that servers still read, as far as this instance knows.
+  ReadingBacklog& backlog() { return m_backlog; }
+  // Requests that all instances move off a server, over those that this one
+  // does: all notice its loss at the same time.
+  double RecoveryCopies(const std::string& server, TimePoint now);
+
   void AddLoad(const LayerPath& path, double tokens, int sign);
   void AddLoad(const std::string& server, int sign);
 
@@ -153,6 +159,9 @@
   void ContinueLeaving(TimePoint now);
   void ScheduleSilenceCheck();
   void CheckSilence();
+  // Streams that have begun.
+  std::vector<StreamProgress> Streams() const;
+  void OnLossHeard(const std::string& server);
 
   boost::asio::io_context& m_io;
   GatewaySettings m_settings;
@@ -166,6 +175,13 @@
   HttpCaller m_server_calls;
   RetryWindow m_retries;
   CrossingBudget m_crossings;
+  ReadingBacklog m_backlog;
+  struct Recovery {
+    double copies = 1;
+    TimePoint until;
+  };
+  // Servers whose requests are on the move.
+  std::map<std::string, Recovery> m_recoveries;
   std::shared_ptr<const RouteTable> m_table;
   std::shared_ptr<const ServerMap> m_seen_servers;
   std::shared_ptr<const ServerMap> m_seen_list;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -17,18 +17,12 @@
 
 // Share of the client's time that a request may wait for a server.
 constexpr int kHoldDivisor = 8;
-// A process that starts has its configuration after about 0.1 s, and the
-// servers after about 0.4 s.
+// A process that starts has its configuration and the servers after about
+// 0.1 s, and those that start together on a slow link somewhat later.
 constexpr Duration kStartHold = milliseconds(600);
 // Clients give a stream up that does not begin within about two seconds.
 constexpr Duration kMostHold = milliseconds(1300);
 constexpr Duration kDefaultTimeout = std::chrono::seconds(20);
-// Largest share of a server's KV memory that reservations may take.
-constexpr double kMostUse = 0.8;
-// Hints are right at the median; the mean of what they stand for is higher.
-constexpr double kHintMargin = 1.3;
-// Part of a longest answer that is reserved when nothing else is known.
-constexpr double kDefaultAnswerTokens = 150;
 // Answers up to this size are held until they are complete, so that a broken
 // one can be repeated.
 constexpr size_t kMaxHeldBytes = size_t{256} * 1024;
@@ -129,16 +123,11 @@
              : nullptr;
 }
 
-double Exchange::ExpectedTokens() const {
-  double answer = m_request.answer_hint * kHintMargin;
-  if (answer <= 0) {
-    const EngineModel* engine = Engine();
-    answer = engine && engine->usual_answer > 0 ? engine->usual_answer
-                                                : kDefaultAnswerTokens;
-  }
-  if (m_request.most_answer_tokens > 0)
-    answer = std::min(answer, m_request.most_answer_tokens);
-  return m_request.prompt_tokens + answer;
+double Exchange::Reservation() const {
+  const EngineModel* engine = Engine();
+  return ReservedTokens({m_request.prompt_tokens, m_request.answer_hint,
+                         m_request.most_answer_tokens,
+                         engine ? engine->usual_answer : 0});
 }
 
 bool Exchange::TryDispatch() {
@@ -251,7 +240,7 @@
 PathRequest Exchange::MakePathRequest() const {
   PathRequest wanted;
   wanted.service = m_service;
-  wanted.tokens = ExpectedTokens();
+  wanted.tokens = Reservation();
   wanted.prompt_tokens = m_request.prompt_tokens;
   wanted.data_center =
       m_data_center.empty() ? m_core.settings().data_center : m_data_center;
@@ -262,15 +251,16 @@
       wanted.excluded.insert(server);
   if (m_forward.servers_used_up())
     wanted.first_servers = m_forward.sent_to();
+  wanted.backlog_ms = m_core.backlog().Milliseconds(m_core.Now());
   return wanted;
 }
 
 bool Exchange::ChooseEngine(const EngineModel& engine) {
   PathRequest wanted = MakePathRequest();
   wanted.may_cross = true;
-  const auto choice =
-      ChoosePath(engine, m_core.servers(),
-                 m_core.coordination().Loads(m_core.Now()), wanted, kMostUse);
+  const auto choice = ChoosePath(engine, m_core.servers(),
+                                 m_core.coordination().Loads(m_core.Now()),
+                                 wanted, MostMemoryUse(m_committed));
   if (!choice || !m_core.TakeCrossing(engine, *choice, wanted.tokens))
     return false;
   m_path = choice->path;
@@ -323,6 +313,7 @@
   const HttpRequest request =
       m_core.dialect().WriteRequest(m_request, plan, m_core.servers());
   TakeLoad();
+  NoteReading(m_path, {});
   m_head = AnswerHead();
   m_body.clear();
   m_streaming = false;
@@ -338,13 +329,26 @@
                 RequestBytes(request), m_route->MayRepeat());
 }
 
+void Exchange::NoteReading(const LayerPath& path,
+                           const std::set<std::string>& kept) {
+  const EngineModel* engine = Engine();
+  if (engine == nullptr)
+    return;
+  m_core.backlog().Add(m_core.Now(), *engine, m_core.servers(), path, kept,
+                       TokensSoFar(), std::exchange(m_copies, 1));
+}
+
+double Exchange::TokensSoFar() const {
+  return m_request.prompt_tokens + static_cast<double>(m_events.last_id() + 1);
+}
+
 void Exchange::TakeLoad() {
   ReleaseLoad();
   m_load_taken = true;
   if (m_path.empty())
     m_core.AddLoad(m_server, 1);
   else
-    m_core.AddLoad(m_path, ExpectedTokens(), 1);
+    m_core.AddLoad(m_path, Reservation(), 1);
 }
 
 void Exchange::ReleaseLoad() {
@@ -353,7 +357,7 @@
   if (m_path.empty())
     m_core.AddLoad(m_server, -1);
   else
-    m_core.AddLoad(m_path, ExpectedTokens(), -1);
+    m_core.AddLoad(m_path, Reservation(), -1);
 }
 
 bool Exchange::UsesServer(const std::string& server) const {
@@ -551,6 +555,7 @@
   }
   Avoid(m_server);
   m_core.Probe(m_server);
+  m_copies = m_core.RecoveryCopies(m_server, m_core.Now());
   Act(m_forward.OnServerEvent(ServerEvent::kBroken));
 }
 
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -74,6 +74,10 @@
   // Leaves the server and goes on elsewhere, when that is allowed.
   bool MoveElsewhere();
   void Repath(const std::string& lost);
+  bool NewStartIsSooner(const std::string& lost, const PathChoice& other);
+  std::set<std::string> ServersOfPath() const;
+  // Prompt and answer so far; an event counts as one token.
+  double TokensSoFar() const;
   // Another path that keeps the first part and uses none of `without`.
   std::optional<PathChoice> FindOtherPath(const std::set<std::string>& without,
                                           bool may_cross);
@@ -97,7 +101,10 @@
   void Finish(const char* outcome, int status);
   void ReleaseLoad();
   void TakeLoad();
-  double ExpectedTokens() const;
+  // Tokens of KV memory to reserve.
+  double Reservation() const;
+  // The servers of the path, less those in `kept`, begin to read this request.
+  void NoteReading(const LayerPath& path, const std::set<std::string>& kept);
 
   GatewayCore& m_core;
   std::shared_ptr<ClientSession> m_session;
@@ -121,6 +128,9 @@
   std::shared_ptr<UpstreamCall> m_call;
   std::string m_server;
   LayerPath m_path;
+  // Requests that all instances send together with this one, over those of this
+  // instance.
+  double m_copies = 1;
   // Servers that this request does not use before the given moments.
   std::map<std::string, TimePoint> m_avoid;
   // Where the path should lie; empty for this instance's own data center.
--- a/src/gateway_exchange_recovery.cc
+++ b/src/gateway_exchange_recovery.cc
@@ -10,14 +10,16 @@
 
 using std::chrono::milliseconds;
 
-// Largest share of KV memory in use on the parts of a replaced path.
-constexpr double kMostRepathUse = 0.95;
 // Silence after which servers are probed: before the first event of a stream,
 // when the prompt is still read, and of a plain service.
 constexpr Duration kFirstEventSilence = milliseconds(350);
 constexpr Duration kPlainSilence = milliseconds(400);
 // Requests move off layers that a server gives up within this time.
 constexpr Duration kEvacuation = milliseconds(150);
+// What a new start takes beside the reading of the prompt: a connection and
+// the way through the servers.
+constexpr double kNewStartMs = 20;
+
 }  // namespace
 
 void Exchange::OnServerLost(const std::string& server) {
@@ -57,7 +59,7 @@
   PathRequest wanted = MakePathRequest();
   wanted.excluded.insert(leaving.begin(), leaving.end());
   if (ChoosePath(*engine, m_core.servers(), m_core.coordination().Loads(now),
-                 wanted, kMostRepathUse))
+                 wanted, MostMemoryUse(true)))
     MoveElsewhere();
 }
 
@@ -100,7 +102,7 @@
   wanted.may_cross = may_cross;
   auto choice = ChoosePath(*engine, m_core.servers(),
                            m_core.coordination().Loads(m_core.Now()), wanted,
-                           kMostRepathUse);
+                           MostMemoryUse(true));
   if (choice && !m_core.TakeCrossing(*engine, *choice, wanted.tokens))
     return std::nullopt;
   return choice;
@@ -109,7 +111,10 @@
 void Exchange::Repath(const std::string& lost) {
   if (m_repathing || !m_call || !m_call->offered())
     return;
+  m_copies = m_core.RecoveryCopies(lost, m_core.Now());
   auto choice = FindOtherPath({lost}, Crosses());
+  if (choice && NewStartIsSooner(lost, *choice) && MoveElsewhere())
+    return;
   if (!choice) {
     // To read a request again over the link between data centers takes longer
     // than to start it anew on a path within another one. Many streams move at
@@ -127,11 +132,41 @@
   OrderRepath(lost, choice->path, true);
 }
 
+std::set<std::string> Exchange::ServersOfPath() const {
+  std::set<std::string> out;
+  for (const PathPart& part : m_path)
+    out.insert(part.server);
+  return out;
+}
+
+// All streams of a lost server are read again by the one that holds its layers
+// as well. Some of them are back sooner when they start anew elsewhere.
+bool Exchange::NewStartIsSooner(const std::string& lost,
+                                const PathChoice& other) {
+  const EngineModel* engine = Engine();
+  if (engine == nullptr || !m_core.MayRetry(m_committed))
+    return false;
+  Avoid(lost);
+  const PathRequest wanted = MakePathRequest();
+  const auto anew = ChoosePath(*engine, m_core.servers(),
+                               m_core.coordination().Loads(m_core.Now()),
+                               wanted, MostMemoryUse(true));
+  if (!anew)
+    return false;
+  const auto time = [&](const LayerPath& path,
+                        const std::set<std::string>& kept) {
+    return ReadingTime(*engine, m_core.servers(), path, kept, TokensSoFar(),
+                       wanted.backlog_ms);
+  };
+  return time(anew->path, {}) + kNewStartMs < time(other.path, ServersOfPath());
+}
+
 void Exchange::OrderRepath(const std::string& lost,
                            LayerPath path,
                            bool needed) {
   m_repathing = true;
   m_repath_is_needed = needed;
+  NoteReading(path, ServersOfPath());
   m_core.Log("repath", {{"id", m_request.attempt_id},
                         {"lost", lost},
                         {"last_event", std::to_string(m_events.last_id())}});
--- a/src/layer_path.cc
+++ b/src/layer_path.cc
@@ -28,6 +28,18 @@
 constexpr double kLeastCrossingTokens = 6'000;
 // Weight of a prompt's prefill against the tokens of its answer.
 constexpr double kAnswerTokens = 60;
+// Hints are right at the median; the mean of what they stand for is higher.
+constexpr double kHintMargin = 1.3;
+// Answer that is expected when nothing is known.
+constexpr double kDefaultAnswerTokens = 150;
+// Part of an answer that is held on average from its beginning to its end, with
+// a margin. Many streams share each server.
+constexpr double kMeanAnswerShare = 1;
+constexpr double kMostUse = 0.8;
+constexpr double kMostUseInProgress = 0.95;
+// Weight of a millisecond of waiting for prompts that were sent before. Two
+// streams on their way to a path outweigh the entry in another data center.
+constexpr double kBacklogWeight = 5;
 
 double PerTokenLayerBytes(const EngineModel& engine) {
   return engine.kv_bytes_per_token / engine.layers;
@@ -86,14 +98,17 @@
   candidate.layer_cost =
       (candidate.step_ms_per_layer * kAnswerTokens + prefill) *
       Crowding(Use(engine, candidate, 0));
+  if (const auto backlog = request.backlog_ms.find(server.id);
+      backlog != request.backlog_ms.end())
+    candidate.layer_cost +=
+        kBacklogWeight * backlog->second / server.layers->size();
   return candidate;
 }
 
 double HopCost(const EngineModel& engine,
                const PathRequest& request,
-               const std::string& from,
-               const std::string& to) {
-  if (from == to)
+               bool same_data_center) {
+  if (same_data_center)
     return kHopMs * kAnswerTokens;
   const double bytes =
       engine.activation_bytes * (request.tokens + kAnswerTokens);
@@ -102,7 +117,8 @@
   return kRemoteHopMs * kAnswerTokens + kPipeShareFactor * pipe_ms;
 }
 
-// Cheapest cost of running layers [0, layer] with `layer` on a candidate.
+// Cheapest cost of running all layers up to the end of a segment, with that
+// segment on a candidate.
 struct Cell {
   double cost = kInfinity;
   int previous = -1;
@@ -165,6 +181,20 @@
 
 }  // namespace
 
+double ReservedTokens(const TokenEstimate& estimate) {
+  double answer = estimate.answer_hint * kHintMargin;
+  if (answer <= 0)
+    answer = estimate.usual_answer > 0 ? estimate.usual_answer
+                                       : kDefaultAnswerTokens;
+  if (estimate.most_answer > 0)
+    answer = std::min(answer, estimate.most_answer);
+  return estimate.prompt + answer * kMeanAnswerShare;
+}
+
+double MostMemoryUse(bool in_progress) {
+  return in_progress ? kMostUseInProgress : kMostUse;
+}
+
 bool IsWholePath(const LayerPath& path, int layers, const ServerMap& servers) {
   int at = 0;
   std::set<std::string> seen;
@@ -215,97 +245,130 @@
 
 namespace {
 
-std::optional<PathChoice> ChooseAmong(const EngineModel& engine,
-                                      const ServerMap& servers,
-                                      const LoadMap& loads,
-                                      const PathRequest& request,
-                                      double most_use,
-                                      const std::string* data_center) {
-  std::vector<Candidate> candidates =
-      Candidates(engine, servers, loads, request, most_use);
-  if (data_center != nullptr)
-    std::erase_if(candidates, [&](const Candidate& candidate) {
-      return candidate.server->data_center != *data_center;
-    });
+// Layers at which a path may pass from one server to another: the ends of what
+// the candidates hold. Between two of them every choice costs the same a layer.
+std::vector<int> Boundaries(const EngineModel& engine,
+                            const PathRequest& request,
+                            const std::vector<Candidate>& candidates) {
+  std::set<int> out = {0, engine.layers};
+  for (const Candidate& candidate : candidates)
+    out.insert({candidate.server->layers->from, candidate.server->layers->to});
+  if (request.first_part)
+    out.insert(
+        {request.first_part->layers.from, request.first_part->layers.to});
+  out.erase(out.begin(), out.find(0));
+  out.erase(out.upper_bound(engine.layers), out.end());
+  return {out.begin(), out.end()};
+}
+
+// Cost of the first part: its layers, and the way into its data center.
+std::optional<double> EntryCost(const PathRequest& request,
+                                const Candidate& candidate) {
+  const std::string& id = candidate.server->id;
+  const bool allowed =
+      request.first_part ||
+      (!request.not_first.contains(id) &&
+       (request.first_servers.empty() || request.first_servers.contains(id)));
+  if (!allowed)
+    return std::nullopt;
+  return candidate.server->data_center == request.data_center ? 0
+                                                              : kRemoteEntry;
+}
+
+// The candidate that runs each layer on the cheapest path, and its cost; null
+// when there is none.
+std::optional<std::pair<std::vector<int>, double>> CheapestTiling(
+    const EngineModel& engine,
+    const PathRequest& request,
+    const std::vector<Candidate>& candidates) {
+  const std::vector<int> bounds = Boundaries(engine, request, candidates);
   const int count = static_cast<int>(candidates.size());
-  const auto held = [&](int who, int layer) {
-    return candidates[who].server->layers->Contains(layer);
-  };
-  std::vector<std::vector<Cell>> table(engine.layers, std::vector<Cell>(count));
-  for (int layer = 0; layer < engine.layers; ++layer) {
+  const size_t segments = bounds.size() - 1;
+  const double local_hop = HopCost(engine, request, true);
+  const double remote_hop = HopCost(engine, request, false);
+  std::vector<std::vector<Cell>> table(segments, std::vector<Cell>(count));
+  for (size_t segment = 0; segment < segments; ++segment) {
+    const int layer = bounds[segment];
+    const int size = bounds[segment + 1] - layer;
     for (int who = 0; who < count; ++who) {
       const Candidate& here = candidates[who];
-      if (!held(who, layer) || !MayRun(request, here.server->id, layer))
+      if (!here.server->layers->Contains(layer) ||
+          !MayRun(request, here.server->id, layer))
         continue;
-      Cell& cell = table[layer][who];
-      if (layer == 0) {
-        const std::string& id = here.server->id;
-        if (request.first_part || (!request.not_first.contains(id) &&
-                                   (request.first_servers.empty() ||
-                                    request.first_servers.contains(id))))
-          cell.cost =
-              here.layer_cost + (here.server->data_center == request.data_center
-                                     ? 0
-                                     : kRemoteEntry);
+      Cell& cell = table[segment][who];
+      if (segment == 0) {
+        if (const auto entry = EntryCost(request, here))
+          cell.cost = here.layer_cost * size + *entry;
         continue;
       }
       for (int from = 0; from < count; ++from) {
-        const Cell& before = table[layer - 1][from];
+        const Cell& before = table[segment - 1][from];
         if (before.cost == kInfinity)
           continue;
-        const double hop =
-            from == who
-                ? 0
-                : HopCost(engine, request, candidates[from].server->data_center,
-                          here.server->data_center);
-        const double cost = before.cost + hop + here.layer_cost;
+        double cost = before.cost + here.layer_cost * size;
+        if (from != who)
+          cost +=
+              candidates[from].server->data_center == here.server->data_center
+                  ? local_hop
+                  : remote_hop;
         if (cost < cell.cost)
           cell = {cost, from};
       }
     }
   }
-  if (count == 0 || engine.layers == 0)
+  const auto& last = table.back();
+  const auto best = std::min_element(
+      last.begin(), last.end(),
+      [](const Cell& a, const Cell& b) { return a.cost < b.cost; });
+  if (best == last.end() || best->cost == kInfinity)
     return std::nullopt;
-  const auto& last = table[engine.layers - 1];
-  int who = static_cast<int>(std::min_element(last.begin(), last.end(),
-                                              [](const Cell& a, const Cell& b) {
-                                                return a.cost < b.cost;
-                                              }) -
-                             last.begin());
-  const double last_cost = last[who].cost;
-  if (last_cost == kInfinity)
-    return std::nullopt;
-  std::vector<int> by_layer(engine.layers);
-  for (int layer = engine.layers - 1; layer >= 0; --layer) {
-    by_layer[layer] = who;
-    who = table[layer][who].previous;
-  }
-  PathChoice choice{JoinRepeats(by_layer, candidates), 0, 0, 0};
-  choice.cost = last_cost;
-  if (choice.path.size() > kMostPathParts)
-    return std::nullopt;
-  std::map<std::string, const Candidate*> by_id;
-  for (const Candidate& candidate : candidates)
-    by_id[candidate.server->id] = &candidate;
-  std::set<std::string> full;
-  for (const PathPart& part : choice.path) {
-    const Candidate& candidate = *by_id[part.server];
-    choice.token_ms += candidate.step_ms_per_layer * part.layers.size();
-    const double use =
-        Use(engine, candidate, request.tokens * part.layers.size());
-    choice.peak_use = std::max(choice.peak_use, use);
-    const bool is_first =
-        request.first_part && part.server == request.first_part->server;
-    if (use > most_use && !is_first)
-      full.insert(part.server);
+  int who = static_cast<int>(best - last.begin());
+  std::vector<int> by_layer(static_cast<size_t>(engine.layers));
+  for (size_t segment = segments; segment-- > 0;) {
+    std::fill(by_layer.begin() + bounds[segment],
+              by_layer.begin() + bounds[segment + 1], who);
+    who = table[segment][who].previous;
   }
-  if (full.empty())
-    return choice;
+  return std::make_pair(std::move(by_layer), best->cost);
+}
+
+// The cheapest path among the candidates on which no part is too full.
+std::optional<PathChoice> ChooseAmong(const EngineModel& engine,
+                                      const PathRequest& request,
+                                      std::vector<Candidate> candidates,
+                                      double most_use) {
   // The parts that are too full are left out; each round removes at least one
   // candidate, so this ends.
-  PathRequest without = request;
-  without.excluded.insert(full.begin(), full.end());
-  return ChooseAmong(engine, servers, loads, without, most_use, data_center);
+  while (!candidates.empty() && engine.layers > 0) {
+    const auto tiling = CheapestTiling(engine, request, candidates);
+    if (!tiling)
+      return std::nullopt;
+    PathChoice choice{JoinRepeats(tiling->first, candidates), 0, 0,
+                      tiling->second};
+    if (choice.path.size() > kMostPathParts)
+      return std::nullopt;
+    std::map<std::string, const Candidate*> by_id;
+    for (const Candidate& candidate : candidates)
+      by_id[candidate.server->id] = &candidate;
+    std::set<std::string> full;
+    for (const PathPart& part : choice.path) {
+      const Candidate& candidate = *by_id[part.server];
+      choice.token_ms += candidate.step_ms_per_layer * part.layers.size();
+      const double use =
+          Use(engine, candidate, request.tokens * part.layers.size());
+      choice.peak_use = std::max(choice.peak_use, use);
+      const bool is_first =
+          request.first_part && part.server == request.first_part->server;
+      if (use > most_use && !is_first)
+        full.insert(part.server);
+    }
+    if (full.empty())
+      return choice;
+    std::erase_if(candidates, [&](const Candidate& candidate) {
+      return full.contains(candidate.server->id);
+    });
+  }
+  return std::nullopt;
 }
 
 }  // namespace
@@ -315,20 +378,21 @@
                                      const LoadMap& loads,
                                      const PathRequest& request,
                                      double most_use) {
-  std::set<std::string> data_centers;
-  for (const auto& [id, server] : servers)
-    if (server.service == request.service && server.layers)
-      data_centers.insert(server.data_center);
+  const std::vector<Candidate> candidates =
+      Candidates(engine, servers, loads, request, most_use);
+  std::map<std::string_view, std::vector<Candidate>> by_data_center;
+  for (const Candidate& candidate : candidates)
+    by_data_center[candidate.server->data_center].push_back(candidate);
   std::optional<PathChoice> best;
-  for (const std::string& data_center : data_centers) {
+  for (auto& [data_center, local] : by_data_center) {
     const auto choice =
-        ChooseAmong(engine, servers, loads, request, most_use, &data_center);
+        ChooseAmong(engine, request, std::move(local), most_use);
     if (choice && (!best || choice->cost < best->cost))
       best = choice;
   }
   if (best || !request.may_cross)
     return best;
-  return ChooseAmong(engine, servers, loads, request, most_use, nullptr);
+  return ChooseAmong(engine, request, candidates, most_use);
 }
 
 bool HasLocalPath(const EngineModel& engine,
--- a/src/liveness.cc
+++ b/src/liveness.cc
@@ -13,9 +13,11 @@
 // suspicious together with others.
 constexpr Duration kLeastSilence = milliseconds(70);
 constexpr Duration kMostSilence = milliseconds(180);
-constexpr Duration kLeastSharedSilence = milliseconds(45);
-// Streams that must be silent at the same time.
+constexpr Duration kLeastSharedSilence = milliseconds(35);
+constexpr Duration kLeastOverdue = milliseconds(25);
+// Streams that must be silent at the same time, and overdue.
 constexpr int kSilentTogether = 2;
+constexpr int kOverdueTogether = 4;
 // Time between two probes of a server by one instance, doubled with each that
 // finds it alive, and forgotten when there was none for a while.
 constexpr Duration kProbeInterval = milliseconds(300);
@@ -40,8 +42,10 @@
 Silence AssessSilence(Duration silent, Duration interval) {
   if (silent >= std::clamp(interval * 5 / 2, kLeastSilence, kMostSilence))
     return Silence::kLong;
-  if (silent >= std::clamp(interval * 2, kLeastSharedSilence, kMostSilence))
+  if (silent >= std::clamp(interval * 7 / 4, kLeastSharedSilence, kMostSilence))
     return Silence::kShort;
+  if (silent >= std::max(interval * 13 / 10, kLeastOverdue))
+    return Silence::kOverdue;
   return Silence::kNone;
 }
 
@@ -49,6 +53,7 @@
     const std::vector<StreamProgress>& streams) {
   struct Count {
     int all = 0;
+    int overdue = 0;
     int silent = 0;
   };
   std::map<std::string, Count> by_server;
@@ -57,17 +62,33 @@
     for (const PathPart& part : *stream.path) {
       Count& count = by_server[part.server];
       ++count.all;
-      count.silent += stream.silence == Silence::kNone ? 0 : 1;
+      count.overdue += stream.silence >= Silence::kOverdue ? 1 : 0;
+      count.silent += stream.silence >= Silence::kShort ? 1 : 0;
       if (stream.silence == Silence::kLong)
         suspects.insert(part.server);
     }
   }
   for (const auto& [server, count] : by_server)
-    if (count.silent == count.all && count.silent >= kSilentTogether)
+    if ((count.silent == count.all && count.silent >= kSilentTogether) ||
+        (count.overdue == count.all && count.overdue >= kOverdueTogether))
       suspects.insert(server);
   return suspects;
 }
 
+bool CorroboratesLoss(const std::string& server,
+                      const std::vector<StreamProgress>& streams) {
+  bool any = false;
+  for (const StreamProgress& stream : streams) {
+    const bool uses = std::any_of(
+        stream.path->begin(), stream.path->end(),
+        [&](const PathPart& part) { return part.server == server; });
+    if (uses && stream.silence == Silence::kNone)
+      return false;
+    any |= uses;
+  }
+  return any;
+}
+
 LossVerdict AssessLoss(const std::string& server,
                        TimePoint since,
                        TimePoint now,
