Hold a few layers less where the scarcest server keeps more room

Cause: Brandon held 110 layers over 13 servers; two of its l4 held ten layers each, with room for 77,000 tokens, while the others had 122,000. The scarcest server bounds the data center.

Change: of the counts of layers from 95% of those that fit, the one that leaves the scarcest server most room is taken (108 in Brandon: 122,000).

--- a/src/layer_path_placement.cc
+++ b/src/layer_path_placement.cc
@@ -11,6 +11,9 @@
 // Room for tokens that a data center keeps for each of its servers. Memory
 // beyond it holds second copies of layers.
 constexpr double kTokensPerServer = 12'000;
+// Part of the layers that a data center holds at least where that keeps more
+// room.
+constexpr double kFewerLayers = 0.95;
 // A data center that cannot keep this much room for its share of a burst does
 // not stand alone.
 constexpr double kLeastTokens = 5'000;
@@ -155,7 +158,8 @@
 }
 
 // Layers, counted once for each holder, that a group holds beside the room that
-// it keeps for tokens: at least one copy, and no more than fit.
+// it keeps for tokens: at least one copy, and no more than fit. Somewhat fewer
+// when the scarcest server keeps more room by that: servers hold whole layers.
 int LayersToHold(const EngineModel& engine, const Group& group) {
   double memory = 0;
   int most = 0;
@@ -166,7 +170,19 @@
   const double kept_mb = kTokensPerServer * static_cast<double>(group.size()) *
                          engine.kv_bytes_per_token / kBytesPerMb;
   const int fit = static_cast<int>((memory - kept_mb) / engine.layer_mb);
-  return std::clamp(fit, std::min(engine.layers, most), most);
+  const int least = std::min(engine.layers, most);
+  int best = std::clamp(fit, least, most);
+  double best_tokens = -1;
+  const int fewest = std::max(least, static_cast<int>(best * kFewerLayers));
+  for (int layers = best; layers >= fewest; --layers) {
+    const double tokens =
+        LeastTokens(engine, group, ShareLayers(engine, group, layers));
+    if (tokens > best_tokens) {
+      best_tokens = tokens;
+      best = layers;
+    }
+  }
+  return best;
 }
 
 void SetNominal(const EngineModel& engine, const Group& group) {
--- a/test/layer_path_placement_test.cc
+++ b/test/layer_path_placement_test.cc
@@ -35,6 +35,7 @@
 class LayerPathPlacementTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LayerPathPlacementTest);
   CPPUNIT_TEST(EmptyDataCenterKeepsRoomAndSecondCopies);
+  CPPUNIT_TEST(ScarcestServerKeepsItsRoom);
   CPPUNIT_TEST(LargeDataCenterHoldsSeveralCopies);
   CPPUNIT_TEST(LossOfAnyServerClosesTheGap);
   CPPUNIT_TEST(LossOfACopiedServerLeavesNoGap);
@@ -66,6 +67,14 @@
     CPPUNIT_ASSERT(copied >= kLayers / 4);
   }
 
+  // Two layers more than fit evenly left the scarcest servers room for 77,000
+  // tokens instead of 122,000, which bounded the whole data center.
+  void ScarcestServerKeepsItsRoom() {
+    ServerMap servers = EmptyFleet({"brandon"});
+    CPPUNIT_ASSERT(Settle(servers) >= 0);
+    CPPUNIT_ASSERT(Health(servers, "brandon").least_tokens > 120'000);
+  }
+
   // A data center with a gap sends all of its traffic elsewhere until the
   // layers are loaded again.
   void LossOfACopiedServerLeavesNoGap() {
