--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -34,6 +34,9 @@
 // the others look after the configuration themselves in time.
 constexpr Duration kStoreSilence = milliseconds(1100);
 constexpr Duration kListInterval = milliseconds(650);
+// Requests wait for the first list of an instance that starts. Instances that
+// start together read it over this time.
+constexpr Duration kFirstListSpread = milliseconds(60);
 // A follower reads the list itself when the coordinator's news are late.
 constexpr Duration kListStale = milliseconds(1100);
 constexpr Duration kListRetry = milliseconds(900);
@@ -109,7 +112,9 @@
   out.m_next_report = now;
   out.m_next_beat = now;
   out.m_list_fresh_at = now - seconds(3600);
-  out.m_next_list_call = now + milliseconds(350);
+  out.m_next_list_call =
+      now + Duration(StableHash(m_ip, 1) %
+                     static_cast<uint64_t>(kFirstListSpread.count()));
   out.m_next_config_call = now;
   return out;
 }
--- a/test/coordination_test.cc
+++ b/test/coordination_test.cc
@@ -230,6 +230,7 @@
   CPPUNIT_TEST_SUITE(CoordinationTest);
   CPPUNIT_TEST(OneCoordinatorAtTheStart);
   CPPUNIT_TEST(ListReachesEveryInstance);
+  CPPUNIT_TEST(StartedInstanceReadsTheListAtOnce);
   CPPUNIT_TEST(DrainingIsSeenInTime);
   CPPUNIT_TEST(DeadCoordinatorIsReplaced);
   CPPUNIT_TEST(CoordinatorWithoutTheStoreIsReplaced);
@@ -283,6 +284,25 @@
     }
   }
 
+  // After a loss of all instances requests waited 0.3 s for the first list, of
+  // the 0.5 s in which they are on time.
+  void StartedInstanceReadsTheListAtOnce() {
+    for (int host = 1; host < 40; ++host) {
+      const TimePoint start{seconds(100)};
+      Coordination started =
+          Coordination::Builder()
+              .SetAddress("10.0.0." + std::to_string(host), "regina")
+              .Build(start);
+      bool read = false;
+      for (int ms = 0; ms <= 100; ms += 50) {
+        started.OnTick(start + milliseconds(ms));
+        for (const CoordinationAction& action : started.TakeActions())
+          read |= std::holds_alternative<ReadServerList>(action);
+      }
+      CPPUNIT_ASSERT(read);
+    }
+  }
+
   // No request may reach a server two seconds after it was listed as leaving.
   void DrainingIsSeenInTime() {
     Cluster cluster(13);
