Find servers that run slow by the streams through them, and avoid them

Change: an instance learns how long its streams take for an event against the time of their paths. A slow server is told to all, weighs by its pace in the choice of paths, and is read again each second by one instance, which the others take over from when it falls silent. A stream that waits for its first event behind a slow server starts anew once. The time between events starts with the first one, not with 0.

Two instances that read a pace at the same moment both stopped reading it, and marks lapsed after 2.5 s; mended here, with a test.

--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -132,6 +132,17 @@
   void MarkRefusing(TimePoint now, const std::string& server);
   std::set<std::string> Refusing(TimePoint now) const;
 
+  // This instance read the pace of a server; the others hear of it when it is
+  // new, and often enough for as long as it is slow.
+  void SetPace(TimePoint now, const std::string& server, double pace);
+  // Servers that are slow, by pace.
+  std::map<std::string, double> SlowServers(TimePoint now) const {
+    return m_slow.Active(now);
+  }
+  // Slow servers whose pace this instance is to read again: as a rule those
+  // that it told the others of, else those of which nobody told for long.
+  std::set<std::string> PacesToRead(TimePoint now) const;
+
   std::vector<CoordinationAction> TakeActions();
 
   bool is_coordinator() const { return m_is_coordinator; }
@@ -201,6 +212,7 @@
   void ReadListIfStale(TimePoint now);
   void Broadcast(TimePoint now, const std::string& bytes);
   void HearOfLost(TimePoint now, const std::string& server);
+  void HearOfPace(TimePoint now, const std::string& server, double pace);
   void NoteConfigVersion(TimePoint now, int64_t version);
   // Members that would coordinate before this one.
   int TakeOverRank() const;
@@ -278,6 +290,10 @@
   // Servers that most instances cannot reach, by the last beat.
   std::set<std::string> m_deployment_lost;
   RefusalMarks m_refusing;
+  SlowMarks m_slow;
+  // Slow servers, and when this instance reads their pace again unless another
+  // one has told it by then.
+  std::map<std::string, TimePoint> m_next_pace_reading;
   std::vector<CoordinationAction> m_actions;
 };
 
--- a/include/trefoilwick/gateway.h
+++ b/include/trefoilwick/gateway.h
@@ -98,6 +98,8 @@
   int64_t order_seq = 0;
   // An order is in progress.
   bool busy = false;
+  // Time that its work takes over what it should.
+  double pace = 1;
   // Layers that it holds, if any.
   std::optional<LayerRange> layers;
   // Addresses of servers that requests, of which it is the first server, wait
--- a/include/trefoilwick/layer_path.h
+++ b/include/trefoilwick/layer_path.h
@@ -89,6 +89,8 @@
   // Milliseconds that servers still read prompts sent to them before; none for
   // those that are missing.
   std::map<std::string, double> backlog_ms;
+  // Servers that are slower than their kind, and by which factor.
+  std::map<std::string, double> paces;
   // The path may lead through several data centers when none has room for it.
   // All such paths share the links between them, which carry a small part of
   // the traffic only.
--- a/include/trefoilwick/liveness.h
+++ b/include/trefoilwick/liveness.h
@@ -108,4 +108,51 @@
   std::map<std::string, Mark> m_marks;
 };
 
+// How fast a stream runs.
+struct StreamPace {
+  const LayerPath* path = nullptr;
+  // Mean time between events, or the present silence when that is longer.
+  Duration interval{0};
+  // Time that a token takes through the path when nothing is slow.
+  double token_ms = 0;
+};
+
+// Names servers that may run slower than they should, from the streams that
+// pass through them. Load pattern: some servers take several times as long,
+// their health is good, and prompts pile up in front of them.
+class PaceMonitor {
+ public:
+  // A stream ended on time with this mean time between its events.
+  void Learn(Duration interval, double token_ms);
+  // Servers of slow streams that no stream at the usual pace passes through.
+  // None before enough streams have ended.
+  std::set<std::string> Suspects(const std::vector<StreamPace>& streams) const;
+
+ private:
+  // Usual time between events over the time of a token.
+  double m_usual = 0;
+  int m_learned = 0;
+};
+
+// Pace of servers that were found slow, for a while after it was read.
+class SlowMarks {
+ public:
+  // True when this says something new: the server was not known to be slow, or
+  // its pace changed much. One at its usual pace is forgotten.
+  bool Set(const std::string& server, double pace, TimePoint now);
+  std::map<std::string, double> Active(TimePoint now) const;
+  // Forgets what is long past.
+  void Sweep(TimePoint now);
+
+ private:
+  struct Mark {
+    double pace = 1;
+    TimePoint until;
+  };
+  std::map<std::string, Mark> m_marks;
+};
+
+// A server with a larger pace is slow.
+inline constexpr double kSlowPace = 1.5;
+
 }  // namespace trefoilwick
--- a/src/cluster_codec.cc
+++ b/src/cluster_codec.cc
@@ -25,6 +25,10 @@
 // Instances learn of a new list within a second, in which a few may follow.
 constexpr size_t kRememberedLists = 6;
 
+// Paces are sent in hundredths, and up to this factor.
+constexpr double kPercent = 100;
+constexpr double kMostPace = 1000;
+
 std::string Encode(const wire::Message& message) {
   auto buffer = std::make_shared<TMemoryBuffer>();
   TCompactProtocolT<TMemoryBuffer> protocol(buffer);
@@ -327,6 +331,18 @@
   return Encode(message);
 }
 
+std::string EncodeSlow(const std::map<std::string, double>& paces) {
+  wire::Message message;
+  for (const auto& [server, pace] : paces) {
+    wire::SlowServer& item = message.slow.emplace_back();
+    item.server = server;
+    item.pace_percent = static_cast<int32_t>(
+        std::lround(std::clamp(pace, 0.0, kMostPace) * kPercent));
+  }
+  message.__isset.slow = true;
+  return Encode(message);
+}
+
 std::string EncodeConfiguration(const ConfigurationMessage& configuration) {
   wire::Message message;
   message.configuration.version = configuration.version;
@@ -355,6 +371,12 @@
     return LostServers{message.lost};
   if (message.__isset.refusing)
     return RefusingServers{message.refusing};
+  if (message.__isset.slow) {
+    SlowServers slow;
+    for (const wire::SlowServer& item : message.slow)
+      slow.paces[item.server] = item.pace_percent / kPercent;
+    return slow;
+  }
   if (message.__isset.configuration)
     return ConfigurationMessage{message.configuration.version,
                                 message.configuration.row};
--- a/src/cluster_codec.h
+++ b/src/cluster_codec.h
@@ -75,6 +75,11 @@
   std::vector<std::string> servers;
 };
 
+struct SlowServers {
+  // Pace by server.
+  std::map<std::string, double> paces;
+};
+
 struct ConfigurationMessage {
   int64_t version = 0;
   // As the store holds it.
@@ -86,6 +91,7 @@
                                     ServerListMessage,
                                     LostServers,
                                     RefusingServers,
+                                    SlowServers,
                                     ConfigurationMessage>;
 
 std::string EncodeReport(const InstanceReport& report,
@@ -94,6 +100,7 @@
 std::string EncodeServerList(const ServerListMessage& list);
 std::string EncodeLost(const std::vector<std::string>& servers);
 std::string EncodeRefusing(const std::vector<std::string>& servers);
+std::string EncodeSlow(const std::map<std::string, double>& paces);
 std::string EncodeConfiguration(const ConfigurationMessage& configuration);
 // Null when the bytes are no message.
 std::optional<ClusterMessage> DecodeClusterMessage(const std::string& bytes,
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -58,6 +58,10 @@
 // A beat that was made when the others had tried to reach a lost server has
 // arrived after this time.
 constexpr Duration kVerdictKnown = milliseconds(900);
+// Time between two readings of the pace of a slow server, and the time over
+// which the others take over from the instance that read it last.
+constexpr Duration kPaceInterval = seconds(1);
+constexpr Duration kPaceTakeOver = milliseconds(1200);
 // A report of a server goes before the list for longer than the list lags.
 constexpr Duration kReportedLife = seconds(3);
 
@@ -168,6 +172,10 @@
 
 void Coordination::OnTick(TimePoint now) {
   m_refusing.Sweep(now);
+  m_slow.Sweep(now);
+  std::erase_if(m_next_pace_reading, [&](const auto& entry) {
+    return now - entry.second > kPaceTakeOver;
+  });
   std::erase_if(m_lost,
                 [&](const auto& entry) { return entry.second.until <= now; });
   if (std::any_of(m_reported.begin(), m_reported.end(),
@@ -494,6 +502,41 @@
   return m_refusing.Active(now);
 }
 
+void Coordination::SetPace(TimePoint now,
+                           const std::string& server,
+                           double pace) {
+  const bool tells = m_next_pace_reading.contains(server);
+  const bool is_new = m_slow.Set(server, pace, now);
+  if (pace >= kSlowPace)
+    m_next_pace_reading[server] = now + kPaceInterval;
+  else
+    m_next_pace_reading.erase(server);
+  if (is_new || tells)
+    Broadcast(now, detail::EncodeSlow({{server, pace}}));
+}
+
+void Coordination::HearOfPace(TimePoint now,
+                              const std::string& server,
+                              double pace) {
+  m_slow.Set(server, pace, now);
+  if (pace < kSlowPace) {
+    m_next_pace_reading.erase(server);
+    return;
+  }
+  m_next_pace_reading[server] =
+      now + kPaceInterval +
+      Duration(StableHash(m_ip + server) %
+               static_cast<uint64_t>(kPaceTakeOver.count()));
+}
+
+std::set<std::string> Coordination::PacesToRead(TimePoint now) const {
+  std::set<std::string> out;
+  for (const auto& [server, next] : m_next_pace_reading)
+    if (now >= next)
+      out.insert(server);
+  return out;
+}
+
 void Coordination::HearOfLost(TimePoint now, const std::string& server) {
   m_heard_lost[server] = now;
   if (!m_lost.contains(server) && m_servers->contains(server))
@@ -720,6 +763,10 @@
             for (const std::string& server : refusing.servers)
               m_refusing.Add(server, now);
           },
+          [&](const detail::SlowServers& slow) {
+            for (const auto& [server, pace] : slow.paces)
+              HearOfPace(now, server, pace);
+          },
           [&](const detail::ConfigurationMessage& configuration) {
             if (configuration.version > m_config_version)
               m_actions.emplace_back(AdoptConfiguration{configuration.row});
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -409,6 +409,44 @@
     Probe(server);
 }
 
+void GatewayCore::CheckPace(TimePoint now) {
+  std::vector<StreamPace> streams;
+  for (const Exchange* exchange : m_exchanges)
+    if (const auto pace = exchange->Pace(now))
+      streams.push_back(*pace);
+  const auto known = m_coordination.SlowServers(now);
+  for (const std::string& server : m_paces.Suspects(streams))
+    if (!known.contains(server) &&
+        m_pace_readings.Take(server, now, m_coordination.Members(now).size()))
+      ReadPace(server);
+  for (const std::string& server : m_coordination.PacesToRead(now))
+    if (m_pace_readings.Take(server, now, 1))
+      ReadPace(server);
+}
+
+void GatewayCore::ReadPace(const std::string& server) {
+  const auto found = servers().find(server);
+  if (found == servers().end())
+    return;
+  m_server_calls.Call(
+      found->second.address, m_dialect->ReportRequest(), kOrderTimeout,
+      [this, server](const CallResult& answer) {
+        const auto report = m_dialect->ReadReport(answer);
+        if (!report)
+          return;
+        const TimePoint now = Now();
+        const bool before = m_coordination.SlowServers(now).contains(server);
+        const bool slow = report->pace >= kSlowPace;
+        m_coordination.SetPace(now, server, report->pace);
+        if (!slow)
+          m_pace_readings.OnAlive(server, now);
+        if (slow != before)
+          Log(slow ? "server_slow" : "server_at_pace",
+              {{"server", server}, {"pace", std::to_string(report->pace)}});
+        RunActions();
+      });
+}
+
 // Another instance cannot reach the server.
 void GatewayCore::OnLossHeard(const std::string& server) {
   if (CorroboratesLoss(server, Streams()))
@@ -447,6 +485,7 @@
     Probe(server);
   if (m_seen_servers != m_coordination.servers())
     OnServersChanged();
+  CheckPace(now);
   PlaceLayers(now);
   if (m_coordination.is_coordinator())
     SendDueOrders(now);
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -79,6 +79,10 @@
   // Requests that wait go before this one.
   bool MustQueue(const Exchange& exchange) const;
 
+  // A stream ended on time.
+  void LearnPace(Duration interval, double token_ms) {
+    m_paces.Learn(interval, token_ms);
+  }
   // Prompts that servers still read, as far as this instance knows.
   ReadingBacklog& backlog() { return m_backlog; }
   // Requests that all instances move off a server, over those that this one
@@ -159,6 +163,9 @@
   void ContinueLeaving(TimePoint now);
   void ScheduleSilenceCheck();
   void CheckSilence();
+  // Reads the pace of servers that slow streams pass through.
+  void CheckPace(TimePoint now);
+  void ReadPace(const std::string& server);
   // Streams that have begun.
   std::vector<StreamProgress> Streams() const;
   void OnLossHeard(const std::string& server);
@@ -207,6 +214,8 @@
   std::vector<Exchange*> m_waiting;
   LoadMap m_local_loads;
   ProbeLimiter m_probes;
+  PaceMonitor m_paces;
+  ProbeLimiter m_pace_readings;
   std::set<std::string> m_told_lost;
   // Orders whose servers wait for requests to move off.
   std::map<std::string, LayerRange> m_seen_orders;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -29,6 +29,8 @@
 // A client that takes less than this holds the server's stream back.
 constexpr size_t kMaxPendingBytes = size_t{128} * 1024;
 
+// Events after which the time between them is known.
+constexpr int64_t kEventsToLearn = 16;
 // A server that refused or failed a request is not used for it again for this
 // long.
 constexpr Duration kAvoidLife = milliseconds(700);
@@ -251,6 +253,7 @@
       wanted.excluded.insert(server);
   if (m_forward.servers_used_up())
     wanted.first_servers = m_forward.sent_to();
+  wanted.paces = m_core.coordination().SlowServers(m_core.Now());
   wanted.backlog_ms = m_core.backlog().Milliseconds(m_core.Now());
   return wanted;
 }
@@ -264,6 +267,7 @@
   if (!choice || !m_core.TakeCrossing(engine, *choice, wanted.tokens))
     return false;
   m_path = choice->path;
+  m_token_ms = choice->token_ms;
   m_server = m_path.front().server;
   return true;
 }
@@ -434,7 +438,9 @@
                 {"repaths", std::to_string(m_repaths)},
                 {"sends", std::to_string(m_forward.sends())}});
   if (m_events.any())
-    m_event_interval = (m_event_interval * 7 + (now - m_last_event)) / 8;
+    m_event_interval = m_event_interval == Duration(0)
+                           ? now - m_last_event
+                           : (m_event_interval * 7 + (now - m_last_event)) / 8;
   m_last_progress = now;
   m_last_event = now;
   if (m_streaming) {
@@ -492,6 +498,9 @@
     if (m_streaming)
       m_session->SendPart(m_events.TakePartial());
     m_forward.OnServerEvent(ServerEvent::kAnswered);
+    if (m_event_interval <= m_route->gap_target && m_repaths == 0 &&
+        m_events.last_id() >= kEventsToLearn)
+      m_core.LearnPace(m_event_interval, m_token_ms);
     Finish("finished", m_head.status);
     m_session->EndParts();
     return;
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -46,6 +46,8 @@
   int rank() const { return m_rank; }
   // Null when it is no stream on a path, or has not begun.
   std::optional<StreamProgress> Progress(TimePoint now) const;
+  // Null when it is no stream on a path, or tells nothing yet.
+  std::optional<StreamPace> Pace(TimePoint now) const;
   TimePoint began() const { return m_began; }
   bool UsesServer(const std::string& server) const;
   const std::string& attempt_id() const { return m_request.attempt_id; }
@@ -84,13 +86,17 @@
   // The path leads through several data centers.
   bool Crosses() const;
   // `needed` when the present path serves no longer.
-  void OrderRepath(const std::string& lost, LayerPath path, bool needed);
+  void OrderRepath(const std::string& lost,
+                   const PathChoice& choice,
+                   bool needed);
   void MoveOffLeaving(TimePoint now);
   void MoveOffGivenUp(TimePoint now);
+  // Starts anew when it has not begun and waits behind a slow server.
+  void MoveOffSlow(TimePoint now);
   void NoteEndedServers();
   void Avoid(const std::string& server);
   bool AvoidsNow(const std::string& server) const;
-  void OnRepathed(OrderResult result, LayerPath path);
+  void OnRepathed(OrderResult result, const PathChoice& choice);
   void Commit();
   void PassEvents(const std::string& bytes);
   void RelayWhole();
@@ -128,6 +134,9 @@
   std::shared_ptr<UpstreamCall> m_call;
   std::string m_server;
   LayerPath m_path;
+  // Time that a token takes through the path when nothing is slow.
+  double m_token_ms = 0;
+  bool m_moved_off_slow = false;
   // Requests that all instances send together with this one, over those of this
   // instance.
   double m_copies = 1;
--- a/src/gateway_exchange_recovery.cc
+++ b/src/gateway_exchange_recovery.cc
@@ -16,6 +16,10 @@
 constexpr Duration kPlainSilence = milliseconds(400);
 // Requests move off layers that a server gives up within this time.
 constexpr Duration kEvacuation = milliseconds(150);
+// Events of a stream before the time between them tells something, and the wait
+// for the first one that does: several times the usual.
+constexpr int64_t kEventsToTell = 3;
+constexpr Duration kSlowFirstEvent = milliseconds(200);
 // What a new start takes beside the reading of the prompt: a connection and
 // the way through the servers.
 constexpr double kNewStartMs = 20;
@@ -47,7 +51,7 @@
   if (!leaving.contains(m_server)) {
     // Until it must move, the data center may close the gap.
     if (const auto choice = FindOtherPath(leaving, Crosses())) {
-      OrderRepath(*leaving.begin(), choice->path, false);
+      OrderRepath(*leaving.begin(), *choice, false);
       return;
     }
     if (!m_departure.MustMove(now))
@@ -82,7 +86,7 @@
     return;
   m_evacuate_at.reset();
   if (const auto choice = FindOtherPath({}, Crosses()))
-    OrderRepath("", choice->path, false);
+    OrderRepath("", *choice, false);
 }
 
 bool Exchange::Crosses() const {
@@ -129,7 +133,7 @@
     m_core.Log("no_other_path", {{"id", m_request.attempt_id}, {"lost", lost}});
     return;
   }
-  OrderRepath(lost, choice->path, true);
+  OrderRepath(lost, *choice, true);
 }
 
 std::set<std::string> Exchange::ServersOfPath() const {
@@ -162,26 +166,25 @@
 }
 
 void Exchange::OrderRepath(const std::string& lost,
-                           LayerPath path,
+                           const PathChoice& choice,
                            bool needed) {
   m_repathing = true;
   m_repath_is_needed = needed;
-  NoteReading(path, ServersOfPath());
+  NoteReading(choice.path, ServersOfPath());
   m_core.Log("repath", {{"id", m_request.attempt_id},
                         {"lost", lost},
                         {"last_event", std::to_string(m_events.last_id())}});
   HttpRequest order = m_core.dialect().RepathOrder(
-      m_request.attempt_id, path, m_core.coordination().fence(),
+      m_request.attempt_id, choice.path, m_core.coordination().fence(),
       m_core.servers());
-  m_core.CallServer(
-      m_server, std::move(order),
-      [weak = weak_from_this(), path = std::move(path)](OrderResult result) {
-        if (const auto self = weak.lock())
-          self->OnRepathed(result, path);
-      });
+  m_core.CallServer(m_server, std::move(order),
+                    [weak = weak_from_this(), choice](OrderResult result) {
+                      if (const auto self = weak.lock())
+                        self->OnRepathed(result, choice);
+                    });
 }
 
-void Exchange::OnRepathed(OrderResult result, LayerPath path) {
+void Exchange::OnRepathed(OrderResult result, const PathChoice& choice) {
   m_repathing = false;
   if (m_ended || !m_call)
     return;
@@ -191,7 +194,8 @@
   if (result == OrderResult::kAccepted) {
     ++m_repaths;
     ReleaseLoad();
-    m_path = std::move(path);
+    m_path = choice.path;
+    m_token_ms = choice.token_ms;
     m_departure.Clear();
     TakeLoad();
     m_last_progress = m_core.Now();
@@ -224,11 +228,36 @@
                         AssessSilence(now - m_last_progress, m_event_interval)};
 }
 
+std::optional<StreamPace> Exchange::Pace(TimePoint now) const {
+  if (m_ended || !m_call || !m_call->offered() || m_path.empty() ||
+      m_repathing || m_token_ms <= 0)
+    return std::nullopt;
+  const Duration silent = now - m_last_progress;
+  if (m_events.last_id() < kEventsToTell && silent < kSlowFirstEvent)
+    return std::nullopt;
+  return StreamPace{&m_path, std::max(m_event_interval, silent), m_token_ms};
+}
+
+void Exchange::MoveOffSlow(TimePoint now) {
+  if (m_path.empty() || m_events.any() || m_moved_off_slow ||
+      now - m_last_progress < kSlowFirstEvent)
+    return;
+  const auto slow = m_core.coordination().SlowServers(now);
+  const bool behind_slow = std::any_of(
+      m_path.begin(), m_path.end(),
+      [&](const PathPart& part) { return slow.contains(part.server); });
+  if (!behind_slow || !m_core.MayRetry(m_committed))
+    return;
+  m_moved_off_slow = true;
+  MoveElsewhere();
+}
+
 void Exchange::OnTick(TimePoint now) {
   if (m_ended || !m_call || !m_call->offered())
     return;
   MoveOffLeaving(now);
   MoveOffGivenUp(now);
+  MoveOffSlow(now);
   if (!m_call || !m_call->offered())
     return;
   // The silence check looks after streams that have begun.
--- a/src/gen/cluster_types.cpp
+++ b/src/gen/cluster_types.cpp
@@ -1882,6 +1882,118 @@
 }
 
 
+SlowServer::~SlowServer() noexcept {
+}
+
+
+void SlowServer::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void SlowServer::__set_pace_percent(const int32_t val) {
+  this->pace_percent = val;
+}
+std::ostream& operator<<(std::ostream& out, const SlowServer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SlowServer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->pace_percent);
+          this->__isset.pace_percent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SlowServer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SlowServer");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pace_percent", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->pace_percent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SlowServer &a, SlowServer &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.pace_percent, b.pace_percent);
+  swap(a.__isset, b.__isset);
+}
+
+SlowServer::SlowServer(const SlowServer& other72) {
+  server = other72.server;
+  pace_percent = other72.pace_percent;
+  __isset = other72.__isset;
+}
+SlowServer& SlowServer::operator=(const SlowServer& other73) {
+  server = other73.server;
+  pace_percent = other73.pace_percent;
+  __isset = other73.__isset;
+  return *this;
+}
+void SlowServer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SlowServer(";
+  out << "server=" << to_string(server);
+  out << ", " << "pace_percent=" << to_string(pace_percent);
+  out << ")";
+}
+
+
 Message::~Message() noexcept {
 }
 
@@ -1920,6 +2032,11 @@
   this->packed = val;
 __isset.packed = true;
 }
+
+void Message::__set_slow(const std::vector<SlowServer> & val) {
+  this->slow = val;
+__isset.slow = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -1976,14 +2093,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lost.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _etype75;
-            xfer += iprot->readListBegin(_etype75, _size72);
-            this->lost.resize(_size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->lost.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += iprot->readString(this->lost[_i76]);
+              xfer += iprot->readString(this->lost[_i78]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1996,14 +2113,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->refusing.clear();
-            uint32_t _size77;
-            ::apache::thrift::protocol::TType _etype80;
-            xfer += iprot->readListBegin(_etype80, _size77);
-            this->refusing.resize(_size77);
-            uint32_t _i81;
-            for (_i81 = 0; _i81 < _size77; ++_i81)
+            uint32_t _size79;
+            ::apache::thrift::protocol::TType _etype82;
+            xfer += iprot->readListBegin(_etype82, _size79);
+            this->refusing.resize(_size79);
+            uint32_t _i83;
+            for (_i83 = 0; _i83 < _size79; ++_i83)
             {
-              xfer += iprot->readString(this->refusing[_i81]);
+              xfer += iprot->readString(this->refusing[_i83]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2028,6 +2145,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->slow.clear();
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->slow.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
+            {
+              xfer += this->slow[_i88].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.slow = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2064,10 +2201,10 @@
     xfer += oprot->writeFieldBegin("lost", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->lost.size()));
-      std::vector<std::string> ::const_iterator _iter82;
-      for (_iter82 = this->lost.begin(); _iter82 != this->lost.end(); ++_iter82)
+      std::vector<std::string> ::const_iterator _iter89;
+      for (_iter89 = this->lost.begin(); _iter89 != this->lost.end(); ++_iter89)
       {
-        xfer += oprot->writeString((*_iter82));
+        xfer += oprot->writeString((*_iter89));
       }
       xfer += oprot->writeListEnd();
     }
@@ -2077,10 +2214,10 @@
     xfer += oprot->writeFieldBegin("refusing", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->refusing.size()));
-      std::vector<std::string> ::const_iterator _iter83;
-      for (_iter83 = this->refusing.begin(); _iter83 != this->refusing.end(); ++_iter83)
+      std::vector<std::string> ::const_iterator _iter90;
+      for (_iter90 = this->refusing.begin(); _iter90 != this->refusing.end(); ++_iter90)
       {
-        xfer += oprot->writeString((*_iter83));
+        xfer += oprot->writeString((*_iter90));
       }
       xfer += oprot->writeListEnd();
     }
@@ -2096,6 +2233,19 @@
     xfer += oprot->writeBinary(this->packed);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.slow) {
+    xfer += oprot->writeFieldBegin("slow", ::apache::thrift::protocol::T_LIST, 8);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->slow.size()));
+      std::vector<SlowServer> ::const_iterator _iter91;
+      for (_iter91 = this->slow.begin(); _iter91 != this->slow.end(); ++_iter91)
+      {
+        xfer += (*_iter91).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2110,28 +2260,31 @@
   swap(a.refusing, b.refusing);
   swap(a.configuration, b.configuration);
   swap(a.packed, b.packed);
+  swap(a.slow, b.slow);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other84) {
-  report = other84.report;
-  beat = other84.beat;
-  servers = other84.servers;
-  lost = other84.lost;
-  refusing = other84.refusing;
-  configuration = other84.configuration;
-  packed = other84.packed;
-  __isset = other84.__isset;
-}
-Message& Message::operator=(const Message& other85) {
-  report = other85.report;
-  beat = other85.beat;
-  servers = other85.servers;
-  lost = other85.lost;
-  refusing = other85.refusing;
-  configuration = other85.configuration;
-  packed = other85.packed;
-  __isset = other85.__isset;
+Message::Message(const Message& other92) {
+  report = other92.report;
+  beat = other92.beat;
+  servers = other92.servers;
+  lost = other92.lost;
+  refusing = other92.refusing;
+  configuration = other92.configuration;
+  packed = other92.packed;
+  slow = other92.slow;
+  __isset = other92.__isset;
+}
+Message& Message::operator=(const Message& other93) {
+  report = other93.report;
+  beat = other93.beat;
+  servers = other93.servers;
+  lost = other93.lost;
+  refusing = other93.refusing;
+  configuration = other93.configuration;
+  packed = other93.packed;
+  slow = other93.slow;
+  __isset = other93.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -2144,6 +2297,7 @@
   out << ", " << "refusing="; (__isset.refusing ? (out << to_string(refusing)) : (out << "<null>"));
   out << ", " << "configuration="; (__isset.configuration ? (out << to_string(configuration)) : (out << "<null>"));
   out << ", " << "packed="; (__isset.packed ? (out << to_string(packed)) : (out << "<null>"));
+  out << ", " << "slow="; (__isset.slow ? (out << to_string(slow)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gen/cluster_types.h
+++ b/src/gen/cluster_types.h
@@ -39,6 +39,8 @@
 
 class Configuration;
 
+class SlowServer;
+
 class Message;
 
 typedef struct _Load__isset {
@@ -720,8 +722,58 @@
 
 std::ostream& operator<<(std::ostream& out, const Configuration& obj);
 
+typedef struct _SlowServer__isset {
+  _SlowServer__isset() : server(false), pace_percent(false) {}
+  bool server :1;
+  bool pace_percent :1;
+} _SlowServer__isset;
+
+class SlowServer : public virtual ::apache::thrift::TBase {
+ public:
+
+  SlowServer(const SlowServer&);
+  SlowServer& operator=(const SlowServer&);
+  SlowServer() noexcept
+             : server(),
+               pace_percent(0) {
+  }
+
+  virtual ~SlowServer() noexcept;
+  std::string server;
+  int32_t pace_percent;
+
+  _SlowServer__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_pace_percent(const int32_t val);
+
+  bool operator == (const SlowServer & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(pace_percent == rhs.pace_percent))
+      return false;
+    return true;
+  }
+  bool operator != (const SlowServer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SlowServer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SlowServer &a, SlowServer &b);
+
+std::ostream& operator<<(std::ostream& out, const SlowServer& obj);
+
 typedef struct _Message__isset {
-  _Message__isset() : report(false), beat(false), servers(false), lost(false), refusing(false), configuration(false), packed(false) {}
+  _Message__isset() : report(false), beat(false), servers(false), lost(false), refusing(false), configuration(false), packed(false), slow(false) {}
   bool report :1;
   bool beat :1;
   bool servers :1;
@@ -729,6 +781,7 @@
   bool refusing :1;
   bool configuration :1;
   bool packed :1;
+  bool slow :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -748,6 +801,7 @@
   std::vector<std::string>  refusing;
   Configuration configuration;
   std::string packed;
+  std::vector<SlowServer>  slow;
 
   _Message__isset __isset;
 
@@ -765,6 +819,8 @@
 
   void __set_packed(const std::string& val);
 
+  void __set_slow(const std::vector<SlowServer> & val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.report != rhs.__isset.report)
@@ -795,6 +851,10 @@
       return false;
     else if (__isset.packed && !(packed == rhs.packed))
       return false;
+    if (__isset.slow != rhs.__isset.slow)
+      return false;
+    else if (__isset.slow && !(slow == rhs.slow))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/src/layer_path.cc
+++ b/src/layer_path.cc
@@ -98,6 +98,9 @@
   candidate.layer_cost =
       (candidate.step_ms_per_layer * kAnswerTokens + prefill) *
       Crowding(Use(engine, candidate, 0));
+  if (const auto pace = request.paces.find(server.id);
+      pace != request.paces.end())
+    candidate.layer_cost *= pace->second;
   if (const auto backlog = request.backlog_ms.find(server.id);
       backlog != request.backlog_ms.end())
     candidate.layer_cost +=
--- a/src/liveness.cc
+++ b/src/liveness.cc
@@ -37,6 +37,19 @@
 // along.
 constexpr Duration kRefusesAgain = milliseconds(1000);
 
+// Streams to learn the usual pace from, and the weight of a later one.
+constexpr int kLeastLearned = 8;
+constexpr double kLearnRate = 1.0 / 32;
+// A stream counts for what is usual by at most this factor.
+constexpr double kMostLearned = 1.3;
+// Paces, over the usual one, of a slow stream and of one that is not.
+constexpr double kSlowStream = 1.5;
+constexpr double kUsualStream = 1.2;
+// A mark lasts longer than the time between two readings of a slow server.
+constexpr Duration kSlowLife = milliseconds(2500);
+// Change of a pace that is told to others.
+constexpr double kPaceChange = 1.5;
+
 }  // namespace
 
 Silence AssessSilence(Duration silent, Duration interval) {
@@ -162,4 +175,59 @@
   });
 }
 
+void PaceMonitor::Learn(Duration interval, double token_ms) {
+  if (token_ms <= 0)
+    return;
+  const double ratio = static_cast<double>(interval.count()) / 1000 / token_ms;
+  ++m_learned;
+  if (m_learned <= kLeastLearned)
+    m_usual += (ratio - m_usual) / m_learned;
+  else
+    m_usual += (std::min(ratio, m_usual * kMostLearned) - m_usual) * kLearnRate;
+}
+
+std::set<std::string> PaceMonitor::Suspects(
+    const std::vector<StreamPace>& streams) const {
+  std::set<std::string> suspects;
+  if (m_learned < kLeastLearned)
+    return suspects;
+  std::set<std::string> usual;
+  for (const StreamPace& stream : streams) {
+    const double ratio = static_cast<double>(stream.interval.count()) / 1000 /
+                         stream.token_ms / m_usual;
+    if (ratio > kUsualStream && ratio < kSlowStream)
+      continue;
+    for (const PathPart& part : *stream.path)
+      (ratio >= kSlowStream ? suspects : usual).insert(part.server);
+  }
+  for (const std::string& server : usual)
+    suspects.erase(server);
+  return suspects;
+}
+
+bool SlowMarks::Set(const std::string& server, double pace, TimePoint now) {
+  const auto found = m_marks.find(server);
+  const double before = found != m_marks.end() && now < found->second.until
+                            ? found->second.pace
+                            : 1;
+  if (pace >= kSlowPace)
+    m_marks[server] = {pace, now + kSlowLife};
+  else if (found != m_marks.end())
+    m_marks.erase(found);
+  return pace > before * kPaceChange || pace * kPaceChange < before;
+}
+
+std::map<std::string, double> SlowMarks::Active(TimePoint now) const {
+  std::map<std::string, double> out;
+  for (const auto& [server, mark] : m_marks)
+    if (now < mark.until)
+      out[server] = mark.pace;
+  return out;
+}
+
+void SlowMarks::Sweep(TimePoint now) {
+  std::erase_if(m_marks,
+                [&](const auto& entry) { return entry.second.until <= now; });
+}
+
 }  // namespace trefoilwick
--- a/test/adapter_test.cc
+++ b/test/adapter_test.cc
@@ -345,6 +345,9 @@
     const auto read = dialect.ReadReport(report);
     CPPUNIT_ASSERT_EQUAL(int64_t{2}, read->order_seq);
     CPPUNIT_ASSERT_EQUAL(std::string("a:1"), read->stalled.at("9c"));
+    CPPUNIT_ASSERT_EQUAL(1.0, read->pace);
+    report.response.body() = R"({"seq":2,"pace":12.5})";
+    CPPUNIT_ASSERT_EQUAL(12.5, dialect.ReadReport(report)->pace);
     report.response.body() = "{}";
     CPPUNIT_ASSERT(!dialect.ReadReport(report).has_value());
   }
--- a/test/coordination_test.cc
+++ b/test/coordination_test.cc
@@ -250,6 +250,7 @@
   CPPUNIT_TEST(CallsDuringAnOutageAreBounded);
   CPPUNIT_TEST(ServerThatOnlyTheCoordinatorMissesIsKept);
   CPPUNIT_TEST(LossIsToldToAllOnce);
+  CPPUNIT_TEST(PaceIsToldAndReadByOne);
   CPPUNIT_TEST(SmallCoordinatorIsRelieved);
   CPPUNIT_TEST(RelaysLeaveTheLinkToOthers);
   CPPUNIT_TEST(ListIsSentOnceToEach);
@@ -610,6 +611,38 @@
     CPPUNIT_ASSERT_EQUAL(size_t{4}, node.TakeActions().size());
   }
 
+  // Every instance that reads the pace of every slow server costs those servers
+  // more than their work.
+  void PaceIsToldAndReadByOne() {
+    Cluster cluster(5);
+    cluster.Run(seconds(3));
+    Coordination& first = *cluster.At(1).coordination;
+    Coordination& second = *cluster.At(2).coordination;
+    first.SetPace(cluster.now(), "a", 12);
+    cluster.Run(milliseconds(200));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+        12.0, second.SlowServers(cluster.now()).at("a"), 0.01);
+    cluster.Run(milliseconds(800));
+    CPPUNIT_ASSERT(second.PacesToRead(cluster.now()).empty());
+    CPPUNIT_ASSERT(first.PacesToRead(cluster.now()).contains("a"));
+    // Two that read it at the same moment: one of them goes on.
+    first.SetPace(cluster.now(), "a", 12);
+    second.SetPace(cluster.now(), "a", 12);
+    cluster.Run(milliseconds(900));
+    CPPUNIT_ASSERT(first.PacesToRead(cluster.now()).empty());
+    CPPUNIT_ASSERT(second.PacesToRead(cluster.now()).empty());
+    // Nobody reads it any more: all are ready to, one after the other.
+    cluster.Run(milliseconds(1400));
+    CPPUNIT_ASSERT(first.PacesToRead(cluster.now()).contains("a") ||
+                   second.PacesToRead(cluster.now()).contains("a"));
+    CPPUNIT_ASSERT(!second.SlowServers(cluster.now()).empty());
+    second.SetPace(cluster.now(), "a", 12);
+    second.SetPace(cluster.now(), "a", 1);
+    cluster.Run(milliseconds(200));
+    CPPUNIT_ASSERT(first.SlowServers(cluster.now()).empty());
+    CPPUNIT_ASSERT(second.PacesToRead(cluster.now()).empty());
+  }
+
   // After a loss of all instances one with a link of 14 Mbit/s coordinated 117
   // others; its beats came so late that the next took the lease each two
   // seconds (motionhall grown, a drawn day).
--- a/test/layer_path_test.cc
+++ b/test/layer_path_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(StaysInTheDataCenterOfTheCaller);
   CPPUNIT_TEST(GoesElsewhereWhenMemoryIsFull);
   CPPUNIT_TEST(GoesElsewhereWhenPlacesAreFull);
+  CPPUNIT_TEST(SlowServersAreLeftOut);
   CPPUNIT_TEST(AnotherDataCenterRatherThanACrossing);
   CPPUNIT_TEST(NoCrossingWhileADataCenterHoldsAll);
   CPPUNIT_TEST(CrossingsStayBelowTheLink);
@@ -55,6 +56,24 @@
     }
   }
 
+  // A server that takes twelve times as long serves only when no other holds
+  // its layers.
+  void SlowServersAreLeftOut() {
+    const ServerMap servers = TiledFleet({"regina", "brandon"});
+    PathRequest request = Request("regina");
+    const auto usual = ChoosePath(Engine(), servers, {}, request, kMostUse);
+    CPPUNIT_ASSERT(usual.has_value());
+    const std::string slow = usual->path[2].server;
+    request.paces[slow] = 12;
+    const auto other = ChoosePath(Engine(), servers, {}, request, kMostUse);
+    CPPUNIT_ASSERT(other.has_value());
+    for (const PathPart& part : other->path)
+      CPPUNIT_ASSERT(part.server != slow);
+    for (const auto& [id, server] : servers)
+      request.paces[id] = 12;
+    CPPUNIT_ASSERT(ChoosePath(Engine(), servers, {}, request, kMostUse));
+  }
+
   // A burst that fills the memory of one data center must spill over.
   void GoesElsewhereWhenMemoryIsFull() {
     const ServerMap servers = TiledFleet({"regina", "brandon"});
--- a/test/liveness_test.cc
+++ b/test/liveness_test.cc
@@ -19,6 +19,10 @@
   CPPUNIT_TEST(ServerThatGoesOnRefusingIsLeftOutLonger);
   CPPUNIT_TEST(RequestsSentBeforeTheMarkDoNotProlongIt);
   CPPUNIT_TEST(OldRefusalsAreForgotten);
+  CPPUNIT_TEST(SlowServerIsNamedByItsStreams);
+  CPPUNIT_TEST(PaceIsLearnedBeforeItIsJudged);
+  CPPUNIT_TEST(SlowTimesAreNotLearned);
+  CPPUNIT_TEST(SlowMarksEnd);
   CPPUNIT_TEST(LossIsDecidedByThoseThatTried);
   CPPUNIT_TEST(LossIsDecidedAloneWhenNobodyAnswers);
   CPPUNIT_TEST_SUITE_END();
@@ -197,6 +201,66 @@
     CPPUNIT_ASSERT(AssessLoss("a", since, since + std::chrono::seconds(2),
                               {before, before}) == LossVerdict::kConfirmed);
   }
+
+  // 13 of 102 servers took twelve times as long for nine seconds; prompts piled
+  // up in front of them, and first events came after 0.4 to 1.2 s (motionhall
+  // grown, trouble-2).
+  void SlowServerIsNamedByItsStreams() {
+    PaceMonitor monitor;
+    for (int i = 0; i < 20; ++i)
+      monitor.Learn(milliseconds(36), 9);
+    const LayerPath slow = {{"a", {0, 10}}, {"slow", {10, 20}}};
+    const LayerPath fast = {{"a", {0, 10}}, {"c", {10, 20}}};
+    const auto suspects = monitor.Suspects(
+        {{&slow, milliseconds(70), 9}, {&fast, milliseconds(37), 9}});
+    CPPUNIT_ASSERT(suspects == std::set<std::string>{"slow"});
+    // A path of slower servers takes longer by itself.
+    CPPUNIT_ASSERT(monitor.Suspects({{&slow, milliseconds(70), 17}}).empty());
+    // Between the two bounds nothing is said of a server.
+    CPPUNIT_ASSERT_EQUAL(size_t{2},
+                         monitor
+                             .Suspects({{&slow, milliseconds(70), 9},
+                                        {&fast, milliseconds(48), 9}})
+                             .size());
+  }
+
+  void PaceIsLearnedBeforeItIsJudged() {
+    PaceMonitor monitor;
+    const LayerPath path = {{"a", {0, 20}}};
+    for (int i = 0; i < 7; ++i)
+      monitor.Learn(milliseconds(36), 9);
+    CPPUNIT_ASSERT(monitor.Suspects({{&path, milliseconds(400), 9}}).empty());
+    monitor.Learn(milliseconds(36), 9);
+    CPPUNIT_ASSERT(!monitor.Suspects({{&path, milliseconds(400), 9}}).empty());
+  }
+
+  // What is slow for a while must not become what is usual.
+  void SlowTimesAreNotLearned() {
+    PaceMonitor monitor;
+    for (int i = 0; i < 20; ++i)
+      monitor.Learn(milliseconds(36), 9);
+    for (int i = 0; i < 30; ++i)
+      monitor.Learn(milliseconds(400), 9);
+    const LayerPath path = {{"a", {0, 20}}};
+    CPPUNIT_ASSERT(!monitor.Suspects({{&path, milliseconds(150), 9}}).empty());
+  }
+
+  void SlowMarksEnd() {
+    const TimePoint start{std::chrono::seconds(100)};
+    SlowMarks marks;
+    CPPUNIT_ASSERT(marks.Set("a", 12, start));
+    // The same again is not told to everybody again.
+    CPPUNIT_ASSERT(!marks.Set("a", 11, start + milliseconds(1000)));
+    CPPUNIT_ASSERT_EQUAL(size_t{1},
+                         marks.Active(start + milliseconds(3000)).size());
+    CPPUNIT_ASSERT(marks.Active(start + milliseconds(4000)).empty());
+    marks.Sweep(start + milliseconds(4000));
+    CPPUNIT_ASSERT(marks.Set("a", 3, start + milliseconds(4000)));
+    CPPUNIT_ASSERT(marks.Set("a", 1, start + milliseconds(4100)));
+    CPPUNIT_ASSERT(marks.Active(start + milliseconds(4100)).empty());
+    // A server at its pace is nothing to tell.
+    CPPUNIT_ASSERT(!marks.Set("b", 1, start));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LivenessTest);
