--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -131,6 +131,10 @@
   // others, which hear of it.
   void MarkRefusing(TimePoint now, const std::string& server);
   std::set<std::string> Refusing(TimePoint now) const;
+  // Servers that go on refusing.
+  std::set<std::string> RefusingAgain(TimePoint now) const {
+    return m_refusing.Persistent(now);
+  }
 
   // This instance read the pace of a server; the others hear of it when it is
   // new, and often enough for as long as it is slow.
--- a/include/trefoilwick/liveness.h
+++ b/include/trefoilwick/liveness.h
@@ -97,6 +97,8 @@
   // True when the server was not left out already.
   bool Add(const std::string& server, TimePoint now);
   std::set<std::string> Active(TimePoint now) const;
+  // Servers that refused again as soon as they were used again.
+  std::set<std::string> Persistent(TimePoint now) const;
   // Forgets what is long past.
   void Sweep(TimePoint now);
 
@@ -108,6 +110,14 @@
   std::map<std::string, Mark> m_marks;
 };
 
+// Servers of `refusing` that refuse although most of their memory is free: they
+// are leaving. Load pattern: servers leave while the store is away, so that no
+// list says so and their layers are not placed anew.
+std::set<std::string> LeavingUnlisted(const EngineModel& engine,
+                                      const ServerMap& servers,
+                                      const LoadMap& loads,
+                                      const std::set<std::string>& refusing);
+
 // How fast a stream runs.
 struct StreamPace {
   const LayerPath* path = nullptr;
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -729,7 +729,7 @@
   std::map<std::string, LayerRange> pending;
   for (const auto& [id, order] : m_orders)
     pending[id] = order.layers;
-  const auto lost = m_coordination.ConfirmedLost(now, kLostBeforePlacing);
+  const auto confirmed = m_coordination.ConfirmedLost(now, kLostBeforePlacing);
   // No order reaches these: they stay as they are.
   for (const std::string& id : m_coordination.UnreachableHere(now))
     if (const auto server = m_coordination.listed()->find(id);
@@ -739,6 +739,12 @@
   for (const auto& [name, service] : m_table->services()) {
     if (!service.engine || service.engine->layers == 0)
       continue;
+    std::set<std::string> lost = confirmed;
+    // While the store is away no list names the servers that leave.
+    if (m_coordination.ListAge(now) > kListLimit)
+      lost.merge(LeavingUnlisted(*service.engine, *m_coordination.listed(),
+                                 m_coordination.Loads(now),
+                                 m_coordination.RefusingAgain(now)));
     LogLayout(*service.engine, name, lost);
     for (const PlacementOrder& order :
          PlanPlacement(*service.engine, *m_coordination.listed(), name, lost,
--- a/src/liveness.cc
+++ b/src/liveness.cc
@@ -37,6 +37,10 @@
 // along.
 constexpr Duration kRefusesAgain = milliseconds(1000);
 
+// Share of its memory in use below which a server does not refuse for want of
+// room.
+constexpr double kMostlyFree = 0.5;
+
 // Streams to learn the usual pace from, and the weight of a later one.
 constexpr int kLeastLearned = 8;
 constexpr double kLearnRate = 1.0 / 32;
@@ -169,12 +173,37 @@
   return out;
 }
 
+std::set<std::string> RefusalMarks::Persistent(TimePoint now) const {
+  std::set<std::string> out;
+  for (const auto& [server, mark] : m_marks)
+    if (mark.life > kRefusalLife && now - mark.until <= kRefusesAgain)
+      out.insert(server);
+  return out;
+}
+
 void RefusalMarks::Sweep(TimePoint now) {
   std::erase_if(m_marks, [&](const auto& entry) {
     return now - entry.second.until > kRefusesAgain;
   });
 }
 
+std::set<std::string> LeavingUnlisted(const EngineModel& engine,
+                                      const ServerMap& servers,
+                                      const LoadMap& loads,
+                                      const std::set<std::string>& refusing) {
+  std::set<std::string> out;
+  for (const std::string& id : refusing) {
+    const auto server = servers.find(id);
+    if (server == servers.end() || !server->second.layers)
+      continue;
+    const auto load = loads.find(id);
+    const double held = load == loads.end() ? 0 : load->second.token_layers;
+    if (held < kMostlyFree * KvCapacity(engine, server->second))
+      out.insert(id);
+  }
+  return out;
+}
+
 void PaceMonitor::Learn(Duration interval, double token_ms) {
   if (token_ms <= 0)
     return;
--- a/test/liveness_test.cc
+++ b/test/liveness_test.cc
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "layer_fleet.h"
+
 namespace trefoilwick {
 namespace {
 
@@ -19,6 +21,7 @@
   CPPUNIT_TEST(ServerThatGoesOnRefusingIsLeftOutLonger);
   CPPUNIT_TEST(RequestsSentBeforeTheMarkDoNotProlongIt);
   CPPUNIT_TEST(OldRefusalsAreForgotten);
+  CPPUNIT_TEST(ServersThatLeaveUnlistedAreNamed);
   CPPUNIT_TEST(SlowServerIsNamedByItsStreams);
   CPPUNIT_TEST(PaceIsLearnedBeforeItIsJudged);
   CPPUNIT_TEST(SlowTimesAreNotLearned);
@@ -202,6 +205,32 @@
                               {before, before}) == LossVerdict::kConfirmed);
   }
 
+  // Servers left while the store was away; the layout that the coordinator knew
+  // was whole, and 653 requests were refused in six seconds (malabar-gnomon, a
+  // drawn day).
+  void ServersThatLeaveUnlistedAreNamed() {
+    ServerMap servers;
+    for (const char* id : {"leaves", "full", "once"}) {
+      servers[id] = EmptyServer(id, "regina", "l4");
+      servers[id].layers = LayerRange{0, 9};
+    }
+    LoadMap loads;
+    loads["full"].token_layers = 0.9 * KvCapacity(Engine(), servers.at("full"));
+    const TimePoint start{std::chrono::seconds(100)};
+    RefusalMarks marks;
+    for (const char* id : {"leaves", "full", "once"})
+      marks.Add(id, start);
+    CPPUNIT_ASSERT(marks.Persistent(start).empty());
+    const TimePoint again = start + milliseconds(700);
+    marks.Add("leaves", again);
+    marks.Add("full", again);
+    CPPUNIT_ASSERT(
+        LeavingUnlisted(Engine(), servers, loads, marks.Persistent(again)) ==
+        std::set<std::string>{"leaves"});
+    // It is forgotten unless it refuses again.
+    CPPUNIT_ASSERT(marks.Persistent(again + milliseconds(2100)).empty());
+  }
+
   // 13 of 102 servers took twelve times as long for nine seconds; prompts piled
   // up in front of them, and first events came after 0.4 to 1.2 s (motionhall
   // grown, trouble-2).
