Split the gateway's and the coordination's largest files

Placement of layers and health of servers have files of their own; behaviour is unchanged (unit tests of coordination, gateway and liveness pass).

--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -216,6 +216,8 @@
   void StepDown(TimePoint now);
   void ReadListIfStale(TimePoint now);
   void Broadcast(TimePoint now, const std::string& bytes);
+  void SweepHealth(TimePoint now);
+  void HearDeploymentLost(TimePoint now, const std::set<std::string>& lost);
   void HearOfLost(TimePoint now, const std::string& server);
   void HearOfPace(TimePoint now, const std::string& server, double pace);
   void NoteConfigVersion(TimePoint now, int64_t version);
@@ -322,6 +324,8 @@
 
 namespace detail {
 
+// A member that was not heard for this long does not count.
+inline constexpr Duration kMemberSilence = std::chrono::milliseconds(1500);
 // Largest datagram between instances, below the limit of IPv4.
 inline constexpr size_t kMaxDatagramBytes = 60'000;
 
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -53,15 +53,6 @@
 // relieved after this long.
 constexpr int kRelieveFactor = 2;
 constexpr Duration kRelieveAfter = seconds(2);
-constexpr Duration kMemberSilence = milliseconds(1500);
-constexpr Duration kLostLife = seconds(2);
-// A beat that was made when the others had tried to reach a lost server has
-// arrived after this time.
-constexpr Duration kVerdictKnown = milliseconds(900);
-// Time between two readings of the pace of a slow server, and the time over
-// which the others take over from the instance that read it last.
-constexpr Duration kPaceInterval = seconds(1);
-constexpr Duration kPaceTakeOver = milliseconds(1200);
 // A report of a server goes before the list for longer than the list lags.
 constexpr Duration kReportedLife = seconds(3);
 
@@ -171,19 +162,10 @@
 }
 
 void Coordination::OnTick(TimePoint now) {
-  m_refusing.Sweep(now);
-  m_slow.Sweep(now);
-  std::erase_if(m_next_pace_reading, [&](const auto& entry) {
-    return now - entry.second > kPaceTakeOver;
-  });
-  std::erase_if(m_lost,
-                [&](const auto& entry) { return entry.second.until <= now; });
+  SweepHealth(now);
   if (std::any_of(m_reported.begin(), m_reported.end(),
                   [&](const auto& entry) { return entry.second.until <= now; }))
     UpdateServers(now);
-  std::erase_if(m_heard_lost, [&](const auto& entry) {
-    return now - entry.second > kLostLife;
-  });
   if (m_is_coordinator) {
     if (now >= m_next_lease_call && !m_lease_call_pending) {
       m_lease_call_pending = true;
@@ -421,7 +403,7 @@
     return m_sends_elsewhere;
   SendCounts sum;
   for (const auto& [ip, peer] : m_peers) {
-    if (now - peer.heard > kMemberSilence)
+    if (now - peer.heard > detail::kMemberSilence)
       continue;
     sum.requests += peer.sends.requests;
     sum.retries += peer.sends.retries;
@@ -447,7 +429,7 @@
   if (!m_is_coordinator)
     return;
   for (const auto& [ip, peer] : m_peers)
-    if (now - peer.heard <= kMemberSilence)
+    if (now - peer.heard <= detail::kMemberSilence)
       SendConfiguration(now, ip);
 }
 
@@ -469,133 +451,18 @@
   m_actions.emplace_back(ReadConfiguration{});
 }
 
-void Coordination::MarkLost(TimePoint now, const std::string& server) {
-  const bool is_new = !m_lost.contains(server);
-  LostMark& mark = m_lost[server];
-  if (is_new)
-    mark.since = now;
-  mark.until = now + kLostLife;
-  // With most servers lost it is rather the link of this instance.
-  if (!is_new || m_lost.size() * 2 > m_servers->size())
-    return;
-  // The coordinator counts who cannot reach the server.
-  m_next_report = now;
-  // What another one told everybody is not told again.
-  const auto heard = m_heard_lost.find(server);
-  if (heard != m_heard_lost.end() && now - heard->second < kLostLife)
-    return;
-  Broadcast(now, detail::EncodeLost({server}));
-}
-
 void Coordination::Broadcast(TimePoint now, const std::string& bytes) {
   for (const ClusterMember& member : Members(now))
     if (member.ip != m_ip)
       m_actions.emplace_back(SendDatagram{member.ip, bytes});
 }
 
-void Coordination::MarkRefusing(TimePoint now, const std::string& server) {
-  if (m_refusing.Add(server, now))
-    Broadcast(now, detail::EncodeRefusing({server}));
-}
-
-std::set<std::string> Coordination::Refusing(TimePoint now) const {
-  return m_refusing.Active(now);
-}
-
-void Coordination::SetPace(TimePoint now,
-                           const std::string& server,
-                           double pace) {
-  const bool tells = m_next_pace_reading.contains(server);
-  const bool is_new = m_slow.Set(server, pace, now);
-  if (pace >= kSlowPace)
-    m_next_pace_reading[server] = now + kPaceInterval;
-  else
-    m_next_pace_reading.erase(server);
-  if (is_new || tells)
-    Broadcast(now, detail::EncodeSlow({{server, pace}}));
-}
-
-void Coordination::HearOfPace(TimePoint now,
-                              const std::string& server,
-                              double pace) {
-  m_slow.Set(server, pace, now);
-  if (pace < kSlowPace) {
-    m_next_pace_reading.erase(server);
-    return;
-  }
-  m_next_pace_reading[server] =
-      now + kPaceInterval +
-      Duration(StableHash(m_ip + server) %
-               static_cast<uint64_t>(kPaceTakeOver.count()));
-}
-
-std::set<std::string> Coordination::PacesToRead(TimePoint now) const {
-  std::set<std::string> out;
-  for (const auto& [server, next] : m_next_pace_reading)
-    if (now >= next)
-      out.insert(server);
-  return out;
-}
-
-void Coordination::HearOfLost(TimePoint now, const std::string& server) {
-  m_heard_lost[server] = now;
-  if (!m_lost.contains(server) && m_servers->contains(server))
-    m_actions.emplace_back(ProbeServer{server});
-}
-
-void Coordination::MarkFound(const std::string& server) {
-  m_lost.erase(server);
-}
-
-std::set<std::string> Coordination::Lost(TimePoint now) const {
-  std::set<std::string> out;
-  for (const auto& [server, mark] : m_lost)
-    if (mark.until > now)
-      out.insert(server);
-  return out;
-}
-
-LossVerdict Coordination::Verdict(TimePoint now,
-                                  const std::string& server,
-                                  const LostMark& mark) const {
-  if (!m_is_coordinator) {
-    if (!HearsCoordinator(now) || now - mark.since < kVerdictKnown)
-      return LossVerdict::kOpen;
-    return m_deployment_lost.contains(server) ? LossVerdict::kConfirmed
-                                              : LossVerdict::kContradicted;
-  }
-  std::vector<LossReport> others;
-  for (const auto& [ip, peer] : m_peers)
-    if (now - peer.heard <= kMemberSilence)
-      others.push_back({peer.heard, &peer.lost});
-  return AssessLoss(server, mark.since, now, others);
-}
-
-std::set<std::string> Coordination::UnreachableHere(TimePoint now) const {
-  std::set<std::string> out;
-  for (const auto& [server, mark] : m_lost)
-    if (mark.until > now &&
-        Verdict(now, server, mark) == LossVerdict::kContradicted)
-      out.insert(server);
-  return out;
-}
-
-std::set<std::string> Coordination::ConfirmedLost(TimePoint now,
-                                                  Duration at_least) const {
-  std::set<std::string> out;
-  for (const auto& [server, mark] : m_lost)
-    if (mark.until > now && now - mark.since >= at_least &&
-        Verdict(now, server, mark) == LossVerdict::kConfirmed)
-      out.insert(server);
-  return out;
-}
-
 std::vector<ClusterMember> Coordination::Members(TimePoint now) const {
   std::vector<ClusterMember> out;
   out.push_back({m_ip, m_data_center, m_accepting, m_cpu_milli});
   if (m_is_coordinator) {
     for (const auto& [ip, peer] : m_peers)
-      if (now - peer.heard <= kMemberSilence)
+      if (now - peer.heard <= detail::kMemberSilence)
         out.push_back(peer.member);
     return out;
   }
@@ -609,7 +476,7 @@
   LoadMap out;
   if (m_is_coordinator) {
     for (const auto& [ip, peer] : m_peers)
-      if (now - peer.heard <= kMemberSilence)
+      if (now - peer.heard <= detail::kMemberSilence)
         AddLoads(out, peer.loads, 1);
   } else {
     out = m_cluster_loads;
@@ -683,7 +550,7 @@
   beat.store_reachable = now - m_store_answered < kStoreSilence;
   const std::string bytes = detail::EncodeBeat(beat, *m_names);
   for (auto& [ip, peer] : m_peers) {
-    if (now - peer.heard > kMemberSilence)
+    if (now - peer.heard > detail::kMemberSilence)
       continue;
     m_actions.emplace_back(SendDatagram{ip, bytes});
     if (peer.list_version < m_list_version)
@@ -761,14 +628,7 @@
             for (const auto& [server, layers] : beat.held)
               m_reported[server] = {layers, now + kReportedLife};
             UpdateServers(now);
-            m_deployment_lost = beat.lost;
-            for (const std::string& server : beat.lost) {
-              // The coordinator goes on probing for all.
-              if (const auto mark = m_lost.find(server); mark != m_lost.end())
-                mark->second.until = now + kLostLife;
-              else
-                HearOfLost(now, server);
-            }
+            HearDeploymentLost(now, beat.lost);
             // A list that is as new as the coordinator's is as fresh, too.
             if (m_list_version >= beat.list_version && m_list_version > 0)
               m_list_fresh_at = std::max(m_list_fresh_at, now - beat.list_age);
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -18,47 +18,20 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// A list that is older is not used while a newer one may still come.
-constexpr Duration kListLimit = milliseconds(1600);
 // How long requests wait for the list after the process stood still.
 constexpr Duration kResumeWait = milliseconds(400);
 // A tick that is later means that the process stood still.
 constexpr Duration kSuspension = milliseconds(800);
 constexpr Duration kSweepInterval = seconds(1);
-constexpr Duration kPlacementInterval = milliseconds(200);
-// Time for the news that layers are to be given up to reach every instance: a
-// tick of the coordinator and the way there.
-constexpr Duration kGiveUpNotice = milliseconds(120);
 // A server that is not listed for longer than this has ended: entries that
 // lapse while the store is away are back within two seconds.
 constexpr Duration kEndedAfter = milliseconds(2500);
-// An order that does not show in the list after this long is given again.
-constexpr Duration kOrderLife = seconds(4);
-// Longer than the time between two entries of a server in the list.
-constexpr Duration kListSettles = milliseconds(1500);
-// A server must be lost this long before its layers go to others.
-constexpr Duration kLostBeforePlacing = milliseconds(300);
-constexpr Duration kOrderTimeout = milliseconds(1500);
-// A server that should have carried out its order is asked this often.
-constexpr Duration kAskInterval = milliseconds(150);
-// A report may be this old: it does not show an order yet.
-constexpr Duration kReportLag = milliseconds(600);
-// A server that was listed just now often replaces one that leaves soon after:
-// it stays empty for the layers of that one.
-constexpr Duration kFreshServer = milliseconds(1200);
 constexpr Duration kServerConnect = milliseconds(400);
-// Well above a round trip between data centers. One opening packet may be lost:
-// a second one follows.
-constexpr Duration kProbeTimeout = milliseconds(20);
-constexpr Duration kSecondProbeAfter = milliseconds(7);
-constexpr Duration kSilenceCheckInterval = milliseconds(10);
 constexpr Duration kConfigWatch = seconds(1);
 constexpr Duration kWatchCheck = milliseconds(250);
 constexpr Duration kConfigRetry = milliseconds(500);
 constexpr int kMostWatchBackoff = 6;
 constexpr int kMaxLogLinesPerSecond = 200;
-// Requests move off a lost server within this time.
-constexpr Duration kRecoveryTime = milliseconds(300);
 
 }  // namespace
 
@@ -181,20 +154,6 @@
   m_coordination.SetLocalLoads(m_local_loads);
 }
 
-double GatewayCore::RecoveryCopies(const std::string& server, TimePoint now) {
-  Recovery& recovery = m_recoveries[server];
-  if (now < recovery.until)
-    return recovery.copies;
-  recovery = {1, now + kRecoveryTime};
-  const auto own = m_local_loads.find(server);
-  const LoadMap loads = m_coordination.Loads(now);
-  const auto all = loads.find(server);
-  if (own != m_local_loads.end() && all != loads.end())
-    recovery.copies = std::max(1.0, static_cast<double>(all->second.sequences) /
-                                        std::max(1, own->second.sequences));
-  return recovery.copies;
-}
-
 std::string GatewayCore::OtherDataCenter(const std::string& server) {
   const auto from = servers().find(server);
   if (from == servers().end())
@@ -236,11 +195,6 @@
                             m_coordination.Members(now).size() - 1, begun);
 }
 
-bool GatewayCore::HasEnded(const std::string& server, TimePoint now) const {
-  const auto ended = m_ended.find(server);
-  return ended != m_ended.end() && ended->second <= now;
-}
-
 bool GatewayCore::TakeCrossing(const EngineModel& engine,
                                const PathChoice& choice,
                                double tokens) {
@@ -257,74 +211,6 @@
   return true;
 }
 
-void GatewayCore::MarkRefusing(const std::string& address) {
-  for (const auto& [id, server] : servers())
-    if (server.address == address)
-      m_coordination.MarkRefusing(Now(), id);
-  RunActions();
-}
-
-std::set<std::string> GatewayCore::Avoided(TimePoint now) {
-  std::set<std::string> out = m_coordination.Lost(now);
-  for (const std::string& server : m_coordination.UnreachableHere(now))
-    out.erase(server);
-  out.merge(m_coordination.Refusing(now));
-  return out;
-}
-
-void GatewayCore::Probe(const std::string& server) {
-  const TimePoint now = Now();
-  const auto found = servers().find(server);
-  if (found == servers().end()) {
-    m_coordination.MarkFound(server);
-    return;
-  }
-  if (!m_probes.Take(server, now, m_coordination.Members(now).size()))
-    return;
-  TryConnect(m_io, found->second.address, kProbeTimeout, kSecondProbeAfter,
-             [this, server](ConnectResult result) {
-               switch (result) {
-                 case ConnectResult::kAccepted:
-                   m_probes.OnAlive(server, Now());
-                   m_coordination.MarkFound(server);
-                   return;
-                 case ConnectResult::kRefused:
-                   m_ended[server] = Now();
-                   ReportLost(server);
-                   return;
-                 case ConnectResult::kSilent:
-                   ReportLost(server);
-                   return;
-               }
-             });
-}
-
-void GatewayCore::ReportLost(const std::string& server) {
-  if (!m_coordination.Lost(Now()).contains(server))
-    Log("server_lost", {{"server", server}});
-  m_coordination.MarkLost(Now(), server);
-  m_pool.Drop(server);
-  TellLost();
-  RunActions();
-}
-
-// Tells each request about servers that are lost since the last call.
-void GatewayCore::TellLost() {
-  const std::set<std::string> lost = m_coordination.Lost(Now());
-  std::vector<std::string> fresh;
-  std::set_difference(lost.begin(), lost.end(), m_told_lost.begin(),
-                      m_told_lost.end(), std::back_inserter(fresh));
-  m_told_lost = lost;
-  for (const std::string& server : fresh) {
-    std::vector<std::shared_ptr<Exchange>> users;
-    for (Exchange* exchange : m_exchanges)
-      if (exchange->UsesServer(server))
-        users.push_back(exchange->shared_from_this());
-    for (const auto& exchange : users)
-      exchange->OnServerLost(server);
-  }
-}
-
 void GatewayCore::CallServer(const std::string& server,
                              HttpRequest request,
                              const std::function<void(OrderResult)>& handler) {
@@ -385,76 +271,6 @@
   });
 }
 
-void GatewayCore::ScheduleSilenceCheck() {
-  m_silence_timer.expires_after(kSilenceCheckInterval);
-  m_silence_timer.async_wait([this](error_code error) {
-    if (error)
-      return;
-    CheckSilence();
-    ScheduleSilenceCheck();
-  });
-}
-
-std::vector<StreamProgress> GatewayCore::Streams() const {
-  const TimePoint now = Now();
-  std::vector<StreamProgress> streams;
-  for (const Exchange* exchange : m_exchanges)
-    if (const auto progress = exchange->Progress(now))
-      streams.push_back(*progress);
-  return streams;
-}
-
-void GatewayCore::CheckSilence() {
-  for (const std::string& server : SuspectServers(Streams()))
-    Probe(server);
-}
-
-void GatewayCore::CheckPace(TimePoint now) {
-  std::vector<StreamPace> streams;
-  for (const Exchange* exchange : m_exchanges)
-    if (const auto pace = exchange->Pace(now))
-      streams.push_back(*pace);
-  const auto known = m_coordination.SlowServers(now);
-  for (const std::string& server : m_paces.Suspects(streams))
-    if (!known.contains(server) &&
-        m_pace_readings.Take(server, now, m_coordination.Members(now).size()))
-      ReadPace(server);
-  for (const std::string& server : m_coordination.PacesToRead(now))
-    if (m_pace_readings.Take(server, now, 1))
-      ReadPace(server);
-}
-
-void GatewayCore::ReadPace(const std::string& server) {
-  const auto found = servers().find(server);
-  if (found == servers().end())
-    return;
-  m_server_calls.Call(
-      found->second.address, m_dialect->ReportRequest(), kOrderTimeout,
-      [this, server](const CallResult& answer) {
-        const auto report = m_dialect->ReadReport(answer);
-        if (!report)
-          return;
-        const TimePoint now = Now();
-        const bool before = m_coordination.SlowServers(now).contains(server);
-        const bool slow = report->pace >= kSlowPace;
-        m_coordination.SetPace(now, server, report->pace);
-        if (!slow)
-          m_pace_readings.OnAlive(server, now);
-        if (slow != before)
-          Log(slow ? "server_slow" : "server_at_pace",
-              {{"server", server}, {"pace", std::to_string(report->pace)}});
-        RunActions();
-      });
-}
-
-// Another instance cannot reach the server.
-void GatewayCore::OnLossHeard(const std::string& server) {
-  if (CorroboratesLoss(server, Streams()))
-    ReportLost(server);
-  // A server that answers is used again.
-  Probe(server);
-}
-
 void GatewayCore::NoticeSuspension(TimePoint now) {
   if (now - m_last_tick > kSuspension) {
     Log("suspended",
@@ -696,196 +512,4 @@
   }
 }
 
-bool GatewayCore::AnyLayersHeld() const {
-  return std::any_of(servers().begin(), servers().end(), [](const auto& entry) {
-    return entry.second.layers.has_value();
-  });
-}
-
-std::set<std::string> GatewayCore::FreshServers(TimePoint now) {
-  std::set<std::string> fresh;
-  const ServerMap& listed = *m_coordination.listed();
-  std::erase_if(m_first_seen, [&](const auto& entry) {
-    return !listed.contains(entry.first);
-  });
-  for (const auto& [id, server] : listed)
-    if (now - m_first_seen.try_emplace(id, now).first->second < kFreshServer)
-      fresh.insert(id);
-  return fresh;
-}
-
-void GatewayCore::PlaceLayers(TimePoint now) {
-  if (now < m_next_placement || !m_coordination.is_coordinator() || !m_table ||
-      !m_coordination.has_servers())
-    return;
-  m_next_placement = now + kPlacementInterval;
-  std::erase_if(m_orders, [&](const auto& entry) {
-    return now - entry.second.send_at > kOrderLife;
-  });
-  // While nothing is placed the list still fills: a layout for some of the
-  // servers would have to be changed for the rest.
-  if (!AnyLayersHeld() && now - m_servers_changed_at < kListSettles)
-    return;
-  std::map<std::string, LayerRange> pending;
-  for (const auto& [id, order] : m_orders)
-    pending[id] = order.layers;
-  const auto confirmed = m_coordination.ConfirmedLost(now, kLostBeforePlacing);
-  // No order reaches these: they stay as they are.
-  for (const std::string& id : m_coordination.UnreachableHere(now))
-    if (const auto server = m_coordination.listed()->find(id);
-        server != m_coordination.listed()->end() && server->second.layers)
-      pending.try_emplace(id, *server->second.layers);
-  const std::set<std::string> fresh = FreshServers(now);
-  for (const auto& [name, service] : m_table->services()) {
-    if (!service.engine || service.engine->layers == 0)
-      continue;
-    std::set<std::string> lost = confirmed;
-    // While the store is away no list names the servers that leave.
-    if (m_coordination.ListAge(now) > kListLimit)
-      lost.merge(LeavingUnlisted(*service.engine, *m_coordination.listed(),
-                                 m_coordination.Loads(now),
-                                 m_coordination.RefusingAgain(now)));
-    LogLayout(*service.engine, name, lost);
-    for (const PlacementOrder& order :
-         PlanPlacement(*service.engine, *m_coordination.listed(), name, lost,
-                       pending, fresh))
-      Announce(now, order);
-  }
-  ShareOrders();
-}
-
-// Every instance hears of layers to be given up before their server does: that
-// one refuses each request that still asks for them.
-void GatewayCore::Announce(TimePoint now, const PlacementOrder& order) {
-  const auto server = m_coordination.listed()->find(order.server);
-  const bool gives_up = server->second.layers &&
-                        (server->second.layers->from < order.layers.from ||
-                         server->second.layers->to > order.layers.to);
-  PendingOrder pending;
-  pending.layers = order.layers;
-  pending.send_at = gives_up ? now + kGiveUpNotice : now;
-  m_orders[order.server] = pending;
-}
-
-void GatewayCore::SendDueOrders(TimePoint now) {
-  for (auto& [id, order] : m_orders) {
-    if (!order.sent && order.send_at <= now) {
-      order.sent = true;
-      order.ask_at = now + LoadTime({id, order.layers});
-      SendOrder({id, order.layers});
-    } else if (order.sent && order.ask_at <= now) {
-      order.ask_at = now + kAskInterval;
-      AskAboutOrder(id, false);
-    }
-  }
-}
-
-// Time for the layers of an order to be loaded beside those of other orders.
-Duration GatewayCore::LoadTime(const PlacementOrder& order) const {
-  const auto server = m_coordination.listed()->find(order.server);
-  const Service* service = server == m_coordination.listed()->end() || !m_table
-                               ? nullptr
-                               : m_table->FindService(server->second.service);
-  if (service == nullptr || !service->engine || service->engine->layers == 0)
-    return kOrderLife;
-  int fresh = 0;
-  for (int layer = order.layers.from; layer < order.layers.to; ++layer)
-    fresh +=
-        server->second.layers && server->second.layers->Contains(layer) ? 0 : 1;
-  const double ms = service->engine->load_ms * fresh / service->engine->layers;
-  return Duration(static_cast<int64_t>(ms * 1000));
-}
-
-void GatewayCore::ShareOrders() {
-  std::map<std::string, LayerRange> orders;
-  for (const auto& [id, order] : m_orders)
-    orders[id] = order.layers;
-  m_coordination.SetOrders(Now(), std::move(orders));
-}
-
-// One line for each change of how well a data center holds a model.
-void GatewayCore::LogLayout(const EngineModel& engine,
-                            const std::string& service,
-                            const std::set<std::string>& lost) {
-  std::string text;
-  for (const auto& [data_center, health] :
-       AssessLayout(engine, *m_coordination.listed(), service, lost))
-    text +=
-        data_center + ":missing=" + std::to_string(health.missing) +
-        ",ktokens=" + std::to_string(std::lround(health.least_tokens / 1000)) +
-        ",servers=" + std::to_string(health.servers) +
-        ",empty=" + std::to_string(health.empty_servers) + " ";
-  if (std::exchange(m_layout_text, text) != text)
-    Log("layout", {{"service", service}, {"state", text}});
-}
-
-void GatewayCore::SendOrder(const PlacementOrder& order) {
-  const int64_t seq = m_order_seq[order.server];
-  Log("place", {{"server", order.server},
-                {"from", std::to_string(order.layers.from)},
-                {"to", std::to_string(order.layers.to)},
-                {"seq", std::to_string(seq)},
-                {"fence", std::to_string(m_coordination.fence())}});
-  CallServer(
-      order.server, m_dialect->PlaceOrder(order, m_coordination.fence(), seq),
-      [this, order](OrderResult result) { OnOrderResult(order, result); });
-}
-
-void GatewayCore::OnOrderResult(const PlacementOrder& order,
-                                OrderResult result) {
-  switch (result) {
-    case OrderResult::kAccepted:
-      ++m_order_seq[order.server];
-      return;
-    case OrderResult::kFenced:
-      m_orders.erase(order.server);
-      m_coordination.OnFenced(Now());
-      return;
-    default:
-      break;
-  }
-  // The count of orders may differ from what this instance knows: ask.
-  AskAboutOrder(order.server, result == OrderResult::kConflict);
-}
-
-void GatewayCore::AskAboutOrder(const std::string& server, bool resend) {
-  const auto found = servers().find(server);
-  if (found == servers().end()) {
-    m_orders.erase(server);
-    return;
-  }
-  m_server_calls.Call(
-      found->second.address, m_dialect->ReportRequest(), kOrderTimeout,
-      [this, server, resend](const CallResult& answer) {
-        OnOrderState(server, m_dialect->ReadReport(answer), resend);
-      });
-}
-
-void GatewayCore::OnOrderState(const std::string& server,
-                               const std::optional<ServerReport>& report,
-                               bool resend) {
-  Log("order_state", {{"server", server},
-                      {"known", report ? "1" : "0"},
-                      {"seq", std::to_string(report ? report->order_seq : 0)},
-                      {"busy", report && report->busy ? "1" : "0"}});
-  const auto order = m_orders.find(server);
-  if (!report || order == m_orders.end() || !m_coordination.is_coordinator())
-    return;
-  const TimePoint now = Now();
-  const bool differs = m_order_seq[server] != report->order_seq;
-  m_order_seq[server] = report->order_seq;
-  if (report->layers)
-    m_coordination.OnLayersReported(now, server, *report->layers);
-  const bool done = report->layers == order->second.layers;
-  const bool given_up =
-      !report->busy && now - order->second.send_at > kReportLag;
-  if (!done && resend && differs && !report->busy) {
-    SendOrder({server, order->second.layers});
-  } else if (done || given_up) {
-    m_orders.erase(order);
-    ShareOrders();
-  }
-  RunActions();
-}
-
 }  // namespace trefoilwick::detail
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -21,6 +21,11 @@
 class ClientSession;
 class Exchange;
 
+// A list that is older is not used while a newer one may still come.
+inline constexpr Duration kListLimit = std::chrono::milliseconds(1600);
+// Time for a server to answer an order or a question about its state.
+inline constexpr Duration kOrderTimeout = std::chrono::milliseconds(1500);
+
 // An order that does not show in the server list yet.
 struct PendingOrder {
   LayerRange layers;
