Soak: reserve blocks of loopback addresses that no other soak uses

Change: a soak takes blocks of addresses whose reservation it can bind, and keeps that as long as it runs.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -15,6 +15,7 @@
 import os
 import random
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -460,11 +461,28 @@
     return not world.findings
 
 
+def reserve_blocks(count):
+    """Blocks of loopback addresses that no other soak on this machine uses,
+    each with the socket that reserves it for as long as it is open."""
+    blocks = {}
+    for block in range(10, 250):
+        if len(blocks) == count:
+            break
+        reservation = socket.socket()
+        try:
+            reservation.bind((f"127.{block}.255.254", 8223))
+            blocks[block] = reservation
+        except OSError:
+            reservation.close()
+    return blocks
+
+
 def run_in_parallel(args, seeds):
     """One process a seed, each with its own block of loopback addresses."""
     running, failed, queue = {}, [], list(seeds)
+    blocks = reserve_blocks(args.jobs)
     while queue or running:
-        for block in range(10, 10 + args.jobs):
+        for block in blocks:
             if block not in running and queue:
                 seed = queue.pop(0)
                 running[block] = seed, subprocess.Popen(
--- a/test/soak_checks_test.py
+++ b/test/soak_checks_test.py
@@ -10,6 +10,7 @@
 import checks  # noqa: E402
 import clients  # noqa: E402
 import servers  # noqa: E402
+import soak  # noqa: E402
 
 ACCOUNT = "club"
 INSTANCE = "127.0.0.1:8227"
@@ -158,6 +159,16 @@
                     for i in range(40)]
         self.assertEqual(1, len(checks.not_recovered(attempts, 50.0)))
 
+    def test_two_soaks_use_different_addresses(self):
+        # CI's soak failed to bind beside one that was run by hand.
+        first, second = soak.reserve_blocks(3), soak.reserve_blocks(3)
+        try:
+            self.assertEqual([3, 3], [len(first), len(second)])
+            self.assertFalse(first.keys() & second.keys())
+        finally:
+            for reservation in [*first.values(), *second.values()]:
+                reservation.close()
+
 
 if __name__ == "__main__":
     unittest.main()
