--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -14,6 +14,7 @@
 #include <variant>
 #include <vector>
 
+#include "trefoilwick/crash_suspects.h"
 #include "trefoilwick/layer_path.h"
 #include "trefoilwick/liveness.h"
 #include "trefoilwick/retry_window.h"
@@ -54,6 +55,8 @@
   // the next ones know what is left of the budgets.
   std::optional<int> retries = 0;
   int instances = 0;
+  // Requests that are refused, as of when the row was written.
+  std::vector<QuarantineEntry> quarantine = {};
 };
 
 struct SendDatagram {
@@ -167,6 +170,21 @@
   // reported for a while.
   std::set<std::string> SlowServersToRecheck(TimePoint now) const;
 
+  // A request of this instance did not begin because its server crashed.
+  void OnServerCrash(TimePoint now, const CrashReport& report);
+  // A request of this instance with `traits` that was sent at `sent_at` began.
+  void OnRequestBegan(const TraitSet& traits, TimePoint sent_at);
+  // Time for which requests with `traits` are refused, because such requests
+  // crash servers; zero when they are not.
+  Duration QuarantineTime(TimePoint now, const TraitSet& traits) const {
+    return m_quarantine.RemainingFor(now, traits);
+  }
+  bool HasQuarantine() const { return !m_quarantine.empty(); }
+  // Requests that are refused now.
+  std::vector<QuarantineEntry> Quarantine(TimePoint now) const {
+    return m_quarantine.List(now);
+  }
+
   std::vector<CoordinationAction> TakeActions();
 
   bool is_coordinator() const { return m_is_coordinator; }
@@ -270,6 +288,13 @@
   void HandleServerList(TimePoint now, const detail::ServerListMessage& list);
   void HandleClusterSends(TimePoint now,
                           const detail::CoordinatorHeartbeat& heartbeat);
+  // Quarantines the traits that crash servers. Only the coordinator knows the
+  // requests on all instances that began.
+  void UpdateQuarantine(TimePoint now);
+  void MergeQuarantine(TimePoint now,
+                       const std::vector<QuarantineEntry>& entries);
+  void HandleCrashes(TimePoint now, const detail::InstanceReport& report);
+  void AddCrashState(TimePoint now, detail::InstanceReport& report) const;
   void OnStoreAnswered(TimePoint now);
   // Derives `m_listed_servers` and `m_usable_servers` from the stored list, the
   // reported layers and the placement orders.
@@ -400,6 +425,14 @@
   // Slow servers, with the time at which this instance reads their slowdown
   // again unless another instance has reported it by then.
   std::map<std::string, TimePoint> m_next_slowdown_check;
+  // On the coordinator, crashes and starts of all instances.
+  CrashTracker m_crash_tracker;
+  std::vector<CrashReport> m_own_crashes;
+  // Suspects of the last heartbeat, sent or received.
+  TraitSet m_suspects;
+  TraitQuarantine m_quarantine;
+  // When the present coordinator became known.
+  TimePoint m_coordinator_since;
   std::vector<CoordinationAction> m_actions;
 };
 
--- a/include/trefoilwick/forwarding.h
+++ b/include/trefoilwick/forwarding.h
@@ -139,7 +139,10 @@
   // No server is available now.
   ForwardDecision OnNoServer();
   // The client's deadline or the timeout of the route has passed.
-  ForwardDecision OnDeadline();
+  ForwardDecision OnDeadline() { return BreakOff(true); }
+  // The request must not run any longer, and its exchange with a server was
+  // cancelled.
+  ForwardDecision OnCancelled() { return BreakOff(false); }
   // True when the request may be sent again.
   bool MaySendAgain() const;
   // True when a stream that has begun may be continued by another run.
@@ -147,6 +150,7 @@
 
  private:
   friend class Builder;
+  ForwardDecision BreakOff(bool timed_out);
   ForwardDecision GiveUp(bool timed_out);
   bool HasSendsLeft() const;
 
--- a/include/trefoilwick/gateway.h
+++ b/include/trefoilwick/gateway.h
@@ -41,6 +41,8 @@
   double max_answer_tokens = 0;
   // The client's estimate of the answer's length in tokens; 0 when absent.
   double answer_hint = 0;
+  // Ids of the parts of the prompt that other requests may have as well.
+  std::vector<std::string> shared_prompt_parts;
   // Id of the last event that the client already has; -1 when none.
   int64_t last_event_id = -1;
   std::string body;
--- a/src/cluster.thrift
+++ b/src/cluster.thrift
@@ -22,6 +22,29 @@
   4: i32 unreported_retries
 }
 
+// A request whose server crashed before the request began.
+struct Crash {
+  // Hashes of the send, of the server's process and of the request's traits.
+  1: i64 id
+  2: i64 server
+  3: list<i64> traits
+  // Milliseconds since the crash.
+  4: i32 age_ms
+}
+
+// The last request with a trait that began.
+struct TraitStart {
+  1: i64 trait
+  // Milliseconds since it was sent.
+  2: i32 age_ms
+}
+
+// Requests with all of these traits are refused.
+struct QuarantineEntry {
+  1: list<i64> traits
+  2: i32 remaining_ms
+}
+
 // From every instance to the coordinator.
 struct Report {
   1: string ip
@@ -48,6 +71,12 @@
   // summed them.
   16: optional list<ServiceSends> earlier_sends
   17: optional i32 earlier_sends_age_ms
+  // Crashes that the coordinator may not know yet, and starts of requests with
+  // traits that it suspects.
+  18: list<Crash> crashes
+  19: list<TraitStart> starts
+  // Set for a coordinator that may not know them.
+  20: list<QuarantineEntry> quarantine
 }
 
 struct Member {
@@ -106,6 +135,9 @@
   // `sends` does not contain what instances that have ended retried in the
   // window.
   19: bool earlier_sends_unknown
+  // Traits for which the starts of all instances must be known.
+  20: list<i64> suspects
+  21: list<QuarantineEntry> quarantine
 }
 
 struct Server {
--- a/src/cluster_codec.cc
+++ b/src/cluster_codec.cc
@@ -171,6 +171,86 @@
                       std::chrono::milliseconds(report.earlier_sends_age_ms)};
 }
 
+// Milliseconds that fit the wire, at least 0.
+int32_t ToWireMilliseconds(Duration duration) {
+  return static_cast<int32_t>(
+      std::clamp<int64_t>(ToMilliseconds(duration), 0, INT32_MAX));
+}
+
+std::vector<int64_t> ToWire(const TraitSet& traits) {
+  return {traits.begin(), traits.end()};
+}
+
+// Sorted without duplicates, whatever the sender did.
+TraitSet TraitsFromWire(const std::vector<int64_t>& traits) {
+  TraitSet out(traits.begin(), traits.end());
+  std::sort(out.begin(), out.end());
+  out.erase(std::unique(out.begin(), out.end()), out.end());
+  return out;
+}
+
+std::vector<wire::Crash> ToWire(const std::vector<CrashMessage>& crashes) {
+  std::vector<wire::Crash> out;
+  for (const CrashMessage& crash : crashes) {
+    wire::Crash& item = out.emplace_back();
+    item.id = static_cast<int64_t>(crash.id);
+    item.server = static_cast<int64_t>(crash.server);
+    item.traits = ToWire(crash.traits);
+    item.age_ms = ToWireMilliseconds(crash.age);
+  }
+  return out;
+}
+
+std::vector<CrashMessage> FromWire(const std::vector<wire::Crash>& crashes) {
+  std::vector<CrashMessage> out;
+  out.reserve(crashes.size());
+  for (const wire::Crash& item : crashes)
+    out.push_back(
+        {static_cast<uint64_t>(item.id), static_cast<uint64_t>(item.server),
+         TraitsFromWire(item.traits), std::chrono::milliseconds(item.age_ms)});
+  return out;
+}
+
+std::vector<wire::TraitStart> ToWire(const std::map<Trait, Duration>& starts) {
+  std::vector<wire::TraitStart> out;
+  for (const auto& [trait, age] : starts) {
+    wire::TraitStart& item = out.emplace_back();
+    item.trait = static_cast<int64_t>(trait);
+    item.age_ms = ToWireMilliseconds(age);
+  }
+  return out;
+}
+
+std::map<Trait, Duration> FromWire(
+    const std::vector<wire::TraitStart>& starts) {
+  std::map<Trait, Duration> out;
+  for (const wire::TraitStart& item : starts)
+    out[static_cast<Trait>(item.trait)] =
+        std::chrono::milliseconds(item.age_ms);
+  return out;
+}
+
+std::vector<wire::QuarantineEntry> ToWire(
+    const std::vector<QuarantineEntry>& entries) {
+  std::vector<wire::QuarantineEntry> out;
+  for (const QuarantineEntry& entry : entries) {
+    wire::QuarantineEntry& item = out.emplace_back();
+    item.traits = ToWire(entry.traits);
+    item.remaining_ms = ToWireMilliseconds(entry.remaining);
+  }
+  return out;
+}
+
+std::vector<QuarantineEntry> FromWire(
+    const std::vector<wire::QuarantineEntry>& entries) {
+  std::vector<QuarantineEntry> out;
+  out.reserve(entries.size());
+  for (const wire::QuarantineEntry& item : entries)
+    out.push_back({TraitsFromWire(item.traits),
+                   std::chrono::milliseconds(item.remaining_ms)});
+  return out;
+}
+
 InstanceReport FromWire(const wire::Report& report,
                         const ServerIdDictionary& dictionary) {
   return {{report.ip, report.data_center, report.accepting, report.cpu_milli},
@@ -183,7 +263,10 @@
           report.__isset.age_ms ? std::optional<Duration>(
                                       std::chrono::milliseconds(report.age_ms))
                                 : std::nullopt,
-          {report.down.begin(), report.down.end()}};
+          {report.down.begin(), report.down.end()},
+          FromWire(report.crashes),
+          FromWire(report.starts),
+          FromWire(report.quarantine)};
 }
 
 std::map<std::string, LayerRange> FromWire(
@@ -272,6 +355,8 @@
   out.instances = heartbeat.instances;
   out.sums_incomplete = heartbeat.sums_incomplete;
   out.earlier_sends_unknown = heartbeat.earlier_sends_unknown;
+  out.suspects = TraitsFromWire(heartbeat.suspects);
+  out.quarantine = FromWire(heartbeat.quarantine);
   return out;
 }
 
@@ -341,12 +426,13 @@
   out.__set_sends(ToWire(report.sends, {}));
   if (const auto& earlier = report.earlier_sends) {
     out.__set_earlier_sends(ToWire(earlier->sends, earlier->unreported_sends));
-    out.__set_earlier_sends_age_ms(
-        static_cast<int32_t>(ToMilliseconds(earlier->age)));
+    out.__set_earlier_sends_age_ms(ToWireMilliseconds(earlier->age));
   }
   if (report.process_age)
-    out.__set_age_ms(static_cast<int32_t>(
-        std::min<int64_t>(ToMilliseconds(*report.process_age), INT32_MAX)));
+    out.__set_age_ms(ToWireMilliseconds(*report.process_age));
+  out.crashes = ToWire(report.crashes);
+  out.starts = ToWire(report.starts);
+  out.quarantine = ToWire(report.quarantine);
   message.__isset.report = true;
   return Encode(message);
 }
@@ -377,6 +463,8 @@
   out.instances = heartbeat.instances;
   out.sums_incomplete = heartbeat.sums_incomplete;
   out.earlier_sends_unknown = heartbeat.earlier_sends_unknown;
+  out.suspects = ToWire(heartbeat.suspects);
+  out.quarantine = ToWire(heartbeat.quarantine);
   message.__isset.beat = true;
   return Encode(message);
 }
--- a/src/cluster_codec.h
+++ b/src/cluster_codec.h
@@ -42,6 +42,14 @@
   Duration age{0};
 };
 
+// A crash, with its age when the message was sent.
+struct CrashMessage {
+  uint64_t id = 0;
+  uint64_t server = 0;
+  TraitSet traits;
+  Duration age{0};
+};
+
 struct InstanceReport {
   ClusterMember member;
   int64_t incarnation = 0;
@@ -56,6 +64,11 @@
   std::optional<Duration> process_age;
   // Servers that the instance cannot reach.
   std::set<std::string> unreachable_servers;
+  // Crashes of requests of this instance.
+  std::vector<CrashMessage> crashes;
+  // Time since the last request with a suspect trait that began was sent.
+  std::map<Trait, Duration> starts;
+  std::vector<QuarantineEntry> quarantine;
 };
 
 struct CoordinatorHeartbeat {
@@ -82,6 +95,8 @@
   // `sends` does not contain what instances that have ended retried in the
   // window.
   bool earlier_sends_unknown = false;
+  TraitSet suspects;
+  std::vector<QuarantineEntry> quarantine;
 };
 
 struct ServerListMessage {
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -147,6 +147,7 @@
 
 void Coordination::OnTick(TimePoint now) {
   RemoveExpiredHealthState(now);
+  UpdateQuarantine(now);
   if (std::any_of(m_reported_layers.begin(), m_reported_layers.end(),
                   [&](const auto& entry) { return entry.second.until <= now; }))
     UpdateServers(now);
@@ -182,7 +183,9 @@
     if (KnowsEarlierSends(now))
       row.retries = TotalSends(ClusterSends(now)).retries;
   }
+  row.quarantine = m_quarantine.List(now);
   const bool is_outdated =
+      row.quarantine.size() != m_lease.quarantine.size() ||
       row.retries.value_or(0) - m_lease.retries.value_or(0) >=
           kRetriesPerLeaseWrite ||
       row.instances >= 2 * std::max(1, m_lease.instances);
@@ -219,6 +222,7 @@
     return;
   }
   OnStoreAnswered(now);
+  MergeQuarantine(now, row->quarantine);
   m_lease_read = true;
   const bool first_read = !m_lease_known;
   const bool token_changed = row->fencing_token != m_fencing_token;
@@ -248,6 +252,7 @@
   m_lease = row;
   if (std::exchange(m_coordinator_ip, row.holder_ip) != row.holder_ip)
     m_following_since = now;
+  m_coordinator_since = now;
   m_last_heartbeat_at = now;
   m_next_report = now;
 }
--- a/src/coordination_messages.cc
+++ b/src/coordination_messages.cc
@@ -92,6 +92,7 @@
   report.earlier_sends = GetEarlierSends(now);
   report.process_age = now - m_started_at;
   report.unreachable_servers = LostServers(now);
+  AddCrashState(now, report);
   m_reported_sends = m_local_sends;
   m_actions.emplace_back(SendDatagram{
       m_coordinator_ip, detail::EncodeReport(report, *m_server_ids)});
@@ -125,6 +126,9 @@
   heartbeat.instances = static_cast<int>(InstanceCount(now));
   heartbeat.sums_incomplete = !HasCompleteSums();
   heartbeat.earlier_sends_unknown = !KnowsEarlierSends(now);
+  m_suspects = m_crash_tracker.Suspects();
+  heartbeat.suspects = m_suspects;
+  heartbeat.quarantine = m_quarantine.List(now);
   heartbeat.store_reachable =
       now - m_last_store_answer_at < kStoreAnswerTimeout;
   const std::string bytes = detail::EncodeHeartbeat(heartbeat, *m_server_ids);
@@ -177,6 +181,7 @@
   if (report.earlier_sends)
     AddEarlierSends(now, *report.earlier_sends);
   peer.unreachable_servers = report.unreachable_servers;
+  HandleCrashes(now, report);
   if (is_new && list_outdated)
     SendList(now, report.member.ip, peer);
   if (is_new && report.config_version < m_config_version)
@@ -206,6 +211,9 @@
   }
   if (!heartbeat.sums_incomplete && !heartbeat.earlier_sends_unknown)
     HandleClusterSends(now, heartbeat);
+  MergeQuarantine(now, heartbeat.quarantine);
+  if (std::exchange(m_suspects, heartbeat.suspects) != m_suspects)
+    m_next_report = now;
   SetPlacementOrders(now, heartbeat.placement_orders);
   m_reported_layers.clear();
   for (const auto& [server, layers] : heartbeat.reported_layers)
--- a/src/coordination_sends.cc
+++ b/src/coordination_sends.cc
@@ -44,6 +44,7 @@
   lease.holder_incarnation = m_incarnation;
   lease.instances = previous.instances;
   lease.retries = previous.retries;
+  lease.quarantine = m_quarantine.List(now);
   if (m_remote_sends.as_of)
     lease.retries = std::max(previous.retries.value_or(0),
                              TotalSends(ClusterSends(now)).retries);
--- /dev/null
+++ b/src/crash_suspects.cc
@@ -0,0 +1,266 @@
+#include "trefoilwick/crash_suspects.h"
+
+#include <algorithm>
+
+namespace trefoilwick {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+
+// Sound requests that a crash interrupted are often sent to the next server
+// together with the one that caused it, and are interrupted there again, so two
+// crashes in a row are not enough.
+constexpr size_t kMinCrashes = 3;
+// From this number of crashes on, several traits that explain them equally well
+// are taken one after the other.
+constexpr size_t kUndeniableCrashes = 5;
+// Longer than two reports of an instance: its starts of suspects are known by
+// then.
+constexpr Duration kVerdictDelay = milliseconds(400);
+// Servers that crash closer together may have one cause, such as the loss of a
+// rack. Instances notice a crash within 25 ms of each other.
+constexpr Duration kMinCrashInterval = milliseconds(40);
+// Longer than a quarantine, so that one crash after it is enough to renew it.
+constexpr Duration kCrashMemory = minutes(30);
+constexpr size_t kMaxCrashes = 256;
+constexpr size_t kMaxStarts = 4096;
+
+constexpr uint64_t kContentSeed = 1;
+
+}  // namespace
+
+TraitSet RequestTraits(std::string_view service,
+                       std::string_view account,
+                       std::string_view target,
+                       std::string_view body,
+                       const std::vector<std::string>& prompt_parts) {
+  const uint64_t seed = StableHash(service);
+  TraitSet out;
+  for (const std::string& part : prompt_parts)
+    out.push_back(StableHash(part, seed));
+  uint64_t content = StableHash(account, seed + kContentSeed);
+  content = StableHash(target, content);
+  out.push_back(StableHash(body, content));
+  std::sort(out.begin(), out.end());
+  out.erase(std::unique(out.begin(), out.end()), out.end());
+  return out;
+}
+
+void CrashTracker::AddCrash(TimePoint now, const CrashReport& report) {
+  m_crashes.try_emplace(report.id, KnownCrash{report, now});
+  if (m_crashes.size() <= kMaxCrashes)
+    return;
+  m_crashes.erase(std::min_element(
+      m_crashes.begin(), m_crashes.end(), [](const auto& a, const auto& b) {
+        return a.second.report.crashed_at < b.second.report.crashed_at;
+      }));
+}
+
+void CrashTracker::AddStart(Trait trait, TimePoint sent_at) {
+  const auto [last, is_new] = m_last_starts.try_emplace(trait, sent_at);
+  last->second = std::max(last->second, sent_at);
+  if (!is_new || m_last_starts.size() <= 2 * kMaxStarts)
+    return;
+  std::vector<TimePoint> times;
+  times.reserve(m_last_starts.size());
+  for (const auto& [other, at] : m_last_starts)
+    times.push_back(at);
+  const auto oldest_kept =
+      times.end() - static_cast<std::ptrdiff_t>(kMaxStarts);
+  std::nth_element(times.begin(), oldest_kept, times.end());
+  std::erase_if(m_last_starts,
+                [&](const auto& entry) { return entry.second < *oldest_kept; });
+}
+
+std::optional<TimePoint> CrashTracker::LastStart(Trait trait) const {
+  const auto found = m_last_starts.find(trait);
+  if (found == m_last_starts.end())
+    return std::nullopt;
+  return found->second;
+}
+
+CrashTracker::Crashes CrashTracker::SortedCrashes() const {
+  Crashes out;
+  out.reserve(m_crashes.size());
+  for (const auto& [id, crash] : m_crashes)
+    out.push_back(&crash);
+  std::sort(out.begin(), out.end(),
+            [](const KnownCrash* a, const KnownCrash* b) {
+              return a->report.crashed_at < b->report.crashed_at;
+            });
+  return out;
+}
+
+std::map<Trait, CrashTracker::Crashes> CrashTracker::CrashesByTrait(
+    const Crashes& crashes) const {
+  std::map<Trait, Crashes> out;
+  for (const KnownCrash* crash : crashes)
+    for (const Trait trait : crash->report.traits)
+      if (crash->report.crashed_at >
+          LastStart(trait).value_or(TimePoint::min()))
+        out[trait].push_back(crash);
+  return out;
+}
+
+CrashTracker::Crashes CrashTracker::InSequence(const Crashes& crashes) {
+  Crashes out;
+  std::set<uint64_t> servers;
+  for (const KnownCrash* crash : crashes) {
+    const CrashReport& report = crash->report;
+    if (servers.contains(report.server) ||
+        (!out.empty() &&
+         report.crashed_at - out.back()->report.crashed_at < kMinCrashInterval))
+      continue;
+    out.push_back(crash);
+    servers.insert(report.server);
+  }
+  return out;
+}
+
+TraitSet CrashTracker::Suspects() const {
+  TraitSet out;
+  for (const auto& [trait, crashes] : CrashesByTrait(SortedCrashes()))
+    if (InSequence(crashes).size() + 1 >= kMinCrashes)
+      out.push_back(trait);
+  return out;
+}
+
+std::pair<size_t, size_t> CrashTracker::StrengthOf(const Crashes& crashes) {
+  return {InSequence(crashes).size(), ServersOf(crashes).size()};
+}
+
+std::set<uint64_t> CrashTracker::ServersOf(const Crashes& crashes) {
+  std::set<uint64_t> out;
+  for (const KnownCrash* crash : crashes)
+    out.insert(crash->report.server);
+  return out;
+}
+
+CrashTracker::Explanation CrashTracker::Narrow(
+    const Crashes& crashes,
+    const std::map<Trait, Crashes>& by_trait) {
+  Explanation out{{}, crashes};
+  const std::set<uint64_t> servers = ServersOf(crashes);
+  for (const auto& [trait, others] : by_trait) {
+    Crashes with_trait;
+    for (const KnownCrash* crash : out.crashes)
+      if (std::find(others.begin(), others.end(), crash) != others.end())
+        with_trait.push_back(crash);
+    if (ServersOf(with_trait) != servers)
+      continue;
+    out.traits.push_back(trait);
+    out.crashes = std::move(with_trait);
+  }
+  return out;
+}
+
+bool CrashTracker::IsAmbiguous(const Explanation& explanation,
+                               const std::map<Trait, Crashes>& by_trait) {
+  const std::set<uint64_t> servers = ServersOf(explanation.crashes);
+  const auto strength = StrengthOf(explanation.crashes);
+  return std::any_of(by_trait.begin(), by_trait.end(), [&](const auto& entry) {
+    const auto& [trait, others] = entry;
+    return !std::binary_search(explanation.traits.begin(),
+                               explanation.traits.end(), trait) &&
+           StrengthOf(others) >= strength &&
+           std::any_of(others.begin(), others.end(),
+                       [&](const KnownCrash* crash) {
+                         return servers.contains(crash->report.server);
+                       });
+  });
+}
+
+const CrashTracker::Crashes* CrashTracker::StrongestEvidence(
+    const std::map<Trait, Crashes>& by_trait) {
+  const Crashes* out = nullptr;
+  for (const auto& [trait, crashes] : by_trait)
+    if (out == nullptr || StrengthOf(crashes) > StrengthOf(*out))
+      out = &crashes;
+  return out;
+}
+
+// Takes the trait that explains most crashes in a row, then the one that
+// explains most of the others.
+std::vector<CrashTracker::Culprit> CrashTracker::FindCulprits(
+    TimePoint now) const {
+  std::vector<Culprit> out;
+  Crashes unexplained = SortedCrashes();
+  for (;;) {
+    const std::map<Trait, Crashes> by_trait = CrashesByTrait(unexplained);
+    const Crashes* crashes = StrongestEvidence(by_trait);
+    if (crashes == nullptr)
+      return out;
+    const Explanation explanation = Narrow(*crashes, by_trait);
+    const Crashes sequence = InSequence(explanation.crashes);
+    if (sequence.size() < kMinCrashes)
+      return out;
+    const bool starts_known =
+        now - sequence[kMinCrashes - 1]->known_at >= kVerdictDelay;
+    if (starts_known && (sequence.size() >= kUndeniableCrashes ||
+                         !IsAmbiguous(explanation, by_trait)))
+      out.push_back({explanation.traits, static_cast<int>(sequence.size()),
+                     explanation.crashes.back()->report.crashed_at});
+    const std::set<uint64_t> servers = ServersOf(explanation.crashes);
+    std::erase_if(unexplained, [&](const KnownCrash* crash) {
+      return servers.contains(crash->report.server);
+    });
+  }
+}
+
+void CrashTracker::RemoveExpired(TimePoint now) {
+  std::erase_if(m_crashes, [&](const auto& entry) {
+    return now - entry.second.report.crashed_at > kCrashMemory;
+  });
+}
+
+bool TraitQuarantine::Add(TimePoint now,
+                          const TraitSet& traits,
+                          TimePoint crashed_at) {
+  const auto found = m_until.find(traits);
+  if (found != m_until.end() && crashed_at <= found->second)
+    return false;
+  Merge(now, {traits, kDuration});
+  return true;
+}
+
+void TraitQuarantine::Merge(TimePoint now, const QuarantineEntry& entry) {
+  // No traits would match every request.
+  if (entry.traits.empty())
+    return;
+  const auto [known, is_new] =
+      m_until.try_emplace(entry.traits, now + entry.remaining);
+  known->second = std::max(known->second, now + entry.remaining);
+  if (m_until.size() <= kMaxEntries)
+    return;
+  m_until.erase(std::min_element(
+      m_until.begin(), m_until.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; }));
+}
+
+Duration TraitQuarantine::RemainingFor(TimePoint now,
+                                       const TraitSet& traits) const {
+  Duration remaining(0);
+  for (const auto& [quarantined, until] : m_until)
+    if (std::includes(traits.begin(), traits.end(), quarantined.begin(),
+                      quarantined.end()))
+      remaining = std::max(remaining, until - now);
+  return remaining;
+}
+
+std::vector<QuarantineEntry> TraitQuarantine::List(TimePoint now) const {
+  std::vector<QuarantineEntry> out;
+  for (const auto& [traits, until] : m_until)
+    if (until > now)
+      out.push_back({traits, until - now});
+  return out;
+}
+
+void TraitQuarantine::RemoveExpired(TimePoint now) {
+  std::erase_if(m_until, [&](const auto& entry) {
+    return now - entry.second > kCrashMemory;
+  });
+}
+
+}  // namespace trefoilwick
--- a/src/forwarding.cc
+++ b/src/forwarding.cc
@@ -179,12 +179,12 @@
   return GiveUp(false);
 }
 
-ForwardDecision ForwardState::OnDeadline() {
+ForwardDecision ForwardState::BreakOff(bool timed_out) {
   if (m_state == SendState::kEnded)
     return KeepWaiting{};
   if (m_state == SendState::kSent)
     m_may_have_run = true;
-  return GiveUp(true);
+  return GiveUp(timed_out);
 }
 
 bool IsServedBefore(const WaitingRequest& a,
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -325,6 +325,7 @@
   m_coordination.OnTick(now);
   RunActions();
   NotifyRequestsOfLostServers();
+  ApplyQuarantine(now);
   // The coordinator probes lost servers for all instances that receive its
   // heartbeats; these probe only the servers that they alone cannot reach.
   for (const std::string& server :
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -109,6 +109,15 @@
   void AddLoad(const LayerPath& path, double tokens, int sign);
   void AddLoad(const std::string& server, int sign);
 
+  // The server closed the connection of a request that had not begun. The
+  // report counts when the server turns out to have crashed.
+  void OnClosedBeforeBegin(const std::string& server,
+                           const std::string& attempt_id,
+                           const std::vector<std::string>& prompt_parts,
+                           CrashReport report);
+  // Counts a request that was ended because such requests crash servers.
+  void CountQuarantined(const std::string& route);
+
   // Records that the server at `address` refused its stage of a path.
   void MarkRefusing(const std::string& address);
   // Servers that must not be chosen now: they are lost, or refused a request a
@@ -189,6 +198,14 @@
   // Streams that have begun.
   std::vector<StreamProgress> ActiveStreams() const;
   void OnServerReportedLost(const std::string& server);
+  void StartProbe(const std::string& server, const std::string& address);
+  void OnProbed(const std::string& server, ConnectResult result);
+  // Reports the requests that `server` closed before they began, when it has
+  // crashed, or drops them.
+  void SettleUnconfirmedCrashes(const std::string& server, bool crashed);
+  // Ends the requests that the instances have agreed to refuse since the last
+  // call.
+  void ApplyQuarantine(TimePoint now);
 
   boost::asio::io_context& m_io;
   GatewaySettings m_settings;
@@ -236,6 +253,15 @@
   SlowdownDetector m_slowdown_detector;
   ProbeLimiter m_slowdown_poll_limiter;
   std::set<std::string> m_notified_lost_servers;
+  struct UnconfirmedCrash {
+    std::string server;
+    std::string attempt_id;
+    std::string prompt_parts;
+    CrashReport report;
+  };
+  std::vector<UnconfirmedCrash> m_unconfirmed_crashes;
+  // Quarantined traits that requests were notified of.
+  std::set<TraitSet> m_seen_quarantine;
   // Placement orders that requests were notified of; their servers wait for
   // requests to move off.
   std::map<std::string, LayerRange> m_seen_orders;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -28,6 +28,11 @@
 // time.
 constexpr Duration kServerExclusionTime = milliseconds(700);
 
+// A request that crashes each server that begins to run it must not reach more
+// of them, although servers that have ended do not count towards the limit of
+// its route.
+constexpr int kMaxClosedBeforeBegin = 2;
+
 std::string RetryAfterSeconds(Duration after) {
   char text[24];
   snprintf(text, sizeof text, "%.2f", static_cast<double>(after.count()) / 1e6);
@@ -144,6 +149,10 @@
     OnDeadline();
     return true;
   }
+  if (!m_begun && QuarantineTime() > Duration(0)) {
+    EndIfQuarantined();
+    return true;
+  }
   m_refusal_reason = "no server has room";
   DropEndedServers();
   if (!m_waiting && m_core.MustQueue(*this)) {
@@ -178,6 +187,54 @@
   return m_forward.server_limit_reached();
 }
 
+Duration Exchange::QuarantineTime() const {
+  const TimePoint now = m_core.Now();
+  if (!m_core.coordination().HasQuarantine())
+    return Duration(0);
+  Duration shortest = Duration::max();
+  for (const WeightedService& service : m_route->services)
+    shortest = std::min(shortest, m_core.coordination().QuarantineTime(
+                                      now, TraitsAt(service.service)));
+  return m_route->services.empty() ? Duration(0) : shortest;
+}
+
+TraitSet Exchange::TraitsAt(const std::string& service) const {
+  return RequestTraits(service, m_account, m_request.target, m_request.body,
+                       m_request.shared_prompt_parts);
+}
+
+void Exchange::EndIfQuarantined() {
+  if (m_ended || m_begun || m_route == nullptr ||
+      QuarantineTime() == Duration(0))
+    return;
+  const auto self = shared_from_this();
+  m_core.CountQuarantined(m_route->name);
+  if (m_call)
+    m_call->Cancel();
+  m_call = nullptr;
+  m_refusal_reason = "such requests crash servers";
+  ExecuteDecision(m_forward.OnCancelled());
+}
+
+void Exchange::RecordBegun() {
+  if (std::exchange(m_begun, true))
+    return;
+  m_core.coordination().OnRequestBegan(TraitsAt(m_service), m_send_started_at);
+}
+
+bool Exchange::RecordClosedBeforeBegin() {
+  if (m_begun)
+    return true;
+  CrashReport report;
+  report.id = StableHash(m_request.attempt_id + m_server,
+                         static_cast<uint64_t>(m_forward.sends()));
+  report.traits = TraitsAt(m_service);
+  report.crashed_at = m_core.Now();
+  m_core.OnClosedBeforeBegin(m_server, m_request.attempt_id,
+                             m_request.shared_prompt_parts, std::move(report));
+  return ++m_closed_before_begin < kMaxClosedBeforeBegin;
+}
+
 WaitingRequest Exchange::MakeWaitingRequest() const {
   WaitingRequest out;
   if (m_route != nullptr) {
@@ -334,6 +391,8 @@
   m_streaming = false;
   m_repathing = false;
   m_migration_plan.Clear();
+  m_last_event_before_send =
+      std::max(m_events.last_id(), m_request.last_event_id);
   m_last_progress = now;
   m_send_started_at = now;
   m_call = std::make_shared<UpstreamCall>(m_core.io(), m_core.dialect(),
@@ -434,9 +493,11 @@
 
 void Exchange::SendRefusal() {
   // Retries are spread in time; more urgent requests may retry earlier.
-  const Duration retry_after =
+  const Duration retry_delay =
       milliseconds(200 + 200 * std::min(m_rank, 4)) +
       Duration(static_cast<int64_t>(m_core.random().UniformDouble() * 300'000));
+  const Duration retry_after = std::max(
+      retry_delay, m_route != nullptr ? QuarantineTime() : Duration(0));
   FullResponse response;
   response.status = 503;
   m_core.dialect().AddLocalReplyHeaders(m_request.attempt_id, response.headers);
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -26,6 +26,9 @@
   void OnClientDisconnected();
   // Called when the client's connection took all bytes written so far.
   void OnClientWritesFlushed();
+  // Ends the request when requests of its kind crash servers and it has not
+  // begun.
+  void EndIfQuarantined();
   // Tries to send to a server. False when none has free capacity: the request
   // waits and blocks later ones of its service.
   bool TryDispatch();
@@ -68,6 +71,15 @@
   PathRequest MakePathRequest() const;
   // Chooses server and path; false when none can be used now.
   bool ChooseServer();
+  // Time for which the request is refused at the servers of all services of its
+  // route; zero when it may be sent to those of one.
+  Duration QuarantineTime() const;
+  TraitSet TraitsAt(const std::string& service) const;
+  // Records that the server runs the request and has not crashed on it.
+  void RecordBegun();
+  // Records that the server closed the connection before the request began.
+  // False when that has happened too often to send the request again.
+  bool RecordClosedBeforeBegin();
   bool ChooseEnginePath(const EngineModel& engine);
   bool ChoosePlainServer();
   void StartUpstreamCall();
@@ -160,6 +172,12 @@
   std::optional<TimePoint> m_optional_body_since;
   std::string m_body;
   EventSplitter m_events;
+  // A server has begun to run the request and did not crash.
+  bool m_begun = false;
+  // Sends whose connection the server closed before the request began.
+  int m_closed_before_begin = 0;
+  // Last event before the present send.
+  int64_t m_last_event_before_send = -1;
   bool m_is_head_request = false;
   bool m_waiting = false;
   bool m_streaming = false;
--- a/src/gateway_exchange_response.cc
+++ b/src/gateway_exchange_response.cc
@@ -17,6 +17,8 @@
 constexpr Duration kMaxOptionalBodyTime = milliseconds(300);
 // Reading from the server pauses while more bytes wait for the client.
 constexpr size_t kMaxPendingClientBytes = size_t{128} * 1024;
+// A server that crashes on a request does so before this number of its events.
+constexpr int64_t kMinEventsOfBegun = 3;
 // Number of events after which the interval between them is known.
 constexpr int64_t kMinEventsForBaseline = 16;
 
@@ -116,6 +118,8 @@
     CommitResponse();
     m_session->SendChunk(bytes);
   }
+  if (m_events.last_id() - m_last_event_before_send >= kMinEventsOfBegun)
+    RecordBegun();
   if (!m_events.in_order()) {
     m_core.Log("events_out_of_order",
                {{"id", m_request.attempt_id}, {"server", m_server}});
@@ -134,6 +138,8 @@
 void Exchange::OnUpstreamComplete() {
   const auto self = shared_from_this();
   m_call = nullptr;
+  if (!m_head.not_run)
+    RecordBegun();
   if (m_streaming || m_passthrough) {
     CommitResponse();
     if (m_streaming)
@@ -200,8 +206,13 @@
     ExecuteDecision(m_forward.OnServerEvent(ServerEvent::kRefused));
     return;
   }
+  const bool may_send_again = !closed_by_server || RecordClosedBeforeBegin();
   ExcludeServer(m_server);
   m_core.Probe(m_server);
+  if (!may_send_again) {
+    ExecuteDecision(m_forward.OnCancelled());
+    return;
+  }
   m_recovery_multiplier = m_core.RecoveryMultiplier(m_server, m_core.Now());
   ExecuteDecision(m_forward.OnServerEvent(ServerEvent::kAnswerIncomplete));
 }
--- a/src/gateway_health.cc
+++ b/src/gateway_health.cc
@@ -65,24 +65,33 @@
   if (!m_probe_limiter.TryAcquire(server, now,
                                   m_coordination.Members(now).size()))
     return;
-  TryConnect(m_io, found->second.address, kProbeTimeout, kSecondProbeDelay,
-             [this, server](ConnectResult result) {
-               switch (result) {
-                 case ConnectResult::kAccepted:
-                   m_probe_limiter.OnAlive(server, Now());
-                   m_ended_servers.OnPortOpen(server);
-                   m_coordination.ClearUnreachable(server);
-                   return;
-                 case ConnectResult::kRefused:
-                   m_ended_servers.OnPortClosed(server, Now());
-                   ReportUnreachable(server);
-                   return;
-                 case ConnectResult::kTimedOut:
-                 case ConnectResult::kFailed:
-                   ReportUnreachable(server);
-                   return;
-               }
-             });
+  StartProbe(server, found->second.address);
+}
+
+void GatewayCore::StartProbe(const std::string& server,
+                             const std::string& address) {
+  TryConnect(
+      m_io, address, kProbeTimeout, kSecondProbeDelay,
+      [this, server](ConnectResult result) { OnProbed(server, result); });
+}
+
+void GatewayCore::OnProbed(const std::string& server, ConnectResult result) {
+  SettleUnconfirmedCrashes(server, result != ConnectResult::kAccepted);
+  switch (result) {
+    case ConnectResult::kAccepted:
+      m_probe_limiter.OnAlive(server, Now());
+      m_ended_servers.OnPortOpen(server);
+      m_coordination.ClearUnreachable(server);
+      return;
+    case ConnectResult::kRefused:
+      m_ended_servers.OnPortClosed(server, Now());
+      ReportUnreachable(server);
+      return;
+    case ConnectResult::kTimedOut:
+    case ConnectResult::kFailed:
+      ReportUnreachable(server);
+      return;
+  }
 }
 
 bool GatewayCore::HasServerEnded(const std::string& server,
--- a/src/gen/cluster_types.cpp
+++ b/src/gen/cluster_types.cpp
@@ -298,6 +298,422 @@
 }
 
 
+Crash::~Crash() noexcept {
+}
+
+
+void Crash::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void Crash::__set_server(const int64_t val) {
+  this->server = val;
+}
+
+void Crash::__set_traits(const std::vector<int64_t> & val) {
+  this->traits = val;
+}
+
+void Crash::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const Crash& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Crash::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->traits.clear();
+            uint32_t _size4;
+            ::apache::thrift::protocol::TType _etype7;
+            xfer += iprot->readListBegin(_etype7, _size4);
+            this->traits.resize(_size4);
+            uint32_t _i8;
+            for (_i8 = 0; _i8 < _size4; ++_i8)
+            {
+              xfer += iprot->readI64(this->traits[_i8]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.traits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Crash::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Crash");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("traits", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->traits.size()));
+    std::vector<int64_t> ::const_iterator _iter9;
+    for (_iter9 = this->traits.begin(); _iter9 != this->traits.end(); ++_iter9)
+    {
+      xfer += oprot->writeI64((*_iter9));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Crash &a, Crash &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.server, b.server);
+  swap(a.traits, b.traits);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+Crash::Crash(const Crash& other10) {
+  id = other10.id;
+  server = other10.server;
+  traits = other10.traits;
+  age_ms = other10.age_ms;
+  __isset = other10.__isset;
+}
+Crash& Crash::operator=(const Crash& other11) {
+  id = other11.id;
+  server = other11.server;
+  traits = other11.traits;
+  age_ms = other11.age_ms;
+  __isset = other11.__isset;
+  return *this;
+}
+void Crash::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Crash(";
+  out << "id=" << to_string(id);
+  out << ", " << "server=" << to_string(server);
+  out << ", " << "traits=" << to_string(traits);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+TraitStart::~TraitStart() noexcept {
+}
+
+
+void TraitStart::__set_trait(const int64_t val) {
+  this->trait = val;
+}
+
+void TraitStart::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const TraitStart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TraitStart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->trait);
+          this->__isset.trait = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TraitStart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TraitStart");
+
+  xfer += oprot->writeFieldBegin("trait", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->trait);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TraitStart &a, TraitStart &b) {
+  using ::std::swap;
+  swap(a.trait, b.trait);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+TraitStart::TraitStart(const TraitStart& other12) noexcept {
+  trait = other12.trait;
+  age_ms = other12.age_ms;
+  __isset = other12.__isset;
+}
+TraitStart& TraitStart::operator=(const TraitStart& other13) noexcept {
+  trait = other13.trait;
+  age_ms = other13.age_ms;
+  __isset = other13.__isset;
+  return *this;
+}
+void TraitStart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TraitStart(";
+  out << "trait=" << to_string(trait);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+QuarantineEntry::~QuarantineEntry() noexcept {
+}
+
+
+void QuarantineEntry::__set_traits(const std::vector<int64_t> & val) {
+  this->traits = val;
+}
+
+void QuarantineEntry::__set_remaining_ms(const int32_t val) {
+  this->remaining_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuarantineEntry& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuarantineEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->traits.clear();
+            uint32_t _size14;
+            ::apache::thrift::protocol::TType _etype17;
+            xfer += iprot->readListBegin(_etype17, _size14);
+            this->traits.resize(_size14);
+            uint32_t _i18;
+            for (_i18 = 0; _i18 < _size14; ++_i18)
+            {
+              xfer += iprot->readI64(this->traits[_i18]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.traits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->remaining_ms);
+          this->__isset.remaining_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuarantineEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuarantineEntry");
+
+  xfer += oprot->writeFieldBegin("traits", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->traits.size()));
+    std::vector<int64_t> ::const_iterator _iter19;
+    for (_iter19 = this->traits.begin(); _iter19 != this->traits.end(); ++_iter19)
+    {
+      xfer += oprot->writeI64((*_iter19));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("remaining_ms", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->remaining_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuarantineEntry &a, QuarantineEntry &b) {
+  using ::std::swap;
+  swap(a.traits, b.traits);
+  swap(a.remaining_ms, b.remaining_ms);
+  swap(a.__isset, b.__isset);
+}
+
+QuarantineEntry::QuarantineEntry(const QuarantineEntry& other20) {
+  traits = other20.traits;
+  remaining_ms = other20.remaining_ms;
+  __isset = other20.__isset;
+}
+QuarantineEntry& QuarantineEntry::operator=(const QuarantineEntry& other21) {
+  traits = other21.traits;
+  remaining_ms = other21.remaining_ms;
+  __isset = other21.__isset;
+  return *this;
+}
+void QuarantineEntry::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuarantineEntry(";
+  out << "traits=" << to_string(traits);
+  out << ", " << "remaining_ms=" << to_string(remaining_ms);
+  out << ")";
+}
+
+
 Report::~Report() noexcept {
 }
 
@@ -367,6 +783,18 @@
   this->earlier_sends_age_ms = val;
 __isset.earlier_sends_age_ms = true;
 }
+
+void Report::__set_crashes(const std::vector<Crash> & val) {
+  this->crashes = val;
+}
+
+void Report::__set_starts(const std::vector<TraitStart> & val) {
+  this->starts = val;
+}
+
+void Report::__set_quarantine(const std::vector<QuarantineEntry> & val) {
+  this->quarantine = val;
+}
 std::ostream& operator<<(std::ostream& out, const Report& obj)
 {
   obj.printTo(out);
@@ -455,14 +883,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size4;
-            ::apache::thrift::protocol::TType _etype7;
-            xfer += iprot->readListBegin(_etype7, _size4);
-            this->loads.resize(_size4);
-            uint32_t _i8;
-            for (_i8 = 0; _i8 < _size4; ++_i8)
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->loads.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
             {
-              xfer += this->loads[_i8].read(iprot);
+              xfer += this->loads[_i26].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -475,14 +903,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->down.clear();
-            uint32_t _size9;
-            ::apache::thrift::protocol::TType _etype12;
-            xfer += iprot->readListBegin(_etype12, _size9);
-            this->down.resize(_size9);
-            uint32_t _i13;
-            for (_i13 = 0; _i13 < _size9; ++_i13)
+            uint32_t _size27;
+            ::apache::thrift::protocol::TType _etype30;
+            xfer += iprot->readListBegin(_etype30, _size27);
+            this->down.resize(_size27);
+            uint32_t _i31;
+            for (_i31 = 0; _i31 < _size27; ++_i31)
             {
-              xfer += iprot->readString(this->down[_i13]);
+              xfer += iprot->readString(this->down[_i31]);
             }
             xfer += iprot->readListEnd();
           }
@@ -527,14 +955,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sends.clear();
-            uint32_t _size14;
-            ::apache::thrift::protocol::TType _etype17;
-            xfer += iprot->readListBegin(_etype17, _size14);
-            this->sends.resize(_size14);
-            uint32_t _i18;
-            for (_i18 = 0; _i18 < _size14; ++_i18)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->sends.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              xfer += this->sends[_i18].read(iprot);
+              xfer += this->sends[_i36].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -547,14 +975,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->earlier_sends.clear();
-            uint32_t _size19;
-            ::apache::thrift::protocol::TType _etype22;
-            xfer += iprot->readListBegin(_etype22, _size19);
-            this->earlier_sends.resize(_size19);
-            uint32_t _i23;
-            for (_i23 = 0; _i23 < _size19; ++_i23)
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->earlier_sends.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
             {
-              xfer += this->earlier_sends[_i23].read(iprot);
+              xfer += this->earlier_sends[_i41].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -571,6 +999,66 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->crashes.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
+            {
+              xfer += this->crashes[_i46].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->starts.clear();
+            uint32_t _size47;
+            ::apache::thrift::protocol::TType _etype50;
+            xfer += iprot->readListBegin(_etype50, _size47);
+            this->starts.resize(_size47);
+            uint32_t _i51;
+            for (_i51 = 0; _i51 < _size47; ++_i51)
+            {
+              xfer += this->starts[_i51].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.starts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quarantine.clear();
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->quarantine.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
+            {
+              xfer += this->quarantine[_i56].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quarantine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -619,10 +1107,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<Load> ::const_iterator _iter24;
-    for (_iter24 = this->loads.begin(); _iter24 != this->loads.end(); ++_iter24)
+    std::vector<Load> ::const_iterator _iter57;
+    for (_iter57 = this->loads.begin(); _iter57 != this->loads.end(); ++_iter57)
     {
-      xfer += (*_iter24).write(oprot);
+      xfer += (*_iter57).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -631,10 +1119,10 @@
   xfer += oprot->writeFieldBegin("down", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->down.size()));
-    std::vector<std::string> ::const_iterator _iter25;
-    for (_iter25 = this->down.begin(); _iter25 != this->down.end(); ++_iter25)
+    std::vector<std::string> ::const_iterator _iter58;
+    for (_iter58 = this->down.begin(); _iter58 != this->down.end(); ++_iter58)
     {
-      xfer += oprot->writeString((*_iter25));
+      xfer += oprot->writeString((*_iter58));
     }
     xfer += oprot->writeListEnd();
   }
@@ -659,10 +1147,10 @@
   xfer += oprot->writeFieldBegin("sends", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sends.size()));
-    std::vector<ServiceSends> ::const_iterator _iter26;
-    for (_iter26 = this->sends.begin(); _iter26 != this->sends.end(); ++_iter26)
+    std::vector<ServiceSends> ::const_iterator _iter59;
+    for (_iter59 = this->sends.begin(); _iter59 != this->sends.end(); ++_iter59)
     {
-      xfer += (*_iter26).write(oprot);
+      xfer += (*_iter59).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -672,10 +1160,10 @@
     xfer += oprot->writeFieldBegin("earlier_sends", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->earlier_sends.size()));
-      std::vector<ServiceSends> ::const_iterator _iter27;
-      for (_iter27 = this->earlier_sends.begin(); _iter27 != this->earlier_sends.end(); ++_iter27)
+      std::vector<ServiceSends> ::const_iterator _iter60;
+      for (_iter60 = this->earlier_sends.begin(); _iter60 != this->earlier_sends.end(); ++_iter60)
       {
-        xfer += (*_iter27).write(oprot);
+        xfer += (*_iter60).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -686,6 +1174,42 @@
     xfer += oprot->writeI32(this->earlier_sends_age_ms);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 18);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<Crash> ::const_iterator _iter61;
+    for (_iter61 = this->crashes.begin(); _iter61 != this->crashes.end(); ++_iter61)
+    {
+      xfer += (*_iter61).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 19);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
+    std::vector<TraitStart> ::const_iterator _iter62;
+    for (_iter62 = this->starts.begin(); _iter62 != this->starts.end(); ++_iter62)
+    {
+      xfer += (*_iter62).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quarantine", ::apache::thrift::protocol::T_LIST, 20);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantine.size()));
+    std::vector<QuarantineEntry> ::const_iterator _iter63;
+    for (_iter63 = this->quarantine.begin(); _iter63 != this->quarantine.end(); ++_iter63)
+    {
+      xfer += (*_iter63).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -709,46 +1233,55 @@
   swap(a.sends, b.sends);
   swap(a.earlier_sends, b.earlier_sends);
   swap(a.earlier_sends_age_ms, b.earlier_sends_age_ms);
+  swap(a.crashes, b.crashes);
+  swap(a.starts, b.starts);
+  swap(a.quarantine, b.quarantine);
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other28) {
-  ip = other28.ip;
-  data_center = other28.data_center;
-  incarnation = other28.incarnation;
-  accepting = other28.accepting;
-  cpu_milli = other28.cpu_milli;
-  config_version = other28.config_version;
-  list_version = other28.list_version;
-  loads = other28.loads;
-  down = other28.down;
-  requests = other28.requests;
-  retries = other28.retries;
-  names_key = other28.names_key;
-  age_ms = other28.age_ms;
-  sends = other28.sends;
-  earlier_sends = other28.earlier_sends;
-  earlier_sends_age_ms = other28.earlier_sends_age_ms;
-  __isset = other28.__isset;
-}
-Report& Report::operator=(const Report& other29) {
-  ip = other29.ip;
-  data_center = other29.data_center;
-  incarnation = other29.incarnation;
-  accepting = other29.accepting;
-  cpu_milli = other29.cpu_milli;
-  config_version = other29.config_version;
-  list_version = other29.list_version;
-  loads = other29.loads;
-  down = other29.down;
-  requests = other29.requests;
-  retries = other29.retries;
-  names_key = other29.names_key;
-  age_ms = other29.age_ms;
-  sends = other29.sends;
-  earlier_sends = other29.earlier_sends;
-  earlier_sends_age_ms = other29.earlier_sends_age_ms;
-  __isset = other29.__isset;
+Report::Report(const Report& other64) {
+  ip = other64.ip;
+  data_center = other64.data_center;
+  incarnation = other64.incarnation;
+  accepting = other64.accepting;
+  cpu_milli = other64.cpu_milli;
+  config_version = other64.config_version;
+  list_version = other64.list_version;
+  loads = other64.loads;
+  down = other64.down;
+  requests = other64.requests;
+  retries = other64.retries;
+  names_key = other64.names_key;
+  age_ms = other64.age_ms;
+  sends = other64.sends;
+  earlier_sends = other64.earlier_sends;
+  earlier_sends_age_ms = other64.earlier_sends_age_ms;
+  crashes = other64.crashes;
+  starts = other64.starts;
+  quarantine = other64.quarantine;
+  __isset = other64.__isset;
+}
+Report& Report::operator=(const Report& other65) {
+  ip = other65.ip;
+  data_center = other65.data_center;
+  incarnation = other65.incarnation;
+  accepting = other65.accepting;
+  cpu_milli = other65.cpu_milli;
+  config_version = other65.config_version;
+  list_version = other65.list_version;
+  loads = other65.loads;
+  down = other65.down;
+  requests = other65.requests;
+  retries = other65.retries;
+  names_key = other65.names_key;
+  age_ms = other65.age_ms;
+  sends = other65.sends;
+  earlier_sends = other65.earlier_sends;
+  earlier_sends_age_ms = other65.earlier_sends_age_ms;
+  crashes = other65.crashes;
+  starts = other65.starts;
+  quarantine = other65.quarantine;
+  __isset = other65.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
@@ -770,6 +1303,9 @@
   out << ", " << "sends=" << to_string(sends);
   out << ", " << "earlier_sends="; (__isset.earlier_sends ? (out << to_string(earlier_sends)) : (out << "<null>"));
   out << ", " << "earlier_sends_age_ms="; (__isset.earlier_sends_age_ms ? (out << to_string(earlier_sends_age_ms)) : (out << "<null>"));
+  out << ", " << "crashes=" << to_string(crashes);
+  out << ", " << "starts=" << to_string(starts);
+  out << ", " << "quarantine=" << to_string(quarantine);
   out << ")";
 }
 
@@ -883,17 +1419,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other30) noexcept {
-  ip = other30.ip;
-  accepting = other30.accepting;
-  cpu_milli = other30.cpu_milli;
-  __isset = other30.__isset;
+Member::Member(const Member& other66) noexcept {
+  ip = other66.ip;
+  accepting = other66.accepting;
+  cpu_milli = other66.cpu_milli;
+  __isset = other66.__isset;
 }
-Member& Member::operator=(const Member& other31) noexcept {
-  ip = other31.ip;
-  accepting = other31.accepting;
-  cpu_milli = other31.cpu_milli;
-  __isset = other31.__isset;
+Member& Member::operator=(const Member& other67) noexcept {
+  ip = other67.ip;
+  accepting = other67.accepting;
+  cpu_milli = other67.cpu_milli;
+  __isset = other67.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -957,14 +1493,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->members.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->members.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->members[_i36].read(iprot);
+              xfer += this->members[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -997,10 +1533,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter37;
-    for (_iter37 = this->members.begin(); _iter37 != this->members.end(); ++_iter37)
+    std::vector<Member> ::const_iterator _iter73;
+    for (_iter73 = this->members.begin(); _iter73 != this->members.end(); ++_iter73)
     {
-      xfer += (*_iter37).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1018,15 +1554,15 @@
   swap(a.__isset, b.__isset);
 }
 
-DataCenterMembers::DataCenterMembers(const DataCenterMembers& other38) {
-  data_center = other38.data_center;
-  members = other38.members;
-  __isset = other38.__isset;
+DataCenterMembers::DataCenterMembers(const DataCenterMembers& other74) {
+  data_center = other74.data_center;
+  members = other74.members;
+  __isset = other74.__isset;
 }
-DataCenterMembers& DataCenterMembers::operator=(const DataCenterMembers& other39) {
-  data_center = other39.data_center;
-  members = other39.members;
-  __isset = other39.__isset;
+DataCenterMembers& DataCenterMembers::operator=(const DataCenterMembers& other75) {
+  data_center = other75.data_center;
+  members = other75.members;
+  __isset = other75.__isset;
   return *this;
 }
 void DataCenterMembers::printTo(std::ostream& out) const {
@@ -1147,17 +1683,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Order::Order(const Order& other40) {
-  server = other40.server;
-  layer_from = other40.layer_from;
-  layer_to = other40.layer_to;
-  __isset = other40.__isset;
+Order::Order(const Order& other76) {
+  server = other76.server;
+  layer_from = other76.layer_from;
+  layer_to = other76.layer_to;
+  __isset = other76.__isset;
 }
-Order& Order::operator=(const Order& other41) {
-  server = other41.server;
-  layer_from = other41.layer_from;
-  layer_to = other41.layer_to;
-  __isset = other41.__isset;
+Order& Order::operator=(const Order& other77) {
+  server = other77.server;
+  layer_from = other77.layer_from;
+  layer_to = other77.layer_to;
+  __isset = other77.__isset;
   return *this;
 }
 void Order::printTo(std::ostream& out) const {
@@ -1249,6 +1785,14 @@
 void Beat::__set_earlier_sends_unknown(const bool val) {
   this->earlier_sends_unknown = val;
 }
+
+void Beat::__set_suspects(const std::vector<int64_t> & val) {
+  this->suspects = val;
+}
+
+void Beat::__set_quarantine(const std::vector<QuarantineEntry> & val) {
+  this->quarantine = val;
+}
 std::ostream& operator<<(std::ostream& out, const Beat& obj)
 {
   obj.printTo(out);
@@ -1321,14 +1865,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _etype45;
-            xfer += iprot->readListBegin(_etype45, _size42);
-            this->members.resize(_size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->members.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
             {
-              xfer += this->members[_i46].read(iprot);
+              xfer += this->members[_i82].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1341,14 +1885,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size47;
-            ::apache::thrift::protocol::TType _etype50;
-            xfer += iprot->readListBegin(_etype50, _size47);
-            this->loads.resize(_size47);
-            uint32_t _i51;
-            for (_i51 = 0; _i51 < _size47; ++_i51)
+            uint32_t _size83;
+            ::apache::thrift::protocol::TType _etype86;
+            xfer += iprot->readListBegin(_etype86, _size83);
+            this->loads.resize(_size83);
+            uint32_t _i87;
+            for (_i87 = 0; _i87 < _size83; ++_i87)
             {
-              xfer += this->loads[_i51].read(iprot);
+              xfer += this->loads[_i87].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1361,14 +1905,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->down.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->down.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->down.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
             {
-              xfer += iprot->readString(this->down[_i56]);
+              xfer += iprot->readString(this->down[_i92]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1389,14 +1933,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->orders.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size93;
+            ::apache::thrift::protocol::TType _etype96;
+            xfer += iprot->readListBegin(_etype96, _size93);
+            this->orders.resize(_size93);
+            uint32_t _i97;
+            for (_i97 = 0; _i97 < _size93; ++_i97)
             {
-              xfer += this->orders[_i61].read(iprot);
+              xfer += this->orders[_i97].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1425,14 +1969,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->held.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->held.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->held.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              xfer += this->held[_i66].read(iprot);
+              xfer += this->held[_i102].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1477,14 +2021,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sends.clear();
-            uint32_t _size67;
-            ::apache::thrift::protocol::TType _etype70;
-            xfer += iprot->readListBegin(_etype70, _size67);
-            this->sends.resize(_size67);
-            uint32_t _i71;
-            for (_i71 = 0; _i71 < _size67; ++_i71)
+            uint32_t _size103;
+            ::apache::thrift::protocol::TType _etype106;
+            xfer += iprot->readListBegin(_etype106, _size103);
+            this->sends.resize(_size103);
+            uint32_t _i107;
+            for (_i107 = 0; _i107 < _size103; ++_i107)
             {
-              xfer += this->sends[_i71].read(iprot);
+              xfer += this->sends[_i107].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1501,6 +2045,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspects.clear();
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->suspects.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
+            {
+              xfer += iprot->readI64(this->suspects[_i112]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quarantine.clear();
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->quarantine.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
+            {
+              xfer += this->quarantine[_i117].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quarantine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1541,10 +2125,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<DataCenterMembers> ::const_iterator _iter72;
-    for (_iter72 = this->members.begin(); _iter72 != this->members.end(); ++_iter72)
+    std::vector<DataCenterMembers> ::const_iterator _iter118;
+    for (_iter118 = this->members.begin(); _iter118 != this->members.end(); ++_iter118)
     {
-      xfer += (*_iter72).write(oprot);
+      xfer += (*_iter118).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1553,10 +2137,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<Load> ::const_iterator _iter73;
-    for (_iter73 = this->loads.begin(); _iter73 != this->loads.end(); ++_iter73)
+    std::vector<Load> ::const_iterator _iter119;
+    for (_iter119 = this->loads.begin(); _iter119 != this->loads.end(); ++_iter119)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter119).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1565,10 +2149,10 @@
   xfer += oprot->writeFieldBegin("down", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->down.size()));
-    std::vector<std::string> ::const_iterator _iter74;
-    for (_iter74 = this->down.begin(); _iter74 != this->down.end(); ++_iter74)
+    std::vector<std::string> ::const_iterator _iter120;
+    for (_iter120 = this->down.begin(); _iter120 != this->down.end(); ++_iter120)
     {
-      xfer += oprot->writeString((*_iter74));
+      xfer += oprot->writeString((*_iter120));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1581,10 +2165,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<Order> ::const_iterator _iter75;
-    for (_iter75 = this->orders.begin(); _iter75 != this->orders.end(); ++_iter75)
+    std::vector<Order> ::const_iterator _iter121;
+    for (_iter121 = this->orders.begin(); _iter121 != this->orders.end(); ++_iter121)
     {
-      xfer += (*_iter75).write(oprot);
+      xfer += (*_iter121).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1601,10 +2185,10 @@
   xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held.size()));
-    std::vector<Order> ::const_iterator _iter76;
-    for (_iter76 = this->held.begin(); _iter76 != this->held.end(); ++_iter76)
+    std::vector<Order> ::const_iterator _iter122;
+    for (_iter122 = this->held.begin(); _iter122 != this->held.end(); ++_iter122)
     {
-      xfer += (*_iter76).write(oprot);
+      xfer += (*_iter122).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1629,10 +2213,10 @@
   xfer += oprot->writeFieldBegin("sends", ::apache::thrift::protocol::T_LIST, 18);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sends.size()));
-    std::vector<ServiceSends> ::const_iterator _iter77;
-    for (_iter77 = this->sends.begin(); _iter77 != this->sends.end(); ++_iter77)
+    std::vector<ServiceSends> ::const_iterator _iter123;
+    for (_iter123 = this->sends.begin(); _iter123 != this->sends.end(); ++_iter123)
     {
-      xfer += (*_iter77).write(oprot);
+      xfer += (*_iter123).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1642,6 +2226,30 @@
   xfer += oprot->writeBool(this->earlier_sends_unknown);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 20);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->suspects.size()));
+    std::vector<int64_t> ::const_iterator _iter124;
+    for (_iter124 = this->suspects.begin(); _iter124 != this->suspects.end(); ++_iter124)
+    {
+      xfer += oprot->writeI64((*_iter124));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quarantine", ::apache::thrift::protocol::T_LIST, 21);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantine.size()));
+    std::vector<QuarantineEntry> ::const_iterator _iter125;
+    for (_iter125 = this->quarantine.begin(); _iter125 != this->quarantine.end(); ++_iter125)
+    {
+      xfer += (*_iter125).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1668,52 +2276,58 @@
   swap(a.sums_incomplete, b.sums_incomplete);
   swap(a.sends, b.sends);
   swap(a.earlier_sends_unknown, b.earlier_sends_unknown);
+  swap(a.suspects, b.suspects);
+  swap(a.quarantine, b.quarantine);
   swap(a.__isset, b.__isset);
 }
 
-Beat::Beat(const Beat& other78) {
-  fence = other78.fence;
-  ip = other78.ip;
-  config_version = other78.config_version;
-  list_version = other78.list_version;
-  list_age_ms = other78.list_age_ms;
-  members = other78.members;
-  loads = other78.loads;
-  down = other78.down;
-  store_reachable = other78.store_reachable;
-  orders = other78.orders;
-  requests = other78.requests;
-  retries = other78.retries;
-  held = other78.held;
-  names_key = other78.names_key;
-  unreported_retries = other78.unreported_retries;
-  instances = other78.instances;
-  sums_incomplete = other78.sums_incomplete;
-  sends = other78.sends;
-  earlier_sends_unknown = other78.earlier_sends_unknown;
-  __isset = other78.__isset;
-}
-Beat& Beat::operator=(const Beat& other79) {
-  fence = other79.fence;
-  ip = other79.ip;
-  config_version = other79.config_version;
-  list_version = other79.list_version;
-  list_age_ms = other79.list_age_ms;
-  members = other79.members;
-  loads = other79.loads;
-  down = other79.down;
-  store_reachable = other79.store_reachable;
-  orders = other79.orders;
-  requests = other79.requests;
-  retries = other79.retries;
-  held = other79.held;
-  names_key = other79.names_key;
-  unreported_retries = other79.unreported_retries;
-  instances = other79.instances;
-  sums_incomplete = other79.sums_incomplete;
-  sends = other79.sends;
-  earlier_sends_unknown = other79.earlier_sends_unknown;
-  __isset = other79.__isset;
+Beat::Beat(const Beat& other126) {
+  fence = other126.fence;
+  ip = other126.ip;
+  config_version = other126.config_version;
+  list_version = other126.list_version;
+  list_age_ms = other126.list_age_ms;
+  members = other126.members;
+  loads = other126.loads;
+  down = other126.down;
+  store_reachable = other126.store_reachable;
+  orders = other126.orders;
+  requests = other126.requests;
+  retries = other126.retries;
+  held = other126.held;
+  names_key = other126.names_key;
+  unreported_retries = other126.unreported_retries;
+  instances = other126.instances;
+  sums_incomplete = other126.sums_incomplete;
+  sends = other126.sends;
+  earlier_sends_unknown = other126.earlier_sends_unknown;
+  suspects = other126.suspects;
+  quarantine = other126.quarantine;
+  __isset = other126.__isset;
+}
+Beat& Beat::operator=(const Beat& other127) {
+  fence = other127.fence;
+  ip = other127.ip;
+  config_version = other127.config_version;
+  list_version = other127.list_version;
+  list_age_ms = other127.list_age_ms;
+  members = other127.members;
+  loads = other127.loads;
+  down = other127.down;
+  store_reachable = other127.store_reachable;
+  orders = other127.orders;
+  requests = other127.requests;
+  retries = other127.retries;
+  held = other127.held;
+  names_key = other127.names_key;
+  unreported_retries = other127.unreported_retries;
+  instances = other127.instances;
+  sums_incomplete = other127.sums_incomplete;
+  sends = other127.sends;
+  earlier_sends_unknown = other127.earlier_sends_unknown;
+  suspects = other127.suspects;
+  quarantine = other127.quarantine;
+  __isset = other127.__isset;
   return *this;
 }
 void Beat::printTo(std::ostream& out) const {
@@ -1738,6 +2352,8 @@
   out << ", " << "sums_incomplete=" << to_string(sums_incomplete);
   out << ", " << "sends=" << to_string(sends);
   out << ", " << "earlier_sends_unknown=" << to_string(earlier_sends_unknown);
+  out << ", " << "suspects=" << to_string(suspects);
+  out << ", " << "quarantine=" << to_string(quarantine);
   out << ")";
 }
 
@@ -1953,29 +2569,29 @@
   swap(a.__isset, b.__isset);
 }
 
-Server::Server(const Server& other80) {
-  id = other80.id;
-  service_name = other80.service_name;
-  address = other80.address;
-  data_center = other80.data_center;
-  draining = other80.draining;
-  kind = other80.kind;
-  layer_from = other80.layer_from;
-  layer_to = other80.layer_to;
-  born = other80.born;
-  __isset = other80.__isset;
-}
-Server& Server::operator=(const Server& other81) {
-  id = other81.id;
-  service_name = other81.service_name;
-  address = other81.address;
-  data_center = other81.data_center;
-  draining = other81.draining;
-  kind = other81.kind;
-  layer_from = other81.layer_from;
-  layer_to = other81.layer_to;
-  born = other81.born;
-  __isset = other81.__isset;
+Server::Server(const Server& other128) {
+  id = other128.id;
+  service_name = other128.service_name;
+  address = other128.address;
+  data_center = other128.data_center;
+  draining = other128.draining;
+  kind = other128.kind;
+  layer_from = other128.layer_from;
+  layer_to = other128.layer_to;
+  born = other128.born;
+  __isset = other128.__isset;
+}
+Server& Server::operator=(const Server& other129) {
+  id = other129.id;
+  service_name = other129.service_name;
+  address = other129.address;
+  data_center = other129.data_center;
+  draining = other129.draining;
+  kind = other129.kind;
+  layer_from = other129.layer_from;
+  layer_to = other129.layer_to;
+  born = other129.born;
+  __isset = other129.__isset;
   return *this;
 }
 void Server::printTo(std::ostream& out) const {
@@ -2069,14 +2685,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size82;
-            ::apache::thrift::protocol::TType _etype85;
-            xfer += iprot->readListBegin(_etype85, _size82);
-            this->servers.resize(_size82);
-            uint32_t _i86;
-            for (_i86 = 0; _i86 < _size82; ++_i86)
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->servers.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
             {
-              xfer += this->servers[_i86].read(iprot);
+              xfer += this->servers[_i134].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2117,10 +2733,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<Server> ::const_iterator _iter87;
-    for (_iter87 = this->servers.begin(); _iter87 != this->servers.end(); ++_iter87)
+    std::vector<Server> ::const_iterator _iter135;
+    for (_iter135 = this->servers.begin(); _iter135 != this->servers.end(); ++_iter135)
     {
-      xfer += (*_iter87).write(oprot);
+      xfer += (*_iter135).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2140,19 +2756,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerList::ServerList(const ServerList& other88) {
-  fence = other88.fence;
-  version = other88.version;
-  age_ms = other88.age_ms;
-  servers = other88.servers;
-  __isset = other88.__isset;
+ServerList::ServerList(const ServerList& other136) {
+  fence = other136.fence;
+  version = other136.version;
+  age_ms = other136.age_ms;
+  servers = other136.servers;
+  __isset = other136.__isset;
 }
-ServerList& ServerList::operator=(const ServerList& other89) {
-  fence = other89.fence;
-  version = other89.version;
-  age_ms = other89.age_ms;
-  servers = other89.servers;
-  __isset = other89.__isset;
+ServerList& ServerList::operator=(const ServerList& other137) {
+  fence = other137.fence;
+  version = other137.version;
+  age_ms = other137.age_ms;
+  servers = other137.servers;
+  __isset = other137.__isset;
   return *this;
 }
 void ServerList::printTo(std::ostream& out) const {
@@ -2258,15 +2874,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Configuration::Configuration(const Configuration& other90) {
-  version = other90.version;
-  row = other90.row;
-  __isset = other90.__isset;
+Configuration::Configuration(const Configuration& other138) {
+  version = other138.version;
+  row = other138.row;
+  __isset = other138.__isset;
 }
-Configuration& Configuration::operator=(const Configuration& other91) {
-  version = other91.version;
-  row = other91.row;
-  __isset = other91.__isset;
+Configuration& Configuration::operator=(const Configuration& other139) {
+  version = other139.version;
+  row = other139.row;
+  __isset = other139.__isset;
   return *this;
 }
 void Configuration::printTo(std::ostream& out) const {
@@ -2370,15 +2986,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SlowServer::SlowServer(const SlowServer& other92) {
-  server = other92.server;
-  pace_percent = other92.pace_percent;
-  __isset = other92.__isset;
+SlowServer::SlowServer(const SlowServer& other140) {
+  server = other140.server;
+  pace_percent = other140.pace_percent;
+  __isset = other140.__isset;
 }
-SlowServer& SlowServer::operator=(const SlowServer& other93) {
-  server = other93.server;
-  pace_percent = other93.pace_percent;
-  __isset = other93.__isset;
+SlowServer& SlowServer::operator=(const SlowServer& other141) {
+  server = other141.server;
+  pace_percent = other141.pace_percent;
+  __isset = other141.__isset;
   return *this;
 }
 void SlowServer::printTo(std::ostream& out) const {
@@ -2489,14 +3105,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lost.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->lost.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size142;
+            ::apache::thrift::protocol::TType _etype145;
+            xfer += iprot->readListBegin(_etype145, _size142);
+            this->lost.resize(_size142);
+            uint32_t _i146;
+            for (_i146 = 0; _i146 < _size142; ++_i146)
             {
-              xfer += iprot->readString(this->lost[_i98]);
+              xfer += iprot->readString(this->lost[_i146]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2509,14 +3125,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->refusing.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->refusing.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
+            uint32_t _size147;
+            ::apache::thrift::protocol::TType _etype150;
+            xfer += iprot->readListBegin(_etype150, _size147);
+            this->refusing.resize(_size147);
+            uint32_t _i151;
+            for (_i151 = 0; _i151 < _size147; ++_i151)
             {
-              xfer += iprot->readString(this->refusing[_i103]);
+              xfer += iprot->readString(this->refusing[_i151]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2545,14 +3161,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->slow.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->slow.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->slow.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
             {
-              xfer += this->slow[_i108].read(iprot);
+              xfer += this->slow[_i156].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2597,10 +3213,10 @@
     xfer += oprot->writeFieldBegin("lost", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->lost.size()));
-      std::vector<std::string> ::const_iterator _iter109;
-      for (_iter109 = this->lost.begin(); _iter109 != this->lost.end(); ++_iter109)
+      std::vector<std::string> ::const_iterator _iter157;
+      for (_iter157 = this->lost.begin(); _iter157 != this->lost.end(); ++_iter157)
       {
-        xfer += oprot->writeString((*_iter109));
+        xfer += oprot->writeString((*_iter157));
       }
       xfer += oprot->writeListEnd();
     }
@@ -2610,10 +3226,10 @@
     xfer += oprot->writeFieldBegin("refusing", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->refusing.size()));
-      std::vector<std::string> ::const_iterator _iter110;
-      for (_iter110 = this->refusing.begin(); _iter110 != this->refusing.end(); ++_iter110)
+      std::vector<std::string> ::const_iterator _iter158;
+      for (_iter158 = this->refusing.begin(); _iter158 != this->refusing.end(); ++_iter158)
       {
-        xfer += oprot->writeString((*_iter110));
+        xfer += oprot->writeString((*_iter158));
       }
       xfer += oprot->writeListEnd();
     }
@@ -2633,10 +3249,10 @@
     xfer += oprot->writeFieldBegin("slow", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->slow.size()));
-      std::vector<SlowServer> ::const_iterator _iter111;
-      for (_iter111 = this->slow.begin(); _iter111 != this->slow.end(); ++_iter111)
+      std::vector<SlowServer> ::const_iterator _iter159;
+      for (_iter159 = this->slow.begin(); _iter159 != this->slow.end(); ++_iter159)
       {
-        xfer += (*_iter111).write(oprot);
+        xfer += (*_iter159).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2660,27 +3276,27 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other112) {
-  report = other112.report;
-  beat = other112.beat;
-  servers = other112.servers;
-  lost = other112.lost;
-  refusing = other112.refusing;
-  configuration = other112.configuration;
-  packed = other112.packed;
-  slow = other112.slow;
-  __isset = other112.__isset;
-}
-Message& Message::operator=(const Message& other113) {
-  report = other113.report;
-  beat = other113.beat;
-  servers = other113.servers;
-  lost = other113.lost;
-  refusing = other113.refusing;
-  configuration = other113.configuration;
-  packed = other113.packed;
-  slow = other113.slow;
-  __isset = other113.__isset;
+Message::Message(const Message& other160) {
+  report = other160.report;
+  beat = other160.beat;
+  servers = other160.servers;
+  lost = other160.lost;
+  refusing = other160.refusing;
+  configuration = other160.configuration;
+  packed = other160.packed;
+  slow = other160.slow;
+  __isset = other160.__isset;
+}
+Message& Message::operator=(const Message& other161) {
+  report = other161.report;
+  beat = other161.beat;
+  servers = other161.servers;
+  lost = other161.lost;
+  refusing = other161.refusing;
+  configuration = other161.configuration;
+  packed = other161.packed;
+  slow = other161.slow;
+  __isset = other161.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
--- a/src/gen/cluster_types.h
+++ b/src/gen/cluster_types.h
@@ -25,6 +25,12 @@
 
 class ServiceSends;
 
+class Crash;
+
+class TraitStart;
+
+class QuarantineEntry;
+
 class Report;
 
 class Member;
@@ -166,8 +172,170 @@
 
 std::ostream& operator<<(std::ostream& out, const ServiceSends& obj);
 
+typedef struct _Crash__isset {
+  _Crash__isset() : id(false), server(false), traits(false), age_ms(false) {}
+  bool id :1;
+  bool server :1;
+  bool traits :1;
+  bool age_ms :1;
+} _Crash__isset;
+
+class Crash : public virtual ::apache::thrift::TBase {
+ public:
+
+  Crash(const Crash&);
+  Crash& operator=(const Crash&);
+  Crash() noexcept
+        : id(0),
+          server(0),
+          age_ms(0) {
+  }
+
+  virtual ~Crash() noexcept;
+  int64_t id;
+  int64_t server;
+  std::vector<int64_t>  traits;
+  int32_t age_ms;
+
+  _Crash__isset __isset;
+
+  void __set_id(const int64_t val);
+
+  void __set_server(const int64_t val);
+
+  void __set_traits(const std::vector<int64_t> & val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const Crash & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(server == rhs.server))
+      return false;
+    if (!(traits == rhs.traits))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const Crash &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Crash & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Crash &a, Crash &b);
+
+std::ostream& operator<<(std::ostream& out, const Crash& obj);
+
+typedef struct _TraitStart__isset {
+  _TraitStart__isset() : trait(false), age_ms(false) {}
+  bool trait :1;
+  bool age_ms :1;
+} _TraitStart__isset;
+
+class TraitStart : public virtual ::apache::thrift::TBase {
+ public:
+
+  TraitStart(const TraitStart&) noexcept;
+  TraitStart& operator=(const TraitStart&) noexcept;
+  TraitStart() noexcept
+             : trait(0),
+               age_ms(0) {
+  }
+
+  virtual ~TraitStart() noexcept;
+  int64_t trait;
+  int32_t age_ms;
+
+  _TraitStart__isset __isset;
+
+  void __set_trait(const int64_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const TraitStart & rhs) const
+  {
+    if (!(trait == rhs.trait))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const TraitStart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TraitStart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TraitStart &a, TraitStart &b);
+
+std::ostream& operator<<(std::ostream& out, const TraitStart& obj);
+
+typedef struct _QuarantineEntry__isset {
+  _QuarantineEntry__isset() : traits(false), remaining_ms(false) {}
+  bool traits :1;
+  bool remaining_ms :1;
+} _QuarantineEntry__isset;
+
+class QuarantineEntry : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuarantineEntry(const QuarantineEntry&);
+  QuarantineEntry& operator=(const QuarantineEntry&);
+  QuarantineEntry() noexcept
+                  : remaining_ms(0) {
+  }
+
+  virtual ~QuarantineEntry() noexcept;
+  std::vector<int64_t>  traits;
+  int32_t remaining_ms;
+
+  _QuarantineEntry__isset __isset;
+
+  void __set_traits(const std::vector<int64_t> & val);
+
+  void __set_remaining_ms(const int32_t val);
+
+  bool operator == (const QuarantineEntry & rhs) const
+  {
+    if (!(traits == rhs.traits))
+      return false;
+    if (!(remaining_ms == rhs.remaining_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const QuarantineEntry &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuarantineEntry & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuarantineEntry &a, QuarantineEntry &b);
+
+std::ostream& operator<<(std::ostream& out, const QuarantineEntry& obj);
+
 typedef struct _Report__isset {
-  _Report__isset() : ip(false), data_center(false), incarnation(false), accepting(false), cpu_milli(false), config_version(false), list_version(false), loads(false), down(false), requests(false), retries(false), names_key(false), age_ms(false), sends(false), earlier_sends(false), earlier_sends_age_ms(false) {}
+  _Report__isset() : ip(false), data_center(false), incarnation(false), accepting(false), cpu_milli(false), config_version(false), list_version(false), loads(false), down(false), requests(false), retries(false), names_key(false), age_ms(false), sends(false), earlier_sends(false), earlier_sends_age_ms(false), crashes(false), starts(false), quarantine(false) {}
   bool ip :1;
   bool data_center :1;
   bool incarnation :1;
@@ -184,6 +352,9 @@
   bool sends :1;
   bool earlier_sends :1;
   bool earlier_sends_age_ms :1;
+  bool crashes :1;
+  bool starts :1;
+  bool quarantine :1;
 } _Report__isset;
 
 class Report : public virtual ::apache::thrift::TBase {
@@ -223,6 +394,9 @@
   std::vector<ServiceSends>  sends;
   std::vector<ServiceSends>  earlier_sends;
   int32_t earlier_sends_age_ms;
+  std::vector<Crash>  crashes;
+  std::vector<TraitStart>  starts;
+  std::vector<QuarantineEntry>  quarantine;
 
   _Report__isset __isset;
 
@@ -258,6 +432,12 @@
 
   void __set_earlier_sends_age_ms(const int32_t val);
 
+  void __set_crashes(const std::vector<Crash> & val);
+
+  void __set_starts(const std::vector<TraitStart> & val);
+
+  void __set_quarantine(const std::vector<QuarantineEntry> & val);
+
   bool operator == (const Report & rhs) const
   {
     if (!(ip == rhs.ip))
@@ -296,6 +476,12 @@
       return false;
     else if (__isset.earlier_sends_age_ms && !(earlier_sends_age_ms == rhs.earlier_sends_age_ms))
       return false;
+    if (!(crashes == rhs.crashes))
+      return false;
+    if (!(starts == rhs.starts))
+      return false;
+    if (!(quarantine == rhs.quarantine))
+      return false;
     return true;
   }
   bool operator != (const Report &rhs) const {
@@ -478,7 +664,7 @@
 std::ostream& operator<<(std::ostream& out, const Order& obj);
 
 typedef struct _Beat__isset {
-  _Beat__isset() : fence(false), ip(false), config_version(false), list_version(false), list_age_ms(false), members(false), loads(false), down(false), store_reachable(false), orders(false), requests(false), retries(false), held(false), names_key(false), unreported_retries(false), instances(false), sums_incomplete(false), sends(false), earlier_sends_unknown(false) {}
+  _Beat__isset() : fence(false), ip(false), config_version(false), list_version(false), list_age_ms(false), members(false), loads(false), down(false), store_reachable(false), orders(false), requests(false), retries(false), held(false), names_key(false), unreported_retries(false), instances(false), sums_incomplete(false), sends(false), earlier_sends_unknown(false), suspects(false), quarantine(false) {}
   bool fence :1;
   bool ip :1;
   bool config_version :1;
@@ -498,6 +684,8 @@
   bool sums_incomplete :1;
   bool sends :1;
   bool earlier_sends_unknown :1;
+  bool suspects :1;
+  bool quarantine :1;
 } _Beat__isset;
 
 class Beat : public virtual ::apache::thrift::TBase {
@@ -541,6 +729,8 @@
   bool sums_incomplete;
   std::vector<ServiceSends>  sends;
   bool earlier_sends_unknown;
+  std::vector<int64_t>  suspects;
+  std::vector<QuarantineEntry>  quarantine;
 
   _Beat__isset __isset;
 
@@ -582,6 +772,10 @@
 
   void __set_earlier_sends_unknown(const bool val);
 
+  void __set_suspects(const std::vector<int64_t> & val);
+
+  void __set_quarantine(const std::vector<QuarantineEntry> & val);
+
   bool operator == (const Beat & rhs) const
   {
     if (!(fence == rhs.fence))
@@ -622,6 +816,10 @@
       return false;
     if (!(earlier_sends_unknown == rhs.earlier_sends_unknown))
       return false;
+    if (!(suspects == rhs.suspects))
+      return false;
+    if (!(quarantine == rhs.quarantine))
+      return false;
     return true;
   }
   bool operator != (const Beat &rhs) const {
--- a/test/adapter_test.cc
+++ b/test/adapter_test.cc
@@ -72,6 +72,7 @@
   CPPUNIT_TEST(MutatedRowsNeverThrow);
   CPPUNIT_TEST(Base64RoundTrip);
   CPPUNIT_TEST(LeaseRoundTrip);
+  CPPUNIT_TEST(SharedPartsOfPromptAreRead);
   CPPUNIT_TEST(ClientHeadersAreForwarded);
   CPPUNIT_TEST(ClientCannotForgeRouterHeaders);
   CPPUNIT_TEST(ResponsesAreClassified);
@@ -218,6 +219,23 @@
     CPPUNIT_ASSERT_EQUAL(
         0, *DecodeLease(R"({"fence":3,"ip":"h","incarnation":1})")->retries);
     CPPUNIT_ASSERT(!DecodeLease("{}").has_value());
+    row.quarantine = {{{3, UINT64_MAX}, std::chrono::minutes(9)}};
+    CPPUNIT_ASSERT(DecodeLease(EncodeLease(row))->quarantine == row.quarantine);
+  }
+
+  void SharedPartsOfPromptAreRead() {
+    const PlatformDialect dialect;
+    const auto read = [&](const char* value) {
+      http::request_header<> head = ClientHead();
+      head.set("Prompt-Prefix", value);
+      return dialect.ReadRequest(head)->shared_prompt_parts;
+    };
+    using Parts = std::vector<std::string>;
+    CPPUNIT_ASSERT(read("5c1e:800, 91bd:410,e4402b7d:250") ==
+                   Parts({"5c1e", "91bd"}));
+    CPPUNIT_ASSERT(read("e4402b7d:250").empty());
+    CPPUNIT_ASSERT(read("").empty());
+    CPPUNIT_ASSERT(read(",:,x") == Parts());
   }
 
   static http::request_header<> ClientHead() {
