Resume streams without length or chunks that end inside an event

Cause: such a response is complete when its connection ends, whatever its body holds. Now the end of the connection inside an event, or before the first one, counts as broken, and the stream is resumed at another server like any other.

UnframedStreamThatEndsInsideAnEventIsResumed: without the check the client gets event 0 and half of event 1 as a complete stream. UnframedStreamEndsAfterAnEvent passed before.

--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -59,7 +59,7 @@
   void OnUpstreamSendStarted() override;
   void OnUpstreamHead(const ResponseHead& head) override;
   void OnUpstreamBody(std::string bytes) override;
-  void OnUpstreamComplete() override;
+  void OnUpstreamComplete(bool ended_by_close) override;
   void OnUpstreamBroken(bool closed_by_server) override;
 
  private:
@@ -123,6 +123,9 @@
   void SkipOptionalBody(TimePoint now);
   void SendLocalReply(int status, const char* outcome, const char* detail);
   void SendRefusal();
+  // True when a stream that ended with its connection was broken off, as far as
+  // that shows.
+  bool IsStreamCutShort() const;
   void RecordRefusal();
   void Finish(const char* outcome, int status);
   void ReleaseLoad();
--- a/src/gateway_exchange_response.cc
+++ b/src/gateway_exchange_response.cc
@@ -135,8 +135,18 @@
     m_call->Unpause();
 }
 
-void Exchange::OnUpstreamComplete() {
+bool Exchange::IsStreamCutShort() const {
+  const bool has_no_event =
+      !m_events.has_events() && m_request.last_event_id < 0;
+  return m_streaming && (!m_events.partial().empty() || has_no_event);
+}
+
+void Exchange::OnUpstreamComplete(bool ended_by_close) {
   const auto self = shared_from_this();
+  if (ended_by_close && IsStreamCutShort()) {
+    OnUpstreamBroken(true);
+    return;
+  }
   m_call = nullptr;
   if (!m_head.not_run)
     RecordBegun();
--- a/src/gateway_upstream.cc
+++ b/src/gateway_upstream.cc
@@ -294,7 +294,7 @@
                     m_buffer.size() == 0 && !m_parser->get().need_eof();
   if (keep)
     m_pool.Put(m_server, std::move(m_socket), BootClock().Now(), m_keep_alive);
-  m_listener->OnUpstreamComplete();
+  m_listener->OnUpstreamComplete(m_parser->need_eof());
 }
 
 void UpstreamCall::ReportBroken(bool closed_by_server) {
--- a/test/adapter_gateway_test.cc
+++ b/test/adapter_gateway_test.cc
@@ -37,9 +37,51 @@
   CPPUNIT_TEST(EndedServerDoesNotCountAsAttempted);
   CPPUNIT_TEST(StreamWithMissingEventResumesBeforeIt);
   CPPUNIT_TEST(PromptPartThatCrashesServersIsRefused);
+  CPPUNIT_TEST(UnframedStreamThatEndsInsideAnEventIsResumed);
+  CPPUNIT_TEST(UnframedStreamEndsAfterAnEvent);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Response of a gateway to a request for a stream whose first server sends
+  // `unframed` without length or chunks and closes the connection. Another
+  // server has the events 1 and 2.
+  static std::string CallUnframed(const std::string& unframed) {
+    std::atomic<int> calls{0};
+    const auto serve = [&](const std::string& request) {
+      if (++calls == 1)
+        return ScriptedResponse{
+            "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s\r\n"
+            "Content-Type: text/event-stream\r\n\r\n" +
+            unframed};
+      std::string body = std::string(kStreamHead);
+      if (!Contains(request, "Last-Event-Id: 0"))
+        body += MakeChunk(MakeEvent(0));
+      return ScriptedResponse{body + MakeChunk(MakeEvent(1)) +
+                              MakeChunk(MakeEvent(2)) + MakeChunk("")};
+    };
+    ScriptedServer first(serve);
+    ScriptedServer second(serve);
+    GatewayHarness harness;
+    StartGateway(harness, {&first, &second});
+    return harness.CallAsClient(Request("POST /stream/x", "", "b"));
+  }
+
+  // The half event was forwarded as the end of a complete response.
+  void UnframedStreamThatEndsInsideAnEventIsResumed() {
+    const std::string half_event = MakeEvent(1).substr(0, 12);
+    for (const std::string& cut : {MakeEvent(0) + half_event, std::string()}) {
+      const std::string response = CallUnframed(cut);
+      CPPUNIT_ASSERT_EQUAL(std::string("012"), EventIds(response));
+      CPPUNIT_ASSERT_MESSAGE(response, response.ends_with("0\r\n\r\n"));
+    }
+  }
+
+  void UnframedStreamEndsAfterAnEvent() {
+    const std::string response = CallUnframed(MakeEvent(0) + MakeEvent(1));
+    CPPUNIT_ASSERT_EQUAL(std::string("01"), EventIds(response));
+    CPPUNIT_ASSERT_MESSAGE(response, response.ends_with("0\r\n\r\n"));
+  }
+
   // Requests with one part in their prompts crashed all servers, one after the
   // other.
   void PromptPartThatCrashesServersIsRefused() {
