--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -18,7 +18,7 @@
 #include "trefoilwick/layer_path.h"
 #include "trefoilwick/liveness.h"
 #include "trefoilwick/retry_window.h"
-#include "trefoilwick/server_limits.h"
+#include "trefoilwick/server_availability.h"
 
 namespace trefoilwick {
 
@@ -27,6 +27,7 @@
 struct CoordinatorHeartbeat;
 struct EarlierSends;
 struct InstanceReport;
+struct LeavingMessage;
 struct LimitMessage;
 struct ServerListMessage;
 // A member without a report for this long does not count.
@@ -153,10 +154,9 @@
   // A server refused a request. This instance leaves it out for a cool-down and
   // notifies the other instances, which do the same.
   void MarkRefusing(TimePoint now, const std::string& server);
-  std::set<std::string> RefusingServers(TimePoint now) const;
   // Servers that refused again as soon as they were used again.
   std::set<std::string> PersistentlyRefusingServers(TimePoint now) const {
-    return m_refusing_servers.RepeatedlyRefusing(now);
+    return m_availability.cooldowns().RepeatedlyRefusing(now);
   }
 
   // Records the slowdown that this instance read from a server. The other
@@ -195,14 +195,18 @@
                       TimePoint sent_at);
   // A request of this instance chose the server.
   void CountLimitDemand(TimePoint now, const std::string& server) {
-    m_limits.CountDemand(now, server);
+    m_availability.limits().CountDemand(now, server);
   }
-  // Charges one request to this instance's share of the limit of a server;
-  // false when the share is used. `unit` is random in [0, 1).
-  bool TryTakeFromLimit(TimePoint now, const std::string& server, double unit) {
-    return m_limits.TryTake(now, server, unit);
+  // A server announced its shutdown in an answer to this instance. The other
+  // instances are notified. True when this instance did not know.
+  bool OnServerLeaving(TimePoint now, const ServerProcess& process);
+  // A server asked this instance for a pause. It is not passed on: other
+  // instances may go on sending.
+  void OnServerPause(TimePoint now, const std::string& server, Duration pause) {
+    m_availability.pauses().Set(now, server, pause);
   }
-  const ServerLimits& limits() const { return m_limits; }
+  ServerAvailability& availability() { return m_availability; }
+  const ServerAvailability& availability() const { return m_availability; }
 
   std::vector<CoordinationAction> TakeActions();
 
@@ -213,7 +217,7 @@
   int64_t fencing_token() const { return m_fencing_token; }
   const std::string& coordinator_ip() const { return m_coordinator_ip; }
   // The list as read from the store, with the layers that servers reported
-  // since.
+  // since. Servers that announced their shutdown are shown as draining.
   const std::shared_ptr<const ServerMap>& listed_servers() const {
     return m_listed_servers;
   }
@@ -330,12 +334,15 @@
                    const std::vector<detail::LimitMessage>& limits);
   void SetClusterDemand(TimePoint now,
                         const detail::CoordinatorHeartbeat& heartbeat);
+  std::vector<detail::LeavingMessage> LeavingMessages(TimePoint now) const;
+  void MergeLeaving(TimePoint now,
+                    const std::vector<detail::LeavingMessage>& notices);
   void HandleLimits(TimePoint now, const detail::InstanceReport& report);
   void HandleLimits(TimePoint now,
                     const detail::CoordinatorHeartbeat& heartbeat);
   void OnStoreAnswered(TimePoint now);
   // Derives `m_listed_servers` and `m_usable_servers` from the stored list, the
-  // reported layers and the placement orders.
+  // announced shutdowns, the reported layers and the placement orders.
   void UpdateServers(TimePoint now);
   void SendReport(TimePoint now);
   void SendHeartbeats(TimePoint now);
@@ -458,7 +465,7 @@
   std::map<std::string, TimePoint> m_peer_reported_unreachable;
   // Servers that most instances cannot reach, from the last heartbeat.
   std::set<std::string> m_majority_unreachable;
-  RefusalCooldowns m_refusing_servers;
+  ServerAvailability m_availability;
   ServerSlowdowns m_slow_servers;
   // Slow servers, with the time at which this instance reads their slowdown
   // again unless another instance has reported it by then.
@@ -469,7 +476,6 @@
   // Suspects of the last heartbeat, sent or received.
   TraitSet m_suspects;
   TraitQuarantine m_quarantine;
-  ServerLimits m_limits;
   // Demand of this instance in the last sum, by server.
   std::map<std::string, double> m_reported_limit_demand;
   // When the present coordinator became known.
--- a/include/trefoilwick/crash_suspects.h
+++ b/include/trefoilwick/crash_suspects.h
@@ -24,6 +24,9 @@
 // Sorted, without duplicates.
 using TraitSet = std::vector<Trait>;
 
+// Sorts traits and removes duplicates.
+void SortUnique(TraitSet& traits);
+
 // Traits of a request for the servers of one service. A request that comes
 // again has the same account, target and body; the last of `prompt_parts`
 // belongs to one request or session and is left out by the caller.
@@ -72,8 +75,6 @@
   struct Culprit {
     // Several traits when only requests with all of them crashed servers.
     TraitSet traits;
-    // Crashes in a row, and the last one.
-    int crashes = 0;
     TimePoint last_crash_at;
   };
   std::vector<Culprit> FindCulprits(TimePoint now) const;
--- a/include/trefoilwick/gateway.h
+++ b/include/trefoilwick/gateway.h
@@ -78,6 +78,13 @@
   std::optional<Duration> keep_alive;
   // Requests that the server takes from all instances; null when any number.
   std::optional<double> requests_per_second;
+  // The server is shutting down and takes no new requests.
+  bool is_leaving = false;
+  // How long the server takes no requests from this instance; null when it asks
+  // for no pause.
+  std::optional<Duration> pause;
+  // Names of the headers whose values are no numbers, negative or too large.
+  std::vector<std::string> invalid_headers;
   // Address of the server on the path that is at fault; may be empty.
   std::string faulty_server_address;
   // Headers to forward, without framing and hop-by-hop headers.
--- a/include/trefoilwick/layer_path.h
+++ b/include/trefoilwick/layer_path.h
@@ -24,6 +24,14 @@
 
 enum class ServerState : uint8_t { kReady, kDraining };
 
+// One process of a backend server. A server may start again under the same id.
+struct ServerProcess {
+  std::string id;
+  // Start time in milliseconds since the Unix epoch; 0 when it is not known.
+  int64_t start_unix_ms = 0;
+  bool operator==(const ServerProcess&) const = default;
+};
+
 // Entry of the server list for one backend server.
 struct BackendServer {
   std::string id;
@@ -38,6 +46,7 @@
   std::optional<LayerRange> layers;
   // Start of the process, in Unix milliseconds.
   int64_t start_unix_ms = 0;
+  ServerProcess process() const { return {id, start_unix_ms}; }
   bool operator==(const BackendServer&) const = default;
 };
 
--- a/include/trefoilwick/server_limits.h
+++ b/include/trefoilwick/server_limits.h
@@ -20,6 +20,9 @@
   bool operator==(const LimitObservation&) const = default;
 };
 
+// Larger limits are cut to this: a faulty server may name any number.
+inline constexpr double kMaxLimitPerSecond = 1e6;
+
 // Rate at which requests of an instance choose a server, as an exponentially
 // weighted mean.
 class DemandRate {
--- a/src/cluster.thrift
+++ b/src/cluster.thrift
@@ -57,6 +57,15 @@
   4: i32 demand_milli
 }
 
+// A backend server that announced its shutdown in an answer.
+struct LeavingServer {
+  1: string server
+  // Start time of its process in milliseconds since the Unix epoch.
+  2: i64 born
+  // Milliseconds since its last answer that said so.
+  3: i32 age_ms
+}
+
 // From every instance to the coordinator.
 struct Report {
   1: string ip
@@ -90,6 +99,8 @@
   // Set for a coordinator that may not know them.
   20: list<QuarantineEntry> quarantine
   21: list<ServerLimit> limits
+  // Those that the server list shows as ready.
+  22: list<LeavingServer> leaving
 }
 
 struct Member {
@@ -152,6 +163,8 @@
   20: list<i64> suspects
   21: list<QuarantineEntry> quarantine
   22: list<ServerLimit> limits
+  // Those that the server list shows as ready.
+  23: list<LeavingServer> leaving
 }
 
 struct Server {
--- a/src/cluster_codec.cc
+++ b/src/cluster_codec.cc
@@ -10,6 +10,7 @@
 #include <boost/beast/zlib/inflate_stream.hpp>
 #include <cmath>
 
+#include "cluster_codec_servers.h"
 #include "cluster_types.h"
 
 namespace trefoilwick::detail {
@@ -18,6 +19,9 @@
 
 using apache::thrift::protocol::TCompactProtocolT;
 using apache::thrift::transport::TMemoryBuffer;
+// The overloads below would hide these.
+using detail::FromWire;
+using detail::ToWire;
 
 // Larger than any row of the store or server list.
 constexpr size_t kMaxInflatedBytes = size_t{1} << 20;
@@ -30,9 +34,6 @@
 constexpr double kHundredthsPerUnit = 100;
 constexpr double kMaxSlowdown = 1000;
 
-// Limits and demand are sent in thousandths of a request a second.
-constexpr double kThousandthsPerUnit = 1000;
-
 std::string Encode(const wire::Message& message) {
   auto buffer = std::make_shared<TMemoryBuffer>();
   TCompactProtocolT<TMemoryBuffer> protocol(buffer);
@@ -115,10 +116,6 @@
   return out;
 }
 
-int64_t ToMilliseconds(Duration duration) {
-  return duration.count() / 1000;
-}
-
 std::vector<wire::ServiceSends> ToWire(const ServiceSends& sends,
                                        const ServiceSends& unreported) {
   std::vector<wire::ServiceSends> out;
@@ -174,122 +171,6 @@
                       std::chrono::milliseconds(report.earlier_sends_age_ms)};
 }
 
-// Milliseconds that fit the wire, at least 0.
-int32_t ToWireMilliseconds(Duration duration) {
-  return static_cast<int32_t>(
-      std::clamp<int64_t>(ToMilliseconds(duration), 0, INT32_MAX));
-}
-
-std::vector<int64_t> ToWire(const TraitSet& traits) {
-  return {traits.begin(), traits.end()};
-}
-
-// Sorted without duplicates, whatever the sender did.
-TraitSet TraitsFromWire(const std::vector<int64_t>& traits) {
-  TraitSet out(traits.begin(), traits.end());
-  std::sort(out.begin(), out.end());
-  out.erase(std::unique(out.begin(), out.end()), out.end());
-  return out;
-}
-
-std::vector<wire::Crash> ToWire(const std::vector<CrashMessage>& crashes) {
-  std::vector<wire::Crash> out;
-  for (const CrashMessage& crash : crashes) {
-    wire::Crash& item = out.emplace_back();
-    item.id = static_cast<int64_t>(crash.id);
-    item.server = static_cast<int64_t>(crash.server);
-    item.traits = ToWire(crash.traits);
-    item.age_ms = ToWireMilliseconds(crash.age);
-  }
-  return out;
-}
-
-std::vector<CrashMessage> FromWire(const std::vector<wire::Crash>& crashes) {
-  std::vector<CrashMessage> out;
-  out.reserve(crashes.size());
-  for (const wire::Crash& item : crashes)
-    out.push_back(
-        {static_cast<uint64_t>(item.id), static_cast<uint64_t>(item.server),
-         TraitsFromWire(item.traits), std::chrono::milliseconds(item.age_ms)});
-  return out;
-}
-
-std::vector<wire::TraitStart> ToWire(const std::map<Trait, Duration>& starts) {
-  std::vector<wire::TraitStart> out;
-  for (const auto& [trait, age] : starts) {
-    wire::TraitStart& item = out.emplace_back();
-    item.trait = static_cast<int64_t>(trait);
-    item.age_ms = ToWireMilliseconds(age);
-  }
-  return out;
-}
-
-std::map<Trait, Duration> FromWire(
-    const std::vector<wire::TraitStart>& starts) {
-  std::map<Trait, Duration> out;
-  for (const wire::TraitStart& item : starts)
-    out[static_cast<Trait>(item.trait)] =
-        std::chrono::milliseconds(item.age_ms);
-  return out;
-}
-
-std::vector<wire::QuarantineEntry> ToWire(
-    const std::vector<QuarantineEntry>& entries) {
-  std::vector<wire::QuarantineEntry> out;
-  for (const QuarantineEntry& entry : entries) {
-    wire::QuarantineEntry& item = out.emplace_back();
-    item.traits = ToWire(entry.traits);
-    item.remaining_ms = ToWireMilliseconds(entry.remaining);
-  }
-  return out;
-}
-
-std::vector<QuarantineEntry> FromWire(
-    const std::vector<wire::QuarantineEntry>& entries) {
-  std::vector<QuarantineEntry> out;
-  out.reserve(entries.size());
-  for (const wire::QuarantineEntry& item : entries)
-    out.push_back({TraitsFromWire(item.traits),
-                   std::chrono::milliseconds(item.remaining_ms)});
-  return out;
-}
-
-int32_t ToThousandths(double value) {
-  return static_cast<int32_t>(std::llround(
-      std::clamp(value * kThousandthsPerUnit, 0.0, double{INT32_MAX})));
-}
-
-std::vector<wire::ServerLimit> ToWire(const std::vector<LimitMessage>& limits) {
-  std::vector<wire::ServerLimit> out;
-  out.reserve(limits.size());
-  for (const LimitMessage& limit : limits) {
-    wire::ServerLimit& item = out.emplace_back();
-    item.server = limit.server;
-    item.per_second_milli = limit.requests_per_second
-                                ? ToThousandths(*limit.requests_per_second)
-                                : -1;
-    item.age_ms = ToWireMilliseconds(limit.age);
-    item.demand_milli = ToThousandths(limit.demand);
-  }
-  return out;
-}
-
-std::vector<LimitMessage> FromWire(
-    const std::vector<wire::ServerLimit>& limits) {
-  std::vector<LimitMessage> out;
-  out.reserve(limits.size());
-  for (const wire::ServerLimit& item : limits) {
-    LimitMessage& limit = out.emplace_back();
-    limit.server = item.server;
-    if (item.per_second_milli >= 0)
-      limit.requests_per_second =
-          static_cast<double>(item.per_second_milli) / kThousandthsPerUnit;
-    limit.age = std::chrono::milliseconds(item.age_ms);
-    limit.demand = item.demand_milli / kThousandthsPerUnit;
-  }
-  return out;
-}
-
 InstanceReport FromWire(const wire::Report& report,
                         const ServerIdDictionary& dictionary) {
   return {{report.ip, report.data_center, report.accepting, report.cpu_milli},
@@ -306,7 +187,8 @@
           FromWire(report.crashes),
           FromWire(report.starts),
           FromWire(report.quarantine),
-          FromWire(report.limits)};
+          FromWire(report.limits),
+          FromWire(report.leaving)};
 }
 
 std::map<std::string, LayerRange> FromWire(
@@ -398,6 +280,7 @@
   out.suspects = TraitsFromWire(heartbeat.suspects);
   out.quarantine = FromWire(heartbeat.quarantine);
   out.limits = FromWire(heartbeat.limits);
+  out.leaving = FromWire(heartbeat.leaving);
   return out;
 }
 
@@ -475,6 +358,7 @@
   out.starts = ToWire(report.starts);
   out.quarantine = ToWire(report.quarantine);
   out.limits = ToWire(report.limits);
+  out.leaving = ToWire(report.leaving);
   message.__isset.report = true;
   return Encode(message);
 }
@@ -508,6 +392,7 @@
   out.suspects = ToWire(heartbeat.suspects);
   out.quarantine = ToWire(heartbeat.quarantine);
   out.limits = ToWire(heartbeat.limits);
+  out.leaving = ToWire(heartbeat.leaving);
   message.__isset.beat = true;
   return Encode(message);
 }
--- a/src/cluster_codec.h
+++ b/src/cluster_codec.h
@@ -61,6 +61,12 @@
   double demand = 0;
 };
 
+// A shutdown that a server announced, with the age of the announcement.
+struct LeavingMessage {
+  ServerProcess process;
+  Duration age{0};
+};
+
 struct InstanceReport {
   ClusterMember member;
   int64_t incarnation = 0;
@@ -81,6 +87,8 @@
   std::map<Trait, Duration> starts;
   std::vector<QuarantineEntry> quarantine;
   std::vector<LimitMessage> limits;
+  // Servers that the server list shows as ready.
+  std::vector<LeavingMessage> leaving;
 };
 
 struct CoordinatorHeartbeat {
@@ -110,6 +118,7 @@
   TraitSet suspects;
   std::vector<QuarantineEntry> quarantine;
   std::vector<LimitMessage> limits;
+  std::vector<LeavingMessage> leaving;
 };
 
 struct ServerListMessage {
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -384,6 +384,9 @@
 void Coordination::UpdateServers(TimePoint now) {
   m_server_ids->Update(*m_stored_servers);
   auto servers = std::make_shared<ServerMap>(*m_stored_servers);
+  for (auto& [id, server] : *servers)
+    if (m_availability.leaving().Contains(now, server.process()))
+      server.state = ServerState::kDraining;
   std::erase_if(m_reported_layers, [&](const auto& entry) {
     const auto stored = servers->find(entry.first);
     return stored == servers->end() || entry.second.until <= now ||
--- a/src/coordination_health.cc
+++ b/src/coordination_health.cc
@@ -24,9 +24,9 @@
 }  // namespace
 
 void Coordination::RemoveExpiredHealthState(TimePoint now) {
-  m_refusing_servers.RemoveExpired(now);
+  if (m_availability.RemoveExpired(now, *m_stored_servers))
+    UpdateServers(now);
   m_slow_servers.RemoveExpired(now);
-  m_limits.RemoveExpired(now);
   std::erase_if(m_next_slowdown_check, [&](const auto& entry) {
     return now - entry.second > kSlowdownTakeOverSpread;
   });
@@ -73,14 +73,10 @@
 }
 
 void Coordination::MarkRefusing(TimePoint now, const std::string& server) {
-  if (m_refusing_servers.RecordRefusal(server, now))
+  if (m_availability.cooldowns().RecordRefusal(server, now))
     Broadcast(now, detail::EncodeRefusingServers({server}));
 }
 
-std::set<std::string> Coordination::RefusingServers(TimePoint now) const {
-  return m_refusing_servers.Active(now);
-}
-
 void Coordination::SetSlowdown(TimePoint now,
                                const std::string& server,
                                double slowdown) {
--- a/src/coordination_limits.cc
+++ b/src/coordination_limits.cc
@@ -1,5 +1,5 @@
-// Limits that backend servers named, and the demand of the instances that
-// divides them.
+// What backend servers said in their answers: their limits, with the demand of
+// the instances that divides them, and announced shutdowns.
 #include <algorithm>
 
 #include "cluster_codec.h"
@@ -23,8 +23,9 @@
                                   const std::string& server,
                                   std::optional<double> requests_per_second,
                                   TimePoint sent_at) {
-  m_limits.SetInstances(LimitSharers(now));
-  if (!m_limits.OnAnswer(now, server, requests_per_second, sent_at))
+  m_availability.limits().SetInstances(LimitSharers(now));
+  if (!m_availability.limits().OnAnswer(now, server, requests_per_second,
+                                        sent_at))
     return;
   m_next_report = now;
   if (m_is_coordinator)
@@ -43,7 +44,8 @@
     const std::map<std::string, double>& demand,
     bool all) const {
   std::vector<detail::LimitMessage> out;
-  for (const auto& [server, observation] : m_limits.Observations()) {
+  for (const auto& [server, observation] :
+       m_availability.limits().Observations()) {
     const auto found = demand.find(server);
     const double rate = found == demand.end() ? 0 : found->second;
     if (all || rate >= kMinDemand ||
@@ -57,8 +59,9 @@
 std::map<std::string, double> Coordination::LocalLimitDemand(
     TimePoint now) const {
   std::map<std::string, double> out;
-  for (const auto& [server, observation] : m_limits.Observations())
-    out[server] = m_limits.DemandFor(now, server);
+  for (const auto& [server, observation] :
+       m_availability.limits().Observations())
+    out[server] = m_availability.limits().DemandFor(now, server);
   return out;
 }
 
@@ -85,17 +88,17 @@
     TimePoint now,
     const detail::CoordinatorHeartbeat& heartbeat) {
   for (const detail::LimitMessage& limit : heartbeat.limits)
-    m_limits.SetClusterDemand(now, limit.server, limit.demand,
-                              m_reported_limit_demand[limit.server]);
+    m_availability.limits().SetClusterDemand(
+        now, limit.server, limit.demand, m_reported_limit_demand[limit.server]);
 }
 
 void Coordination::MergeLimits(
     TimePoint now,
     const std::vector<detail::LimitMessage>& limits) {
-  m_limits.SetInstances(LimitSharers(now));
+  m_availability.limits().SetInstances(LimitSharers(now));
   for (const detail::LimitMessage& limit : limits)
-    m_limits.Merge(now, limit.server,
-                   {limit.requests_per_second, now - limit.age});
+    m_availability.limits().Merge(now, limit.server,
+                                  {limit.requests_per_second, now - limit.age});
 }
 
 void Coordination::HandleLimits(TimePoint now,
@@ -115,4 +118,38 @@
     SetClusterDemand(now, heartbeat);
 }
 
+bool Coordination::OnServerLeaving(TimePoint now,
+                                   const ServerProcess& process) {
+  if (!m_availability.leaving().OnAnswer(now, process))
+    return false;
+  UpdateServers(now);
+  m_next_report = now;
+  if (m_is_coordinator)
+    m_next_heartbeat = now;
+  return true;
+}
+
+std::vector<detail::LeavingMessage> Coordination::LeavingMessages(
+    TimePoint now) const {
+  std::vector<detail::LeavingMessage> out;
+  for (const LeavingNotice& notice :
+       m_availability.leaving().Unlisted(now, *m_stored_servers))
+    out.push_back({notice.process, now - notice.observed_at});
+  return out;
+}
+
+void Coordination::MergeLeaving(
+    TimePoint now,
+    const std::vector<detail::LeavingMessage>& notices) {
+  bool is_new = false;
+  for (const detail::LeavingMessage& notice : notices)
+    is_new |=
+        m_availability.leaving().Merge(now, {notice.process, now - notice.age});
+  if (!is_new)
+    return;
+  UpdateServers(now);
+  if (m_is_coordinator)
+    m_next_heartbeat = now;
+}
+
 }  // namespace trefoilwick
--- a/src/coordination_messages.cc
+++ b/src/coordination_messages.cc
@@ -94,6 +94,7 @@
   report.unreachable_servers = LostServers(now);
   AddCrashState(now, report);
   AddLimits(now, report);
+  report.leaving = LeavingMessages(now);
   m_reported_sends = m_local_sends;
   m_actions.emplace_back(SendDatagram{
       m_coordinator_ip, detail::EncodeReport(report, *m_server_ids)});
@@ -128,6 +129,7 @@
   heartbeat.sums_incomplete = !HasCompleteSums();
   heartbeat.earlier_sends_unknown = !KnowsEarlierSends(now);
   AddLimits(now, heartbeat);
+  heartbeat.leaving = LeavingMessages(now);
   m_suspects = m_crash_tracker.Suspects();
   heartbeat.suspects = m_suspects;
   heartbeat.quarantine = m_quarantine.List(now);
@@ -185,6 +187,7 @@
   peer.unreachable_servers = report.unreachable_servers;
   HandleCrashes(now, report);
   HandleLimits(now, report);
+  MergeLeaving(now, report.leaving);
   if (is_new && list_outdated)
     SendList(now, report.member.ip, peer);
   if (is_new && report.config_version < m_config_version)
@@ -216,6 +219,7 @@
     HandleClusterSends(now, heartbeat);
   MergeQuarantine(now, heartbeat.quarantine);
   HandleLimits(now, heartbeat);
+  MergeLeaving(now, heartbeat.leaving);
   if (std::exchange(m_suspects, heartbeat.suspects) != m_suspects)
     m_next_report = now;
   SetPlacementOrders(now, heartbeat.placement_orders);
@@ -258,7 +262,7 @@
           },
           [&](const detail::RefusingServersMessage& refusing) {
             for (const std::string& server : refusing.servers)
-              m_refusing_servers.RecordRefusal(server, now);
+              m_availability.cooldowns().RecordRefusal(server, now);
           },
           [&](const detail::SlowServersMessage& slow) {
             for (const auto& [server, slowdown] : slow.slowdowns)
--- a/src/crash_suspects.cc
+++ b/src/crash_suspects.cc
@@ -43,11 +43,15 @@
   uint64_t content = StableHash(account, seed + kContentSeed);
   content = StableHash(target, content);
   out.push_back(StableHash(body, content));
-  std::sort(out.begin(), out.end());
-  out.erase(std::unique(out.begin(), out.end()), out.end());
+  SortUnique(out);
   return out;
 }
 
+void SortUnique(TraitSet& traits) {
+  std::sort(traits.begin(), traits.end());
+  traits.erase(std::unique(traits.begin(), traits.end()), traits.end());
+}
+
 void CrashTracker::AddCrash(TimePoint now, const CrashReport& report) {
   m_crashes.try_emplace(report.id, KnownCrash{report, now});
   if (m_crashes.size() <= kMaxCrashes)
@@ -200,8 +204,8 @@
         now - sequence[kMinCrashes - 1]->known_at >= kVerdictDelay;
     if (starts_known && (sequence.size() >= kUndeniableCrashes ||
                          !IsAmbiguous(explanation, by_trait)))
-      out.push_back({explanation.traits, static_cast<int>(sequence.size()),
-                     explanation.crashes.back()->report.crashed_at});
+      out.push_back(
+          {explanation.traits, explanation.crashes.back()->report.crashed_at});
     const std::set<uint64_t> servers = ServersOf(explanation.crashes);
     std::erase_if(unexplained, [&](const KnownCrash* crash) {
       return servers.contains(crash->report.server);
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -256,7 +256,9 @@
   }
   m_server_client.Call(
       found->second.address, std::move(request), kOrderTimeout,
-      [this, handler, server](CallResult result) {
+      [this, handler, server,
+       process = found->second.process()](const CallResult& result) {
+        OnControlAnswer(process, result);
         if (result.error != CallError::kNone ||
             result.response.result_int() >= 300)
           Log("order_refused",
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -115,19 +115,26 @@
                            const std::string& attempt_id,
                            const std::vector<std::string>& prompt_parts,
                            CrashReport report);
-  // A server answered a request that was sent at `sent_at`.
-  void OnServerAnswer(const std::string& server,
+  // A process of a server answered a request that was sent at `sent_at`.
+  void OnServerAnswer(const ServerProcess& process,
                       const ResponseHead& head,
                       TimePoint sent_at);
-  // False when the server named a limit and the share of this instance is used.
-  bool TryTakeFromLimit(const std::string& server, const std::string& service);
+  // Decides whether a request may be sent to a server now, and charges it to
+  // the server's limit and, if it is a retry, to the retry budget.
+  SendVerdict TrySend(const std::string& server,
+                      const std::string& service,
+                      bool is_retry,
+                      bool response_committed);
+  // True when a request that was allowed may still be sent: the server has
+  // neither announced its shutdown nor asked for a pause since.
+  bool MayStillSend(const ServerProcess& first, const LayerPath& path) const;
   // Counts a request that was ended because such requests crash servers.
   void CountQuarantined(const std::string& route);
 
   // Records that the server at `address` refused its stage of a path.
   void MarkRefusing(const std::string& address);
-  // Servers that must not be chosen now: they are lost, or refused a request a
-  // moment ago.
+  // Servers that must not be chosen now: they are lost, refused a request a
+  // moment ago or asked for a pause.
   std::set<std::string> ExcludedServers(TimePoint now);
   // A random data center with servers of the same service, other than the
   // server's own; empty when there is none.
@@ -139,6 +146,8 @@
   // unreachable; its requests are notified through OnServerLost().
   void Probe(const std::string& server);
   void ReportUnreachable(const std::string& server);
+  // Keeps what a server said in its answer to an order or a report request.
+  void OnControlAnswer(const ServerProcess& process, const CallResult& result);
   void CallServer(const std::string& server,
                   HttpRequest request,
                   const std::function<void(OrderResult)>& handler);
@@ -195,6 +204,8 @@
   // Servers that were first listed a moment ago.
   std::set<std::string> RecentlyListedServers(TimePoint now);
   void NotifyRequestsOfLostServers();
+  void OnServerNotices(const ServerProcess& process, const ResponseHead& head);
+  void LogInvalidHeaders(const std::string& server, const ResponseHead& head);
   void ContinueDraining(TimePoint now);
   void ScheduleStallCheck();
   void CheckStalledStreams();
@@ -258,6 +269,8 @@
   ProbeLimiter m_probe_limiter;
   SlowdownDetector m_slowdown_detector;
   ProbeLimiter m_slowdown_poll_limiter;
+  // Headers with invalid values, by server, that were logged.
+  std::set<std::pair<std::string, std::string>> m_logged_invalid_headers;
   std::set<std::string> m_notified_lost_servers;
   struct UnconfirmedCrash {
     std::string server;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -120,11 +120,10 @@
   return true;
 }
 
-const EngineModel* Exchange::Engine() const {
-  const Service* service = m_table->FindService(m_service);
-  return service && service->engine && service->engine->layers > 0
-             ? &*service->engine
-             : nullptr;
+const EngineModel* Exchange::EngineOf(const std::string& service) const {
+  const Service* found = m_table->FindService(service);
+  return found && found->engine && found->engine->layers > 0 ? &*found->engine
+                                                             : nullptr;
 }
 
 double Exchange::KvTokensToReserve() const {
@@ -159,17 +158,19 @@
     WaitOrRefuse();
     return false;
   }
-  if (m_core.IsServerListUsable(now) && ChooseServer()) {
-    const bool is_retry = m_forward.sends() > 0;
-    if (!is_retry || m_core.TryRetry(m_service, m_response_committed)) {
-      if (is_retry)
-        m_core.LogRetry(m_request.attempt_id, m_service, m_server,
-                        m_response_committed, true);
-      if (std::exchange(m_waiting, false))
-        m_core.RemoveWaitingRequest(this);
-      StartUpstreamCall();
-      return true;
-    }
+  const SendVerdict verdict = m_core.IsServerListUsable(now)
+                                  ? ChooseServer()
+                                  : SendVerdict::kNoCapacity;
+  if (verdict == SendVerdict::kAllowed) {
+    if (m_forward.sends() > 0)
+      m_core.LogRetry(m_request.attempt_id, m_service, m_server,
+                      m_response_committed, true);
+    if (std::exchange(m_waiting, false))
+      m_core.RemoveWaitingRequest(this);
+    StartUpstreamCall();
+    return true;
+  }
+  if (verdict == SendVerdict::kRetryBudgetSpent) {
     // A response in progress waits for the retry budget; any other request can
     // be refused at once with a true outcome.
     if (!m_waiting)
@@ -269,9 +270,14 @@
 void Exchange::WaitOrRefuse() {
   const TimePoint now = m_core.Now();
   // A response in progress may wait until its deadline; any other request is
-  // refused while the client still has time to retry.
+  // refused while the client still has time to retry, and at once when the
+  // servers take it only after that.
   const TimePoint until = m_response_committed ? m_deadline : m_queue_deadline;
-  if (now < until) {
+  const Duration pause = m_response_committed ? Duration(0) : PauseTime();
+  const bool outlasts_queue = pause > Duration(0) && now + pause >= until;
+  if (outlasts_queue)
+    m_refusal_reason = "the servers asked for a pause";
+  if (now < until && !outlasts_queue) {
     if (!std::exchange(m_waiting, true))
       m_core.AddWaitingRequest(this);
     return;
@@ -281,7 +287,7 @@
   ExecuteDecision(m_forward.OnNoServer());
 }
 
-bool Exchange::ChooseServer() {
+SendVerdict Exchange::ChooseServer() {
   // Weighted random choice among the services of the route that can be used.
   std::vector<WeightedService> services = m_route->services;
   while (!services.empty()) {
@@ -294,11 +300,14 @@
       point -= services[index++].weight;
     m_service = services[index].service;
     const EngineModel* engine = Engine();
-    if (engine != nullptr ? ChooseEnginePath(*engine) : ChoosePlainServer())
-      return true;
+    const SendVerdict verdict =
+        engine != nullptr ? ChooseEnginePath(*engine) : ChoosePlainServer();
+    if (verdict == SendVerdict::kAllowed ||
+        verdict == SendVerdict::kRetryBudgetSpent)
+      return verdict;
     services.erase(services.begin() + static_cast<std::ptrdiff_t>(index));
   }
-  return false;
+  return SendVerdict::kNoCapacity;
 }
 
 PathRequest Exchange::MakePathRequest() const {
@@ -323,13 +332,14 @@
   return path_request;
 }
 
-bool Exchange::TryTakeFromLimit(const std::string& server) {
+SendVerdict Exchange::TrySend(const std::string& server) {
   if (m_demanded_servers.insert(server).second)
     m_core.coordination().CountLimitDemand(m_core.Now(), server);
-  return m_core.TryTakeFromLimit(server, m_service);
+  return m_core.TrySend(server, m_service, m_forward.sends() > 0,
+                        m_response_committed);
 }
 
-bool Exchange::ChooseEnginePath(const EngineModel& engine) {
+SendVerdict Exchange::ChooseEnginePath(const EngineModel& engine) {
   PathRequest path_request = MakePathRequest();
   path_request.allow_cross_data_center = true;
   const LoadMap loads = m_core.coordination().Loads(m_core.Now());
@@ -339,19 +349,22 @@
                         MaxMemoryUtilization(m_response_committed));
     if (!choice ||
         !m_core.AdmitCrossDataCenterPath(engine, *choice, path_request.tokens))
-      return false;
+      return SendVerdict::kNoCapacity;
     const std::string& first = choice->path.front().server;
-    if (TryTakeFromLimit(first))
+    m_server = first;
+    const SendVerdict verdict = TrySend(first);
+    if (verdict == SendVerdict::kAllowed)
       break;
+    if (verdict == SendVerdict::kRetryBudgetSpent)
+      return verdict;
     path_request.excluded_as_first.insert(first);
   }
   m_path = choice->path;
   m_token_ms = choice->token_ms;
-  m_server = m_path.front().server;
-  return true;
+  return SendVerdict::kAllowed;
 }
 
-bool Exchange::ChoosePlainServer() {
+SendVerdict Exchange::ChoosePlainServer() {
   const LoadMap loads = m_core.coordination().Loads(m_core.Now());
   std::set<std::string> excluded = m_core.ExcludedServers(m_core.Now());
   excluded.merge(m_core.coordination().LocallyUnreachableServers(m_core.Now()));
@@ -372,13 +385,68 @@
     candidates.emplace(cost, id);
   }
   for (const auto& [cost, id] : candidates) {
-    if (!TryTakeFromLimit(id))
+    m_server = id;
+    const SendVerdict verdict = TrySend(id);
+    if (verdict == SendVerdict::kRetryBudgetSpent)
+      return verdict;
+    if (verdict != SendVerdict::kAllowed)
       continue;
     m_path.clear();
-    m_server = id;
-    return true;
+    return verdict;
+  }
+  return SendVerdict::kNoCapacity;
+}
+
+Duration Exchange::PauseTime() const {
+  if (m_route == nullptr || m_core.coordination()
+                                .availability()
+                                .pauses()
+                                .Active(m_core.Now())
+                                .empty())
+    return Duration(0);
+  Duration shortest = Duration::max();
+  for (const WeightedService& service : m_route->services) {
+    const EngineModel* engine = EngineOf(service.service);
+    const Duration pause = engine != nullptr
+                               ? EnginePauseTime(service.service, *engine)
+                               : PlainPauseTime(service.service);
+    if (pause > Duration(0))
+      shortest = std::min(shortest, pause);
+  }
+  return shortest == Duration::max() ? Duration(0) : shortest;
+}
+
+Duration Exchange::EnginePauseTime(const std::string& service,
+                                   const EngineModel& engine) const {
+  const TimePoint now = m_core.Now();
+  const ServerPauses& pauses = m_core.coordination().availability().pauses();
+  PathRequest path_request = MakePathRequest();
+  path_request.service = service;
+  path_request.allow_cross_data_center = true;
+  for (const std::string& server : pauses.Active(now))
+    path_request.excluded.erase(server);
+  const auto choice =
+      ChoosePath(engine, m_core.servers(), m_core.coordination().Loads(now),
+                 path_request, MaxMemoryUtilization(m_response_committed));
+  Duration longest{0};
+  if (choice)
+    for (const PathStage& stage : choice->path)
+      longest = std::max(longest, pauses.Remaining(now, stage.server));
+  return longest;
+}
+
+Duration Exchange::PlainPauseTime(const std::string& service) const {
+  const TimePoint now = m_core.Now();
+  const ServerPauses& pauses = m_core.coordination().availability().pauses();
+  const std::set<std::string> lost = m_core.coordination().LostServers(now);
+  Duration shortest = Duration::max();
+  for (const auto& [id, server] : m_core.servers()) {
+    const Duration pause = pauses.Remaining(now, id);
+    if (server.service == service && server.state == ServerState::kReady &&
+        pause > Duration(0) && !lost.contains(id) && !IsExcluded(id))
+      shortest = std::min(shortest, pause);
   }
-  return false;
+  return shortest == Duration::max() ? Duration(0) : shortest;
 }
 
 void Exchange::StartUpstreamCall() {
@@ -388,6 +456,7 @@
     m_core.CountRequest(m_service);
   SendPlan plan;
   plan.server = &found->second;
+  m_server_process = found->second.process();
   plan.path = m_path;
   plan.time_left = m_deadline - now;
   plan.account = m_account;
@@ -508,8 +577,9 @@
   const Duration retry_delay =
       milliseconds(200 + 200 * std::min(m_rank, 4)) +
       Duration(static_cast<int64_t>(m_core.random().UniformDouble() * 300'000));
-  const Duration retry_after = std::max(
-      retry_delay, m_route != nullptr ? QuarantineTime() : Duration(0));
+  const Duration retry_after =
+      std::max(retry_delay + PauseTime(),
+               m_route != nullptr ? QuarantineTime() : Duration(0));
   FullResponse response;
   response.status = 503;
   m_core.dialect().AddLocalReplyHeaders(m_request.attempt_id, response.headers);
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -67,10 +67,13 @@
   // reply.
   bool ResolveRoute();
   bool Authorize(const RouteTable& table);
-  const EngineModel* Engine() const;
+  const EngineModel* Engine() const { return EngineOf(m_service); }
+  // Null for a service without layers.
+  const EngineModel* EngineOf(const std::string& service) const;
   PathRequest MakePathRequest() const;
-  // Chooses server and path; false when none can be used now.
-  bool ChooseServer();
+  // Chooses server and path. kNoCapacity when no server of the route can be
+  // used now.
+  SendVerdict ChooseServer();
   // Time for which the request is refused at the servers of all services of its
   // route; zero when it may be sent to those of one.
   Duration QuarantineTime() const;
@@ -80,13 +83,17 @@
   // Records that the server closed the connection before the request began.
   // False when that has happened too often to send the request again.
   bool RecordClosedBeforeBegin();
-  // Charges the request to the limit of the server, if it named one; false when
-  // the share of this instance is used.
-  bool TryTakeFromLimit(const std::string& server);
-  bool ChooseEnginePath(const EngineModel& engine);
-  bool ChoosePlainServer();
+  SendVerdict TrySend(const std::string& server);
+  SendVerdict ChooseEnginePath(const EngineModel& engine);
+  SendVerdict ChoosePlainServer();
   void StartUpstreamCall();
   void WaitOrRefuse();
+  // Time until a server can take the request when only pauses keep it from
+  // being sent; zero otherwise.
+  Duration PauseTime() const;
+  Duration EnginePauseTime(const std::string& service,
+                           const EngineModel& engine) const;
+  Duration PlainPauseTime(const std::string& service) const;
   void ExecuteDecision(const ForwardDecision& decision);
   void SendAgain();
   // Cancels the call and continues on another server; false when that is not
@@ -160,6 +167,8 @@
   ForwardState m_forward;
   std::shared_ptr<UpstreamCall> m_call;
   std::string m_server;
+  // Process of `m_server` that the request was sent to.
+  ServerProcess m_server_process;
   LayerPath m_path;
   // Time for a token to pass through the path when no server is slow, in ms.
   double m_token_ms = 0;
--- a/src/gateway_exchange_recovery.cc
+++ b/src/gateway_exchange_recovery.cc
@@ -100,10 +100,18 @@
     const std::set<std::string>& excluded,
     bool allow_cross_data_center) {
   const EngineModel* engine = Engine();
-  if (engine == nullptr || m_path.empty())
+  const ServerAvailability& availability = m_core.coordination().availability();
+  // A server that announced its shutdown gets no orders for its requests.
+  if (engine == nullptr || m_path.empty() ||
+      availability.leaving().Contains(m_core.Now(), m_server_process))
     return std::nullopt;
   PathRequest path_request = MakePathRequest();
   path_request.excluded.erase(m_server);
+  // Pauses are for new requests: the stages of this one stay where they are.
+  for (const PathStage& stage : m_path)
+    if (availability.pauses().Remaining(m_core.Now(), stage.server) >
+        Duration(0))
+      path_request.excluded.erase(stage.server);
   path_request.excluded.insert(excluded.begin(), excluded.end());
   path_request.pinned_first_stage = m_path.front();
   path_request.allow_cross_data_center = allow_cross_data_center;
--- a/src/gateway_exchange_response.cc
+++ b/src/gateway_exchange_response.cc
@@ -39,12 +39,20 @@
 }
 
 void Exchange::OnUpstreamSendStarted() {
+  // The server may have announced its shutdown or asked for a pause while the
+  // connection was opened.
+  if (!m_core.MayStillSend(m_server_process, m_path)) {
+    const auto self = shared_from_this();
+    m_call->Cancel();
+    SendAgain();
+    return;
+  }
   m_forward.OnSend(m_server);
 }
 
 void Exchange::OnUpstreamHead(const ResponseHead& head) {
   m_head = head;
-  m_core.OnServerAnswer(m_server, head, m_send_started_at);
+  m_core.OnServerAnswer(m_server_process, head, m_send_started_at);
   m_last_progress = m_core.Now();
   m_streaming = head.status / 100 == 2 && head.is_event_stream &&
                 head.authentic && m_route->kind == RouteKind::kStream;
@@ -186,7 +194,9 @@
       first != m_core.servers().end() &&
       m_head.faulty_server_address != first->second.address;
   if (!names_other) {
-    ExcludeServer(m_server);
+    // A pause takes the place of the exclusion: it ends when the server says.
+    if (!m_head.pause)
+      ExcludeServer(m_server);
     return;
   }
   m_core.MarkRefusing(m_head.faulty_server_address);
--- a/src/gateway_health.cc
+++ b/src/gateway_health.cc
@@ -20,32 +20,105 @@
 constexpr Duration kStallCheckInterval = milliseconds(10);
 // Requests move off a lost server within this time.
 constexpr Duration kRecoveryTime = milliseconds(300);
+constexpr size_t kMaxLoggedInvalidHeaders = 1000;
 
 }  // namespace
 
-void GatewayCore::OnServerAnswer(const std::string& server,
+void GatewayCore::OnServerAnswer(const ServerProcess& process,
                                  const ResponseHead& head,
                                  TimePoint sent_at) {
-  // Other responses may have been made up by a faulty server.
-  if (!head.authentic && !head.not_run)
+  const bool is_made_by_server = head.authentic || head.not_run;
+  // Other responses may have been made up by a faulty server. Failures among
+  // them still reach the client, so an announcement in one of them counts.
+  if (!is_made_by_server && head.attempt_id.empty())
     return;
-  const auto before = m_coordination.limits().LimitOf(server);
-  m_coordination.OnServerAnswer(Now(), server, head.requests_per_second,
+  LogInvalidHeaders(process.id, head);
+  OnServerNotices(process, head);
+  if (!is_made_by_server)
+    return;
+  const ServerLimits& limits = m_coordination.availability().limits();
+  const auto before = limits.LimitOf(process.id);
+  m_coordination.OnServerAnswer(Now(), process.id, head.requests_per_second,
                                 sent_at);
-  const auto after = m_coordination.limits().LimitOf(server);
+  const auto after = limits.LimitOf(process.id);
   if (before != after)
-    Log("server_limit", {{"server", server},
+    Log("server_limit", {{"server", process.id},
                          {"per_second", after ? std::to_string(*after) : "-"},
                          {"before", before ? std::to_string(*before) : "-"}});
 }
 
-bool GatewayCore::TryTakeFromLimit(const std::string& server,
-                                   const std::string& service) {
-  if (m_coordination.TryTakeFromLimit(Now(), server, m_random.UniformDouble()))
-    return true;
-  m_metrics.GetCounter("trefoilwick_limited_total", {{"service", service}})
-      .Add();
-  return false;
+void GatewayCore::OnControlAnswer(const ServerProcess& process,
+                                  const CallResult& result) {
+  if (result.error != CallError::kNone)
+    return;
+  const ResponseHead head = m_dialect->ReadResponse(result.response.base());
+  LogInvalidHeaders(process.id, head);
+  OnServerNotices(process, head);
+}
+
+// An announced shutdown and a pause, which any answer may contain.
+void GatewayCore::OnServerNotices(const ServerProcess& process,
+                                  const ResponseHead& head) {
+  const TimePoint now = Now();
+  if (head.pause) {
+    m_coordination.OnServerPause(now, process.id, *head.pause);
+    Log("server_pause", {{"server", process.id},
+                         {"ms", std::to_string(head.pause->count() / 1000)}});
+  }
+  if (!head.is_leaving || !m_coordination.OnServerLeaving(now, process))
+    return;
+  m_pool.Drop(process.id);
+  Log("server_leaving",
+      {{"server", process.id},
+       {"list_age_ms",
+        std::to_string(m_coordination.ServerListAge(now).count() / 1000)}});
+  RunActions();
+}
+
+void GatewayCore::LogInvalidHeaders(const std::string& server,
+                                    const ResponseHead& head) {
+  for (const std::string& header : head.invalid_headers)
+    if (m_logged_invalid_headers.size() < kMaxLoggedInvalidHeaders &&
+        m_logged_invalid_headers.emplace(server, header).second)
+      Log("invalid_server_header", {{"server", server}, {"header", header}});
+}
+
+SendVerdict GatewayCore::TrySend(const std::string& server,
+                                 const std::string& service,
+                                 bool is_retry,
+                                 bool response_committed) {
+  const auto found = servers().find(server);
+  if (found == servers().end())
+    return SendVerdict::kLeaving;
+  const SendVerdict verdict = m_coordination.availability().TrySend(
+      Now(), found->second, !is_retry || MayRetry(service, response_committed),
+      m_random.UniformDouble());
+  if (is_retry && (verdict == SendVerdict::kAllowed ||
+                   verdict == SendVerdict::kRetryBudgetSpent))
+    TryRetry(service, response_committed);
+  if (verdict == SendVerdict::kLimitUsed)
+    m_metrics.GetCounter("trefoilwick_limited_total", {{"service", service}})
+        .Add();
+  if (verdict != SendVerdict::kAllowed)
+    m_metrics
+        .GetCounter("trefoilwick_sends_denied_total",
+                    {{"reason", std::string(kSendVerdictNames.Name(verdict))}})
+        .Add();
+  return verdict;
+}
+
+bool GatewayCore::MayStillSend(const ServerProcess& first,
+                               const LayerPath& path) const {
+  const TimePoint now = Now();
+  const ServerAvailability& availability = m_coordination.availability();
+  if (availability.pauses().Remaining(now, first.id) > Duration(0) ||
+      availability.leaving().Contains(now, first))
+    return false;
+  return std::none_of(path.begin(), path.end(), [&](const PathStage& stage) {
+    const auto found = servers().find(stage.server);
+    return found != servers().end() &&
+           availability.leaving().Contains(now, found->second.process());
+  });
 }
 
 double GatewayCore::RecoveryMultiplier(const std::string& server,
@@ -76,7 +149,7 @@
   for (const std::string& server :
        m_coordination.LocallyUnreachableServers(now))
     out.erase(server);
-  out.merge(m_coordination.RefusingServers(now));
+  out.merge(m_coordination.availability().Unavailable(now));
   return out;
 }
 
@@ -88,7 +161,8 @@
     return;
   }
   if (!m_probe_limiter.TryAcquire(server, now,
-                                  m_coordination.Members(now).size()))
+                                  m_coordination.Members(now).size()) ||
+      !m_coordination.availability().pauses().TryProbe(now, server))
     return;
   StartProbe(server, found->second.address);
 }
@@ -200,11 +274,14 @@
 
 void GatewayCore::PollSlowdown(const std::string& server) {
   const auto found = servers().find(server);
-  if (found == servers().end())
+  if (found == servers().end() ||
+      !m_coordination.availability().pauses().TryProbe(Now(), server))
     return;
   m_server_client.Call(
       found->second.address, m_dialect->WriteReportRequest(), kOrderTimeout,
-      [this, server](const CallResult& result) {
+      [this, server,
+       process = found->second.process()](const CallResult& result) {
+        OnControlAnswer(process, result);
         const auto report = m_dialect->ReadReport(result);
         if (!report)
           return;
--- a/src/gateway_placement.cc
+++ b/src/gateway_placement.cc
@@ -203,7 +203,9 @@
   }
   m_server_client.Call(
       found->second.address, m_dialect->WriteReportRequest(), kOrderTimeout,
-      [this, server, resend](const CallResult& result) {
+      [this, server, resend,
+       process = found->second.process()](const CallResult& result) {
+        OnControlAnswer(process, result);
         OnOrderState(server, m_dialect->ReadReport(result), resend);
       });
 }
--- a/src/gateway_upstream.cc
+++ b/src/gateway_upstream.cc
@@ -251,6 +251,7 @@
   if (m_discarding_response)
     return;
   m_keep_alive = head.keep_alive;
+  m_server_is_leaving = head.is_leaving;
   m_listener->OnUpstreamHead(head);
 }
 
@@ -291,7 +292,8 @@
   }
   m_finished = true;
   const bool keep = m_parser->get().keep_alive() && m_request_written &&
-                    m_buffer.size() == 0 && !m_parser->get().need_eof();
+                    !m_server_is_leaving && m_buffer.size() == 0 &&
+                    !m_parser->get().need_eof();
   if (keep)
     m_pool.Put(m_server, std::move(m_socket), BootClock().Now(), m_keep_alive);
   m_listener->OnUpstreamComplete(m_parser->need_eof());
--- a/src/gateway_upstream.h
+++ b/src/gateway_upstream.h
@@ -42,7 +42,8 @@
  public:
   virtual ~UpstreamListener() = default;
   virtual void OnUpstreamConnectFailed(bool refused) = 0;
-  // The connection is open and the first byte is about to be sent.
+  // The connection is open and the first byte is about to be sent, unless the
+  // call is cancelled now.
   virtual void OnUpstreamSendStarted() = 0;
   // The head of the response; the body follows. Not called for responses that
   // belong to another request.
@@ -117,6 +118,7 @@
   size_t m_discarded_bytes = 0;
   EndlessElementDetector m_endless_element;
   std::optional<Duration> m_keep_alive;
+  bool m_server_is_leaving = false;
   std::unique_ptr<boost::asio::ip::tcp::socket> m_socket;
   boost::asio::steady_timer m_connect_timer;
   boost::beast::flat_buffer m_buffer;
--- a/src/gen/cluster_types.cpp
+++ b/src/gen/cluster_types.cpp
@@ -866,6 +866,138 @@
 }
 
 
+LeavingServer::~LeavingServer() noexcept {
+}
+
+
+void LeavingServer::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void LeavingServer::__set_born(const int64_t val) {
+  this->born = val;
+}
+
+void LeavingServer::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const LeavingServer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LeavingServer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LeavingServer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LeavingServer");
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LeavingServer &a, LeavingServer &b) {
+  using ::std::swap;
+  swap(a.server, b.server);
+  swap(a.born, b.born);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+LeavingServer::LeavingServer(const LeavingServer& other24) {
+  server = other24.server;
+  born = other24.born;
+  age_ms = other24.age_ms;
+  __isset = other24.__isset;
+}
+LeavingServer& LeavingServer::operator=(const LeavingServer& other25) {
+  server = other25.server;
+  born = other25.born;
+  age_ms = other25.age_ms;
+  __isset = other25.__isset;
+  return *this;
+}
+void LeavingServer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LeavingServer(";
+  out << "server=" << to_string(server);
+  out << ", " << "born=" << to_string(born);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
 Report::~Report() noexcept {
 }
 
@@ -951,6 +1083,10 @@
 void Report::__set_limits(const std::vector<ServerLimit> & val) {
   this->limits = val;
 }
+
+void Report::__set_leaving(const std::vector<LeavingServer> & val) {
+  this->leaving = val;
+}
 std::ostream& operator<<(std::ostream& out, const Report& obj)
 {
   obj.printTo(out);
@@ -1039,14 +1175,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _etype27;
-            xfer += iprot->readListBegin(_etype27, _size24);
-            this->loads.resize(_size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->loads.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
             {
-              xfer += this->loads[_i28].read(iprot);
+              xfer += this->loads[_i30].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1059,14 +1195,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->down.clear();
-            uint32_t _size29;
-            ::apache::thrift::protocol::TType _etype32;
-            xfer += iprot->readListBegin(_etype32, _size29);
-            this->down.resize(_size29);
-            uint32_t _i33;
-            for (_i33 = 0; _i33 < _size29; ++_i33)
+            uint32_t _size31;
+            ::apache::thrift::protocol::TType _etype34;
+            xfer += iprot->readListBegin(_etype34, _size31);
+            this->down.resize(_size31);
+            uint32_t _i35;
+            for (_i35 = 0; _i35 < _size31; ++_i35)
             {
-              xfer += iprot->readString(this->down[_i33]);
+              xfer += iprot->readString(this->down[_i35]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1111,14 +1247,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sends.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _etype37;
-            xfer += iprot->readListBegin(_etype37, _size34);
-            this->sends.resize(_size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->sends.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->sends[_i38].read(iprot);
+              xfer += this->sends[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1131,14 +1267,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->earlier_sends.clear();
-            uint32_t _size39;
-            ::apache::thrift::protocol::TType _etype42;
-            xfer += iprot->readListBegin(_etype42, _size39);
-            this->earlier_sends.resize(_size39);
-            uint32_t _i43;
-            for (_i43 = 0; _i43 < _size39; ++_i43)
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->earlier_sends.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
             {
-              xfer += this->earlier_sends[_i43].read(iprot);
+              xfer += this->earlier_sends[_i45].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1159,14 +1295,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->crashes.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->crashes.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->crashes[_i48].read(iprot);
+              xfer += this->crashes[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1179,14 +1315,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size49;
-            ::apache::thrift::protocol::TType _etype52;
-            xfer += iprot->readListBegin(_etype52, _size49);
-            this->starts.resize(_size49);
-            uint32_t _i53;
-            for (_i53 = 0; _i53 < _size49; ++_i53)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->starts.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += this->starts[_i53].read(iprot);
+              xfer += this->starts[_i55].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1199,14 +1335,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantine.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->quarantine.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->quarantine.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->quarantine[_i58].read(iprot);
+              xfer += this->quarantine[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1219,14 +1355,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size59;
-            ::apache::thrift::protocol::TType _etype62;
-            xfer += iprot->readListBegin(_etype62, _size59);
-            this->limits.resize(_size59);
-            uint32_t _i63;
-            for (_i63 = 0; _i63 < _size59; ++_i63)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->limits.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += this->limits[_i63].read(iprot);
+              xfer += this->limits[_i65].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1235,6 +1371,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving.clear();
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->leaving.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
+            {
+              xfer += this->leaving[_i70].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1283,10 +1439,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<Load> ::const_iterator _iter64;
-    for (_iter64 = this->loads.begin(); _iter64 != this->loads.end(); ++_iter64)
+    std::vector<Load> ::const_iterator _iter71;
+    for (_iter71 = this->loads.begin(); _iter71 != this->loads.end(); ++_iter71)
     {
-      xfer += (*_iter64).write(oprot);
+      xfer += (*_iter71).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1295,10 +1451,10 @@
   xfer += oprot->writeFieldBegin("down", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->down.size()));
-    std::vector<std::string> ::const_iterator _iter65;
-    for (_iter65 = this->down.begin(); _iter65 != this->down.end(); ++_iter65)
+    std::vector<std::string> ::const_iterator _iter72;
+    for (_iter72 = this->down.begin(); _iter72 != this->down.end(); ++_iter72)
     {
-      xfer += oprot->writeString((*_iter65));
+      xfer += oprot->writeString((*_iter72));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1323,10 +1479,10 @@
   xfer += oprot->writeFieldBegin("sends", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sends.size()));
-    std::vector<ServiceSends> ::const_iterator _iter66;
-    for (_iter66 = this->sends.begin(); _iter66 != this->sends.end(); ++_iter66)
+    std::vector<ServiceSends> ::const_iterator _iter73;
+    for (_iter73 = this->sends.begin(); _iter73 != this->sends.end(); ++_iter73)
     {
-      xfer += (*_iter66).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1336,10 +1492,10 @@
     xfer += oprot->writeFieldBegin("earlier_sends", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->earlier_sends.size()));
-      std::vector<ServiceSends> ::const_iterator _iter67;
-      for (_iter67 = this->earlier_sends.begin(); _iter67 != this->earlier_sends.end(); ++_iter67)
+      std::vector<ServiceSends> ::const_iterator _iter74;
+      for (_iter74 = this->earlier_sends.begin(); _iter74 != this->earlier_sends.end(); ++_iter74)
       {
-        xfer += (*_iter67).write(oprot);
+        xfer += (*_iter74).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1353,10 +1509,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 18);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<Crash> ::const_iterator _iter68;
-    for (_iter68 = this->crashes.begin(); _iter68 != this->crashes.end(); ++_iter68)
+    std::vector<Crash> ::const_iterator _iter75;
+    for (_iter75 = this->crashes.begin(); _iter75 != this->crashes.end(); ++_iter75)
     {
-      xfer += (*_iter68).write(oprot);
+      xfer += (*_iter75).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1365,10 +1521,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<TraitStart> ::const_iterator _iter69;
-    for (_iter69 = this->starts.begin(); _iter69 != this->starts.end(); ++_iter69)
+    std::vector<TraitStart> ::const_iterator _iter76;
+    for (_iter76 = this->starts.begin(); _iter76 != this->starts.end(); ++_iter76)
     {
-      xfer += (*_iter69).write(oprot);
+      xfer += (*_iter76).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1377,10 +1533,10 @@
   xfer += oprot->writeFieldBegin("quarantine", ::apache::thrift::protocol::T_LIST, 20);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantine.size()));
-    std::vector<QuarantineEntry> ::const_iterator _iter70;
-    for (_iter70 = this->quarantine.begin(); _iter70 != this->quarantine.end(); ++_iter70)
+    std::vector<QuarantineEntry> ::const_iterator _iter77;
+    for (_iter77 = this->quarantine.begin(); _iter77 != this->quarantine.end(); ++_iter77)
     {
-      xfer += (*_iter70).write(oprot);
+      xfer += (*_iter77).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1389,10 +1545,22 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<ServerLimit> ::const_iterator _iter71;
-    for (_iter71 = this->limits.begin(); _iter71 != this->limits.end(); ++_iter71)
+    std::vector<ServerLimit> ::const_iterator _iter78;
+    for (_iter78 = this->limits.begin(); _iter78 != this->limits.end(); ++_iter78)
     {
-      xfer += (*_iter71).write(oprot);
+      xfer += (*_iter78).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 22);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
+    std::vector<LeavingServer> ::const_iterator _iter79;
+    for (_iter79 = this->leaving.begin(); _iter79 != this->leaving.end(); ++_iter79)
+    {
+      xfer += (*_iter79).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1425,54 +1593,57 @@
   swap(a.starts, b.starts);
   swap(a.quarantine, b.quarantine);
   swap(a.limits, b.limits);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other72) {
-  ip = other72.ip;
-  data_center = other72.data_center;
-  incarnation = other72.incarnation;
-  accepting = other72.accepting;
-  cpu_milli = other72.cpu_milli;
-  config_version = other72.config_version;
-  list_version = other72.list_version;
-  loads = other72.loads;
-  down = other72.down;
-  requests = other72.requests;
-  retries = other72.retries;
-  names_key = other72.names_key;
-  age_ms = other72.age_ms;
-  sends = other72.sends;
-  earlier_sends = other72.earlier_sends;
-  earlier_sends_age_ms = other72.earlier_sends_age_ms;
-  crashes = other72.crashes;
-  starts = other72.starts;
-  quarantine = other72.quarantine;
-  limits = other72.limits;
-  __isset = other72.__isset;
-}
-Report& Report::operator=(const Report& other73) {
-  ip = other73.ip;
-  data_center = other73.data_center;
-  incarnation = other73.incarnation;
-  accepting = other73.accepting;
-  cpu_milli = other73.cpu_milli;
-  config_version = other73.config_version;
-  list_version = other73.list_version;
-  loads = other73.loads;
-  down = other73.down;
-  requests = other73.requests;
-  retries = other73.retries;
-  names_key = other73.names_key;
-  age_ms = other73.age_ms;
-  sends = other73.sends;
-  earlier_sends = other73.earlier_sends;
-  earlier_sends_age_ms = other73.earlier_sends_age_ms;
-  crashes = other73.crashes;
-  starts = other73.starts;
-  quarantine = other73.quarantine;
-  limits = other73.limits;
-  __isset = other73.__isset;
+Report::Report(const Report& other80) {
+  ip = other80.ip;
+  data_center = other80.data_center;
+  incarnation = other80.incarnation;
+  accepting = other80.accepting;
+  cpu_milli = other80.cpu_milli;
+  config_version = other80.config_version;
+  list_version = other80.list_version;
+  loads = other80.loads;
+  down = other80.down;
+  requests = other80.requests;
+  retries = other80.retries;
+  names_key = other80.names_key;
+  age_ms = other80.age_ms;
+  sends = other80.sends;
+  earlier_sends = other80.earlier_sends;
+  earlier_sends_age_ms = other80.earlier_sends_age_ms;
+  crashes = other80.crashes;
+  starts = other80.starts;
+  quarantine = other80.quarantine;
+  limits = other80.limits;
+  leaving = other80.leaving;
+  __isset = other80.__isset;
+}
+Report& Report::operator=(const Report& other81) {
+  ip = other81.ip;
+  data_center = other81.data_center;
+  incarnation = other81.incarnation;
+  accepting = other81.accepting;
+  cpu_milli = other81.cpu_milli;
+  config_version = other81.config_version;
+  list_version = other81.list_version;
+  loads = other81.loads;
+  down = other81.down;
+  requests = other81.requests;
+  retries = other81.retries;
+  names_key = other81.names_key;
+  age_ms = other81.age_ms;
+  sends = other81.sends;
+  earlier_sends = other81.earlier_sends;
+  earlier_sends_age_ms = other81.earlier_sends_age_ms;
+  crashes = other81.crashes;
+  starts = other81.starts;
+  quarantine = other81.quarantine;
+  limits = other81.limits;
+  leaving = other81.leaving;
+  __isset = other81.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
@@ -1498,6 +1669,7 @@
   out << ", " << "starts=" << to_string(starts);
   out << ", " << "quarantine=" << to_string(quarantine);
   out << ", " << "limits=" << to_string(limits);
+  out << ", " << "leaving=" << to_string(leaving);
   out << ")";
 }
 
@@ -1611,17 +1783,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other74) noexcept {
-  ip = other74.ip;
-  accepting = other74.accepting;
-  cpu_milli = other74.cpu_milli;
-  __isset = other74.__isset;
+Member::Member(const Member& other82) noexcept {
+  ip = other82.ip;
+  accepting = other82.accepting;
+  cpu_milli = other82.cpu_milli;
+  __isset = other82.__isset;
 }
-Member& Member::operator=(const Member& other75) noexcept {
-  ip = other75.ip;
-  accepting = other75.accepting;
-  cpu_milli = other75.cpu_milli;
-  __isset = other75.__isset;
+Member& Member::operator=(const Member& other83) noexcept {
+  ip = other83.ip;
+  accepting = other83.accepting;
+  cpu_milli = other83.cpu_milli;
+  __isset = other83.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -1685,14 +1857,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->members.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->members.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->members[_i80].read(iprot);
+              xfer += this->members[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1725,10 +1897,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter81;
-    for (_iter81 = this->members.begin(); _iter81 != this->members.end(); ++_iter81)
+    std::vector<Member> ::const_iterator _iter89;
+    for (_iter89 = this->members.begin(); _iter89 != this->members.end(); ++_iter89)
     {
-      xfer += (*_iter81).write(oprot);
+      xfer += (*_iter89).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1746,15 +1918,15 @@
   swap(a.__isset, b.__isset);
 }
 
-DataCenterMembers::DataCenterMembers(const DataCenterMembers& other82) {
-  data_center = other82.data_center;
-  members = other82.members;
-  __isset = other82.__isset;
+DataCenterMembers::DataCenterMembers(const DataCenterMembers& other90) {
+  data_center = other90.data_center;
+  members = other90.members;
+  __isset = other90.__isset;
 }
-DataCenterMembers& DataCenterMembers::operator=(const DataCenterMembers& other83) {
-  data_center = other83.data_center;
-  members = other83.members;
-  __isset = other83.__isset;
+DataCenterMembers& DataCenterMembers::operator=(const DataCenterMembers& other91) {
+  data_center = other91.data_center;
+  members = other91.members;
+  __isset = other91.__isset;
   return *this;
 }
 void DataCenterMembers::printTo(std::ostream& out) const {
@@ -1875,17 +2047,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Order::Order(const Order& other84) {
-  server = other84.server;
-  layer_from = other84.layer_from;
-  layer_to = other84.layer_to;
-  __isset = other84.__isset;
+Order::Order(const Order& other92) {
+  server = other92.server;
+  layer_from = other92.layer_from;
+  layer_to = other92.layer_to;
+  __isset = other92.__isset;
 }
-Order& Order::operator=(const Order& other85) {
-  server = other85.server;
-  layer_from = other85.layer_from;
-  layer_to = other85.layer_to;
-  __isset = other85.__isset;
+Order& Order::operator=(const Order& other93) {
+  server = other93.server;
+  layer_from = other93.layer_from;
+  layer_to = other93.layer_to;
+  __isset = other93.__isset;
   return *this;
 }
 void Order::printTo(std::ostream& out) const {
@@ -1989,6 +2161,10 @@
 void Beat::__set_limits(const std::vector<ServerLimit> & val) {
   this->limits = val;
 }
+
+void Beat::__set_leaving(const std::vector<LeavingServer> & val) {
+  this->leaving = val;
+}
 std::ostream& operator<<(std::ostream& out, const Beat& obj)
 {
   obj.printTo(out);
@@ -2061,14 +2237,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->members.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->members.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += this->members[_i90].read(iprot);
+              xfer += this->members[_i98].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2081,14 +2257,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size91;
-            ::apache::thrift::protocol::TType _etype94;
-            xfer += iprot->readListBegin(_etype94, _size91);
-            this->loads.resize(_size91);
-            uint32_t _i95;
-            for (_i95 = 0; _i95 < _size91; ++_i95)
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->loads.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
             {
-              xfer += this->loads[_i95].read(iprot);
+              xfer += this->loads[_i103].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2101,14 +2277,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->down.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _etype99;
-            xfer += iprot->readListBegin(_etype99, _size96);
-            this->down.resize(_size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->down.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += iprot->readString(this->down[_i100]);
+              xfer += iprot->readString(this->down[_i108]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2129,14 +2305,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size101;
-            ::apache::thrift::protocol::TType _etype104;
-            xfer += iprot->readListBegin(_etype104, _size101);
-            this->orders.resize(_size101);
-            uint32_t _i105;
-            for (_i105 = 0; _i105 < _size101; ++_i105)
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->orders.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
             {
-              xfer += this->orders[_i105].read(iprot);
+              xfer += this->orders[_i113].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2165,14 +2341,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->held.clear();
-            uint32_t _size106;
-            ::apache::thrift::protocol::TType _etype109;
-            xfer += iprot->readListBegin(_etype109, _size106);
-            this->held.resize(_size106);
-            uint32_t _i110;
-            for (_i110 = 0; _i110 < _size106; ++_i110)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->held.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += this->held[_i110].read(iprot);
+              xfer += this->held[_i118].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2217,14 +2393,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sends.clear();
-            uint32_t _size111;
-            ::apache::thrift::protocol::TType _etype114;
-            xfer += iprot->readListBegin(_etype114, _size111);
-            this->sends.resize(_size111);
-            uint32_t _i115;
-            for (_i115 = 0; _i115 < _size111; ++_i115)
+            uint32_t _size119;
+            ::apache::thrift::protocol::TType _etype122;
+            xfer += iprot->readListBegin(_etype122, _size119);
+            this->sends.resize(_size119);
+            uint32_t _i123;
+            for (_i123 = 0; _i123 < _size119; ++_i123)
             {
-              xfer += this->sends[_i115].read(iprot);
+              xfer += this->sends[_i123].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2245,14 +2421,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size116;
-            ::apache::thrift::protocol::TType _etype119;
-            xfer += iprot->readListBegin(_etype119, _size116);
-            this->suspects.resize(_size116);
-            uint32_t _i120;
-            for (_i120 = 0; _i120 < _size116; ++_i120)
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->suspects.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
             {
-              xfer += iprot->readI64(this->suspects[_i120]);
+              xfer += iprot->readI64(this->suspects[_i128]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2265,14 +2441,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantine.clear();
-            uint32_t _size121;
-            ::apache::thrift::protocol::TType _etype124;
-            xfer += iprot->readListBegin(_etype124, _size121);
-            this->quarantine.resize(_size121);
-            uint32_t _i125;
-            for (_i125 = 0; _i125 < _size121; ++_i125)
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->quarantine.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
             {
-              xfer += this->quarantine[_i125].read(iprot);
+              xfer += this->quarantine[_i133].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2285,14 +2461,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size126;
-            ::apache::thrift::protocol::TType _etype129;
-            xfer += iprot->readListBegin(_etype129, _size126);
-            this->limits.resize(_size126);
-            uint32_t _i130;
-            for (_i130 = 0; _i130 < _size126; ++_i130)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->limits.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += this->limits[_i130].read(iprot);
+              xfer += this->limits[_i138].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2301,6 +2477,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving.clear();
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _etype142;
+            xfer += iprot->readListBegin(_etype142, _size139);
+            this->leaving.resize(_size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
+            {
+              xfer += this->leaving[_i143].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2341,10 +2537,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<DataCenterMembers> ::const_iterator _iter131;
-    for (_iter131 = this->members.begin(); _iter131 != this->members.end(); ++_iter131)
+    std::vector<DataCenterMembers> ::const_iterator _iter144;
+    for (_iter144 = this->members.begin(); _iter144 != this->members.end(); ++_iter144)
     {
-      xfer += (*_iter131).write(oprot);
+      xfer += (*_iter144).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2353,10 +2549,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<Load> ::const_iterator _iter132;
-    for (_iter132 = this->loads.begin(); _iter132 != this->loads.end(); ++_iter132)
+    std::vector<Load> ::const_iterator _iter145;
+    for (_iter145 = this->loads.begin(); _iter145 != this->loads.end(); ++_iter145)
     {
-      xfer += (*_iter132).write(oprot);
+      xfer += (*_iter145).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2365,10 +2561,10 @@
   xfer += oprot->writeFieldBegin("down", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->down.size()));
-    std::vector<std::string> ::const_iterator _iter133;
-    for (_iter133 = this->down.begin(); _iter133 != this->down.end(); ++_iter133)
+    std::vector<std::string> ::const_iterator _iter146;
+    for (_iter146 = this->down.begin(); _iter146 != this->down.end(); ++_iter146)
     {
-      xfer += oprot->writeString((*_iter133));
+      xfer += oprot->writeString((*_iter146));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2381,10 +2577,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<Order> ::const_iterator _iter134;
-    for (_iter134 = this->orders.begin(); _iter134 != this->orders.end(); ++_iter134)
+    std::vector<Order> ::const_iterator _iter147;
+    for (_iter147 = this->orders.begin(); _iter147 != this->orders.end(); ++_iter147)
     {
-      xfer += (*_iter134).write(oprot);
+      xfer += (*_iter147).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2401,10 +2597,10 @@
   xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held.size()));
-    std::vector<Order> ::const_iterator _iter135;
-    for (_iter135 = this->held.begin(); _iter135 != this->held.end(); ++_iter135)
+    std::vector<Order> ::const_iterator _iter148;
+    for (_iter148 = this->held.begin(); _iter148 != this->held.end(); ++_iter148)
     {
-      xfer += (*_iter135).write(oprot);
+      xfer += (*_iter148).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2429,10 +2625,10 @@
   xfer += oprot->writeFieldBegin("sends", ::apache::thrift::protocol::T_LIST, 18);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sends.size()));
-    std::vector<ServiceSends> ::const_iterator _iter136;
-    for (_iter136 = this->sends.begin(); _iter136 != this->sends.end(); ++_iter136)
+    std::vector<ServiceSends> ::const_iterator _iter149;
+    for (_iter149 = this->sends.begin(); _iter149 != this->sends.end(); ++_iter149)
     {
-      xfer += (*_iter136).write(oprot);
+      xfer += (*_iter149).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2445,10 +2641,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 20);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<int64_t> ::const_iterator _iter137;
-    for (_iter137 = this->suspects.begin(); _iter137 != this->suspects.end(); ++_iter137)
+    std::vector<int64_t> ::const_iterator _iter150;
+    for (_iter150 = this->suspects.begin(); _iter150 != this->suspects.end(); ++_iter150)
     {
-      xfer += oprot->writeI64((*_iter137));
+      xfer += oprot->writeI64((*_iter150));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2457,10 +2653,10 @@
   xfer += oprot->writeFieldBegin("quarantine", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantine.size()));
-    std::vector<QuarantineEntry> ::const_iterator _iter138;
-    for (_iter138 = this->quarantine.begin(); _iter138 != this->quarantine.end(); ++_iter138)
+    std::vector<QuarantineEntry> ::const_iterator _iter151;
+    for (_iter151 = this->quarantine.begin(); _iter151 != this->quarantine.end(); ++_iter151)
     {
-      xfer += (*_iter138).write(oprot);
+      xfer += (*_iter151).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2469,10 +2665,22 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<ServerLimit> ::const_iterator _iter139;
-    for (_iter139 = this->limits.begin(); _iter139 != this->limits.end(); ++_iter139)
+    std::vector<ServerLimit> ::const_iterator _iter152;
+    for (_iter152 = this->limits.begin(); _iter152 != this->limits.end(); ++_iter152)
+    {
+      xfer += (*_iter152).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 23);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
+    std::vector<LeavingServer> ::const_iterator _iter153;
+    for (_iter153 = this->leaving.begin(); _iter153 != this->leaving.end(); ++_iter153)
     {
-      xfer += (*_iter139).write(oprot);
+      xfer += (*_iter153).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2507,58 +2715,61 @@
   swap(a.suspects, b.suspects);
   swap(a.quarantine, b.quarantine);
   swap(a.limits, b.limits);
+  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
-Beat::Beat(const Beat& other140) {
-  fence = other140.fence;
-  ip = other140.ip;
-  config_version = other140.config_version;
-  list_version = other140.list_version;
-  list_age_ms = other140.list_age_ms;
-  members = other140.members;
-  loads = other140.loads;
-  down = other140.down;
-  store_reachable = other140.store_reachable;
-  orders = other140.orders;
-  requests = other140.requests;
-  retries = other140.retries;
-  held = other140.held;
-  names_key = other140.names_key;
-  unreported_retries = other140.unreported_retries;
-  instances = other140.instances;
-  sums_incomplete = other140.sums_incomplete;
-  sends = other140.sends;
-  earlier_sends_unknown = other140.earlier_sends_unknown;
-  suspects = other140.suspects;
-  quarantine = other140.quarantine;
-  limits = other140.limits;
-  __isset = other140.__isset;
-}
-Beat& Beat::operator=(const Beat& other141) {
-  fence = other141.fence;
-  ip = other141.ip;
-  config_version = other141.config_version;
-  list_version = other141.list_version;
-  list_age_ms = other141.list_age_ms;
-  members = other141.members;
-  loads = other141.loads;
-  down = other141.down;
-  store_reachable = other141.store_reachable;
-  orders = other141.orders;
-  requests = other141.requests;
-  retries = other141.retries;
-  held = other141.held;
-  names_key = other141.names_key;
-  unreported_retries = other141.unreported_retries;
-  instances = other141.instances;
-  sums_incomplete = other141.sums_incomplete;
-  sends = other141.sends;
-  earlier_sends_unknown = other141.earlier_sends_unknown;
-  suspects = other141.suspects;
-  quarantine = other141.quarantine;
-  limits = other141.limits;
-  __isset = other141.__isset;
+Beat::Beat(const Beat& other154) {
+  fence = other154.fence;
+  ip = other154.ip;
+  config_version = other154.config_version;
+  list_version = other154.list_version;
+  list_age_ms = other154.list_age_ms;
+  members = other154.members;
+  loads = other154.loads;
+  down = other154.down;
+  store_reachable = other154.store_reachable;
+  orders = other154.orders;
+  requests = other154.requests;
+  retries = other154.retries;
+  held = other154.held;
+  names_key = other154.names_key;
+  unreported_retries = other154.unreported_retries;
+  instances = other154.instances;
+  sums_incomplete = other154.sums_incomplete;
+  sends = other154.sends;
+  earlier_sends_unknown = other154.earlier_sends_unknown;
+  suspects = other154.suspects;
+  quarantine = other154.quarantine;
+  limits = other154.limits;
+  leaving = other154.leaving;
+  __isset = other154.__isset;
+}
+Beat& Beat::operator=(const Beat& other155) {
+  fence = other155.fence;
+  ip = other155.ip;
+  config_version = other155.config_version;
+  list_version = other155.list_version;
+  list_age_ms = other155.list_age_ms;
+  members = other155.members;
+  loads = other155.loads;
+  down = other155.down;
+  store_reachable = other155.store_reachable;
+  orders = other155.orders;
+  requests = other155.requests;
+  retries = other155.retries;
+  held = other155.held;
+  names_key = other155.names_key;
+  unreported_retries = other155.unreported_retries;
+  instances = other155.instances;
+  sums_incomplete = other155.sums_incomplete;
+  sends = other155.sends;
+  earlier_sends_unknown = other155.earlier_sends_unknown;
+  suspects = other155.suspects;
+  quarantine = other155.quarantine;
+  limits = other155.limits;
+  leaving = other155.leaving;
+  __isset = other155.__isset;
   return *this;
 }
 void Beat::printTo(std::ostream& out) const {
@@ -2586,6 +2797,7 @@
   out << ", " << "suspects=" << to_string(suspects);
   out << ", " << "quarantine=" << to_string(quarantine);
   out << ", " << "limits=" << to_string(limits);
+  out << ", " << "leaving=" << to_string(leaving);
   out << ")";
 }
 
@@ -2801,29 +3013,29 @@
   swap(a.__isset, b.__isset);
 }
 
-Server::Server(const Server& other142) {
-  id = other142.id;
-  service_name = other142.service_name;
-  address = other142.address;
-  data_center = other142.data_center;
-  draining = other142.draining;
-  kind = other142.kind;
-  layer_from = other142.layer_from;
-  layer_to = other142.layer_to;
-  born = other142.born;
-  __isset = other142.__isset;
-}
-Server& Server::operator=(const Server& other143) {
-  id = other143.id;
-  service_name = other143.service_name;
-  address = other143.address;
-  data_center = other143.data_center;
-  draining = other143.draining;
-  kind = other143.kind;
-  layer_from = other143.layer_from;
-  layer_to = other143.layer_to;
-  born = other143.born;
-  __isset = other143.__isset;
+Server::Server(const Server& other156) {
+  id = other156.id;
+  service_name = other156.service_name;
+  address = other156.address;
+  data_center = other156.data_center;
+  draining = other156.draining;
+  kind = other156.kind;
+  layer_from = other156.layer_from;
+  layer_to = other156.layer_to;
+  born = other156.born;
+  __isset = other156.__isset;
+}
+Server& Server::operator=(const Server& other157) {
+  id = other157.id;
+  service_name = other157.service_name;
+  address = other157.address;
+  data_center = other157.data_center;
+  draining = other157.draining;
+  kind = other157.kind;
+  layer_from = other157.layer_from;
+  layer_to = other157.layer_to;
+  born = other157.born;
+  __isset = other157.__isset;
   return *this;
 }
 void Server::printTo(std::ostream& out) const {
@@ -2917,14 +3129,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size144;
-            ::apache::thrift::protocol::TType _etype147;
-            xfer += iprot->readListBegin(_etype147, _size144);
-            this->servers.resize(_size144);
-            uint32_t _i148;
-            for (_i148 = 0; _i148 < _size144; ++_i148)
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->servers.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
             {
-              xfer += this->servers[_i148].read(iprot);
+              xfer += this->servers[_i162].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2965,10 +3177,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<Server> ::const_iterator _iter149;
-    for (_iter149 = this->servers.begin(); _iter149 != this->servers.end(); ++_iter149)
+    std::vector<Server> ::const_iterator _iter163;
+    for (_iter163 = this->servers.begin(); _iter163 != this->servers.end(); ++_iter163)
     {
-      xfer += (*_iter149).write(oprot);
+      xfer += (*_iter163).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2988,19 +3200,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerList::ServerList(const ServerList& other150) {
-  fence = other150.fence;
-  version = other150.version;
-  age_ms = other150.age_ms;
-  servers = other150.servers;
-  __isset = other150.__isset;
+ServerList::ServerList(const ServerList& other164) {
+  fence = other164.fence;
+  version = other164.version;
+  age_ms = other164.age_ms;
+  servers = other164.servers;
+  __isset = other164.__isset;
 }
-ServerList& ServerList::operator=(const ServerList& other151) {
-  fence = other151.fence;
-  version = other151.version;
-  age_ms = other151.age_ms;
-  servers = other151.servers;
-  __isset = other151.__isset;
+ServerList& ServerList::operator=(const ServerList& other165) {
+  fence = other165.fence;
+  version = other165.version;
+  age_ms = other165.age_ms;
+  servers = other165.servers;
+  __isset = other165.__isset;
   return *this;
 }
 void ServerList::printTo(std::ostream& out) const {
@@ -3106,15 +3318,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Configuration::Configuration(const Configuration& other152) {
-  version = other152.version;
-  row = other152.row;
-  __isset = other152.__isset;
+Configuration::Configuration(const Configuration& other166) {
+  version = other166.version;
+  row = other166.row;
+  __isset = other166.__isset;
 }
-Configuration& Configuration::operator=(const Configuration& other153) {
-  version = other153.version;
-  row = other153.row;
-  __isset = other153.__isset;
+Configuration& Configuration::operator=(const Configuration& other167) {
+  version = other167.version;
+  row = other167.row;
+  __isset = other167.__isset;
   return *this;
 }
 void Configuration::printTo(std::ostream& out) const {
@@ -3218,15 +3430,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SlowServer::SlowServer(const SlowServer& other154) {
-  server = other154.server;
-  pace_percent = other154.pace_percent;
-  __isset = other154.__isset;
+SlowServer::SlowServer(const SlowServer& other168) {
+  server = other168.server;
+  pace_percent = other168.pace_percent;
+  __isset = other168.__isset;
 }
-SlowServer& SlowServer::operator=(const SlowServer& other155) {
-  server = other155.server;
-  pace_percent = other155.pace_percent;
-  __isset = other155.__isset;
+SlowServer& SlowServer::operator=(const SlowServer& other169) {
+  server = other169.server;
+  pace_percent = other169.pace_percent;
+  __isset = other169.__isset;
   return *this;
 }
 void SlowServer::printTo(std::ostream& out) const {
@@ -3337,14 +3549,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lost.clear();
-            uint32_t _size156;
-            ::apache::thrift::protocol::TType _etype159;
-            xfer += iprot->readListBegin(_etype159, _size156);
-            this->lost.resize(_size156);
-            uint32_t _i160;
-            for (_i160 = 0; _i160 < _size156; ++_i160)
+            uint32_t _size170;
+            ::apache::thrift::protocol::TType _etype173;
+            xfer += iprot->readListBegin(_etype173, _size170);
+            this->lost.resize(_size170);
+            uint32_t _i174;
+            for (_i174 = 0; _i174 < _size170; ++_i174)
             {
-              xfer += iprot->readString(this->lost[_i160]);
+              xfer += iprot->readString(this->lost[_i174]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3357,14 +3569,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->refusing.clear();
-            uint32_t _size161;
-            ::apache::thrift::protocol::TType _etype164;
-            xfer += iprot->readListBegin(_etype164, _size161);
-            this->refusing.resize(_size161);
-            uint32_t _i165;
-            for (_i165 = 0; _i165 < _size161; ++_i165)
+            uint32_t _size175;
+            ::apache::thrift::protocol::TType _etype178;
+            xfer += iprot->readListBegin(_etype178, _size175);
+            this->refusing.resize(_size175);
+            uint32_t _i179;
+            for (_i179 = 0; _i179 < _size175; ++_i179)
             {
-              xfer += iprot->readString(this->refusing[_i165]);
+              xfer += iprot->readString(this->refusing[_i179]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3393,14 +3605,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->slow.clear();
-            uint32_t _size166;
-            ::apache::thrift::protocol::TType _etype169;
-            xfer += iprot->readListBegin(_etype169, _size166);
-            this->slow.resize(_size166);
-            uint32_t _i170;
-            for (_i170 = 0; _i170 < _size166; ++_i170)
+            uint32_t _size180;
+            ::apache::thrift::protocol::TType _etype183;
+            xfer += iprot->readListBegin(_etype183, _size180);
+            this->slow.resize(_size180);
+            uint32_t _i184;
+            for (_i184 = 0; _i184 < _size180; ++_i184)
             {
-              xfer += this->slow[_i170].read(iprot);
+              xfer += this->slow[_i184].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3445,10 +3657,10 @@
     xfer += oprot->writeFieldBegin("lost", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->lost.size()));
-      std::vector<std::string> ::const_iterator _iter171;
-      for (_iter171 = this->lost.begin(); _iter171 != this->lost.end(); ++_iter171)
+      std::vector<std::string> ::const_iterator _iter185;
+      for (_iter185 = this->lost.begin(); _iter185 != this->lost.end(); ++_iter185)
       {
-        xfer += oprot->writeString((*_iter171));
+        xfer += oprot->writeString((*_iter185));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3458,10 +3670,10 @@
     xfer += oprot->writeFieldBegin("refusing", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->refusing.size()));
-      std::vector<std::string> ::const_iterator _iter172;
-      for (_iter172 = this->refusing.begin(); _iter172 != this->refusing.end(); ++_iter172)
+      std::vector<std::string> ::const_iterator _iter186;
+      for (_iter186 = this->refusing.begin(); _iter186 != this->refusing.end(); ++_iter186)
       {
-        xfer += oprot->writeString((*_iter172));
+        xfer += oprot->writeString((*_iter186));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3481,10 +3693,10 @@
     xfer += oprot->writeFieldBegin("slow", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->slow.size()));
-      std::vector<SlowServer> ::const_iterator _iter173;
-      for (_iter173 = this->slow.begin(); _iter173 != this->slow.end(); ++_iter173)
+      std::vector<SlowServer> ::const_iterator _iter187;
+      for (_iter187 = this->slow.begin(); _iter187 != this->slow.end(); ++_iter187)
       {
-        xfer += (*_iter173).write(oprot);
+        xfer += (*_iter187).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3508,27 +3720,27 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other174) {
-  report = other174.report;
-  beat = other174.beat;
-  servers = other174.servers;
-  lost = other174.lost;
-  refusing = other174.refusing;
-  configuration = other174.configuration;
-  packed = other174.packed;
-  slow = other174.slow;
-  __isset = other174.__isset;
-}
-Message& Message::operator=(const Message& other175) {
-  report = other175.report;
-  beat = other175.beat;
-  servers = other175.servers;
-  lost = other175.lost;
-  refusing = other175.refusing;
-  configuration = other175.configuration;
-  packed = other175.packed;
-  slow = other175.slow;
-  __isset = other175.__isset;
+Message::Message(const Message& other188) {
+  report = other188.report;
+  beat = other188.beat;
+  servers = other188.servers;
+  lost = other188.lost;
+  refusing = other188.refusing;
+  configuration = other188.configuration;
+  packed = other188.packed;
+  slow = other188.slow;
+  __isset = other188.__isset;
+}
+Message& Message::operator=(const Message& other189) {
+  report = other189.report;
+  beat = other189.beat;
+  servers = other189.servers;
+  lost = other189.lost;
+  refusing = other189.refusing;
+  configuration = other189.configuration;
+  packed = other189.packed;
+  slow = other189.slow;
+  __isset = other189.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
--- a/src/gen/cluster_types.h
+++ b/src/gen/cluster_types.h
@@ -33,6 +33,8 @@
 
 class ServerLimit;
 
+class LeavingServer;
+
 class Report;
 
 class Member;
@@ -400,8 +402,65 @@
 
 std::ostream& operator<<(std::ostream& out, const ServerLimit& obj);
 
+typedef struct _LeavingServer__isset {
+  _LeavingServer__isset() : server(false), born(false), age_ms(false) {}
+  bool server :1;
+  bool born :1;
+  bool age_ms :1;
+} _LeavingServer__isset;
+
+class LeavingServer : public virtual ::apache::thrift::TBase {
+ public:
+
+  LeavingServer(const LeavingServer&);
+  LeavingServer& operator=(const LeavingServer&);
+  LeavingServer() noexcept
+                : server(),
+                  born(0),
+                  age_ms(0) {
+  }
+
+  virtual ~LeavingServer() noexcept;
+  std::string server;
+  int64_t born;
+  int32_t age_ms;
+
+  _LeavingServer__isset __isset;
+
+  void __set_server(const std::string& val);
+
+  void __set_born(const int64_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const LeavingServer & rhs) const
+  {
+    if (!(server == rhs.server))
+      return false;
+    if (!(born == rhs.born))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const LeavingServer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LeavingServer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LeavingServer &a, LeavingServer &b);
+
+std::ostream& operator<<(std::ostream& out, const LeavingServer& obj);
+
 typedef struct _Report__isset {
-  _Report__isset() : ip(false), data_center(false), incarnation(false), accepting(false), cpu_milli(false), config_version(false), list_version(false), loads(false), down(false), requests(false), retries(false), names_key(false), age_ms(false), sends(false), earlier_sends(false), earlier_sends_age_ms(false), crashes(false), starts(false), quarantine(false), limits(false) {}
+  _Report__isset() : ip(false), data_center(false), incarnation(false), accepting(false), cpu_milli(false), config_version(false), list_version(false), loads(false), down(false), requests(false), retries(false), names_key(false), age_ms(false), sends(false), earlier_sends(false), earlier_sends_age_ms(false), crashes(false), starts(false), quarantine(false), limits(false), leaving(false) {}
   bool ip :1;
   bool data_center :1;
   bool incarnation :1;
@@ -422,6 +481,7 @@
   bool starts :1;
   bool quarantine :1;
   bool limits :1;
+  bool leaving :1;
 } _Report__isset;
 
 class Report : public virtual ::apache::thrift::TBase {
@@ -465,6 +525,7 @@
   std::vector<TraitStart>  starts;
   std::vector<QuarantineEntry>  quarantine;
   std::vector<ServerLimit>  limits;
+  std::vector<LeavingServer>  leaving;
 
   _Report__isset __isset;
 
@@ -508,6 +569,8 @@
 
   void __set_limits(const std::vector<ServerLimit> & val);
 
+  void __set_leaving(const std::vector<LeavingServer> & val);
+
   bool operator == (const Report & rhs) const
   {
     if (!(ip == rhs.ip))
@@ -554,6 +617,8 @@
       return false;
     if (!(limits == rhs.limits))
       return false;
+    if (!(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const Report &rhs) const {
@@ -736,7 +801,7 @@
 std::ostream& operator<<(std::ostream& out, const Order& obj);
 
 typedef struct _Beat__isset {
-  _Beat__isset() : fence(false), ip(false), config_version(false), list_version(false), list_age_ms(false), members(false), loads(false), down(false), store_reachable(false), orders(false), requests(false), retries(false), held(false), names_key(false), unreported_retries(false), instances(false), sums_incomplete(false), sends(false), earlier_sends_unknown(false), suspects(false), quarantine(false), limits(false) {}
+  _Beat__isset() : fence(false), ip(false), config_version(false), list_version(false), list_age_ms(false), members(false), loads(false), down(false), store_reachable(false), orders(false), requests(false), retries(false), held(false), names_key(false), unreported_retries(false), instances(false), sums_incomplete(false), sends(false), earlier_sends_unknown(false), suspects(false), quarantine(false), limits(false), leaving(false) {}
   bool fence :1;
   bool ip :1;
   bool config_version :1;
@@ -759,6 +824,7 @@
   bool suspects :1;
   bool quarantine :1;
   bool limits :1;
+  bool leaving :1;
 } _Beat__isset;
 
 class Beat : public virtual ::apache::thrift::TBase {
@@ -805,6 +871,7 @@
   std::vector<int64_t>  suspects;
   std::vector<QuarantineEntry>  quarantine;
   std::vector<ServerLimit>  limits;
+  std::vector<LeavingServer>  leaving;
 
   _Beat__isset __isset;
 
@@ -852,6 +919,8 @@
 
   void __set_limits(const std::vector<ServerLimit> & val);
 
+  void __set_leaving(const std::vector<LeavingServer> & val);
+
   bool operator == (const Beat & rhs) const
   {
     if (!(fence == rhs.fence))
@@ -898,6 +967,8 @@
       return false;
     if (!(limits == rhs.limits))
       return false;
+    if (!(leaving == rhs.leaving))
+      return false;
     return true;
   }
   bool operator != (const Beat &rhs) const {
--- a/src/server_limits.cc
+++ b/src/server_limits.cc
@@ -92,6 +92,8 @@
   }
   Refill(now, state);
   state.observation = observation;
+  if (auto& limit = state.observation.requests_per_second)
+    limit = std::clamp(*limit, 0.0, kMaxLimitPerSecond);
 }
 
 void ServerLimits::SetClusterDemand(TimePoint now,
--- a/test/adapter_test.cc
+++ b/test/adapter_test.cc
@@ -72,6 +72,7 @@
   CPPUNIT_TEST(MutatedRowsNeverThrow);
   CPPUNIT_TEST(Base64RoundTrip);
   CPPUNIT_TEST(LeaseRoundTrip);
+  CPPUNIT_TEST(NoticesOfServersAreReadAndBounded);
   CPPUNIT_TEST(SharedPartsOfPromptAreRead);
   CPPUNIT_TEST(LimitOfServerIsRead);
   CPPUNIT_TEST(ClientHeadersAreForwarded);
@@ -238,6 +239,41 @@
     CPPUNIT_ASSERT(!dialect.ReadResponse({}).requests_per_second.has_value());
   }
 
+  // A value that was no number was read up to its first letter, and a huge one
+  // was taken as it was.
+  void NoticesOfServersAreReadAndBounded() {
+    const PlatformDialect dialect;
+    const auto read = [&](const char* name, const char* value,
+                          unsigned status = 503) {
+      http::response_header<> head;
+      head.result(status);
+      head.set(name, value);
+      return dialect.ReadResponse(head);
+    };
+    CPPUNIT_ASSERT(read("Server-Leaving", "1", 200).is_leaving);
+    for (const char* value : {"0", "", "yes", "1.0"})
+      CPPUNIT_ASSERT(!read("Server-Leaving", value).is_leaving);
+    CPPUNIT_ASSERT(read("Retry-After", "0.25").pause ==
+                   std::chrono::milliseconds(250));
+    CPPUNIT_ASSERT(!read("Retry-After", "2", 200).pause.has_value());
+    for (const char* value :
+         {"soon", "-3", "5 s", "nan", "", "Sat, 05 Dec 2026 12:00:00 GMT"}) {
+      const ResponseHead head = read("Retry-After", value);
+      CPPUNIT_ASSERT_MESSAGE(value, !head.pause.has_value());
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, head.invalid_headers.size());
+    }
+    for (const char* value : {"inf", "1e300"}) {
+      const ResponseHead head = read("Retry-After", value);
+      CPPUNIT_ASSERT_MESSAGE(value,
+                             head.pause == std::chrono::seconds(1'000'000));
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, head.invalid_headers.size());
+    }
+    const ResponseHead limit = read("Server-Limit", "1e300");
+    CPPUNIT_ASSERT(limit.requests_per_second == 1e6);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, limit.invalid_headers.size());
+    CPPUNIT_ASSERT(!read("Server-Limit", "5x").requests_per_second.has_value());
+  }
+
   void SharedPartsOfPromptAreRead() {
     const PlatformDialect dialect;
     const auto read = [&](const char* value) {
--- a/test/coordination_harness.h
+++ b/test/coordination_harness.h
@@ -63,7 +63,8 @@
   }
 
   static std::string NodeIp(int index) {
-    return "10.0.0." + std::to_string(index);
+    return "10.0." + std::to_string(index / kHostsPerNetwork) + "." +
+           std::to_string(index % kHostsPerNetwork);
   }
   Node& NodeAt(int index) { return m_nodes.at(NodeIp(index)); }
   FakeStore& store() { return m_store; }
@@ -112,10 +113,15 @@
   }
 
   int IndexOf(const std::string& ip) const {
-    return std::stoi(ip.substr(ip.rfind('.') + 1));
+    const size_t host = ip.rfind('.');
+    const size_t network = ip.rfind('.', host - 1);
+    return std::stoi(ip.substr(network + 1)) * kHostsPerNetwork +
+           std::stoi(ip.substr(host + 1));
   }
 
  private:
+  static constexpr int kHostsPerNetwork = 256;
+
   struct Event {
     TimePoint at;
     std::string ip;
--- a/test/coordination_limits_test.cc
+++ b/test/coordination_limits_test.cc
@@ -124,7 +124,9 @@
       return;
     Coordination& coordination = *node.coordination;
     coordination.CountLimitDemand(now, kServer);
-    if (!coordination.TryTakeFromLimit(now, kServer, m_random.UniformDouble()))
+    if (coordination.availability().TrySend(now, Server(kServer), true,
+                                            m_random.UniformDouble()) !=
+        SendVerdict::kAllowed)
       return;
     m_sent.push_back(now);
     if (m_disturbed_until[static_cast<size_t>(index)] < now)
@@ -157,6 +159,16 @@
   std::vector<TimePoint> m_counted;
 };
 
+// Thirteen instances; the requests come at four of them.
+class LoadedDataCenter : public LimitedServer {
+ public:
+  explicit LoadedDataCenter(uint64_t seed = 1, double limit = 12)
+      : LimitedServer(seed, 13, limit) {
+    for (int i = 0; i < 4; ++i)
+      SetDemand(i, 8);
+  }
+};
+
 void CheckKept(const LimitedServer& server, const std::string& what) {
   CPPUNIT_ASSERT_MESSAGE(
       what + ": " + std::to_string(server.Peak()) + " times what is allowed",
@@ -183,16 +195,9 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  // Most requests came at four of the instances.
-  static void LoadDataCenter(LimitedServer& server) {
-    for (int i = 0; i < 4; ++i)
-      server.SetDemand(i, 8);
-  }
-
   void LimitIsKeptAndUsedByInstancesOfOneDataCenter() {
     for (uint64_t seed = 1; seed <= 5; ++seed) {
-      LimitedServer server(seed, 13, 12.2);
-      LoadDataCenter(server);
+      LoadedDataCenter server(seed, 12.2);
       server.RunFor(seconds(20));
       CheckKept(server, "seed " + std::to_string(seed));
       CheckUsed(server, "seed " + std::to_string(seed));
@@ -212,8 +217,7 @@
   }
 
   void SmallLimitIsKept() {
-    LimitedServer server(1, 13, 0.5);
-    LoadDataCenter(server);
+    LoadedDataCenter server(1, 0.5);
     server.RunFor(seconds(40));
     CheckKept(server, "half a request a second");
     CPPUNIT_ASSERT(server.sent() > 5);
@@ -221,8 +225,7 @@
 
   // Clients moved from one data center to another.
   void ShareMovesWithDemand() {
-    LimitedServer server(1, 13, 12);
-    LoadDataCenter(server);
+    LoadedDataCenter server;
     server.RunFor(seconds(12));
     for (int i = 0; i < 4; ++i) {
       server.SetDemand(i, 0);
@@ -234,8 +237,7 @@
   }
 
   void LimitIsKeptDespiteLossOfCoordinator() {
-    LimitedServer server(1, 13, 12);
-    LoadDataCenter(server);
+    LoadedDataCenter server;
     for (int i = 0; i < 3; ++i) {
       server.RunFor(seconds(6));
       server.Kill(server.cluster().IndexOf(server.cluster().Coordinator()));
@@ -248,8 +250,7 @@
   }
 
   void LimitIsKeptInARollingRestart() {
-    LimitedServer server(1, 13, 12);
-    LoadDataCenter(server);
+    LoadedDataCenter server;
     server.RunFor(seconds(5));
     for (int i = 0; i < 13; ++i) {
       server.Kill(i);
@@ -263,8 +264,7 @@
   }
 
   void LimitIsKeptAfterLossOfAllInstances() {
-    LimitedServer server(1, 13, 12);
-    LoadDataCenter(server);
+    LoadedDataCenter server;
     server.RunFor(seconds(8));
     for (int i = 0; i < 13; ++i)
       server.Kill(i);
@@ -277,8 +277,7 @@
 
   // Instances are not in touch then, but the server is in need all the same.
   void LimitIsKeptWhileTheStoreIsAway() {
-    LimitedServer server(1, 13, 12);
-    LoadDataCenter(server);
+    LoadedDataCenter server;
     server.RunFor(seconds(6));
     server.cluster().store().reachable = false;
     server.RunFor(seconds(12));
