Soak: servers that announce their shutdown in answers only, or ask for a pause

The stand-in servers say Server-Leaving in all answers while they leave; half of the planned ends are announced in answers only, and half of the refusing servers ask for a pause of 0.3 to 3 s. Two new checks see requests that reach such a server from an instance that was told. The variants have a random generator of their own, so that seeds of earlier failures keep their faults.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -16,6 +16,8 @@
 MAX_APPLY_S = 2.0
 # Longest time that work may continue after its client has left.
 MAX_CANCEL_S = 0.6
+PAUSE_SLACK_S = 0.5
+MAX_SENDS_IN_PAUSE = 2
 MIN_SERVED_FRACTION = 0.95
 
 
@@ -116,6 +118,42 @@
     return found
 
 
+def after_announcement(announcements, arrivals, attempts, undisturbed):
+    """An instance sends a request to a server that announced its shutdown in
+    an answer that the instance forwarded a drain period before."""
+    announced = {}
+    for at, server, ident in announcements:
+        answered = attempts.get(ident)
+        if answered and answered.status is not None and answered.sealed:
+            announced.setdefault((server, answered.instance), at)
+    found = []
+    for at, server, ident in arrivals:
+        sent = attempts.get(ident)
+        since = sent and announced.get((server, sent.instance))
+        if (since and sent.sent > since + DRAIN_S
+                and undisturbed(since, at, sent.instance)):
+            found.append(f"{ident}: reached {server} {at - since:.2f} s after "
+                         f"its announcement to {sent.instance}")
+    return found
+
+
+def during_pause(pauses, arrivals, attempts, undisturbed):
+    """An instance sends more than two requests to a server from half a second
+    after the server asked it for a pause to the end of the pause."""
+    found = []
+    for asked_at, server, ident, seconds in pauses:
+        instance = attempts[ident].instance if ident in attempts else None
+        begin, end = asked_at + PAUSE_SLACK_S, asked_at + seconds
+        sent = [a for at, s, a in arrivals
+                if s == server and begin < at < end and a in attempts
+                and attempts[a].instance == instance]
+        if (len(sent) > MAX_SENDS_IN_PAUSE
+                and undisturbed(asked_at, end, instance)):
+            found.append(f"{len(sent)} requests from {instance} in a pause of "
+                         f"{server}: {sent[:3]}")
+    return found
+
+
 def unanswered(attempts, undisturbed):
     """An instance without a fault does not answer by the deadline."""
     return [f"{a.ident}: no answer from {a.instance}" for a in attempts
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -34,6 +34,10 @@
         self.runs = []
         # (time, server, attempt) of every request that reached a server.
         self.arrivals = []
+        # (time, server, attempt) of answers that announced a shutdown.
+        self.announcements = []
+        # (time, server, attempt, seconds) of refusals that asked for a pause.
+        self.pauses = []
 
 
 def event_count(attempt):
@@ -72,6 +76,10 @@
         self.draining = False
         # One of FAULTS while a fault is injected, else None.
         self.fault = None
+        # Seconds for which refusals ask for a pause; None for no pause.
+        self.pause_s = None
+        # Serves on without an announcement in the store.
+        self.leaving_unlisted = False
         self.start_unix_ms = 0
         self._server = None
         self._heartbeat = None
@@ -85,6 +93,7 @@
     async def start(self):
         self.alive = True
         self.draining = False
+        self.leaving_unlisted = False
         self.fault = None
         self.start_unix_ms = int(time.time() * 1000)
         self.reset_state()
@@ -110,6 +119,26 @@
         await self.crash()
         self.world.store.remove("servers", self.ident)
 
+    async def leave_unlisted(self, serve_on_s):
+        """Planned end that only answers announce, as while the store is
+        down."""
+        self.leaving_unlisted = True
+        await asyncio.sleep(serve_on_s)
+        await self.crash()
+        self.world.store.remove("servers", self.ident)
+
+    def leaving_headers(self):
+        leaving = self.draining or self.leaving_unlisted
+        return {"Server-Leaving": "1"} if leaving else {}
+
+    def refusal_headers(self, attempt):
+        out = {"Not-Run": "1", "Attempt-Id": attempt, **self.leaving_headers()}
+        if self.pause_s is not None:
+            out["Retry-After"] = f"{self.pause_s:.2f}"
+            self.world.journal.pauses.append(
+                (time.monotonic(), self.ident, attempt, self.pause_s))
+        return out
+
     async def _register(self):
         while True:
             await self.world.register(self)
@@ -127,20 +156,22 @@
         if target == "/healthz":
             status = 503 if self.draining or self.fault else 200
             writer.write(http_lite.response_bytes(
-                status, b"", {"Instance-Id": self.ident}))
+                status, b"", {"Instance-Id": self.ident,
+                              **self.leaving_headers()}))
             return True
         if target in ("/report", "/order"):
             return await self.control(target, body, writer)
         attempt = head.get("attempt-id")
         if head.get("expect-instance") not in ("", self.ident):
             writer.write(http_lite.response_bytes(
-                421, b"", {"Instance-Id": self.ident}))
+                421, b"", {"Instance-Id": self.ident,
+                           **self.leaving_headers()}))
             return True
         self.world.journal.arrivals.append(
             (time.monotonic(), self.ident, attempt))
         if self.fault == "refuse":
             writer.write(http_lite.response_bytes(
-                503, b"", {"Not-Run": "1", "Attempt-Id": attempt}))
+                503, b"", self.refusal_headers(attempt)))
             return True
         run = Run(attempt, self.ident, self.service, f"{method} {target}", body,
                   head.get("tenant"), time.monotonic())
@@ -154,8 +185,12 @@
         return True
 
     def answer_headers(self, run):
+        leaving = self.leaving_headers()
+        if leaving and self.fault is None:
+            self.world.journal.announcements.append(
+                (time.monotonic(), self.ident, run.attempt))
         return {"Attempt-Id": run.attempt,
-                "Server-Seal": f"{self.ident}.{run.attempt}"}
+                "Server-Seal": f"{self.ident}.{run.attempt}", **leaving}
 
 
 class RecordsServer(Server):
@@ -225,10 +260,10 @@
             writer.write(self._json(202, {}))
         return True
 
-    @staticmethod
-    def _json(status, body):
-        return http_lite.response_bytes(status, json.dumps(body).encode(),
-                                        {"Content-Type": "application/json"})
+    def _json(self, status, body):
+        return http_lite.response_bytes(
+            status, json.dumps(body).encode(),
+            {"Content-Type": "application/json", **self.leaving_headers()})
 
     async def _load(self, layers):
         self.world.check_order(self, layers)
@@ -276,7 +311,7 @@
         if unusable or path[0][0] != self.address:
             writer.write(http_lite.response_bytes(
                 421, b"", {"Attempt-Id": run.attempt, "At-Server":
-                           unusable or path[0][0]}))
+                           unusable or path[0][0], **self.leaving_headers()}))
             return True
         self.world.journal.runs.append(run)
         self._paths[run.attempt] = path
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -34,6 +34,7 @@
 # Time to recover after the last fault, then time to check the recovery.
 RECOVERY_S = 6.0
 RECOVERY_CHECK_S = 4.0
+VARIANT_SEED_OFFSET = 1 << 40
 GRACE_S = 5
 ACCOUNT = "club"
 KEY = "key-of-club"
@@ -147,6 +148,8 @@
         self.binary = binary
         self.seed = seed
         self.random = random.Random(seed)
+        # Separate, so that seeds of earlier failures keep their faults.
+        self.variant_random = random.Random(seed + VARIANT_SEED_OFFSET)
         self.directory = directory
         self.block = block
         self.store = store.Store()
@@ -319,9 +322,13 @@
             await server.start()
         elif fault_kind == "leave":
             begin = time.monotonic()
-            await server.leave(checks.DRAIN_S)
-            self.closed_intervals[server.ident] = (
-                begin + checks.DRAIN_S, time.monotonic())
+            if self.variant_random.random() < 0.5:
+                self.fault_log.append(f"server {server.ident} unlisted")
+                await server.leave_unlisted(2.5 * checks.DRAIN_S)
+            else:
+                await server.leave(checks.DRAIN_S)
+                self.closed_intervals[server.ident] = (
+                    begin + checks.DRAIN_S, time.monotonic())
             server.ident += "n"
             await server.start()
         elif fault_kind == "late orders":
@@ -330,8 +337,10 @@
             server.order_delay_s = 0.0
         else:
             server.fault = fault_kind
+            if fault_kind == "refuse" and self.variant_random.random() < 0.5:
+                server.pause_s = self.variant_random.uniform(0.3, 3)
             await asyncio.sleep(duration_s)
-            server.fault = None
+            server.fault = server.pause_s = None
 
     async def change_configuration(self):
         self.fault_log.append("configuration")
@@ -406,6 +415,13 @@
     def _any_overlap(intervals, begin, end):
         return any(a < end and b > begin for a, b in intervals)
 
+    def ran_on(self, begin, end, instance):
+        """True when no fault affected the instance or its links, whatever the
+        state of the store."""
+        found = next(i for i in self.instances if i.ip in instance)
+        return not self._any_overlap(found.disturbances + found.stops, begin,
+                                     end)
+
     def undisturbed(self, begin, end, instance, ignore_stops=False):
         found = next(i for i in self.instances if i.ip in instance)
         stops = [] if ignore_stops else found.stops
@@ -437,6 +453,12 @@
                 ("drain", checks.after_drain(
                     self.journal.arrivals, self.closed_intervals,
                     self.undisturbed, instances)),
+                ("announcement", checks.after_announcement(
+                    self.journal.announcements, self.journal.arrivals,
+                    by_ident, self.ran_on)),
+                ("pause", checks.during_pause(
+                    self.journal.pauses, self.journal.arrivals, by_ident,
+                    self.ran_on)),
                 ("unanswered", checks.unanswered(done, self.undisturbed)),
                 ("lost", checks.lost_around_stop(
                     done, {f"{i.ip}:8227": i.stops for i in self.instances},
--- a/test/soak_checks_test.py
+++ b/test/soak_checks_test.py
@@ -115,6 +115,38 @@
         self.assertEqual([], checks.after_drain(
             late, closed, never_undisturbed, lambda _: [INSTANCE]))
 
+    def test_finds_request_after_announced_shutdown(self):
+        told = attempt("00000000000000aa")
+        late = attempt("00000000000000ab", sent=102.5)
+        attempts = {a.ident: a for a in (told, late)}
+        announcements = [(100.3, "i-1", told.ident)]
+        arrivals = [(102.6, "i-1", late.ident)]
+        self.assertEqual(1, len(checks.after_announcement(
+            announcements, arrivals, attempts, always_undisturbed)))
+        self.assertEqual([], checks.after_announcement(
+            announcements, arrivals, attempts, never_undisturbed))
+        self.assertEqual([], checks.after_announcement(
+            announcements, [(102.6, "i-2", late.ident)], attempts,
+            always_undisturbed))
+        late.sent = 102.2
+        self.assertEqual([], checks.after_announcement(
+            announcements, arrivals, attempts, always_undisturbed))
+
+    def test_finds_requests_during_pause(self):
+        told = attempt()
+        sent = [attempt(f"{i:016x}", "again") for i in range(3)]
+        attempts = {a.ident: a for a in [told, *sent]}
+        pauses = [(100.0, "i-1", told.ident, 2.0)]
+        arrivals = [(101.0 + i / 10, "i-1", a.ident)
+                    for i, a in enumerate(sent)]
+        self.assertEqual(1, len(checks.during_pause(
+            pauses, arrivals, attempts, always_undisturbed)))
+        self.assertEqual([], checks.during_pause(
+            pauses, arrivals[:2], attempts, always_undisturbed))
+        self.assertEqual([], checks.during_pause(
+            [(99.0, "i-1", told.ident, 2.0)], arrivals, attempts,
+            always_undisturbed))
+
     def test_finds_missing_answer_at_deadline(self):
         a = attempt(status=None, complete=False, ended=108.5)
         self.assertEqual(1, len(checks.unanswered([a], always_undisturbed)))
