Bound observations of servers that damaged messages date in the future

Found by reading: the age of a limit or of an announced shutdown comes from a datagram; a negative one set its time in the future, so that no later observation of the limit counted and the hint outlived its expiry.

Merge() takes the present for a later time. DamagedObservationsAreBounded and HintExpires fail without it.

--- a/src/server_availability.cc
+++ b/src/server_availability.cc
@@ -32,7 +32,9 @@
 }
 
 bool LeavingServers::Merge(TimePoint now, const LeavingNotice& notice) {
-  if (now - notice.observed_at >= kHintTtl)
+  // A time in the future would keep the hint beyond its expiry.
+  const TimePoint observed_at = std::min(notice.observed_at, now);
+  if (now - observed_at >= kHintTtl)
     return false;
   const ServerProcess& process = notice.process;
   const auto [found, is_new] = m_entries.try_emplace(process.id);
@@ -41,10 +43,10 @@
     return false;
   if (!is_new && process.start_unix_ms == entry.start_unix_ms) {
     const bool was_current = IsCurrent(now, entry);
-    entry.observed_at = std::max(entry.observed_at, notice.observed_at);
+    entry.observed_at = std::max(entry.observed_at, observed_at);
     return !was_current;
   }
-  entry = {process.start_unix_ms, notice.observed_at, false};
+  entry = {process.start_unix_ms, observed_at, false};
   return true;
 }
 
--- a/src/server_limits.cc
+++ b/src/server_limits.cc
@@ -81,17 +81,19 @@
 void ServerLimits::Merge(TimePoint now,
                          const std::string& server,
                          const LimitObservation& observation) {
+  // No later observation would count after one from the future.
+  const TimePoint observed_at = std::min(observation.observed_at, now);
   const auto [found, is_new] = m_states.try_emplace(server);
   State& state = found->second;
   if (is_new) {
     state.share = 1.0 / static_cast<double>(m_instances);
     state.mean_share = state.share;
     state.refilled_at = now;
-  } else if (observation.observed_at <= state.observation.observed_at) {
+  } else if (observed_at <= state.observation.observed_at) {
     return;
   }
   Refill(now, state);
-  state.observation = observation;
+  state.observation = {observation.requests_per_second, observed_at};
   if (auto& limit = state.observation.requests_per_second)
     limit = std::clamp(*limit, 0.0, kMaxLimitPerSecond);
 }
--- a/test/server_availability_test.cc
+++ b/test/server_availability_test.cc
@@ -72,6 +72,9 @@
     CPPUNIT_ASSERT(leaving.RemoveExpired(kStart + seconds(21),
                                          {{"i-1", Listed(kProcess)}}));
     CPPUNIT_ASSERT(!leaving.Merge(kStart, {kProcess, kStart - seconds(40)}));
+    // A damaged message.
+    leaving.Merge(kStart, {kNextProcess, kStart + minutes(5)});
+    CPPUNIT_ASSERT(!leaving.Contains(kStart + seconds(31), kNextProcess));
   }
 
   // What other instances say later must not give the announcement an expiry.
--- a/test/server_limits_test.cc
+++ b/test/server_limits_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST_SUITE(ServerLimitsTest);
   CPPUNIT_TEST(LimitIsKept);
   CPPUNIT_TEST(FractionsOfARequestAddUp);
+  CPPUNIT_TEST(DamagedObservationsAreBounded);
   CPPUNIT_TEST(LimitEndsWithNewerAnswerOnly);
   CPPUNIT_TEST(NewestObservationCounts);
   CPPUNIT_TEST(ShareFollowsDemand);
@@ -55,6 +56,17 @@
     CPPUNIT_ASSERT_MESSAGE(std::to_string(taken), taken >= 25 && taken <= 55);
   }
 
+  // A damaged message held its limit against all later answers, and a huge one
+  // overflowed the messages between instances.
+  void DamagedObservationsAreBounded() {
+    ServerLimits limits;
+    limits.Merge(kStart, kServer, {4.0, kStart + minutes(5)});
+    limits.Merge(kStart + seconds(1), kServer, {6.0, kStart + seconds(1)});
+    CPPUNIT_ASSERT_EQUAL(6.0, limits.LimitOf(kServer).value());
+    limits.Merge(kStart + seconds(2), kServer, {1e300, kStart + seconds(2)});
+    CPPUNIT_ASSERT_EQUAL(kMaxLimitPerSecond, limits.LimitOf(kServer).value());
+  }
+
   // An answer that was made before the server was in need must not end its
   // limit.
   void LimitEndsWithNewerAnswerOnly() {
