--- a/src/crash_suspects.cc
+++ b/src/crash_suspects.cc
@@ -190,6 +190,8 @@
 std::vector<CrashTracker::Culprit> CrashTracker::FindCulprits(
     TimePoint now) const {
   std::vector<Culprit> out;
+  if (m_crashes.size() < kMinCrashes)
+    return out;
   Crashes unexplained = SortedCrashes();
   for (;;) {
     const std::map<Trait, Crashes> by_trait = CrashesByTrait(unexplained);
