Send a request that a server failed to another server, and forward the error without a retry

Cause: a failed request excluded its server only when the response broke off; the server of the own data center stayed the cheapest. Servers that failed a request are now used for it again only when no other can be. When the retry budget denies the retry, the client gets the server's own error and not a 502.

Tests: RetryAfterServerErrorUsesAnotherServer fails on, ErrorIsForwardedWhenTheRetryBudgetIsSpent without its line.

--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -343,10 +343,22 @@
   PathRequest path_request = MakePathRequest();
   path_request.allow_cross_data_center = true;
   const LoadMap loads = m_core.coordination().Loads(m_core.Now());
+  const auto choose = [&] {
+    return ChoosePath(engine, m_core.servers(), loads, path_request,
+                      MaxMemoryUtilization(m_response_committed));
+  };
+  std::set<std::string> to_avoid = m_failed_servers;
+  for (const std::string& server : path_request.excluded_as_first)
+    to_avoid.erase(server);
+  path_request.excluded_as_first.insert(to_avoid.begin(), to_avoid.end());
   std::optional<PathChoice> choice;
   for (;;) {
-    choice = ChoosePath(engine, m_core.servers(), loads, path_request,
-                        MaxMemoryUtilization(m_response_committed));
+    choice = choose();
+    if (!choice && !to_avoid.empty()) {
+      for (const std::string& server : std::exchange(to_avoid, {}))
+        path_request.excluded_as_first.erase(server);
+      choice = choose();
+    }
     if (!choice ||
         !m_core.AdmitCrossDataCenterPath(engine, *choice, path_request.tokens))
       return SendVerdict::kNoCapacity;
@@ -370,6 +382,8 @@
   excluded.merge(m_core.coordination().LocallyUnreachableServers(m_core.Now()));
   // Added to the number of requests on a server of another data center.
   constexpr double kRemotePenaltyRequests = 1.5;
+  // More than the load of any other server.
+  constexpr double kFailedPenaltyRequests = 1e6;
   std::multimap<double, std::string> candidates;
   for (const auto& [id, server] : m_core.servers()) {
     if (server.service != m_service || server.state != ServerState::kReady ||
@@ -381,6 +395,8 @@
     double cost = load == loads.end() ? 0 : load->second.sequences;
     if (server.data_center != m_core.settings().data_center)
       cost += kRemotePenaltyRequests;
+    if (m_failed_servers.contains(id))
+      cost += kFailedPenaltyRequests;
     cost += m_core.random().UniformDouble() * 0.1;
     candidates.emplace(cost, id);
   }
--- a/src/gateway_exchange_response.cc
+++ b/src/gateway_exchange_response.cc
@@ -180,9 +180,14 @@
     ExecuteDecision(m_forward.OnServerEvent(ServerEvent::kRefused));
     return;
   }
-  ExecuteDecision(m_forward.OnServerEvent(m_head.status / 100 == 5
-                                              ? ServerEvent::kServerFailed
-                                              : ServerEvent::kAnswered));
+  const bool failed = m_head.status / 100 == 5;
+  if (failed)
+    m_failed_servers.insert(m_server);
+  // Without a retry the server's own answer tells the client most.
+  const bool may_retry =
+      failed && m_core.MayRetry(m_service, m_response_committed);
+  ExecuteDecision(m_forward.OnServerEvent(may_retry ? ServerEvent::kServerFailed
+                                                    : ServerEvent::kAnswered));
 }
 
 // Excludes the server that refused: the faulty one on the path when the
--- a/test/adapter_gateway_test.cc
+++ b/test/adapter_gateway_test.cc
@@ -17,6 +17,9 @@
   CPPUNIT_TEST(TruncatedResponseIsRetriedOnIdempotentRoute);
   CPPUNIT_TEST(TruncatedResponseIsNotRetriedOnNonIdempotentRoute);
   CPPUNIT_TEST(ServerRefusalIsReportedAsNotRun);
+  CPPUNIT_TEST(RetryAfterServerErrorUsesAnotherServer);
+  CPPUNIT_TEST(ErrorIsForwardedWhenTheRetryBudgetIsSpent);
+  CPPUNIT_TEST(OnlyServerIsUsedAgainAfterItsError);
   CPPUNIT_TEST(ResponseOfAnotherRequestIsDiscarded);
   CPPUNIT_TEST(BrokenStreamResumesAfterLastCompleteEvent);
   CPPUNIT_TEST(UnresumedStreamEndsWithoutFinalChunk);
@@ -221,6 +224,61 @@
     CPPUNIT_ASSERT_EQUAL(1, calls.load());
   }
 
+  // The server of the own data center failed a request and got it again, while
+  // one in another data center was free (dhofar-warmth, inc-a151).
+  void RetryAfterServerErrorUsesAnotherServer() {
+    ScriptedServer failing([](const std::string&) {
+      return ScriptedResponse{MakeResponse("500 Internal Server Error",
+                                           "Server-Seal: s\r\n", "failed")};
+    });
+    ScriptedServer other([](const std::string&) {
+      return ScriptedResponse{MakeSealedResponse("done")};
+    });
+    GatewayHarness harness;
+    harness.AddServer("i-0", "desk", failing.address());
+    harness.AddServer("i-1", "desk", other.address());
+    harness.store().servers["i-1"].data_center = "brandon";
+    harness.store().table = MakeTable();
+    harness.Start();
+    // The first sums of the retry budget.
+    std::this_thread::sleep_for(seconds(1));
+    for (int i = 0; i < 3; ++i) {
+      const std::string response = harness.CallAsClient(Request("GET /get/x"));
+      CPPUNIT_ASSERT_MESSAGE(response, response.ends_with("done"));
+    }
+  }
+
+  // The client got a 502 in place of the complete answer.
+  void ErrorIsForwardedWhenTheRetryBudgetIsSpent() {
+    ScriptedServer server([](const std::string&) {
+      return ScriptedResponse{MakeResponse("500 Internal Server Error",
+                                           "Server-Seal: s\r\n", "failed")};
+    });
+    GatewayHarness harness;
+    harness.settings().retry_ratio = 0;
+    harness.settings().retry_slack = 0;
+    StartGateway(harness, {&server});
+    // An instance without sums of the others retries once.
+    harness.CallAsClient(Request("GET /get/x"));
+    const std::string response = harness.CallAsClient(Request("GET /get/x"));
+    CPPUNIT_ASSERT_MESSAGE(response, response.starts_with("HTTP/1.1 500"));
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, server.requests().size());
+  }
+
+  void OnlyServerIsUsedAgainAfterItsError() {
+    std::atomic<int> calls{0};
+    ScriptedServer server([&](const std::string&) {
+      return ScriptedResponse{++calls == 1
+                                  ? MakeResponse("500 Internal Server Error",
+                                                 "Server-Seal: s\r\n", "failed")
+                                  : MakeSealedResponse("done")};
+    });
+    GatewayHarness harness;
+    StartGateway(harness, {&server});
+    CPPUNIT_ASSERT(
+        harness.CallAsClient(Request("GET /get/x")).ends_with("done"));
+  }
+
   void ServerRefusalIsReportedAsNotRun() {
     ScriptedServer server([](const std::string&) {
       return ScriptedResponse{
