--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -82,6 +82,8 @@
         self.name = name
         self.ip = ip
         self.zone = zone
+        # Address of the store, or of a proxy before it.
+        self.store_host = world.store_host
         self.process = None
         self.supervised = False
         self.file = world.directory / f"{name}.toml"
@@ -131,7 +133,7 @@
 regions = 0
 [bounds]
 {BOUNDS}[platform]
-address = "{self.world.store_host}:{ports['store']}"
+address = "{self.store_host}:{ports['store']}"
 form = "table"
 writesPerS = 400
 readsPerS = 2000
