--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,5 @@
-"""All servers of one of two services of a split route crash."""
+"""Many users come at once. Their connections are kept: a client whose draft was
+refused sends its next request on the same connection."""
 
 import asyncio
 import random
@@ -9,14 +10,16 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parents[0]))
 
-from standins import clients, world as worlds
-from standins.servers import RecordServer
+from standins import clients, kept, world as worlds
+from standins.servers import ModelServer, RecordServer
 
-LENGTH_S = 60
-CRASH_EVERY_S = 9.0
-DOWN_S = 4.5
-LOOKUPS_PER_S = 30
-BALLOTS_PER_S = 30
+LENGTH_S = 100
+DRAFTS_PER_S = 15
+BURST_X = 2.6
+BURST_S = 6.0
+BURST_EVERY_S = 8.0
+# Requests that a model server runs at once.
+SLOTS = 16
 
 
 class World(worlds.World):
@@ -25,76 +28,111 @@
         # Attempts that a server began to work on.
         self.run = {}
 
+    def engine(self):
+        return super().engine() | {"slots": SLOTS}
+
     def on_arrival(self, server, attempt, head):
         super().on_arrival(server, attempt, head)
         self.run[attempt] = server.ident
 
     def work_s(self):
-        """30 ms at the mean, and five times as long for one in a hundred."""
-        factor = 5 if random.random() < 0.01 else 1
-        return min(0.22, factor * 0.03 * random.lognormvariate(-0.11, 0.47))
-
-
-async def request(world, kind, counts):
-    address = "%s:%d" % random.choice(world.instances).front
-    method, path, body = {
-        "ballot": ("POST", "/ballot/2f", b"x" * 600),
-        "lookup": ("GET", "/lookup/2f", b"")}[kind]
-    answer = await clients.send(world, address, method, path, body=body,
-                                deadline_s=2.5)
-    world.note("answer", kind=kind, attempt=answer.attempt,
-               status=answer.status)
-    counts[kind, answer.status] += 1
-    if kind == "ballot" and answer.status in (408, 421, 429, 503):
-        # A server may still begin to work on it.
-        await asyncio.sleep(2.5)
-        if answer.attempt in world.run:
-            world.found("REFUSED", attempt=answer.attempt,
-                        status=answer.status, ran=world.run[answer.attempt])
-
-
-async def traffic(world, kind, per_s, counts):
+        return 0.03
+
+
+async def session(world, counts):
+    """A draft, then at once a ballot on the same connection."""
+    connection = kept.KeptConnection()
+    try:
+        await connection.open(*random.choice(world.instances).front)
+        draft = worlds.attempt_id()
+        await connection.send(
+            "POST", "/draft/2f", draft,
+            {"Deadline-Ms": "20000", **clients.stream_headers()}, b"{}" * 400)
+        answer = await connection.read_answer(21)
+        if answer is None:
+            counts["draft", None] += 1
+            return
+        status = kept.status_of(answer[0])
+        counts["draft", status] += 1
+        if not connection.is_quiet():
+            counts["not quiet"] += 1
+            world.note("bytes that nobody asked for", after=draft)
+            return
+        ballot = worlds.attempt_id()
+        await connection.send("POST", "/ballot/2f", ballot,
+                              {"Deadline-Ms": "2500"}, b"x" * 600)
+        answer = await connection.read_answer(3.5)
+        if answer is None:
+            counts["ballot", None] += 1
+            return
+        head = answer[0]
+        counts["ballot", kept.status_of(head)] += 1
+        world.note("answers", draft=draft, draft_status=status, ballot=ballot,
+                   ballot_status=kept.status_of(head),
+                   ballot_answer_is_for=head.get("attempt-id"))
+        if head.get("attempt-id") != ballot:
+            world.found("MIXED", sent=ballot, answer_for=head.get("attempt-id"),
+                        status=kept.status_of(head))
+            await asyncio.sleep(1)
+            if ballot in world.run:
+                world.note("the ballot ran all the same", attempt=ballot,
+                           server=world.run[ballot])
+                counts["ran, but the client read 503"] += 1
+    except (OSError, asyncio.TimeoutError):
+        counts["no connection"] += 1
+    finally:
+        connection.close()
+
+
+async def traffic(world, counts):
     while True:
-        await asyncio.sleep(random.expovariate(per_s))
-        world.task(request(world, kind, counts))
+        await asyncio.sleep(random.expovariate(DRAFTS_PER_S))
+        world.task(session(world, counts))
+
+
+async def burst(world, counts):
+    """For BURST_S, the users beyond the usual come at once, each second."""
+    world.note("burst begins")
+    for _ in range(int(BURST_S)):
+        for _ in range(int(DRAFTS_PER_S * (BURST_X - 1))):
+            world.task(session(world, counts))
+        await asyncio.sleep(1)
 
 
 async def case(folder):
     world = World(folder, ["regina", "regina"])
     try:
-        for index in range(6):
-            world.add_server(RecordServer, f"i-{index:02d}",
-                             "clubdesk" if index < 3 else "clubdesk-new",
+        for index in range(12):
+            world.add_server(ModelServer, f"i-{index:02d}", "trefoil-pool",
+                             "regina", kind="a100s")
+        for index in range(3):
+            world.add_server(RecordServer, f"c-{index:02d}", "clubdesk",
                              "regina")
-        both = [{"service": "clubdesk", "weight": 50},
-                {"service": "clubdesk-new", "weight": 50}]
-        plain = {"timeoutMs": 1200, "targetLatencyMs": 150, "priority": 2}
-        ballot = world.route("/ballot/", "non_idempotent", "", **plain,
-                             maxAttempts=1, backends=both)
-        del ballot["service"]
         world.configure(
-            7, [ballot, world.route("/lookup/", "idempotent", "clubdesk",
-                                    **plain)],
-            [{"name": name, "healthPath": "/healthz", "maxConns": 208,
-              "protocol": "h1", "tls": False}
-             for name in ("clubdesk", "clubdesk-new")])
+            7, [world.route("/draft/", "stream", "trefoil-pool"),
+                world.route("/ballot/", "non_idempotent", "clubdesk",
+                            timeoutMs=1200, targetLatencyMs=150,
+                            maxAttempts=1)],
+            [{"name": "trefoil-pool", "healthPath": "/healthz",
+              "maxConns": 2444, "protocol": "h1", "tls": False,
+              "engine": world.engine()},
+             {"name": "clubdesk", "healthPath": "/healthz", "maxConns": 208,
+              "protocol": "h1", "tls": False}])
         await world.start()
-        if not await world.wait_ready():
+        if not await world.wait_ready() or not await world.wait_layers():
             print("the instances did not start")
             return 2
         counts = Counter()
-        world.task(traffic(world, "ballot", BALLOTS_PER_S, counts))
-        world.task(traffic(world, "lookup", LOOKUPS_PER_S, counts))
-        await asyncio.sleep(3)
-        for _ in range(int((LENGTH_S - 3) / CRASH_EVERY_S)):
+        world.task(traffic(world, counts))
+        await asyncio.sleep(4)
+        for _ in range(int((LENGTH_S - 4) / BURST_EVERY_S)):
             if worlds.trouble():
-                for server in world.servers[:3]:
-                    world.task(server.crash_for(DOWN_S))
-            await asyncio.sleep(CRASH_EVERY_S)
-        await asyncio.sleep(3)
+                world.task(burst(world, counts))
+            await asyncio.sleep(BURST_EVERY_S)
+        await asyncio.sleep(4)
         print(f"answers {dict(counts)}; broken: "
               f"{Counter(world.findings) or 'none'}")
-        if counts["ballot", 200] < 200:
+        if counts["ballot", 200] < 100:
             return 2
         return 1 if world.findings else 0
     finally:
--- a/review/standins/clients.py
+++ b/review/standins/clients.py
@@ -36,6 +36,8 @@
     def __init__(self, attempt):
         self.attempt = attempt
         self.sent = time.monotonic()
+        # False when no connection could be made.
+        self.was_sent = False
         self.status = None
         self.headers = None
         self.body = b""
@@ -58,6 +60,7 @@
         fields["Content-Length"] = len(body)
     writer.write(request_head(method, path, answer.attempt, **fields) + body)
     answer.sent = time.monotonic()
+    answer.was_sent = True
     try:
         await asyncio.wait_for(_read(reader, answer), deadline_s + 1)
     except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -352,7 +352,10 @@
 def run_case(case, folder, limit_s=110):
     """Runs `case(folder)`, a coroutine that returns the exit code."""
     async def limited():
-        return await asyncio.wait_for(case(folder), limit_s)
+        task = asyncio.ensure_future(case(folder))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await asyncio.wait_for(task, limit_s)
 
     def ignore_cancelled(loop, context):
         if not isinstance(context.get("exception"),
@@ -363,7 +366,8 @@
     loop.set_exception_handler(ignore_cancelled)
     try:
         code = loop.run_until_complete(limited())
-    except Exception:  # A case that could not run is no result.
+    except (Exception, asyncio.CancelledError):
+        # A case that could not run is no result.
         traceback.print_exc()
         code = 2
     sys.stdout.flush()
