--- a/review/1/case.py
+++ b/review/1/case.py
@@ -48,6 +48,7 @@
         await connection.send(
             "POST", "/draft/2f", draft,
             {"Deadline-Ms": "20000", **clients.stream_headers()}, b"{}" * 400)
+        world.note("sent", attempt=draft, request="POST /draft/2f")
         answer = await connection.read_answer(21)
         if answer is None:
             counts["draft", None] += 1
@@ -61,6 +62,8 @@
         ballot = worlds.attempt_id()
         await connection.send("POST", "/ballot/2f", ballot,
                               {"Deadline-Ms": "2500"}, b"x" * 600)
+        world.note("sent", attempt=ballot, request="POST /ballot/2f",
+                   on_the_connection_of=draft)
         answer = await connection.read_answer(3.5)
         if answer is None:
             counts["ballot", None] += 1
@@ -73,7 +76,11 @@
         if head.get("attempt-id") != ballot:
             world.found("MIXED", sent=ballot, answer_for=head.get("attempt-id"),
                         status=kept.status_of(head))
-            await asyncio.sleep(1)
+            late = await connection.read_answer(1)
+            if late:
+                world.note("the next answer on the connection",
+                           status=kept.status_of(late[0]),
+                           answer_for=late[0].get("attempt-id"))
             if ballot in world.run:
                 world.note("the ballot ran all the same", attempt=ballot,
                            server=world.run[ballot])
