--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,7 +12,7 @@
 from standins import clients, world as worlds
 from standins.servers import RecordServer
 
-LENGTH_S = 60
+LENGTH_S = 96
 CRASH_EVERY_S = 9.0
 DOWN_S = 4.5
 LOOKUPS_PER_S = 30
