--- a/review/standins/clients.py
+++ b/review/standins/clients.py
@@ -61,6 +61,8 @@
     writer.write(request_head(method, path, answer.attempt, **fields) + body)
     answer.sent = time.monotonic()
     answer.was_sent = True
+    world.note("sent", attempt=answer.attempt, to=address,
+               request=f"{method} {path}")
     try:
         await asyncio.wait_for(_read(reader, answer), deadline_s + 1)
     except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
