Begin each run of a stream without the partial event of the one before

Cause: SendAgain reset the splitter of events only if the stream had a complete event, so the part of a first event that a crash cut off stayed in front of the next run. Ruled out: that the half event was forwarded before the crash; only complete events are, and it arrived with the first bytes of the next run.

Change: StartUpstreamCall begins every run with EventSplitter::BeginRun, so that nothing of a run but the id of its last event reaches the next one, whatever ended it. On a related path, a large body that is no event stream was passed on as it came, and the events of another run could be appended to it: such a response is not continued any more.

--- a/include/trefoilwick/forwarding.h
+++ b/include/trefoilwick/forwarding.h
@@ -82,6 +82,8 @@
   kServerFailed,
   // The beginning of a successful response was received, and more follows.
   kAnswerBegun,
+  // The same of a response that is no event stream: no other run continues it.
+  kPlainAnswerBegun,
   // Before the end of the response, the connection ended or sent data that is
   // no valid response.
   kAnswerIncomplete,
@@ -162,6 +164,8 @@
   bool m_may_have_run = false;
   // Part of a response was sent to the client.
   bool m_relaying = false;
+  // That response may be continued by another run.
+  bool m_may_continue = true;
   int m_sends = 0;
   int m_refusals = 0;
   int m_connect_failures = 0;
@@ -250,14 +254,15 @@
 // the last one, so that another server can continue after it.
 class EventSplitter {
  public:
-  // Returns the bytes of the events that became complete. After Resume(),
-  // events that were already returned are left out.
+  // Returns the bytes of the events that became complete, without those that an
+  // earlier run returned.
   std::string Feed(std::string_view bytes, TimePoint now);
   // The bytes of the last event, which is incomplete.
   const std::string& partial() const { return m_partial; }
   std::string TakePartial();
-  // Continues with the stream of another server: drops the partial event.
-  void Resume();
+  // Begins the stream of the next server. Nothing of the one before stays but
+  // the id of its last complete event.
+  void BeginRun();
   int64_t last_id() const { return m_last_id; }
   bool has_events() const { return m_last_id >= 0; }
   // False once an event was out of order or did not end, or more bytes came
@@ -272,6 +277,7 @@
   size_t m_bytes_without_id = 0;
   EndlessElementDetector m_endless_event;
   int64_t m_last_id = -1;
+  // An earlier run has returned events.
   bool m_resumed = false;
   bool m_in_order = true;
 };
--- a/src/forwarding.cc
+++ b/src/forwarding.cc
@@ -108,8 +108,8 @@
 }
 
 bool ForwardState::MayResume() const {
-  return m_relaying && m_may_repeat && m_kind == RouteKind::kStream &&
-         HasSendsLeft();
+  return m_relaying && m_may_continue && m_may_repeat &&
+         m_kind == RouteKind::kStream && HasSendsLeft();
 }
 
 ForwardDecision ForwardState::GiveUp(bool timed_out) {
@@ -138,6 +138,9 @@
     case ServerEvent::kAnswered:
       m_state = SendState::kEnded;
       return RelayAnswer{};
+    case ServerEvent::kPlainAnswerBegun:
+      m_may_continue = false;
+      [[fallthrough]];
     case ServerEvent::kAnswerBegun:
       m_may_have_run = true;
       m_relaying = true;
@@ -286,11 +289,11 @@
   return std::move(m_partial);
 }
 
-void EventSplitter::Resume() {
+void EventSplitter::BeginRun() {
   m_partial.clear();
   m_bytes_without_id = 0;
   m_endless_event.Reset();
-  m_resumed = true;
+  m_resumed = has_events();
   m_in_order = true;
 }
 
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -486,6 +486,7 @@
   m_head = ResponseHead();
   m_optional_body_since.reset();
   m_body.clear();
+  m_events.BeginRun();
   m_streaming = false;
   m_repathing = false;
   m_migration_plan.Clear();
@@ -566,8 +567,6 @@
 void Exchange::SendAgain() {
   m_call = nullptr;
   ReleaseLoad();
-  if (m_events.has_events())
-    m_events.Resume();
   m_queue_deadline =
       std::max(m_queue_deadline, m_core.Now() + milliseconds(300));
   TryDispatch();
--- a/src/gateway_exchange_response.cc
+++ b/src/gateway_exchange_response.cc
@@ -117,7 +117,8 @@
 void Exchange::CommitResponse() {
   if (std::exchange(m_response_committed, true))
     return;
-  m_forward.OnServerEvent(ServerEvent::kAnswerBegun);
+  m_forward.OnServerEvent(m_streaming ? ServerEvent::kAnswerBegun
+                                      : ServerEvent::kPlainAnswerBegun);
   m_first_event_at = m_core.Now();
   m_session->BeginChunkedResponse(m_head.status, m_head.forwarded_headers);
 }
--- /dev/null
+++ b/test/adapter_stream_test.cc
@@ -0,0 +1,92 @@
+// Tests of event streams over real sockets: what a faulty server sends must
+// not reach a client as part of a stream.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "gateway_fixtures.h"
+
+namespace trefoilwick {
+namespace {
+
+// Response of a gateway to a request for a stream. The first run sends
+// `first_run`, each later one the events that are missing up to `last_id`.
+std::string CallStream(const ScriptedResponse& first_run, int last_id) {
+  std::atomic<int> calls{0};
+  const auto serve = [&](const std::string& request) {
+    if (++calls == 1)
+      return first_run;
+    int next_id = 0;
+    const std::string field = "Last-Event-Id: ";
+    const size_t at = request.find(field);
+    if (at != std::string::npos)
+      next_id = std::stoi(request.substr(at + field.size())) + 1;
+    ScriptedResponse response{kStreamHead};
+    for (int id = next_id; id <= last_id; ++id)
+      response.bytes += MakeChunk(MakeEvent(id));
+    response.bytes += MakeChunk("");
+    return response;
+  };
+  ScriptedServer first(serve);
+  ScriptedServer second(serve);
+  GatewayHarness harness;
+  StartGateway(harness, {&first, &second});
+  return harness.CallAsClient(Request("POST /stream/x", "", "b"));
+}
+
+// Payload of a chunked response.
+std::string ChunkedBody(const std::string& response) {
+  std::string body;
+  size_t at = response.find("\r\n\r\n") + 4;
+  while (at < response.size()) {
+    const size_t length = std::stoul(response.substr(at), nullptr, 16);
+    at = response.find("\r\n", at) + 2;
+    body += response.substr(at, length);
+    at += length + 2;
+  }
+  return body;
+}
+
+std::string MakeEvents(int last_id) {
+  std::string events;
+  for (int id = 0; id <= last_id; ++id)
+    events += MakeEvent(id);
+  return events;
+}
+
+class AdapterStreamTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AdapterStreamTest);
+  CPPUNIT_TEST(FirstEventCutOffByCrashIsNotJoinedToNextRun);
+  CPPUNIT_TEST(BodyWithoutEventsIsNotContinuedByStream);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // The part of a first event that a crash cut off stayed in front of the first
+  // event of the next run.
+  void FirstEventCutOffByCrashIsNotJoinedToNextRun() {
+    const std::string event = MakeEvent(0);
+    for (const size_t length : {size_t{3}, size_t{6}, event.size() / 2}) {
+      const std::string response = CallStream(
+          {kStreamHead + MakeChunk(event.substr(0, length)), true, true}, 1);
+      CPPUNIT_ASSERT_MESSAGE(response, response.ends_with("\r\n0\r\n\r\n"));
+      CPPUNIT_ASSERT_EQUAL(MakeEvents(1), ChunkedBody(response));
+    }
+  }
+
+  // A large body that is no event stream was forwarded as it came. When it
+  // broke off, the events of another run were appended to it.
+  void BodyWithoutEventsIsNotContinuedByStream() {
+    constexpr size_t kLength = size_t{400} * 1024;
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s\r\n"
+        "Content-Type: text/plain\r\nContent-Length: 500000\r\n\r\n";
+    const std::string response =
+        CallStream({head + std::string(kLength, 'x'), true, true}, 1);
+    CPPUNIT_ASSERT(response.starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(!Contains(response, "id: "));
+    CPPUNIT_ASSERT(!response.ends_with("\r\n0\r\n\r\n"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdapterStreamTest);
+
+}  // namespace
+}  // namespace trefoilwick
--- a/test/forwarding_test.cc
+++ b/test/forwarding_test.cc
@@ -60,6 +60,8 @@
   CPPUNIT_TEST(EventThatDoesNotEndStopsStream);
   CPPUNIT_TEST(HeadDecidesHowBodyIsUsed);
   CPPUNIT_TEST(ResumedStreamSkipsForwardedEvents);
+  CPPUNIT_TEST(NextRunBeginsWithoutPartialEvent);
+  CPPUNIT_TEST(BodyWithoutEventsIsNotContinued);
   CPPUNIT_TEST(MissingEventStopsStream);
   CPPUNIT_TEST(EventsDoNotDependOnChunkSizes);
   CPPUNIT_TEST(RefusedRetryStillCountsEarlierRunOnServer);
@@ -404,13 +406,38 @@
   void ResumedStreamSkipsForwardedEvents() {
     EventSplitter events;
     events.Feed("id: 0\ndata: a\n\nid: 1\ndata: b\n\nid: 2\nda", TimePoint{});
-    events.Resume();
+    events.BeginRun();
     CPPUNIT_ASSERT_EQUAL(
         std::string("id: 2\ndata: c\n\n"),
         events.Feed("id: 1\ndata: b\n\nid: 2\ndata: c\n\n", TimePoint{}));
     CPPUNIT_ASSERT(events.in_order());
   }
 
+  // The part of an event that a crash cut off was joined to the first event of
+  // the next run when it was the first of the stream.
+  void NextRunBeginsWithoutPartialEvent() {
+    const std::string event = "id: 0\ndata: a\n\n";
+    for (size_t length = 0; length < event.size(); ++length) {
+      EventSplitter events;
+      events.BeginRun();
+      events.Feed(event.substr(0, length), TimePoint{});
+      events.BeginRun();
+      CPPUNIT_ASSERT(events.partial().empty());
+      CPPUNIT_ASSERT_EQUAL(event, events.Feed(event, TimePoint{}));
+      CPPUNIT_ASSERT(events.in_order());
+    }
+  }
+
+  // Bytes that are no events have no position at which another run could go on.
+  void BodyWithoutEventsIsNotContinued() {
+    ForwardState state = StateOf(MakeRoute(RouteKind::kStream, 2, true));
+    state.OnSend("a");
+    state.OnServerEvent(ServerEvent::kPlainAnswerBegun);
+    CPPUNIT_ASSERT(!state.MayResume());
+    CPPUNIT_ASSERT(
+        Is<AbortAnswer>(state.OnServerEvent(ServerEvent::kAnswerIncomplete)));
+  }
+
   void MissingEventStopsStream() {
     EventSplitter events;
     CPPUNIT_ASSERT_EQUAL(
