Answer a request once, and dispatch waiting requests after the present event

Cause: DispatchWaitingRequests works through a copy of the waiting requests. A refusal in it called Finish, and Finish called DispatchWaitingRequests again: the inner pass refused later requests of the copy, and the outer pass refused them once more. SendRefusal wrote its response although the request had ended. Ruled out: two exchanges mixed up by the client's connection; all copies bear the id of the refused request.

Change: Finish schedules one pass after the present event, however many requests end in it, and says whether it ended the request; responses are written only then.

--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -121,6 +121,15 @@
   }
 }
 
+void GatewayCore::ScheduleDispatch() {
+  if (m_waiting_requests.empty() || std::exchange(m_dispatch_scheduled, true))
+    return;
+  asio::post(m_io, [this] {
+    m_dispatch_scheduled = false;
+    DispatchWaitingRequests();
+  });
+}
+
 bool GatewayCore::MustQueue(const Exchange& exchange) const {
   const WaitingRequest request = exchange.MakeWaitingRequest();
   const TimePoint now = Now();
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -90,8 +90,10 @@
   void AddExchange(Exchange* exchange) { m_exchanges.insert(exchange); }
   void RemoveExchange(Exchange* exchange);
   // Tries to send the waiting requests; called when capacity may have become
-  // free.
+  // free. Not to be called while a request is being sent or ended.
   void DispatchWaitingRequests();
+  // Calls DispatchWaitingRequests() once, after the present event.
+  void ScheduleDispatch();
   // True when a waiting request must be served before this one.
   bool MustQueue(const Exchange& exchange) const;
 
@@ -265,6 +267,7 @@
   std::unordered_map<ClientSession*, std::shared_ptr<ClientSession>> m_sessions;
   std::unordered_set<Exchange*> m_exchanges;
   std::vector<Exchange*> m_waiting_requests;
+  bool m_dispatch_scheduled = false;
   LoadMap m_local_loads;
   ProbeLimiter m_probe_limiter;
   SlowdownDetector m_slowdown_detector;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -556,8 +556,8 @@
                  },
                  [&](const RelayAnswer&) { RelayFullResponse(); },
                  [&](const AbortAnswer&) {
-                   Finish("broken_off", 0);
-                   m_session->Abort();
+                   if (Finish("broken_off", 0))
+                     m_session->Abort();
                  },
                  [](const KeepWaiting&) {},
              },
@@ -606,8 +606,8 @@
                        RetryAfterSeconds(retry_after));
   response.body = std::string(R"({"outcome":"not_run","detail":")") +
                   m_refusal_reason + "\"}";
-  Finish(m_refusal_reason, 503);
-  m_session->SendFullResponse(response);
+  if (Finish(m_refusal_reason, 503))
+    m_session->SendFullResponse(response);
 }
 
 void Exchange::SendLocalReply(int status,
@@ -619,13 +619,13 @@
   response.headers.set(http::field::content_type, "application/problem+json");
   response.body = std::string(R"({"outcome":")") + outcome + R"(","detail":")" +
                   detail + "\"}";
-  Finish(detail, status);
-  m_session->SendFullResponse(response);
+  if (Finish(detail, status))
+    m_session->SendFullResponse(response);
 }
 
-void Exchange::Finish(const char* outcome, int status) {
+bool Exchange::Finish(const char* outcome, int status) {
   if (std::exchange(m_ended, true))
-    return;
+    return false;
   m_timer.cancel();
   if (m_waiting)
     m_core.RemoveWaitingRequest(this);
@@ -654,7 +654,8 @@
                          {"offered_ms", ms(m_send_started_at)},
                          {"first_ms", ms(m_first_event_at)},
                          {"total_ms", ms(m_core.Now())}});
-  m_core.DispatchWaitingRequests();
+  m_core.ScheduleDispatch();
+  return true;
 }
 
 }  // namespace trefoilwick::detail
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -137,7 +137,8 @@
   // that shows.
   bool IsStreamCutShort() const;
   void RecordRefusal();
-  void Finish(const char* outcome, int status);
+  // False when the request has ended before: its client must get nothing more.
+  bool Finish(const char* outcome, int status);
   void ReleaseLoad();
   void ReserveLoad();
   // Tokens of KV memory to reserve.
--- a/src/gateway_exchange_response.cc
+++ b/src/gateway_exchange_response.cc
@@ -256,8 +256,8 @@
   response.status = m_head.status;
   response.headers = m_head.forwarded_headers;
   response.body = std::move(m_body);
-  Finish("answered", response.status);
-  m_session->SendFullResponse(response);
+  if (Finish("answered", response.status))
+    m_session->SendFullResponse(response);
 }
 
 }  // namespace trefoilwick::detail
