Never refuse a request that is at a server

Cause: the re-entrant pass over the waiting requests sent a request that the outer pass then put back among the waiting ones. When its time in the queue was over, ForwardState::OnNoServer took it for a request that was never sent, unlike OnDeadline and OnCancelled. Ruled out: a refusal after a Not-Run of the server; the server of the test sends none.

Change: OnNoServer counts a request at a server as possibly run and a request that has ended as answered. WaitOrRefuse leaves a request with a call in progress alone, and a pass skips requests that have ended or were sent since it began.

--- a/include/trefoilwick/forwarding.h
+++ b/include/trefoilwick/forwarding.h
@@ -138,8 +138,9 @@
   void OnServerEnded(const std::string& server) {
     m_attempted_servers.erase(server);
   }
-  // No server is available now.
-  ForwardDecision OnNoServer();
+  // No server is available now. A request that is at a server after all may
+  // run there.
+  ForwardDecision OnNoServer() { return BreakOff(false); }
   // The client's deadline or the timeout of the route has passed.
   ForwardDecision OnDeadline() { return BreakOff(true); }
   // The request must not run any longer, and its exchange with a server was
--- a/src/forwarding.cc
+++ b/src/forwarding.cc
@@ -178,10 +178,6 @@
   return will_send_again ? BodyUse::kOptional : BodyUse::kForwarded;
 }
 
-ForwardDecision ForwardState::OnNoServer() {
-  return GiveUp(false);
-}
-
 ForwardDecision ForwardState::BreakOff(bool timed_out) {
   if (m_state == SendState::kEnded)
     return KeepWaiting{};
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -114,6 +114,9 @@
   // so that they do not take the capacity it waits for.
   std::set<std::string> blocked_services;
   for (const size_t i : SortWaitingRequests(requests, Now())) {
+    // Requests of the list may end or be sent while it is worked through.
+    if (!waiting[i]->IsWaiting())
+      continue;
     if (blocked_services.contains(requests[i].service))
       waiting[i]->ContinueWaiting();
     else if (!waiting[i]->TryDispatch())
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -268,6 +268,9 @@
 }
 
 void Exchange::WaitOrRefuse() {
+  // A request at a server must be neither refused nor sent to another one.
+  if (m_ended || m_call)
+    return;
   const TimePoint now = m_core.Now();
   // A response in progress may wait until its deadline; any other request is
   // refused while the client still has time to retry, and at once when the
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -34,6 +34,8 @@
   bool TryDispatch();
   // Keeps waiting, or refuses the request when it has waited for too long.
   void ContinueWaiting() { WaitOrRefuse(); }
+  // True while the request waits for a server with free capacity.
+  bool IsWaiting() const { return m_waiting; }
   WaitingRequest MakeWaitingRequest() const;
   // Called when a server of the path is lost.
   void OnServerLost(const std::string& server);
--- a/test/adapter_waiting_test.cc
+++ b/test/adapter_waiting_test.cc
@@ -56,6 +56,7 @@
 class AdapterWaitingTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AdapterWaitingTest);
   CPPUNIT_TEST(RequestsRefusedTogetherGetOneResponseEach);
+  CPPUNIT_TEST(RefusedRequestIsNotSentToServer);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -86,6 +87,50 @@
       CPPUNIT_ASSERT(Contains(response, "b" + std::to_string(i)));
     }
   }
+
+  // A call that may run once was sent when a request before it was refused, but
+  // stayed among the waiting requests. Behind the next request that found no
+  // server it was refused while its server ran it.
+  void RefusedRequestIsNotSentToServer() {
+    constexpr int kRounds = 4;
+    ScriptedServer annex([](const std::string&) {
+      std::this_thread::sleep_for(milliseconds(250));
+      return ScriptedResponse{
+          "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 4\r\n\r\ndone"};
+    });
+    Route split = MakeRoute("/post/", RouteKind::kNonIdempotent, 1);
+    split.services = {{"desk", 1}, {"annex", 1}};
+    split.rank = 1;
+    Route reads = MakeRoute("/get/", RouteKind::kIdempotent, 2);
+    // Requests that are late wait behind others.
+    for (Route* route : {&split, &reads})
+      route->latency_target = seconds(1);
+    GatewayHarness harness;
+    harness.store().table = MakeTable({reads, split});
+    harness.AddServer("i-0", "annex", annex.address());
+    harness.Start();
+    const std::string& address = harness.settings().client_address;
+    // Requests wait for 250 ms.
+    for (int round = 0; round < kRounds; ++round) {
+      const std::string id = "write-" + std::to_string(round);
+      ClientConnection first_reader(address);
+      ClientConnection writer(address);
+      ClientConnection second_reader(address);
+      first_reader.Send("GET /get/x", "read");
+      std::this_thread::sleep_for(milliseconds(100));
+      writer.Send("POST /post/x", id);
+      std::this_thread::sleep_for(milliseconds(225));
+      second_reader.Send("GET /get/x", "read");
+      const std::string response = writer.ReadFor(milliseconds(700));
+      const std::vector<std::string> sent = annex.requests();
+      const bool was_sent = std::any_of(
+          sent.begin(), sent.end(),
+          [&](const std::string& bytes) { return Contains(bytes, id); });
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(response, was_sent,
+                                   response.starts_with("HTTP/1.1 200"));
+      CPPUNIT_ASSERT(was_sent || response.starts_with("HTTP/1.1 503"));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AdapterWaitingTest);
--- a/test/forwarding_test.cc
+++ b/test/forwarding_test.cc
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(RequestRefusedByAllServersHasNotRun);
   CPPUNIT_TEST(LostResponseOfWriteIsUnknownOutcome);
   CPPUNIT_TEST(DeadlineAfterSendIsUnknownOutcome);
+  CPPUNIT_TEST(RequestAtServerIsNotRefused);
   CPPUNIT_TEST(ResumableStreamContinuesOnAnotherServer);
   CPPUNIT_TEST(AttemptedServersStayWithinRouteLimit);
   CPPUNIT_TEST(RefusalsDoNotCountAsAttempts);
@@ -173,6 +174,19 @@
         Is<KeepWaiting>(state.OnServerEvent(ServerEvent::kAnswered)));
   }
 
+  // A request that was sent and then found no server was refused as not run.
+  void RequestAtServerIsNotRefused() {
+    ForwardState state = StateOf(MakeRoute(RouteKind::kNonIdempotent, 1));
+    state.OnSend("a");
+    CPPUNIT_ASSERT(Is<FailWithUnknownOutcome>(state.OnNoServer()));
+    // It has ended, and gets no second response.
+    CPPUNIT_ASSERT(Is<KeepWaiting>(state.OnNoServer()));
+    ForwardState refused = StateOf(MakeRoute(RouteKind::kNonIdempotent, 2));
+    refused.OnSend("a");
+    refused.OnServerEvent(ServerEvent::kRefused);
+    CPPUNIT_ASSERT(Is<RefuseNotRun>(refused.OnNoServer()));
+  }
+
   void ResumableStreamContinuesOnAnotherServer() {
     ForwardState state = StateOf(MakeRoute(RouteKind::kStream, 2, true));
     state.OnSend("a");
