Keep a request a suspect of crashes until a run of it ends well

Cause: from the third event of a run on, a request counted as sound. Its crashes were not reported, and all its traits were cleared. That is right for the parts of its prompt, which other requests share and which were read without a crash, and wrong for the request itself. Ruled out: an ambiguous verdict; no crash was reported at all.

Change: three events clear the parts of the prompt, a complete response clears the request itself. The first interruption of a request that has begun counts only when another one follows or the request does not end well, as a crash interrupts all streams of its server. A request that is quarantined by its content is ended in mid-stream.

Interrupted sound streams are served again as before (StreamsInterruptedByCrashesAreServedAgain, passes on both).

--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -172,10 +172,11 @@
   // reported for a while.
   std::set<std::string> SlowServersToRecheck(TimePoint now) const;
 
-  // A request of this instance did not begin because its server crashed.
+  // A server crashed while it ran a request of this instance.
   void OnServerCrash(TimePoint now, const CrashReport& report);
-  // A request of this instance with `traits` that was sent at `sent_at` began.
-  void OnRequestBegan(const TraitSet& traits, TimePoint sent_at);
+  // A request of this instance that was sent at `sent_at` ran far enough to
+  // show that `traits` do not crash servers.
+  void OnRequestRan(const TraitSet& traits, TimePoint sent_at);
   // Time for which requests with `traits` are refused, because such requests
   // crash servers; zero when they are not.
   Duration QuarantineTime(TimePoint now, const TraitSet& traits) const {
--- a/include/trefoilwick/crash_suspects.h
+++ b/include/trefoilwick/crash_suspects.h
@@ -27,16 +27,26 @@
 // Sorts traits and removes duplicates.
 void SortUnique(TraitSet& traits);
 
-// Traits of a request for the servers of one service. A request that comes
-// again has the same account, target and body; the last of `prompt_parts`
-// belongs to one request or session and is left out by the caller.
+// Traits of the parts of a prompt, for the servers of one service. The last
+// part belongs to one request or session and is left out by the caller.
+TraitSet PromptTraits(std::string_view service,
+                      const std::vector<std::string>& prompt_parts);
+
+// Trait of a request itself: one that comes again has the same account, target
+// and body.
+Trait ContentTrait(std::string_view service,
+                   std::string_view account,
+                   std::string_view target,
+                   std::string_view body);
+
+// All traits of a request.
 TraitSet RequestTraits(std::string_view service,
                        std::string_view account,
                        std::string_view target,
                        std::string_view body,
                        const std::vector<std::string>& prompt_parts);
 
-// A request whose server crashed before the request began.
+// A request whose server crashed before the response was complete.
 struct CrashReport {
   // Of this send of the request.
   uint64_t id = 0;
@@ -63,7 +73,8 @@
  public:
   // The report is ignored when its id is known. `now` is when it became known.
   void AddCrash(TimePoint now, const CrashReport& report);
-  // A request with `trait` that was sent at `sent_at` began.
+  // A request with `trait` that was sent at `sent_at` ran: it began, for a part
+  // of its prompt, or ended well, for its content.
   void AddStart(Trait trait, TimePoint sent_at);
   // When the last request with `trait` that began was sent; null when that is
   // not known.
--- a/src/coordination_quarantine.cc
+++ b/src/coordination_quarantine.cc
@@ -31,7 +31,7 @@
   m_next_report = now;
 }
 
-void Coordination::OnRequestBegan(const TraitSet& traits, TimePoint sent_at) {
+void Coordination::OnRequestRan(const TraitSet& traits, TimePoint sent_at) {
   for (const Trait trait : traits)
     m_crash_tracker.AddStart(trait, sent_at);
 }
--- a/src/crash_suspects.cc
+++ b/src/crash_suspects.cc
@@ -31,18 +31,31 @@
 
 }  // namespace
 
+TraitSet PromptTraits(std::string_view service,
+                      const std::vector<std::string>& prompt_parts) {
+  const uint64_t seed = StableHash(service);
+  TraitSet out;
+  for (const std::string& part : prompt_parts)
+    out.push_back(StableHash(part, seed));
+  SortUnique(out);
+  return out;
+}
+
+Trait ContentTrait(std::string_view service,
+                   std::string_view account,
+                   std::string_view target,
+                   std::string_view body) {
+  const uint64_t seed = StableHash(service) + kContentSeed;
+  return StableHash(body, StableHash(target, StableHash(account, seed)));
+}
+
 TraitSet RequestTraits(std::string_view service,
                        std::string_view account,
                        std::string_view target,
                        std::string_view body,
                        const std::vector<std::string>& prompt_parts) {
-  const uint64_t seed = StableHash(service);
-  TraitSet out;
-  for (const std::string& part : prompt_parts)
-    out.push_back(StableHash(part, seed));
-  uint64_t content = StableHash(account, seed + kContentSeed);
-  content = StableHash(target, content);
-  out.push_back(StableHash(body, content));
+  TraitSet out = PromptTraits(service, prompt_parts);
+  out.push_back(ContentTrait(service, account, target, body));
   SortUnique(out);
   return out;
 }
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -111,12 +111,12 @@
   void AddLoad(const LayerPath& path, double tokens, int sign);
   void AddLoad(const std::string& server, int sign);
 
-  // The server closed the connection of a request that had not begun. The
-  // report counts when the server turns out to have crashed.
-  void OnClosedBeforeBegin(const std::string& server,
-                           const std::string& attempt_id,
-                           const std::vector<std::string>& prompt_parts,
-                           CrashReport report);
+  // The server closed the connection of a request before the response was
+  // complete. The report counts when the server turns out to have crashed.
+  void OnClosedByServer(const std::string& server,
+                        const std::string& attempt_id,
+                        const std::vector<std::string>& prompt_parts,
+                        CrashReport report);
   // A process of a server answered a request that was sent at `sent_at`.
   void OnServerAnswer(const ServerProcess& process,
                       const ResponseHead& head,
@@ -219,7 +219,7 @@
   void OnServerReportedLost(const std::string& server);
   void StartProbe(const std::string& server, const std::string& address);
   void OnProbed(const std::string& server, ConnectResult result);
-  // Reports the requests that `server` closed before they began, when it has
+  // Reports the requests whose connections `server` closed, when it has
   // crashed, or drops them.
   void SettleUnconfirmedCrashes(const std::string& server, bool crashed);
   // Ends the requests that the instances have agreed to refuse since the last
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -148,7 +148,7 @@
     OnDeadline();
     return true;
   }
-  if (!m_begun && QuarantineTime() > Duration(0)) {
+  if (QuarantineTime() > Duration(0)) {
     EndIfQuarantined();
     return true;
   }
@@ -195,18 +195,19 @@
   Duration shortest = Duration::max();
   for (const WeightedService& service : m_route->services)
     shortest = std::min(shortest, m_core.coordination().QuarantineTime(
-                                      now, TraitsAt(service.service)));
+                                      now, SuspectTraits(service.service)));
   return m_route->services.empty() ? Duration(0) : shortest;
 }
 
-TraitSet Exchange::TraitsAt(const std::string& service) const {
+TraitSet Exchange::SuspectTraits(const std::string& service) const {
+  if (m_begun)
+    return {ContentTrait(service, m_account, m_request.target, m_request.body)};
   return RequestTraits(service, m_account, m_request.target, m_request.body,
                        m_request.shared_prompt_parts);
 }
 
 void Exchange::EndIfQuarantined() {
-  if (m_ended || m_begun || m_route == nullptr ||
-      QuarantineTime() == Duration(0))
+  if (m_ended || m_route == nullptr || QuarantineTime() == Duration(0))
     return;
   const auto self = shared_from_this();
   m_core.CountQuarantined(m_route->name);
@@ -220,20 +221,47 @@
 void Exchange::RecordBegun() {
   if (std::exchange(m_begun, true))
     return;
-  m_core.coordination().OnRequestBegan(TraitsAt(m_service), m_send_started_at);
+  m_core.coordination().OnRequestRan(
+      PromptTraits(m_service, m_request.shared_prompt_parts),
+      m_send_started_at);
+}
+
+void Exchange::RecordCompleted() {
+  RecordBegun();
+  m_held_crash.reset();
+  m_core.coordination().OnRequestRan(SuspectTraits(m_service),
+                                     m_send_started_at);
+}
+
+bool Exchange::RecordClosedByServer() {
+  SuspectedCrash crash;
+  crash.server = m_server;
+  crash.report.id = StableHash(m_request.attempt_id + m_server,
+                               static_cast<uint64_t>(m_forward.sends()));
+  crash.report.traits = SuspectTraits(m_service);
+  crash.report.crashed_at = m_core.Now();
+  if (!m_begun) {
+    ReportClosed(crash);
+    return ++m_closed_before_begin < kMaxClosedBeforeBegin;
+  }
+  if (!std::exchange(m_interrupted, true)) {
+    m_held_crash = std::move(crash);
+    return true;
+  }
+  ReportHeldCrash();
+  ReportClosed(crash);
+  return true;
 }
 
-bool Exchange::RecordClosedBeforeBegin() {
-  if (m_begun)
-    return true;
-  CrashReport report;
-  report.id = StableHash(m_request.attempt_id + m_server,
-                         static_cast<uint64_t>(m_forward.sends()));
-  report.traits = TraitsAt(m_service);
-  report.crashed_at = m_core.Now();
-  m_core.OnClosedBeforeBegin(m_server, m_request.attempt_id,
-                             m_request.shared_prompt_parts, std::move(report));
-  return ++m_closed_before_begin < kMaxClosedBeforeBegin;
+void Exchange::ReportClosed(const SuspectedCrash& crash) {
+  m_core.OnClosedByServer(crash.server, m_request.attempt_id,
+                          m_request.shared_prompt_parts, crash.report);
+}
+
+void Exchange::ReportHeldCrash() {
+  if (m_held_crash)
+    ReportClosed(*m_held_crash);
+  m_held_crash.reset();
 }
 
 WaitingRequest Exchange::MakeWaitingRequest() const {
@@ -634,6 +662,7 @@
     m_core.RemoveWaitingRequest(this);
   m_waiting = false;
   ReleaseLoad();
+  ReportHeldCrash();
   const auto ms = [&](TimePoint at) {
     return at == TimePoint{}
                ? std::string("-")
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -7,11 +7,18 @@
 
 #include "gateway_session.h"
 #include "gateway_upstream.h"
+#include "trefoilwick/crash_suspects.h"
 #include "trefoilwick/forwarding.h"
 #include "trefoilwick/liveness.h"
 
 namespace trefoilwick::detail {
 
+// A server that may have crashed because of the request that it ran.
+struct SuspectedCrash {
+  std::string server;
+  CrashReport report;
+};
+
 class Exchange : public UpstreamListener,
                  public std::enable_shared_from_this<Exchange> {
  public:
@@ -26,8 +33,8 @@
   void OnClientDisconnected();
   // Called when the client's connection took all bytes written so far.
   void OnClientWritesFlushed();
-  // Ends the request when requests of its kind crash servers and it has not
-  // begun.
+  // Ends the request when requests of its kind crash servers. One that has
+  // begun is ended only when it crashes them itself.
   void EndIfQuarantined();
   // Tries to send to a server. False when none has free capacity: the request
   // waits and blocks later ones of its service.
@@ -79,12 +86,21 @@
   // Time for which the request is refused at the servers of all services of its
   // route; zero when it may be sent to those of one.
   Duration QuarantineTime() const;
-  TraitSet TraitsAt(const std::string& service) const;
-  // Records that the server runs the request and has not crashed on it.
+  // Traits that may be the reason when the request crashes a server: of one
+  // that has begun only the content, as the parts of its prompt were read.
+  TraitSet SuspectTraits(const std::string& service) const;
+  // Records that the server runs the request and has not crashed on it. It may
+  // still do so before the response is complete.
   void RecordBegun();
-  // Records that the server closed the connection before the request began.
-  // False when that has happened too often to send the request again.
-  bool RecordClosedBeforeBegin();
+  // Records that a server ran the request to its end.
+  void RecordCompleted();
+  // Records that the server closed the connection before the response was
+  // complete. False when that has happened too often before the request began
+  // to send it again.
+  bool RecordClosedByServer();
+  void ReportClosed(const SuspectedCrash& crash);
+  // Reports the interruption that might have been a coincidence.
+  void ReportHeldCrash();
   SendVerdict TrySend(const std::string& server);
   SendVerdict ChooseEnginePath(const EngineModel& engine);
   SendVerdict ChoosePlainServer();
@@ -196,10 +212,15 @@
   EventSplitter m_events;
   // Servers with a limit that the request chose and that count it as demand.
   std::set<std::string> m_demanded_servers;
-  // A server has begun to run the request and did not crash.
+  // A server has begun to run the request and did not crash at once.
   bool m_begun = false;
   // Sends whose connection the server closed before the request began.
   int m_closed_before_begin = 0;
+  // A server closed the connection of the request after it had begun.
+  bool m_interrupted = false;
+  // The first such interruption. A crash interrupts many sound requests, so it
+  // counts only when another one follows or the request does not end well.
+  std::optional<SuspectedCrash> m_held_crash;
   // Last event before the present send.
   int64_t m_last_event_before_send = -1;
   bool m_is_head_request = false;
--- a/src/gateway_exchange_response.cc
+++ b/src/gateway_exchange_response.cc
@@ -17,7 +17,7 @@
 constexpr Duration kMaxOptionalBodyTime = milliseconds(300);
 // Reading from the server pauses while more bytes wait for the client.
 constexpr size_t kMaxPendingClientBytes = size_t{128} * 1024;
-// A server that crashes on a request does so before this number of its events.
+// Events of a run after which the parts of its prompt count as sound.
 constexpr int64_t kMinEventsOfBegun = 3;
 // Number of events after which the interval between them is known.
 constexpr int64_t kMinEventsForBaseline = 16;
@@ -159,7 +159,7 @@
   }
   m_call = nullptr;
   if (!m_head.not_run)
-    RecordBegun();
+    RecordCompleted();
   if (m_streaming || m_passthrough) {
     CommitResponse();
     if (m_streaming)
@@ -237,7 +237,7 @@
     ExecuteDecision(m_forward.OnServerEvent(ServerEvent::kRefused));
     return;
   }
-  const bool may_send_again = !closed_by_server || RecordClosedBeforeBegin();
+  const bool may_send_again = !closed_by_server || RecordClosedByServer();
   if (was_idle_close)
     m_failed_servers.insert(m_server);
   else
--- a/src/gateway_quarantine.cc
+++ b/src/gateway_quarantine.cc
@@ -29,11 +29,10 @@
 
 }  // namespace
 
-void GatewayCore::OnClosedBeforeBegin(
-    const std::string& server,
-    const std::string& attempt_id,
-    const std::vector<std::string>& prompt_parts,
-    CrashReport report) {
+void GatewayCore::OnClosedByServer(const std::string& server,
+                                   const std::string& attempt_id,
+                                   const std::vector<std::string>& prompt_parts,
+                                   CrashReport report) {
   const auto found = servers().find(server);
   // A draining server may close connections when it exits.
   if (found == servers().end() || found->second.state == ServerState::kDraining)
--- /dev/null
+++ b/test/adapter_crash_test.cc
@@ -0,0 +1,121 @@
+// Tests of requests that crash the servers that run them, over real sockets.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+
+#include "gateway_fixtures.h"
+
+namespace trefoilwick {
+namespace {
+
+constexpr int kEventsBeforeCrash = 5;
+constexpr int kEvents = 12;
+
+// Servers that stop listening and close the connection in the middle of a
+// stream when `crashes` says so for a request.
+class CrashingServers {
+ public:
+  using Condition = std::function<bool(const std::string& request)>;
+
+  CrashingServers(size_t count, Condition crashes)
+      : m_crashes(std::move(crashes)) {
+    for (size_t i = 0; i < count; ++i)
+      m_servers.emplace_back(
+          [this](const std::string& request) { return Serve(request); });
+  }
+
+  std::vector<ScriptedServer*> pointers() {
+    std::vector<ScriptedServer*> out;
+    for (ScriptedServer& server : m_servers)
+      out.push_back(&server);
+    return out;
+  }
+  int crash_count() const { return m_crash_count; }
+
+ private:
+  ScriptedResponse Serve(const std::string& request) {
+    const std::string field = "Last-Event-Id: ";
+    const size_t at = request.find(field);
+    const int first = at == std::string::npos
+                          ? 0
+                          : std::stoi(request.substr(at + field.size())) + 1;
+    ScriptedResponse response{kStreamHead};
+    response.parts_pause = milliseconds(10);
+    const bool crash = m_crashes(request);
+    const int end = crash ? first + kEventsBeforeCrash : kEvents;
+    for (int id = first; id < end; ++id)
+      response.parts.push_back(MakeChunk(MakeEvent(id)));
+    if (crash) {
+      ++m_crash_count;
+      response.stop_listening = true;
+    } else {
+      response.parts.push_back(MakeChunk(""));
+    }
+    return response;
+  }
+
+  Condition m_crashes;
+  std::atomic<int> m_crash_count{0};
+  std::deque<ScriptedServer> m_servers;
+};
+
+class AdapterCrashTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AdapterCrashTest);
+  CPPUNIT_TEST(RequestThatCrashesServersInMidStreamIsRefused);
+  CPPUNIT_TEST(StreamsInterruptedByCrashesAreServedAgain);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // A request that crashed its servers after its first events counted as sound:
+  // each attempt of its client crashed five more servers.
+  void RequestThatCrashesServersInMidStreamIsRefused() {
+    CrashingServers servers(16, [](const std::string& request) {
+      return request.ends_with("bad");
+    });
+    GatewayHarness harness;
+    StartGateway(harness, servers.pointers());
+    // The first sums of the retry budget.
+    std::this_thread::sleep_for(seconds(1));
+    const auto call = [&](const std::string& body) {
+      return harness.CallAsClient(
+          Request("POST /stream/x", "Prompt-Prefix: part:40,own:9\r\n", body));
+    };
+    call("bad");
+    std::this_thread::sleep_for(seconds(1));
+    const int crashes = servers.crash_count();
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(crashes),
+                           crashes >= 3 && crashes <= 5);
+    for (int i = 0; i < 2; ++i) {
+      const std::string refusal = call("bad");
+      CPPUNIT_ASSERT_MESSAGE(refusal, refusal.starts_with("HTTP/1.1 503"));
+      CPPUNIT_ASSERT(Contains(refusal, "not_run"));
+    }
+    CPPUNIT_ASSERT_EQUAL(crashes, servers.crash_count());
+    // Other requests of the account with the same prompt part are served.
+    CPPUNIT_ASSERT(call("good").ends_with("0\r\n\r\n"));
+  }
+
+  // Guards against blaming a request for crashes that only interrupt it: it is
+  // sent again and again, crashes interrupt it, and it ends well.
+  void StreamsInterruptedByCrashesAreServedAgain() {
+    constexpr int kCalls = 5;
+    std::atomic<int> sends{0};
+    CrashingServers servers(
+        16, [&](const std::string&) { return ++sends % 3 != 0; });
+    GatewayHarness harness;
+    StartGateway(harness, servers.pointers());
+    std::this_thread::sleep_for(seconds(1));
+    for (int i = 0; i < kCalls; ++i) {
+      const std::string response =
+          harness.CallAsClient(Request("POST /stream/x", "", "same"));
+      CPPUNIT_ASSERT_MESSAGE(response, response.ends_with("\r\n0\r\n\r\n"));
+      std::this_thread::sleep_for(milliseconds(600));
+    }
+    CPPUNIT_ASSERT_EQUAL(2 * kCalls, servers.crash_count());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdapterCrashTest);
+
+}  // namespace
+}  // namespace trefoilwick
--- a/test/coordination_quarantine_test.cc
+++ b/test/coordination_quarantine_test.cc
@@ -182,11 +182,11 @@
       ++m_refused;
       return;
     }
-    m_events.push_back(
-        {now + kReadTime, [this, index, traits, now] {
-           if (Runs(index))
-             m_cluster.NodeAt(index).coordination->OnRequestBegan(traits, now);
-         }});
+    m_events.push_back({now + kReadTime, [this, index, traits, now] {
+                          if (Runs(index))
+                            m_cluster.NodeAt(index).coordination->OnRequestRan(
+                                traits, now);
+                        }});
   }
 
   void RunDueEvents() {
@@ -391,7 +391,7 @@
               cluster.now(),
               {id, static_cast<uint64_t>(step), traits, cluster.now()});
         else
-          coordination.OnRequestBegan(traits, sent_at);
+          coordination.OnRequestRan(traits, sent_at);
       }
     }
     for (int i = 0; i < 13; ++i)
@@ -411,7 +411,7 @@
       cluster.RunFor(milliseconds(100));
       const TraitSet traits =
           RequestTraits("pool", "club", "/", std::to_string(step), {"part"});
-      cluster.NodeAt(other).coordination->OnRequestBegan(
+      cluster.NodeAt(other).coordination->OnRequestRan(
           traits, cluster.now() - milliseconds(10));
       if (step % 4 == 0)
         cluster.NodeAt(witness).coordination->OnServerCrash(
