Forward numbered events only, and resume streams that end inside an event

Cause: an event without an id was forwarded, and so were the bytes behind the last event when the framing of the response ended. Ruled out: garbage in place of a chunk header; the parser refuses it and the run counts as broken.

Change: an event is forwarded only if all its lines are fields and it has one number as its id. Anything else breaks the run off, and the stream goes on at another server after the last event. Comments are dropped. A stream that ends inside an event is broken off whatever its framing says. event=events_out_of_order names the last event.

Evidence: on adapter_stream_test GarbageInStreamIsNotForwarded and GarbageAtEndOfStreamIsNotForwarded failed: the client got the garbage in a response that looked complete, with chunks and without. With the change they pass. That the 21 cases have this cause is likely, not shown: the record names no bytes.

--- a/include/trefoilwick/forwarding.h
+++ b/include/trefoilwick/forwarding.h
@@ -252,30 +252,30 @@
 };
 
 // Splits the body of an event stream into complete events and keeps the id of
-// the last one, so that another server can continue after it.
+// the last one, so that another server can continue after it. Every event has
+// an id; bytes that form no such event come from a faulty server.
 class EventSplitter {
  public:
-  // Returns the bytes of the events that became complete, without those that an
-  // earlier run returned.
-  std::string Feed(std::string_view bytes, TimePoint now);
-  // The bytes of the last event, which is incomplete.
-  const std::string& partial() const { return m_partial; }
-  std::string TakePartial();
   // Begins the stream of the next server. Nothing of the one before stays but
   // the id of its last complete event.
   void BeginRun();
+  // Returns the bytes of the events that became complete, without comments and
+  // without events that an earlier run returned.
+  std::string Feed(std::string_view bytes, TimePoint now);
+  // The bytes of the last event, which is incomplete.
+  const std::string& partial() const { return m_partial; }
   int64_t last_id() const { return m_last_id; }
   bool has_events() const { return m_last_id >= 0; }
-  // False once an event was out of order or did not end, or more bytes came
-  // without an id than any event has: later bytes must not be forwarded.
+  // False once an event was out of order, was malformed or did not end, or more
+  // comments came than any event has bytes: later bytes must not be forwarded.
   bool in_order() const { return m_in_order; }
 
  private:
   bool Accept(std::string_view event);
 
   std::string m_partial;
-  // Size of the complete events since the last one with an id.
-  size_t m_bytes_without_id = 0;
+  // Size of the comments since the last event.
+  size_t m_comment_bytes = 0;
   EndlessElementDetector m_endless_event;
   int64_t m_last_id = -1;
   // An earlier run has returned events.
--- a/src/forwarding.cc
+++ b/src/forwarding.cc
@@ -36,25 +36,61 @@
       static_cast<int64_t>(static_cast<double>(duration.count()) * share));
 }
 
-// Value of the field `id` of an event, or -1.
-int64_t EventId(std::string_view event) {
-  constexpr std::string_view kField = "id:";
+// What the lines of an event say. A block of comments only is no event.
+struct EventFacts {
+  bool well_formed = true;
+  bool only_comments = true;
+  // Null when there is no field `id`.
+  std::optional<int64_t> id;
+};
+
+std::optional<int64_t> ParseEventId(std::string_view value) {
+  if (value.starts_with(' '))
+    value.remove_prefix(1);
+  int64_t id = -1;
+  const char* end = value.data() + value.size();
+  const auto [parsed_to, error] = std::from_chars(value.data(), end, id);
+  if (error != std::errc() || parsed_to != end || id < 0)
+    return std::nullopt;
+  return id;
+}
+
+bool IsFieldNameChar(char c) {
+  return (c >= 'a' && c <= 'z') || c == '-' || c == '_';
+}
+
+// Adds a line without its end to the facts of its event.
+void ReadEventLine(std::string_view line, EventFacts& facts) {
+  if (line.empty() || line.front() == ':')
+    return;
+  facts.only_comments = false;
+  const std::string_view name = line.substr(0, line.find(':'));
+  // Only an empty line of data has no colon.
+  const bool is_field = name.size() < line.size() || name == "data";
+  if (!is_field || !std::all_of(name.begin(), name.end(), IsFieldNameChar)) {
+    facts.well_formed = false;
+    return;
+  }
+  if (name != "id")
+    return;
+  // A second id shows that parts of two events were joined.
+  const bool is_second = facts.id.has_value();
+  facts.id = ParseEventId(line.substr(std::min(line.size(), name.size() + 1)));
+  if (is_second || !facts.id)
+    facts.well_formed = false;
+}
+
+EventFacts ReadEvent(std::string_view event) {
+  EventFacts facts;
   for (size_t at = 0; at < event.size();) {
-    size_t end = event.find('\n', at);
-    if (end == std::string_view::npos)
-      end = event.size();
+    const size_t end = std::min(event.find('\n', at), event.size());
     std::string_view line = event.substr(at, end - at);
-    if (line.starts_with(kField)) {
-      line.remove_prefix(kField.size());
-      while (line.starts_with(' '))
-        line.remove_prefix(1);
-      int64_t id = -1;
-      std::from_chars(line.data(), line.data() + line.size(), id);
-      return id;
-    }
+    if (line.ends_with('\r'))
+      line.remove_suffix(1);
+    ReadEventLine(line, facts);
     at = end + 1;
   }
-  return -1;
+  return facts;
 }
 
 // Length of the first complete event, its blank line included; 0 when none.
@@ -259,35 +295,35 @@
   m_partial.erase(0, at);
   const bool event_ends =
       m_endless_event.OnBytes(at > 0, !m_partial.empty(), now);
-  if (!event_ends || m_partial.size() + m_bytes_without_id > kMaxEventBytes)
+  if (!event_ends || m_partial.size() + m_comment_bytes > kMaxEventBytes)
     m_in_order = false;
   return out;
 }
 
 bool EventSplitter::Accept(std::string_view event) {
-  const int64_t id = EventId(event);
-  if (id < 0) {
-    m_bytes_without_id += event.size();
-    return !m_resumed;
+  const EventFacts facts = ReadEvent(event);
+  if (facts.only_comments) {
+    m_comment_bytes += event.size();
+    return false;
   }
-  m_bytes_without_id = 0;
-  if (m_resumed && id <= m_last_id)
+  m_comment_bytes = 0;
+  if (!facts.well_formed || !facts.id) {
+    m_in_order = false;
     return false;
-  if (m_last_id >= 0 && id != m_last_id + 1) {
+  }
+  if (m_resumed && *facts.id <= m_last_id)
+    return false;
+  if (m_last_id >= 0 && *facts.id != m_last_id + 1) {
     m_in_order = false;
     return false;
   }
-  m_last_id = id;
+  m_last_id = *facts.id;
   return true;
 }
 
-std::string EventSplitter::TakePartial() {
-  return std::move(m_partial);
-}
-
 void EventSplitter::BeginRun() {
   m_partial.clear();
-  m_bytes_without_id = 0;
+  m_comment_bytes = 0;
   m_endless_event.Reset();
   m_resumed = has_events();
   m_in_order = true;
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -151,8 +151,8 @@
   void SkipOptionalBody(TimePoint now);
   void SendLocalReply(int status, const char* outcome, const char* detail);
   void SendRefusal();
-  // True when a stream that ended with its connection was broken off, as far as
-  // that shows.
+  // True when a stream that ended was broken off, as far as that shows: a
+  // faulty server may end the framing of a response that it cut off.
   bool IsStreamCutShort() const;
   void RecordRefusal();
   // False when the request has ended before: its client must get nothing more.
--- a/src/gateway_exchange_response.cc
+++ b/src/gateway_exchange_response.cc
@@ -132,7 +132,9 @@
     RecordBegun();
   if (!m_events.in_order()) {
     m_core.Log("events_out_of_order",
-               {{"id", m_request.attempt_id}, {"server", m_server}});
+               {{"id", m_request.attempt_id},
+                {"server", m_server},
+                {"last_event", std::to_string(m_events.last_id())}});
     OnUpstreamBroken(false);
     return;
   }
@@ -153,8 +155,8 @@
 
 void Exchange::OnUpstreamComplete(bool ended_by_close) {
   const auto self = shared_from_this();
-  if (ended_by_close && IsStreamCutShort()) {
-    OnUpstreamBroken(true);
+  if (IsStreamCutShort()) {
+    OnUpstreamBroken(ended_by_close);
     return;
   }
   m_call = nullptr;
@@ -162,8 +164,6 @@
     RecordCompleted();
   if (m_streaming || m_passthrough) {
     CommitResponse();
-    if (m_streaming)
-      m_session->SendChunk(m_events.TakePartial());
     m_forward.OnServerEvent(ServerEvent::kAnswered);
     if (m_event_interval <= m_route->event_interval_target && m_repaths == 0 &&
         m_events.last_id() >= kMinEventsForBaseline)
--- a/test/adapter_stream_test.cc
+++ b/test/adapter_stream_test.cc
@@ -55,6 +55,8 @@
 class AdapterStreamTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AdapterStreamTest);
   CPPUNIT_TEST(FirstEventCutOffByCrashIsNotJoinedToNextRun);
+  CPPUNIT_TEST(GarbageInStreamIsNotForwarded);
+  CPPUNIT_TEST(GarbageAtEndOfStreamIsNotForwarded);
   CPPUNIT_TEST(BodyWithoutEventsIsNotContinuedByStream);
   CPPUNIT_TEST_SUITE_END();
 
@@ -71,6 +73,43 @@
     }
   }
 
+  // Bytes of a faulty server that end in a blank line were forwarded as an
+  // event without an id.
+  void GarbageInStreamIsNotForwarded() {
+    const std::string unframed =
+        "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s\r\n"
+        "Content-Type: text/event-stream\r\n\r\n";
+    for (const std::string& garbage :
+         {std::string("garbage\n\n"), std::string("\x01\xff\r\n\r\n"),
+          std::string("data: garbage\n\n"), std::string("id: x\n\n"),
+          std::string("garbage\nid: 2\ndata: x\n\n"),
+          std::string("id: 2garbage\ndata: x\n\n"),
+          std::string("id: 2\nid: 2\ndata: x\n\n")}) {
+      const std::string bytes = MakeEvents(1) + garbage + MakeEvent(2);
+      for (const std::string& first_run :
+           {unframed + bytes, kStreamHead + MakeChunk(bytes) + MakeChunk("")}) {
+        const std::string response = CallStream({first_run}, 3);
+        CPPUNIT_ASSERT_MESSAGE(response, response.ends_with("\r\n0\r\n\r\n"));
+        CPPUNIT_ASSERT_EQUAL(MakeEvents(3), ChunkedBody(response));
+      }
+    }
+  }
+
+  // Bytes behind the last event were forwarded when the response ended in its
+  // framing. A comment is no event and no fault.
+  void GarbageAtEndOfStreamIsNotForwarded() {
+    for (const std::string& rest :
+         {std::string("garbage"), std::string("id: 2\nda"),
+          std::string(": comment\n\n")}) {
+      const std::string response =
+          CallStream({kStreamHead + MakeChunk(MakeEvents(1)) + MakeChunk(rest) +
+                      MakeChunk("")},
+                     1);
+      CPPUNIT_ASSERT_MESSAGE(response, response.ends_with("\r\n0\r\n\r\n"));
+      CPPUNIT_ASSERT_EQUAL(MakeEvents(1), ChunkedBody(response));
+    }
+  }
+
   // A large body that is no event stream was forwarded as it came. When it
   // broke off, the events of another run were appended to it.
   void BodyWithoutEventsIsNotContinuedByStream() {
--- a/test/forwarding_test.cc
+++ b/test/forwarding_test.cc
@@ -64,6 +64,8 @@
   CPPUNIT_TEST(NextRunBeginsWithoutPartialEvent);
   CPPUNIT_TEST(BodyWithoutEventsIsNotContinued);
   CPPUNIT_TEST(MissingEventStopsStream);
+  CPPUNIT_TEST(MalformedEventStopsStream);
+  CPPUNIT_TEST(CommentsAreDropped);
   CPPUNIT_TEST(EventsDoNotDependOnChunkSizes);
   CPPUNIT_TEST(RefusedRetryStillCountsEarlierRunOnServer);
   CPPUNIT_TEST_SUITE_END();
@@ -461,6 +463,43 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), events.Feed("id: 1\n\n", TimePoint{}));
   }
 
+  // Events without an id, which only a faulty server sends, were forwarded.
+  void MalformedEventStopsStream() {
+    for (const char* event :
+         {"garbage\n\n", "data: a\n\n", "id\n\n", "id:\n\n", "id: x\n\n",
+          "id: 1x\n\n", "id: -1\n\n", "id: 99999999999999999999\n\n",
+          "id: 1\nid: 1\n\n", "id: 1\ngarbage\n\n", "\x01: 2\nid: 1\n\n",
+          "\xff\xfe\r\n\r\n", "data: id: 1\n\n"}) {
+      EventSplitter events;
+      events.Feed("id: 0\ndata: a\n\n", TimePoint{});
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(event, std::string(),
+                                   events.Feed(event, TimePoint{}));
+      CPPUNIT_ASSERT_MESSAGE(event, !events.in_order());
+      CPPUNIT_ASSERT_EQUAL(int64_t{0}, events.last_id());
+    }
+    for (const char* event :
+         {"id: 1\n\n", "id:1\ndata\n\n", "event: token\nid: 1\ndata: x\n\n",
+          "weight-versions: 3\nid: 1\ndata: \xff\n\n", ": x\nid: 1\n\n"}) {
+      EventSplitter events;
+      events.Feed("id: 0\ndata: a\n\n", TimePoint{});
+      CPPUNIT_ASSERT_EQUAL(std::string(event), events.Feed(event, TimePoint{}));
+      CPPUNIT_ASSERT(events.in_order());
+    }
+  }
+
+  // A comment belongs to the connection of its server. Comments without end
+  // stop the stream.
+  void CommentsAreDropped() {
+    EventSplitter events;
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("id: 0\n\nid: 1\n\n"),
+        events.Feed(": wait\n\nid: 0\n\n: wait\n\nid: 1\n\n", TimePoint{}));
+    CPPUNIT_ASSERT(events.in_order());
+    for (int i = 0; i < 20'000 && events.in_order(); ++i)
+      events.Feed(": wait\n\n", TimePoint{});
+    CPPUNIT_ASSERT(!events.in_order());
+  }
+
   // Bytes arrive in chunks of any size; the forwarded events must not depend on
   // them.
   void EventsDoNotDependOnChunkSizes() {
