Let nobody in when the configuration's list of accounts is empty

Cause: RouteTable told the list by its entries, so that an empty one was read like a configuration without a list, which asks for no keys.

--- a/include/trefoilwick/route_table.h
+++ b/include/trefoilwick/route_table.h
@@ -117,7 +117,9 @@
 
   int64_t version() const { return m_version; }
   const ClientLimits& limits() const { return m_limits; }
-  bool has_accounts() const { return !m_accounts.empty(); }
+  // True when only accounts may use the routes that are not public. A list of
+  // accounts that is empty lets nobody in.
+  bool requires_account() const { return m_requires_account; }
   const std::vector<Route>& routes() const { return m_routes; }
   const std::map<std::string, Service>& services() const { return m_services; }
 
@@ -134,6 +136,7 @@
   std::vector<Route> m_routes;
   std::map<std::string, Service> m_services;
   std::vector<ClientAccount> m_accounts;
+  bool m_requires_account = false;
   // Host -> prefix -> index in m_routes.
   std::unordered_map<std::string, std::unordered_map<std::string, size_t>>
       m_routes_by_host;
@@ -146,6 +149,8 @@
   Builder& SetLimits(const ClientLimits& limits);
   Builder& AddRoute(Route route);
   Builder& AddService(Service service);
+  // The configuration has a list of accounts, which may be empty.
+  Builder& RequireAccount();
   Builder& AddAccount(ClientAccount account);
   RouteTable Build();
 
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -110,7 +110,7 @@
 
 bool Exchange::Authorize(const RouteTable& table) {
   m_rank = m_route->rank;
-  if (!table.has_accounts() || m_route->is_public)
+  if (!table.requires_account() || m_route->is_public)
     return true;
   const ClientAccount* account = table.FindAccount(m_request.api_key);
   if (account == nullptr)
--- a/src/route_table.cc
+++ b/src/route_table.cc
@@ -68,7 +68,13 @@
   return *this;
 }
 
+RouteTable::Builder& RouteTable::Builder::RequireAccount() {
+  m_table.m_requires_account = true;
+  return *this;
+}
+
 RouteTable::Builder& RouteTable::Builder::AddAccount(ClientAccount account) {
+  RequireAccount();
   m_table.m_accounts.push_back(std::move(account));
   return *this;
 }
@@ -80,7 +86,9 @@
   }
   for (size_t i = 0; i < m_table.m_accounts.size(); ++i)
     for (const std::string& key : m_table.m_accounts[i].keys)
-      m_table.m_accounts_by_key[key] = i;
+      // A request without a key has an empty one.
+      if (!key.empty())
+        m_table.m_accounts_by_key[key] = i;
   return std::move(m_table);
 }
 
--- a/test/adapter_test.cc
+++ b/test/adapter_test.cc
@@ -67,6 +67,7 @@
   CPPUNIT_TEST(EveryInvalidSettingIsReported);
   CPPUNIT_TEST(ConfigurationIsDecoded);
   CPPUNIT_TEST(InvalidConfigurationReportsProblem);
+  CPPUNIT_TEST(ListOfAccountsIsRequiredWhenNamed);
   CPPUNIT_TEST(ServersAreDecoded);
   CPPUNIT_TEST(UnusableRowsYieldNoServer);
   CPPUNIT_TEST(MutatedRowsNeverThrow);
@@ -145,6 +146,23 @@
     }
   }
 
+  // An empty list of accounts was read like a configuration without one.
+  void ListOfAccountsIsRequiredWhenNamed() {
+    const auto requires_account = [](const std::string& accounts) {
+      std::string problem;
+      const auto table = DecodeConfiguration(
+          R"({"version":1,"services":[],"routes":[])" + accounts + "}",
+          &problem);
+      return table && table->requires_account();
+    };
+    CPPUNIT_ASSERT(!requires_account(""));
+    CPPUNIT_ASSERT(requires_account(R"(,"tenants":[])"));
+    CPPUNIT_ASSERT(requires_account(R"(,"tenants":null)"));
+    CPPUNIT_ASSERT(requires_account(R"(,"tenants":[{"name":"club"}])"));
+    CPPUNIT_ASSERT(
+        requires_account(R"(,"tenants":[{"name":"club","apiKeys":[]}])"));
+  }
+
   void ServersAreDecoded() {
     const auto server = DecodeServer(
         "i-1",
--- a/test/adapter_waiting_test.cc
+++ b/test/adapter_waiting_test.cc
@@ -10,41 +10,6 @@
 namespace trefoilwick {
 namespace {
 
-// A connection of a client that stays open between requests.
-class ClientConnection {
- public:
-  explicit ClientConnection(const std::string& address) : m_socket(m_io) {
-    m_socket.connect(*ParseEndpoint(address));
-  }
-
-  void Send(const std::string& line, const std::string& attempt_id) {
-    asio::write(m_socket,
-                asio::buffer(line +
-                             " HTTP/1.1\r\nHost: a.example\r\n"
-                             "Credential: k1\r\nDeadline-Ms: 2000\r\n"
-                             "Attempt-Id: " +
-                             attempt_id + "\r\nContent-Length: 0\r\n\r\n"));
-  }
-
-  // Reads what arrives within `time`.
-  std::string ReadFor(std::chrono::milliseconds time) {
-    std::string out;
-    asio::steady_timer timer(m_io, time);
-    timer.async_wait(
-        [&](const boost::system::error_code&) { m_socket.cancel(); });
-    asio::async_read(
-        m_socket, asio::dynamic_buffer(out),
-        [&](const boost::system::error_code&, size_t) { timer.cancel(); });
-    m_io.restart();
-    m_io.run();
-    return out;
-  }
-
- private:
-  asio::io_context m_io;
-  tcp::socket m_socket;
-};
-
 int CountOf(const std::string& text, const std::string& part) {
   int count = 0;
   for (size_t at = text.find(part); at != std::string::npos;
@@ -95,8 +60,7 @@
     constexpr int kRounds = 4;
     ScriptedServer annex([](const std::string&) {
       std::this_thread::sleep_for(milliseconds(250));
-      return ScriptedResponse{
-          "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 4\r\n\r\ndone"};
+      return ScriptedResponse{MakeAnonymousResponse("done")};
     });
     Route split = MakeRoute("/post/", RouteKind::kNonIdempotent, 1);
     split.services = {{"desk", 1}, {"annex", 1}};
--- a/test/gateway_fixtures.h
+++ b/test/gateway_fixtures.h
@@ -104,6 +104,50 @@
   return text.find(part) != std::string::npos;
 }
 
+// A connection of a client that stays open between requests.
+class ClientConnection {
+ public:
+  explicit ClientConnection(const std::string& address) : m_socket(m_io) {
+    m_socket.connect(*ParseEndpoint(address));
+  }
+
+  void Send(const std::string& line,
+            const std::string& attempt_id,
+            const std::string& body = "") {
+    asio::write(m_socket,
+                asio::buffer(line +
+                             " HTTP/1.1\r\nHost: a.example\r\n"
+                             "Credential: k1\r\nDeadline-Ms: 2000\r\n"
+                             "Attempt-Id: " +
+                             attempt_id + "\r\nContent-Length: " +
+                             std::to_string(body.size()) + "\r\n\r\n" + body));
+  }
+
+  // Reads what arrives within `time`.
+  std::string ReadFor(std::chrono::milliseconds time) {
+    std::string out;
+    asio::steady_timer timer(m_io, time);
+    timer.async_wait(
+        [&](const boost::system::error_code&) { m_socket.cancel(); });
+    asio::async_read(
+        m_socket, asio::dynamic_buffer(out),
+        [&](const boost::system::error_code&, size_t) { timer.cancel(); });
+    m_io.restart();
+    m_io.run();
+    return out;
+  }
+
+ private:
+  asio::io_context m_io;
+  tcp::socket m_socket;
+};
+
+// Response to any request, without an id.
+inline std::string MakeAnonymousResponse(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 // Starts a gateway that knows this configuration and these servers.
 inline void StartGateway(
     GatewayHarness& harness,
--- a/test/route_table_test.cc
+++ b/test/route_table_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(HostIsMatchedWithoutCaseAndPort);
   CPPUNIT_TEST(QueryDoesNotAffectMatching);
   CPPUNIT_TEST(AccountIsFoundByKey);
+  CPPUNIT_TEST(EmptyListOfAccountsLetsNobodyIn);
   CPPUNIT_TEST_SUITE_END();
 
   static RouteTable SampleRouteTable() {
@@ -77,11 +78,25 @@
 
   void AccountIsFoundByKey() {
     const RouteTable table = SampleRouteTable();
-    CPPUNIT_ASSERT(table.has_accounts());
+    CPPUNIT_ASSERT(table.requires_account());
     CPPUNIT_ASSERT_EQUAL(std::string("club"), table.FindAccount("k2")->name);
     CPPUNIT_ASSERT(table.FindAccount("k3") == nullptr);
     CPPUNIT_ASSERT(table.FindAccount("") == nullptr);
   }
+
+  // With an empty list of accounts every key was accepted.
+  void EmptyListOfAccountsLetsNobodyIn() {
+    CPPUNIT_ASSERT(!RouteTable::Builder(1).Build().requires_account());
+    const RouteTable empty = RouteTable::Builder(1).RequireAccount().Build();
+    CPPUNIT_ASSERT(empty.requires_account());
+    CPPUNIT_ASSERT(empty.FindAccount("k1") == nullptr);
+    ClientAccount club;
+    club.keys = {""};
+    const RouteTable empty_key =
+        RouteTable::Builder(1).AddAccount(club).Build();
+    CPPUNIT_ASSERT(empty_key.requires_account());
+    CPPUNIT_ASSERT(empty_key.FindAccount("") == nullptr);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RouteTableTest);
