Apply the limits that are in force when a request begins

Cause: the parser of the next request was made when the connection was opened or the request before it had been read, with the limits of that moment.

Change: the parser is made when the first byte of a request arrives.

--- a/src/gateway_session.cc
+++ b/src/gateway_session.cc
@@ -33,19 +33,21 @@
 
 void ClientSession::Start() {
   SetSocketOptions(m_socket, kMaxUnacknowledgedTime);
-  NewParser();
   SetTimer(m_core.limits().idle_timeout);
   Read();
 }
 
-void ClientSession::NewParser() {
+void ClientSession::BeginRequest() {
+  // The limits in force now: the connection may be older than these.
+  const ClientLimits& limits = m_core.limits();
   m_parser.emplace();
   m_parser->eager(true);
-  m_parser->header_limit(
-      static_cast<uint32_t>(m_core.limits().max_header_bytes));
-  m_parser->body_limit(m_core.limits().max_body_bytes);
-  m_request_started = false;
+  m_parser->header_limit(static_cast<uint32_t>(limits.max_header_bytes));
+  m_parser->body_limit(limits.max_body_bytes);
+  m_request_started = true;
   m_head_checked = false;
+  m_request_start_time = m_core.Now();
+  SetTimer(limits.header_timeout);
 }
 
 void ClientSession::SetTimer(Duration after) {
@@ -92,11 +94,8 @@
 void ClientSession::Parse() {
   if (m_buffer.size() == 0 || m_closed || m_lingering)
     return;
-  if (!m_request_started) {
-    m_request_started = true;
-    m_request_start_time = m_core.Now();
-    SetTimer(m_core.limits().header_timeout);
-  }
+  if (!m_request_started)
+    BeginRequest();
   error_code error;
   while (m_buffer.size() > 0 && !m_parser->is_done()) {
     const size_t used = m_parser->put(m_buffer.data(), error);
@@ -129,7 +128,7 @@
   m_keep_alive = request.keep_alive();
   m_is_head_request = request.method() == http::verb::head;
   m_response_ended = false;
-  NewParser();
+  m_request_started = false;
   if (request.count(http::field::host) != 1)
     return Reject(400, "one Host header is needed");
   m_exchange = std::make_shared<Exchange>(m_core, *this, m_request_start_time);
--- a/src/gateway_session.h
+++ b/src/gateway_session.h
@@ -42,7 +42,8 @@
  private:
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
-  void NewParser();
+  // Prepares to read the next request.
+  void BeginRequest();
   void Read();
   void OnReadError();
   void Parse();
