Bound what one request's bytes and exceptions can do

Cause: the id goes into the JSON of a repath order, whose library throws for text that is not UTF-8, and nothing caught it.

An exception ends its own request: the steps of a request and of its call to a server are guarded; what leaves another handler is logged and ends that handler only, and timers and the peer socket go on.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -1,5 +1,7 @@
 #include "trefoilwick/gateway.h"
 
+#include <absl/cleanup/cleanup.h>
+
 #include <algorithm>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/beast/http/read.hpp>
@@ -219,6 +221,7 @@
       [this](error_code error, size_t count) {
         if (error == asio::error::operation_aborted)
           return;
+        const absl::Cleanup next = [this] { ReceiveDatagram(); };
         if (!error) {
           m_coordination.OnDatagram(Now(),
                                     std::string(m_peer_buffer.data(), count));
@@ -227,7 +230,6 @@
           NotifyRequestsOfLostServers();
           RunActions();
         }
-        ReceiveDatagram();
       });
 }
 
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -1,5 +1,7 @@
 #include "gateway_core.h"
 
+#include <absl/cleanup/cleanup.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -32,6 +34,7 @@
 constexpr Duration kConfigRetryDelay = milliseconds(500);
 constexpr int kMaxConfigRetryBackoffFactor = 6;
 constexpr int kMaxLogLinesPerSecond = 200;
+constexpr size_t kMaxLoggedAnswerBytes = 200;
 
 }  // namespace
 
@@ -117,10 +120,12 @@
     // Requests of the list may end or be sent while it is worked through.
     if (!waiting[i]->IsWaiting())
       continue;
-    if (blocked_services.contains(requests[i].service))
-      waiting[i]->ContinueWaiting();
-    else if (!waiting[i]->TryDispatch())
-      blocked_services.insert(requests[i].service);
+    RunStep(*waiting[i], [&](Exchange& exchange) {
+      if (blocked_services.contains(requests[i].service))
+        exchange.ContinueWaiting();
+      else if (!exchange.TryDispatch())
+        blocked_services.insert(requests[i].service);
+    });
   }
 }
 
@@ -276,7 +281,8 @@
           Log("order_refused",
               {{"server", server},
                {"status", std::to_string(result.response.result_int())},
-               {"answer", result.response.body()}});
+               {"answer",
+                result.response.body().substr(0, kMaxLoggedAnswerBytes)}});
         handler(m_dialect->ReadOrderResult(result));
       });
 }
@@ -315,8 +321,8 @@
   m_tick_timer.async_wait([this](error_code error) {
     if (error)
       return;
+    const absl::Cleanup next = [this] { ScheduleTick(); };
     Tick();
-    ScheduleTick();
   });
 }
 
@@ -359,7 +365,7 @@
   for (Exchange* exchange : m_exchanges)
     active.push_back(exchange->shared_from_this());
   for (const auto& exchange : active)
-    exchange->OnTick(now);
+    RunStep(*exchange, [&](Exchange& request) { request.OnTick(now); });
   DispatchWaitingRequests();
   if (now >= m_next_sweep) {
     m_next_sweep = now + kSweepInterval;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -68,7 +68,8 @@
   m_is_head_request = request.method() == http::verb::head;
   auto parsed = m_core.dialect().ReadRequest(request.base());
   if (!parsed.ok()) {
-    SendLocalReply(400, "not_run", "the request is malformed");
+    SendLocalReply(400, "not_run",
+                   std::string(parsed.status().message()).c_str());
     return;
   }
   m_request = std::move(*parsed);
@@ -103,7 +104,7 @@
   m_timer.async_wait([weak = weak_from_this()](error_code error) {
     const auto self = weak.lock();
     if (!error && self)
-      self->OnDeadline();
+      RunStep(*self, [](Exchange& exchange) { exchange.OnDeadline(); });
   });
   return true;
 }
@@ -603,6 +604,17 @@
   TryDispatch();
 }
 
+void Exchange::OnException(const std::string& what) {
+  const auto self = shared_from_this();
+  m_core.Log("request_exception",
+             {{"id", m_request.attempt_id}, {"what", what}});
+  if (m_call)
+    m_call->Cancel();
+  m_call = nullptr;
+  m_refusal_reason = "the request could not be handled";
+  ExecuteDecision(m_forward.OnCancelled());
+}
+
 void Exchange::OnDeadline() {
   const auto self = shared_from_this();
   if (m_ended)
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -31,6 +31,8 @@
       boost::beast::http::request<boost::beast::http::string_body> request);
   // The client closed its connection.
   void OnClientDisconnected();
+  // A step of the request threw: ends it with what is known of its outcome.
+  void OnException(const std::string& what);
   // Called when the client's connection took all bytes written so far.
   void OnClientWritesFlushed();
   // Ends the request when requests of its kind crash servers. One that has
@@ -70,6 +72,9 @@
   void OnUpstreamBody(std::string bytes) override;
   void OnUpstreamComplete(bool ended_by_close) override;
   void OnUpstreamBroken(bool closed_by_server) override;
+  void OnUpstreamException(const std::string& what) override {
+    OnException(what);
+  }
 
  private:
   // Finds route and account in the configuration; false when it sent a local
@@ -240,4 +245,14 @@
   const char* m_refusal_reason = "no server has room";
 };
 
+// Runs a step of a request. An exception ends that request and no other.
+template <typename Step>
+void RunStep(Exchange& exchange, Step step) {
+  try {
+    step(exchange);
+  } catch (const std::exception& error) {
+    exchange.OnException(error.what());
+  }
+}
+
 }  // namespace trefoilwick::detail
--- a/src/gateway_exchange_recovery.cc
+++ b/src/gateway_exchange_recovery.cc
@@ -193,7 +193,9 @@
   m_core.CallServer(m_server, std::move(order),
                     [weak = weak_from_this(), choice](OrderResult result) {
                       if (const auto self = weak.lock())
-                        self->OnRepathed(result, choice);
+                        RunStep(*self, [&](Exchange& exchange) {
+                          exchange.OnRepathed(result, choice);
+                        });
                     });
 }
 
--- a/src/gateway_health.cc
+++ b/src/gateway_health.cc
@@ -1,5 +1,7 @@
 // Detects servers that are lost, refuse requests or are slow, as observed by
 // this instance.
+#include <absl/cleanup/cleanup.h>
+
 #include <algorithm>
 
 #include "gateway_core.h"
@@ -229,7 +231,8 @@
       if (exchange->UsesServer(server))
         affected.push_back(exchange->shared_from_this());
     for (const auto& exchange : affected)
-      exchange->OnServerLost(server);
+      RunStep(*exchange,
+              [&](Exchange& request) { request.OnServerLost(server); });
   }
 }
 
@@ -238,8 +241,8 @@
   m_stall_check_timer.async_wait([this](error_code error) {
     if (error)
       return;
+    const absl::Cleanup next = [this] { ScheduleStallCheck(); };
     CheckStalledStreams();
-    ScheduleStallCheck();
   });
 }
 
--- a/src/gateway_quarantine.cc
+++ b/src/gateway_quarantine.cc
@@ -89,7 +89,7 @@
   for (Exchange* exchange : m_exchanges)
     active.push_back(exchange->shared_from_this());
   for (const auto& exchange : active)
-    exchange->EndIfQuarantined();
+    RunStep(*exchange, [](Exchange& request) { request.EndIfQuarantined(); });
 }
 
 }  // namespace trefoilwick::detail
--- a/src/gateway_session.cc
+++ b/src/gateway_session.cc
@@ -134,7 +134,7 @@
   m_exchange = std::make_shared<Exchange>(m_core, *this, m_request_start_time);
   // Keeps the exchange alive when it responds within Begin().
   const auto exchange = m_exchange;
-  exchange->Begin(std::move(request));
+  RunStep(*exchange, [&](Exchange& begun) { begun.Begin(std::move(request)); });
 }
 
 void ClientSession::Reject(int status, const char* reason) {
@@ -211,22 +211,23 @@
 }
 
 void ClientSession::WriteNext() {
-  asio::async_write(m_socket, asio::buffer(m_write_queue.front()),
-                    [self = shared_from_this()](error_code error, size_t) {
-                      if (self->m_closed)
-                        return;
-                      if (error)
-                        return self->OnReadError();
-                      self->m_pending_bytes -=
-                          self->m_write_queue.front().size();
-                      self->m_write_queue.pop_front();
-                      if (!self->m_write_queue.empty())
-                        return self->WriteNext();
-                      if (self->m_exchange)
-                        self->m_exchange->OnClientWritesFlushed();
-                      else if (self->m_response_ended)
-                        self->OnResponseWritten();
-                    });
+  asio::async_write(
+      m_socket, asio::buffer(m_write_queue.front()),
+      [self = shared_from_this()](error_code error, size_t) {
+        if (self->m_closed)
+          return;
+        if (error)
+          return self->OnReadError();
+        self->m_pending_bytes -= self->m_write_queue.front().size();
+        self->m_write_queue.pop_front();
+        if (!self->m_write_queue.empty())
+          return self->WriteNext();
+        if (self->m_exchange)
+          RunStep(*self->m_exchange,
+                  [](Exchange& exchange) { exchange.OnClientWritesFlushed(); });
+        else if (self->m_response_ended)
+          self->OnResponseWritten();
+      });
 }
 
 void ClientSession::OnResponseWritten() {
--- a/src/gateway_upstream.cc
+++ b/src/gateway_upstream.cc
@@ -110,6 +110,16 @@
   });
 }
 
+template <typename Step>
+void UpstreamCall::RunStep(Step step) {
+  try {
+    step();
+  } catch (const std::exception& error) {
+    Cancel();
+    m_listener->OnUpstreamException(error.what());
+  }
+}
+
 void UpstreamCall::Connect(const tcp::endpoint& endpoint) {
   m_socket = std::make_unique<tcp::socket>(m_io);
   m_connect_timer.expires_after(kConnectTimeout);
@@ -128,7 +138,7 @@
         self->m_connect_timer.cancel();
         if (!error) {
           SetSocketOptions(*self->m_socket, kMaxUnacknowledgedTime);
-          self->Send();
+          self->RunStep([&] { self->Send(); });
           return;
         }
         self->m_finished = true;
@@ -177,9 +187,12 @@
         self->m_reading = false;
         if (self->m_finished)
           return;
-        if (error)
-          return self->OnReadError(error);
-        self->OnBytes(count);
+        self->RunStep([&] {
+          if (error)
+            self->OnReadError(error);
+          else
+            self->OnBytes(count);
+        });
       });
 }
 
--- a/src/gateway_upstream.h
+++ b/src/gateway_upstream.h
@@ -37,7 +37,7 @@
 };
 
 // Receives the events of an UpstreamCall. Nothing is called after the terminal
-// ones: connect failed, complete, broken.
+// ones: connect failed, complete, broken, exception.
 class UpstreamListener {
  public:
   virtual ~UpstreamListener() = default;
@@ -54,6 +54,8 @@
   virtual void OnUpstreamComplete(bool ended_by_close) = 0;
   // `closed_by_server` is true when the server closed the connection.
   virtual void OnUpstreamBroken(bool closed_by_server) = 0;
+  // The listener, or the parser of the response, threw.
+  virtual void OnUpstreamException(const std::string& what) = 0;
 };
 
 class UpstreamCall : public std::enable_shared_from_this<UpstreamCall> {
@@ -98,6 +100,9 @@
   void Complete();
   void ReportBroken(bool closed_by_server = false);
   void NewParser();
+  // Runs a step of the call. An exception ends the call and no other.
+  template <typename Step>
+  void RunStep(Step step);
 
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::string_body>;
--- a/test/gateway_harness.h
+++ b/test/gateway_harness.h
@@ -256,6 +256,8 @@
 
   MemoryClusterStore& store() { return m_store; }
   GatewaySettings& settings() { return m_settings; }
+  // Takes the place of the platform's dialect.
+  void SetDialect(const WireDialect* dialect) { m_dialect = dialect; }
 
   void AddServer(const std::string& id,
                  const std::string& service,
@@ -271,7 +273,7 @@
   void Start() {
     m_gateway = std::make_unique<Gateway>(Gateway::Builder(m_io)
                                               .SetSettings(m_settings)
-                                              .SetDialect(&m_dialect)
+                                              .SetDialect(m_dialect)
                                               .SetStore(&m_store)
                                               .Build());
     CPPUNIT_ASSERT(m_gateway->Start().ok());
@@ -330,7 +332,8 @@
   }
 
   asio::io_context m_io;
-  platform::PlatformDialect m_dialect;
+  platform::PlatformDialect m_platform_dialect;
+  const WireDialect* m_dialect = &m_platform_dialect;
   MemoryClusterStore m_store;
   GatewaySettings m_settings;
   std::unique_ptr<Gateway> m_gateway;
--- a/test/http_contract_test.py
+++ b/test/http_contract_test.py
@@ -169,6 +169,20 @@
           f"{seconds_to_free:.2f} s")
 
 
+def check_bytes(entry, env):
+    """Guards against a header that ends the daemon because its bytes are not
+    UTF-8."""
+    for header in (b"Authorization", b"Idempotency-Key", b"X-Request-Id",
+                   b"Content-Type", b"X-Other"):
+        for byte in (b"\x01", b"\x80", b"\xc3\x28", b"\xff"):
+            raw_status(entry, b"POST /v1/services/ballot/x HTTP/1.1\r\n"
+                       b"Host: a\r\nAuthorization: Bearer " + KEY.encode()
+                       + b"\r\nConnection: close\r\nContent-Length: 2\r\n"
+                       + header + b": k" + byte + b"\r\n\r\n{}")
+            code, _, _ = call(entry, "GET", "/healthz")
+            check(f"alive after {header} with {byte}", code == 200, code)
+
+
 def check_limit(entry, env):
     statuses = [call(entry, "POST", "/v1/services/archive-read/x", {},
                      "key-visitors")[0] for _ in range(3)]
@@ -205,13 +219,14 @@
         check("nothing ran", engines_idle(env), "an engine holds work")
         check_streams(entry, env)
         check_caller_leaves(entry, env)
+        check_bytes(entry, env)
         check_limit(entry, env)
         check_table_history(entry, env)
         code, _, _ = call(entry, "GET", "/healthz")
         check("alive at the end", code == 200, code)
     finally:
         fleet("down")
-    total = len(CASES) + len(RAW) + 9
+    total = len(CASES) + len(RAW) + 29
     print(f"{total - len(FAILURES)} passed, {len(FAILURES)} failed")
     return 1 if FAILURES else 0
 
