Use entries of servers whole or not at all, and name the server in orders

Cause: missing fields were filled in, orders named no server, the seq of whoever answered was taken over, and a number in the entry decided how much work is done.

Change: all fields that a server writes are checked with their types and ranges where the entry is decoded, and an entry that fails is skipped and logged once. Orders and report requests carry the id of the server that they were planned for. Servers with layers that the model does not have are not used for paths or placement.

--- a/include/trefoilwick/gateway.h
+++ b/include/trefoilwick/gateway.h
@@ -135,16 +135,19 @@
   // Adds the headers of a local reply.
   virtual void AddLocalReplyHeaders(const std::string& attempt_id,
                                     HeaderFields& headers) const = 0;
+  // Orders and report requests name the server that they are for: another one
+  // may have its address by now.
   virtual HttpRequest WritePlacementOrder(const PlacementOrder& order,
                                           int64_t fencing_token,
                                           int64_t order_seq) const = 0;
+  // For the first server of the path.
   virtual HttpRequest WriteRepathOrder(const std::string& attempt_id,
                                        const LayerPath& path,
                                        int64_t fencing_token,
                                        const ServerMap& servers) const = 0;
   virtual OrderResult ReadOrderResult(const CallResult& result) const = 0;
   // Requests the state of a server.
-  virtual HttpRequest WriteReportRequest() const = 0;
+  virtual HttpRequest WriteReportRequest(const std::string& server) const = 0;
   // Null when the response is no report.
   virtual std::optional<ServerReport> ReadReport(
       const CallResult& result) const = 0;
--- a/include/trefoilwick/layer_path.h
+++ b/include/trefoilwick/layer_path.h
@@ -261,4 +261,8 @@
 // Largest number of layers that a server of this kind can hold.
 int MaxLayers(const EngineModel& engine, const std::string& kind);
 
+// False when the server names layers that the model does not have. It is not
+// used: something else wrote its entry.
+bool FitsModel(const EngineModel& engine, const BackendServer& server);
+
 }  // namespace trefoilwick
--- a/src/gateway_health.cc
+++ b/src/gateway_health.cc
@@ -282,7 +282,8 @@
       !m_coordination.availability().pauses().TryProbe(Now(), server))
     return;
   m_server_client.Call(
-      found->second.address, m_dialect->WriteReportRequest(), kOrderTimeout,
+      found->second.address, m_dialect->WriteReportRequest(server),
+      kOrderTimeout,
       [this, server,
        process = found->second.process()](const CallResult& result) {
         OnControlAnswer(process, result);
--- a/src/gateway_placement.cc
+++ b/src/gateway_placement.cc
@@ -202,7 +202,8 @@
     return;
   }
   m_server_client.Call(
-      found->second.address, m_dialect->WriteReportRequest(), kOrderTimeout,
+      found->second.address, m_dialect->WriteReportRequest(server),
+      kOrderTimeout,
       [this, server, resend,
        process = found->second.process()](const CallResult& result) {
         OnControlAnswer(process, result);
--- a/src/layer_path.cc
+++ b/src/layer_path.cc
@@ -148,7 +148,7 @@
   std::vector<Candidate> out;
   for (const auto& [id, server] : servers) {
     if (server.service != request.service || !server.layers ||
-        request.excluded.contains(id))
+        request.excluded.contains(id) || !FitsModel(engine, server))
       continue;
     const bool is_pinned =
         request.pinned_first_stage && id == request.pinned_first_stage->server;
@@ -264,6 +264,10 @@
                   static_cast<int>(found->memory_mb / engine.layer_mb));
 }
 
+bool FitsModel(const EngineModel& engine, const BackendServer& server) {
+  return !server.layers || server.layers->to <= engine.layers;
+}
+
 namespace {
 
 // Layers at which a path may change servers: the ends of the ranges that the
--- a/src/layer_path_placement.cc
+++ b/src/layer_path_placement.cc
@@ -45,7 +45,8 @@
   for (const auto& [id, server] : servers) {
     const auto kind = engine.accelerator_kinds.find(server.kind);
     if (server.service != service || server.state != ServerState::kReady ||
-        lost_servers.contains(id) || kind == engine.accelerator_kinds.end())
+        lost_servers.contains(id) || kind == engine.accelerator_kinds.end() ||
+        !FitsModel(engine, server))
       continue;
     const int max_layers = MaxLayers(engine, server.kind);
     if (max_layers == 0)
--- a/test/adapter_test.cc
+++ b/test/adapter_test.cc
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <boost/beast/http/string_body.hpp>
+#include <nlohmann/json.hpp>
 
 #include "dialect.h"
 #include "rows.h"
@@ -10,6 +11,7 @@
 namespace {
 
 namespace http = boost::beast::http;
+using nlohmann::json;
 using std::chrono::milliseconds;
 
 constexpr char kSettings[] = R"(
@@ -51,6 +53,11 @@
 "headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "tenants":[{"name":"club","apiKeys":["k1","k2"],"priority":1}]})";
 
+constexpr char kServerRow[] = R"({"service":"pool",
+"address":"10.1.64.9:8080","zone":"regina","version":"v1","slots":192,
+"state":"ready","coldLeftMs":0,"kind":"l4","born":1700,"seq":9,
+"layers":{"from":3,"target":9,"version":1}})";
+
 ServerMap TwoServers() {
   ServerMap servers;
   for (const char* id : {"i-1", "i-2"}) {
@@ -80,6 +87,7 @@
   CPPUNIT_TEST(ClientCannotForgeRouterHeaders);
   CPPUNIT_TEST(ResponsesAreClassified);
   CPPUNIT_TEST(DirectoryCallIsReadAndAnswered);
+  CPPUNIT_TEST(OrdersNameTheirServer);
   CPPUNIT_TEST(OrderResultsAndReportsAreRead);
   CPPUNIT_TEST_SUITE_END();
 
@@ -163,37 +171,78 @@
         requires_account(R"(,"tenants":[{"name":"club","apiKeys":[]}])"));
   }
 
+  // A server's entry with `changes` applied; a null value removes a field.
+  static std::string ServerRow(const json& changes) {
+    json row = json::parse(kServerRow);
+    row.merge_patch(changes);
+    return row.dump();
+  }
+
   void ServersAreDecoded() {
-    const auto server = DecodeServer(
-        "i-1",
-        R"({"service":"pool","address":"10.1.64.9:8080","zone":"regina",
-        "state":"ready","kind":"l4","born":1700,"seq":9,
-        "layers":{"from":3,"target":9,"version":1}})");
+    const auto server = DecodeServer("i-1", kServerRow);
     CPPUNIT_ASSERT(server.has_value());
     CPPUNIT_ASSERT((server->layers == LayerRange{3, 9}));
     CPPUNIT_ASSERT_EQUAL(int64_t{1700}, server->start_unix_ms);
     const auto draining =
-        DecodeServer("i-1", R"({"service":"p","address":"a:1","zone":"z",
-        "state":"draining","layers":null})");
+        DecodeServer("i-1", ServerRow({{"state", "draining"}}));
     CPPUNIT_ASSERT(draining->state == ServerState::kDraining);
-    CPPUNIT_ASSERT(!draining->layers.has_value());
+    // Servers of other services have no layers, and empty ones none yet.
+    for (const char* field : {"layers", "kind", "born"})
+      CPPUNIT_ASSERT(
+          DecodeServer("i-1", ServerRow({{field, nullptr}})).has_value());
+    std::string row = kServerRow;
+    row.replace(row.find(R"({"from":3,"target":9,"version":1})"), 33, "null");
+    CPPUNIT_ASSERT(!DecodeServer("i-1", row)->layers.has_value());
+    CPPUNIT_ASSERT(
+        !DecodeServer("i-1", ServerRow({{"layers", {{"target", 3}}}}))
+             ->layers.has_value());
   }
 
-  // Guards against failures on rows that other writers keep in the same table.
+  // An entry of another writer, with fields missing and the address of a
+  // server, was taken for an empty server and got orders.
   void UnusableRowsYieldNoServer() {
-    for (const char* bad :
-         {"", "nonsense", "[1]", "{}",
-          R"({"service":"p","address":"a:1","zone":"z","state":"asleep"})",
-          R"({"service":"p","address":7,"zone":"z","state":"ready"})",
-          R"({"service":"p","address":"a:1","state":"ready"})"})
+    for (const char* bad : {"", "nonsense", "[1]", "{}", "null", "\xff"})
       CPPUNIT_ASSERT(!DecodeServer("i-1", bad).has_value());
+    for (const char* field : {"service", "address", "zone", "version", "slots",
+                              "state", "coldLeftMs", "seq"})
+      for (const json& value :
+           {json(nullptr), json(""), json("x y"), json(-1), json(true),
+            json::array(), json::object(), json(1.5)}) {
+        // These are texts and an amount that say something.
+        if ((value == "x y" &&
+             (std::string(field) == "service" || std::string(field) == "zone" ||
+              std::string(field) == "version")) ||
+            (value == 1.5 && std::string(field) == "coldLeftMs"))
+          continue;
+        CPPUNIT_ASSERT_MESSAGE(
+            field + value.dump(),
+            !DecodeServer("i-1", ServerRow({{field, value}})).has_value());
+      }
+    for (const json& changes :
+         std::vector<json>{{{"born", "1700"}},
+                           {{"born", 1.5}},
+                           {{"born", -1}},
+                           {{"kind", 4}},
+                           {{"layers", "3-9"}},
+                           {{"layers", {{"from", 0.5}, {"target", 2.0e9}}}},
+                           {{"layers", {{"from", -1}}}},
+                           {{"layers", {{"from", 10}}}},
+                           {{"layers", {{"target", 2'000'000'000}}}},
+                           {{"layers", {{"target", 1e300}}}},
+                           {{"layers", {{"target", nullptr}}}},
+                           {{"address", "a:1"}},
+                           {{"address", "10.1.64.9"}},
+                           {{"address", "10.1.64.9:0"}}})
+      CPPUNIT_ASSERT_MESSAGE(
+          changes.dump(), !DecodeServer("i-1", ServerRow(changes)).has_value());
+    // The id is sent as the value of a header.
+    for (const char* id : {"", "i 1", "i-1\r\nX: y", "i-\xff"})
+      CPPUNIT_ASSERT(!DecodeServer(id, kServerRow).has_value());
   }
 
   void MutatedRowsNeverThrow() {
     Random random(5);
-    const std::string row = R"({"service":"pool","address":"10.1.64.9:8080",)"
-                            R"("zone":"r","state":"ready","born":17,)"
-                            R"("layers":{"from":3,"target":9}})";
+    const std::string row = kServerRow;
     for (int i = 0; i < 20'000; ++i) {
       std::string server = row;
       std::string configuration = kConfiguration;
@@ -418,6 +467,19 @@
                                        std::chrono::seconds(2)));
   }
 
+  // An order that was planned for one server was carried out by another one at
+  // the same address.
+  void OrdersNameTheirServer() {
+    const PlatformDialect dialect;
+    const ServerMap servers = TwoServers();
+    for (const HttpRequest& request :
+         {dialect.WritePlacementOrder({"i-2", {0, 8}}, 1, 0),
+          dialect.WriteRepathOrder("9c", {{"i-2", {0, 8}}, {"i-1", {8, 16}}}, 1,
+                                   servers),
+          dialect.WriteReportRequest("i-2")})
+      CPPUNIT_ASSERT(request["Expect-Instance"] == "i-2");
+  }
+
   void OrderResultsAndReportsAreRead() {
     const PlatformDialect dialect;
     const auto result = [&](unsigned status) {
@@ -444,6 +506,10 @@
     CPPUNIT_ASSERT_EQUAL(1.0, read->slowdown);
     report.response.body() = R"({"seq":2,"pace":12.5})";
     CPPUNIT_ASSERT_EQUAL(12.5, dialect.ReadReport(report)->slowdown);
+    report.response.body() = R"({"seq":2,"layers":{"from":0,"target":2e9}})";
+    CPPUNIT_ASSERT(!dialect.ReadReport(report)->layers.has_value());
+    report.response.body() = R"({"seq":2,"layers":{"from":0,"target":8}})";
+    CPPUNIT_ASSERT((dialect.ReadReport(report)->layers == LayerRange{0, 8}));
     report.response.body() = "{}";
     CPPUNIT_ASSERT(!dialect.ReadReport(report).has_value());
   }
--- a/test/layer_path_placement_test.cc
+++ b/test/layer_path_placement_test.cc
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(NewServerWaitsForLayersOfDrainingServer);
   CPPUNIT_TEST(SecondHoldersWaitUntilAllLayersAreCovered);
   CPPUNIT_TEST(RandomFleetsReachStableLayout);
+  CPPUNIT_TEST(LayersBeyondTheModelAreIgnored);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -283,6 +284,21 @@
     }
     CPPUNIT_ASSERT_EQUAL(0, unstable_fleets);
   }
+
+  // An entry with two billion layers stopped its coordinator for seconds: each
+  // layer was looked at. Nothing is given up because such an entry holds it.
+  void LayersBeyondTheModelAreIgnored() {
+    ServerMap servers = EmptyFleet({"brandon"});
+    CPPUNIT_ASSERT(RunPlacementUntilStable(servers) >= 0);
+    BackendServer foreign = EmptyServer("foreign", "brandon", "l4");
+    foreign.layers = LayerRange{0, 2'000'000'000};
+    servers["foreign"] = foreign;
+    CPPUNIT_ASSERT(!FitsModel(Engine(), foreign));
+    for (int i = 0; i < 10; ++i)
+      CPPUNIT_ASSERT(
+          PlanPlacement(Engine(), servers, kServiceName, {}, {}, {}).empty());
+    CPPUNIT_ASSERT_EQUAL(0, Health(servers, "brandon").uncovered_layers);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LayerPathPlacementTest);
