--- a/include/trefoilwick/forwarding.h
+++ b/include/trefoilwick/forwarding.h
@@ -187,7 +187,8 @@
 
 // A request that waits for free capacity on the servers of a service.
 struct WaitingRequest {
-  std::string service;
+  // Valid as long as the request.
+  std::string_view service;
   // 0 is the most urgent.
   int rank = 0;
   TimePoint started_at;
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -115,7 +115,7 @@
   }
   // A request that finds no free capacity blocks later requests of its service,
   // so that they do not take the capacity it waits for.
-  std::set<std::string> blocked_services;
+  std::set<std::string_view> blocked_services;
   for (const size_t i : SortWaitingRequests(requests, Now())) {
     // Requests of the list may end or be sent while it is worked through.
     if (!waiting[i]->IsWaiting())
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -268,8 +268,8 @@
 WaitingRequest Exchange::MakeWaitingRequest() const {
   WaitingRequest out;
   if (m_route != nullptr) {
-    out.service =
-        m_route->services.empty() ? "" : m_route->services.front().service;
+    if (!m_route->services.empty())
+      out.service = m_route->services.front().service;
     out.latency_target = m_route->latency_target;
   }
   out.rank = m_rank;
