--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -221,7 +221,8 @@
       [this](error_code error, size_t count) {
         if (error == asio::error::operation_aborted)
           return;
-        const absl::Cleanup next = [this] { ReceiveDatagram(); };
+        // Also when this step throws.
+        const absl::Cleanup schedule_next = [this] { ReceiveDatagram(); };
         if (!error) {
           m_coordination.OnDatagram(Now(),
                                     std::string(m_peer_buffer.data(), count));
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -321,7 +321,8 @@
   m_tick_timer.async_wait([this](error_code error) {
     if (error)
       return;
-    const absl::Cleanup next = [this] { ScheduleTick(); };
+    // Also when this step throws.
+    const absl::Cleanup schedule_next = [this] { ScheduleTick(); };
     Tick();
   });
 }
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -613,6 +613,9 @@
   m_call = nullptr;
   m_refusal_reason = "the request could not be handled";
   ExecuteDecision(m_forward.OnCancelled());
+  // The response may have been decided on, but not written.
+  if (Finish("exception", 0))
+    m_session->Abort();
 }
 
 void Exchange::OnDeadline() {
--- a/src/gateway_health.cc
+++ b/src/gateway_health.cc
@@ -241,7 +241,8 @@
   m_stall_check_timer.async_wait([this](error_code error) {
     if (error)
       return;
-    const absl::Cleanup next = [this] { ScheduleStallCheck(); };
+    // Also when this step throws.
+    const absl::Cleanup schedule_next = [this] { ScheduleStallCheck(); };
     CheckStalledStreams();
   });
 }
