Judge requests that had begun apart from parts of prompts

Change: reports with the content only are judged among themselves, by the crashes that nothing else explains, and are the first to be dropped. Traits with fewer than three crashes are not compared at all, as most have one.

Evidence: crash_suspects_test InterruptedStreamsDoNotHideCulprit fails without the change.

--- a/src/crash_suspects.cc
+++ b/src/crash_suspects.cc
@@ -1,6 +1,7 @@
 #include "trefoilwick/crash_suspects.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace trefoilwick {
 
@@ -29,6 +30,12 @@
 
 constexpr uint64_t kContentSeed = 1;
 
+// A request that had begun is suspected by its content alone. A crash
+// interrupts many of these, nearly all of them sound.
+bool IsContentOnly(const CrashReport& report) {
+  return report.traits.size() == 1;
+}
+
 }  // namespace
 
 TraitSet PromptTraits(std::string_view service,
@@ -69,9 +76,14 @@
   m_crashes.try_emplace(report.id, KnownCrash{report, now});
   if (m_crashes.size() <= kMaxCrashes)
     return;
+  // Interrupted requests must not displace the evidence against a part of
+  // prompts, of which there is less.
+  const auto value = [](const CrashReport& report) {
+    return std::make_tuple(!IsContentOnly(report), report.crashed_at);
+  };
   m_crashes.erase(std::min_element(
-      m_crashes.begin(), m_crashes.end(), [](const auto& a, const auto& b) {
-        return a.second.report.crashed_at < b.second.report.crashed_at;
+      m_crashes.begin(), m_crashes.end(), [&](const auto& a, const auto& b) {
+        return value(a.second.report) < value(b.second.report);
       }));
 }
 
@@ -193,39 +205,55 @@
     const std::map<Trait, Crashes>& by_trait) {
   const Crashes* out = nullptr;
   for (const auto& [trait, crashes] : by_trait)
-    if (out == nullptr || StrengthOf(crashes) > StrengthOf(*out))
+    // Fewer crashes are no evidence, and most traits have but one.
+    if (crashes.size() >= kMinCrashes &&
+        (out == nullptr || StrengthOf(crashes) > StrengthOf(*out)))
       out = &crashes;
   return out;
 }
 
 // Takes the trait that explains most crashes in a row, then the one that
-// explains most of the others.
+// explains most of the others. Contents of requests that had begun are judged
+// among themselves, by the crashes that no other trait explains: with the
+// others they would make every verdict ambiguous.
 std::vector<CrashTracker::Culprit> CrashTracker::FindCulprits(
     TimePoint now) const {
   std::vector<Culprit> out;
   if (m_crashes.size() < kMinCrashes)
     return out;
-  Crashes unexplained = SortedCrashes();
-  for (;;) {
-    const std::map<Trait, Crashes> by_trait = CrashesByTrait(unexplained);
-    const Crashes* crashes = StrongestEvidence(by_trait);
-    if (crashes == nullptr)
-      return out;
-    const Explanation explanation = Narrow(*crashes, by_trait);
-    const Crashes sequence = InSequence(explanation.crashes);
-    if (sequence.size() < kMinCrashes)
-      return out;
-    const bool starts_known =
-        now - sequence[kMinCrashes - 1]->known_at >= kVerdictDelay;
-    if (starts_known && (sequence.size() >= kUndeniableCrashes ||
-                         !IsAmbiguous(explanation, by_trait)))
-      out.push_back(
-          {explanation.traits, explanation.crashes.back()->report.crashed_at});
-    const std::set<uint64_t> servers = ServersOf(explanation.crashes);
-    std::erase_if(unexplained, [&](const KnownCrash* crash) {
-      return servers.contains(crash->report.server);
-    });
-  }
+  std::set<uint64_t> explained_servers;
+  const auto is_explained = [&](const KnownCrash* crash) {
+    return explained_servers.contains(crash->report.server);
+  };
+  const auto judge = [&](Crashes unexplained) {
+    for (;;) {
+      std::erase_if(unexplained, is_explained);
+      const std::map<Trait, Crashes> by_trait = CrashesByTrait(unexplained);
+      const Crashes* crashes = StrongestEvidence(by_trait);
+      if (crashes == nullptr)
+        return;
+      const Explanation explanation = Narrow(*crashes, by_trait);
+      const Crashes sequence = InSequence(explanation.crashes);
+      if (sequence.size() < kMinCrashes)
+        return;
+      const bool starts_known =
+          now - sequence[kMinCrashes - 1]->known_at >= kVerdictDelay;
+      if (starts_known && (sequence.size() >= kUndeniableCrashes ||
+                           !IsAmbiguous(explanation, by_trait)))
+        out.push_back({explanation.traits,
+                       explanation.crashes.back()->report.crashed_at});
+      explained_servers.merge(ServersOf(explanation.crashes));
+    }
+  };
+  Crashes by_parts = SortedCrashes();
+  const auto first_content = std::stable_partition(
+      by_parts.begin(), by_parts.end(),
+      [](const KnownCrash* crash) { return !IsContentOnly(crash->report); });
+  const Crashes by_content(first_content, by_parts.end());
+  by_parts.erase(first_content, by_parts.end());
+  judge(by_parts);
+  judge(by_content);
+  return out;
 }
 
 void CrashTracker::RemoveExpired(TimePoint now) {
--- a/test/crash_suspects_test.cc
+++ b/test/crash_suspects_test.cc
@@ -76,6 +76,7 @@
   CPPUNIT_TEST(QuarantineEndsAndOneCrashRenewsIt);
   CPPUNIT_TEST(QuarantineIgnoresEmptyTraits);
   CPPUNIT_TEST(MemoryIsBounded);
+  CPPUNIT_TEST(InterruptedStreamsDoNotHideCulprit);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -214,6 +215,30 @@
     CPPUNIT_ASSERT(!tracker.LastStart(1));
     CPPUNIT_ASSERT(tracker.LastStart(kMany));
   }
+
+  // Each crash interrupts many streams that have begun, some of them on every
+  // server. Their reports displaced the evidence against the part that crashed
+  // the servers, and those on every server were as strong (malabar-gnomon,
+  // tainted, seed 901042038046: 11 servers lost before the verdict).
+  void InterruptedStreamsDoNotHideCulprit() {
+    constexpr int kStreams = 200;
+    Scenario scenario;
+    uint64_t content = 0;
+    for (int crash = 0; crash < 3; ++crash) {
+      std::vector<TraitSet> requests = {
+          Traits({"part", "bad"}, std::to_string(crash))};
+      for (int i = 0; i < kStreams; ++i)
+        requests.push_back({ContentTrait("pool", "club", "/draft/",
+                                         std::to_string(++content))});
+      requests.push_back(
+          {ContentTrait("pool", "club", "/draft/", "interrupted")});
+      scenario.Crash(requests);
+    }
+    CPPUNIT_ASSERT(scenario.IsBlamed(Traits({"part", "bad"}, "x")));
+    // The crashes are explained: no stream is blamed for them.
+    CPPUNIT_ASSERT(!scenario.IsBlamed(
+        {ContentTrait("pool", "club", "/draft/", "interrupted")}));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashSuspectsTest);
