Clear a request of all crashes up to the end of one like it

The sound requests of that case have the same account, path and body, and their content was quarantined for 10 minutes.

Cause: a request that ended well cleared its content of the crashes before it was sent. Crashes while it ran stayed, though it shows that its content does not crash servers; with a second between send and end, three of them come together.

Change: the end of a request clears its content of all crashes up to then. A request that crashes its servers never ends well, so nothing is lost against it.

Evidence: adapter_crash_test RequestsThatAreAlikeClearEachOther fails without the change and passes three times with it.

--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -230,8 +230,9 @@
 void Exchange::RecordCompleted() {
   RecordBegun();
   m_held_crash.reset();
-  m_core.coordination().OnRequestRan(SuspectTraits(m_service),
-                                     m_send_started_at);
+  // A request that crashes its servers never ends well, so its end clears its
+  // content of all crashes so far, also of those since it was sent.
+  m_core.coordination().OnRequestRan(SuspectTraits(m_service), m_core.Now());
 }
 
 bool Exchange::RecordClosedByServer() {
--- a/test/adapter_crash_test.cc
+++ b/test/adapter_crash_test.cc
@@ -63,6 +63,7 @@
   CPPUNIT_TEST_SUITE(AdapterCrashTest);
   CPPUNIT_TEST(RequestThatCrashesServersInMidStreamIsRefused);
   CPPUNIT_TEST(StreamsInterruptedByCrashesAreServedAgain);
+  CPPUNIT_TEST(RequestsThatAreAlikeClearEachOther);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -113,6 +114,53 @@
     }
     CPPUNIT_ASSERT_EQUAL(2 * kCalls, servers.crash_count());
   }
+
+  // Sound requests of one account with the same path and body were refused for
+  // 10 minutes, as crashes interrupted some of them while others, sent before
+  // the crashes, ended well.
+  void RequestsThatAreAlikeClearEachOther() {
+    std::atomic<int> interrupted_sends{0};
+    const auto serve = [&](const std::string& request) {
+      ScriptedResponse response{kStreamHead};
+      const bool is_interrupted = Contains(request, "X-Own: interrupted");
+      const bool crashes = is_interrupted && ++interrupted_sends <= 3;
+      const bool is_first = Contains(request, "X-Own: first");
+      response.parts_pause = milliseconds(is_first ? 40 : 60);
+      const std::string field = "Last-Event-Id: ";
+      const size_t at = request.find(field);
+      const int next = at == std::string::npos
+                           ? 0
+                           : std::stoi(request.substr(at + field.size())) + 1;
+      const int count = crashes ? kEventsBeforeCrash : kEvents;
+      for (int id = next; id < next + count; ++id)
+        response.parts.push_back(MakeChunk(MakeEvent(id)));
+      response.stop_listening = crashes;
+      if (!crashes)
+        response.parts.push_back(MakeChunk(""));
+      return response;
+    };
+    std::deque<ScriptedServer> servers;
+    std::vector<ScriptedServer*> pointers;
+    for (int i = 0; i < 12; ++i)
+      pointers.push_back(&servers.emplace_back(serve));
+    GatewayHarness harness;
+    StartGateway(harness, pointers);
+    std::this_thread::sleep_for(seconds(1));
+    const auto call = [&](const std::string& name) {
+      return harness.CallAsClient(
+          Request("POST /stream/x", "X-Own: " + name + "\r\n", "same"));
+    };
+    // Crashes after 0.3, 0.6 and 0.9 s; the others end after 0.5 and 0.7 s.
+    std::vector<std::thread> clients;
+    for (const char* name : {"first", "second"})
+      clients.emplace_back([&, name] { call(name); });
+    const std::string response = call("interrupted");
+    for (std::thread& client : clients)
+      client.join();
+    CPPUNIT_ASSERT_EQUAL(4, interrupted_sends.load());
+    CPPUNIT_ASSERT_MESSAGE(response, response.ends_with("\r\n0\r\n\r\n"));
+    CPPUNIT_ASSERT(call("later").ends_with("\r\n0\r\n\r\n"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AdapterCrashTest);
