--- a/test/adapter_bytes_test.cc
+++ b/test/adapter_bytes_test.cc
@@ -71,10 +71,14 @@
           "Content-Type", "X-Own"})
       for (const std::string& value : UnusualValues()) {
         std::string request = "GET /get/x HTTP/1.1\r\n";
+        const auto add = [&](const std::string& name, const std::string& text) {
+          request.append(name).append(": ").append(text).append("\r\n");
+        };
         for (const auto& [name, usual_value] : usual)
           if (name != tested)
-            request += name + ": " + usual_value + "\r\n";
-        harness.CallAsClient(request + tested + ": " + value + "\r\n\r\n");
+            add(name, usual_value);
+        add(tested, value);
+        harness.CallAsClient(request.append("\r\n"));
       }
     for (const std::string& value : UnusualValues())
       harness.CallAsClient(Request("GET /get/" + value));
--- a/test/adapter_crash_test.cc
+++ b/test/adapter_crash_test.cc
@@ -139,9 +139,11 @@
         response.parts.push_back(MakeChunk(""));
       return response;
     };
+    constexpr size_t kServers = 12;
     std::deque<ScriptedServer> servers;
     std::vector<ScriptedServer*> pointers;
-    for (int i = 0; i < 12; ++i)
+    pointers.reserve(kServers);
+    for (size_t i = 0; i < kServers; ++i)
       pointers.push_back(&servers.emplace_back(serve));
     GatewayHarness harness;
     StartGateway(harness, pointers);
