--- a/include/trefoilwick/forwarding.h
+++ b/include/trefoilwick/forwarding.h
@@ -252,6 +252,24 @@
   std::optional<TimePoint> m_pending_since;
 };
 
+// Why the bytes of a run are not those of a sound server.
+enum class StreamFault : uint8_t {
+  kNone,
+  kMalformedEvent,
+  kNoEventId,
+  kUnexpectedEvent,
+  kEventTooLarge,
+  kEndlessEvent,
+};
+inline constexpr auto kStreamFaultNames = MakeEnumTable<StreamFault>({
+    {StreamFault::kNone, "none"},
+    {StreamFault::kMalformedEvent, "malformed_event"},
+    {StreamFault::kNoEventId, "no_event_id"},
+    {StreamFault::kUnexpectedEvent, "unexpected_event"},
+    {StreamFault::kEventTooLarge, "event_too_large"},
+    {StreamFault::kEndlessEvent, "endless_event"},
+});
+
 // Splits the body of an event stream into complete events and keeps the id of
 // the last one, so that another server can continue after it. Every event has
 // an id; bytes that form no such event come from a faulty server.
@@ -269,7 +287,15 @@
   bool has_events() const { return m_last_id >= 0; }
   // False once an event was out of order, was malformed or did not end, or more
   // comments came than any event has bytes: later bytes must not be forwarded.
-  bool in_order() const { return m_in_order; }
+  bool in_order() const { return m_fault == StreamFault::kNone; }
+  StreamFault fault() const { return m_fault; }
+  // Numbers of the first event returned and of the latest one received; -1
+  // when there is none.
+  int64_t first_id() const { return m_first_id; }
+  int64_t seen_id() const { return m_seen_id; }
+  // An event has lines that clients may split in another way: a carriage return
+  // alone, or blank lines of both kinds.
+  bool has_ambiguous_lines() const { return m_has_ambiguous_lines; }
 
  private:
   bool Accept(std::string_view event);
@@ -281,7 +307,10 @@
   int64_t m_last_id = -1;
   // An earlier run has returned events.
   bool m_resumed = false;
-  bool m_in_order = true;
+  int64_t m_first_id = -1;
+  int64_t m_seen_id = -1;
+  bool m_has_ambiguous_lines = false;
+  StreamFault m_fault = StreamFault::kNone;
 };
 
 }  // namespace trefoilwick
--- a/src/forwarding.cc
+++ b/src/forwarding.cc
@@ -42,6 +42,7 @@
   bool only_comments = true;
   // Null when there is no field `id`.
   std::optional<int64_t> id;
+  bool has_ambiguous_lines = false;
 };
 
 std::optional<int64_t> ParseEventId(std::string_view value) {
@@ -87,6 +88,9 @@
     std::string_view line = event.substr(at, end - at);
     if (line.ends_with('\r'))
       line.remove_suffix(1);
+    const bool is_blank_within = line.empty() && end + 1 < event.size();
+    facts.has_ambiguous_lines |=
+        is_blank_within || line.find('\r') != std::string_view::npos;
     ReadEventLine(line, facts);
     at = end + 1;
   }
@@ -283,7 +287,7 @@
   m_partial.append(bytes);
   std::string out;
   size_t at = 0;
-  while (m_in_order) {
+  while (in_order()) {
     const std::string_view rest = std::string_view(m_partial).substr(at);
     const size_t length = EventLength(rest);
     if (length == 0)
@@ -295,8 +299,12 @@
   m_partial.erase(0, at);
   const bool event_ends =
       m_endless_event.OnBytes(at > 0, !m_partial.empty(), now);
-  if (!event_ends || m_partial.size() + m_comment_bytes > kMaxEventBytes)
-    m_in_order = false;
+  if (!in_order())
+    return out;
+  if (!event_ends)
+    m_fault = StreamFault::kEndlessEvent;
+  else if (m_partial.size() + m_comment_bytes > kMaxEventBytes)
+    m_fault = StreamFault::kEventTooLarge;
   return out;
 }
 
@@ -308,15 +316,20 @@
   }
   m_comment_bytes = 0;
   if (!facts.well_formed || !facts.id) {
-    m_in_order = false;
+    m_fault = facts.well_formed ? StreamFault::kNoEventId
+                                : StreamFault::kMalformedEvent;
     return false;
   }
+  m_seen_id = *facts.id;
+  m_has_ambiguous_lines |= facts.has_ambiguous_lines;
   if (m_resumed && *facts.id <= m_last_id)
     return false;
   if (m_last_id >= 0 && *facts.id != m_last_id + 1) {
-    m_in_order = false;
+    m_fault = StreamFault::kUnexpectedEvent;
     return false;
   }
+  if (m_first_id < 0)
+    m_first_id = *facts.id;
   m_last_id = *facts.id;
   return true;
 }
@@ -326,7 +339,8 @@
   m_comment_bytes = 0;
   m_endless_event.Reset();
   m_resumed = has_events();
-  m_in_order = true;
+  m_seen_id = -1;
+  m_fault = StreamFault::kNone;
 }
 
 }  // namespace trefoilwick
--- a/src/gateway_exchange_response.cc
+++ b/src/gateway_exchange_response.cc
@@ -131,10 +131,13 @@
   if (m_events.last_id() - m_last_event_before_send >= kMinEventsOfBegun)
     RecordBegun();
   if (!m_events.in_order()) {
-    m_core.Log("events_out_of_order",
-               {{"id", m_request.attempt_id},
-                {"server", m_server},
-                {"last_event", std::to_string(m_events.last_id())}});
+    m_core.Log(
+        "events_out_of_order",
+        {{"id", m_request.attempt_id},
+         {"server", m_server},
+         {"reason", std::string(kStreamFaultNames.Name(m_events.fault()))},
+         {"last_event", std::to_string(m_events.last_id())},
+         {"seen", std::to_string(m_events.seen_id())}});
     OnUpstreamBroken(false);
     return;
   }
