--- a/test/adapter_stream_test.cc
+++ b/test/adapter_stream_test.cc
@@ -9,7 +9,9 @@
 
 // Response of a gateway to a request for a stream. The first run sends
 // `first_run`, each later one the events that are missing up to `last_id`.
-std::string CallStream(const ScriptedResponse& first_run, int last_id) {
+std::string CallStream(const ScriptedResponse& first_run,
+                       int last_id,
+                       const std::string& headers = "") {
   std::atomic<int> calls{0};
   const auto serve = [&](const std::string& request) {
     if (++calls == 1)
@@ -29,7 +31,7 @@
   ScriptedServer second(serve);
   GatewayHarness harness;
   StartGateway(harness, {&first, &second});
-  return harness.CallAsClient(Request("POST /stream/x", "", "b"));
+  return harness.CallAsClient(Request("POST /stream/x", headers, "b"));
 }
 
 // Payload of a chunked response.
@@ -45,19 +47,34 @@
   return body;
 }
 
-std::string MakeEvents(int last_id) {
+std::string MakeEvents(int first_id, int last_id) {
   std::string events;
-  for (int id = 0; id <= last_id; ++id)
+  for (int id = first_id; id <= last_id; ++id)
     events += MakeEvent(id);
   return events;
 }
 
+std::string MakeEvents(int last_id) {
+  return MakeEvents(0, last_id);
+}
+
+// The client got the events from `first_id` to `last_id` and nothing else.
+void AssertEvents(int first_id, int last_id, const std::string& response) {
+  CPPUNIT_ASSERT_MESSAGE(response, response.starts_with("HTTP/1.1 200"));
+  CPPUNIT_ASSERT_MESSAGE(response, response.ends_with("\r\n0\r\n\r\n"));
+  CPPUNIT_ASSERT_EQUAL(MakeEvents(first_id, last_id), ChunkedBody(response));
+}
+
 class AdapterStreamTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AdapterStreamTest);
   CPPUNIT_TEST(FirstEventCutOffByCrashIsNotJoinedToNextRun);
   CPPUNIT_TEST(GarbageInStreamIsNotForwarded);
   CPPUNIT_TEST(GarbageAtEndOfStreamIsNotForwarded);
   CPPUNIT_TEST(BodyWithoutEventsIsNotContinuedByStream);
+  CPPUNIT_TEST(SuccessThatIsNoEventStreamIsNotForwarded);
+  CPPUNIT_TEST(EventHiddenBehindOtherLineEndIsNotForwarded);
+  CPPUNIT_TEST(StreamThatBeginsBehindItsFirstEventIsNotForwarded);
+  CPPUNIT_TEST(ResumedStreamBeginsAfterLastEventOfClient);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -123,6 +140,65 @@
     CPPUNIT_ASSERT(!Contains(response, "id: "));
     CPPUNIT_ASSERT(!response.ends_with("\r\n0\r\n\r\n"));
   }
+
+  // A success of another type, or of none, was forwarded whole as the answer of
+  // a stream: its client read it as events without an id.
+  void SuccessThatIsNoEventStreamIsNotForwarded() {
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s\r\n";
+    for (const std::string& type :
+         {std::string(), std::string("Content-Type: text/plain\r\n"),
+          std::string("Content-Type: text/event-streams\r\n")}) {
+      for (const std::string& body :
+           {std::string("garbage\n\n"), std::string(), MakeEvents(1)}) {
+        const std::string length =
+            "Content-Length: " + std::to_string(body.size()) + "\r\n";
+        for (const std::string& framing : {length, std::string()})
+          AssertEvents(0, 2,
+                       CallStream({head + type + framing + "\r\n" + body}, 2));
+      }
+    }
+  }
+
+  // An event ended for the client at a line end that was not one for the
+  // gateway, so that the rest of its bytes became an event without an id.
+  void EventHiddenBehindOtherLineEndIsNotForwarded() {
+    for (const std::string& garbage :
+         {std::string("id: 2\ndata: x\n\r\ndata: garbage\n\n"),
+          std::string("id: 2\r\ndata: x\r\n\ndata: garbage\n\n"),
+          std::string("id: 2\ndata: x\r\rdata: garbage\n\n"),
+          std::string("id: 2\ndata: x\rgarbage\n\n"),
+          std::string("id: 02\ndata: x\n\n")}) {
+      const std::string bytes = MakeEvents(1) + garbage + MakeEvent(3);
+      const std::string response =
+          CallStream({kStreamHead + MakeChunk(bytes) + MakeChunk("")}, 3);
+      CPPUNIT_ASSERT_MESSAGE(response, !Contains(response, "garbage"));
+      CPPUNIT_ASSERT_MESSAGE(response, !Contains(response, "id: 02"));
+      CPPUNIT_ASSERT_MESSAGE(response, response.ends_with("\r\n0\r\n\r\n"));
+    }
+  }
+
+  // Any number was taken for that of the first event, so that a stream without
+  // its beginning looked complete.
+  void StreamThatBeginsBehindItsFirstEventIsNotForwarded() {
+    for (const int first_id : {1, 7})
+      AssertEvents(
+          0, 9,
+          CallStream({kStreamHead + MakeChunk(MakeEvents(first_id, 9)) +
+                      MakeChunk("")},
+                     9));
+  }
+
+  // The number that the client of a resumed stream waits for was not known:
+  // events that it had, or a gap, were forwarded.
+  void ResumedStreamBeginsAfterLastEventOfClient() {
+    for (const int first_id : {0, 2, 5, 7})
+      AssertEvents(
+          5, 9,
+          CallStream({kStreamHead + MakeChunk(MakeEvents(first_id, 9)) +
+                      MakeChunk("")},
+                     9, "Last-Event-Id: 4\r\n"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AdapterStreamTest);
