Refuse a success that is no event stream on a stream route

It is now a broken answer, judged with the head in ForwardState::AssessHead, and the stream runs on another server. The state for bodies on a stream route that no other run continues has become needless and is gone.

--- a/include/trefoilwick/forwarding.h
+++ b/include/trefoilwick/forwarding.h
@@ -82,8 +82,6 @@
   kServerFailed,
   // The beginning of a successful response was received, and more follows.
   kAnswerBegun,
-  // The same of a response that is no event stream: no other run continues it.
-  kPlainAnswerBegun,
   // Before the end of the response, the connection ended or sent data that is
   // no valid response.
   kAnswerIncomplete,
@@ -165,8 +163,6 @@
   bool m_may_have_run = false;
   // Part of a response was sent to the client.
   bool m_relaying = false;
-  // That response may be continued by another run.
-  bool m_may_continue = true;
   int m_sends = 0;
   int m_refusals = 0;
   int m_connect_failures = 0;
--- a/src/forwarding.cc
+++ b/src/forwarding.cc
@@ -148,8 +148,8 @@
 }
 
 bool ForwardState::MayResume() const {
-  return m_relaying && m_may_continue && m_may_repeat &&
-         m_kind == RouteKind::kStream && HasSendsLeft();
+  return m_relaying && m_may_repeat && m_kind == RouteKind::kStream &&
+         HasSendsLeft();
 }
 
 ForwardDecision ForwardState::GiveUp(bool timed_out) {
@@ -178,9 +178,6 @@
     case ServerEvent::kAnswered:
       m_state = SendState::kEnded;
       return RelayAnswer{};
-    case ServerEvent::kPlainAnswerBegun:
-      m_may_continue = false;
-      [[fallthrough]];
     case ServerEvent::kAnswerBegun:
       m_may_have_run = true;
       m_relaying = true;
@@ -210,8 +207,11 @@
   const bool success = head.status / 100 == 2;
   if (success && !head.authentic)
     return BodyUse::kInvalid;
-  // Only an event stream can continue one.
-  if (m_relaying && !(success && head.is_event_stream))
+  // Clients of a stream read any success as events.
+  if (success && m_kind == RouteKind::kStream && !head.is_event_stream)
+    return BodyUse::kInvalid;
+  // Only another run can continue a response.
+  if (m_relaying && !success)
     return BodyUse::kInvalid;
   const bool will_send_again =
       head.status / 100 == 5 && m_may_repeat && HasSendsLeft();
--- a/src/gateway_exchange_response.cc
+++ b/src/gateway_exchange_response.cc
@@ -54,8 +54,7 @@
   m_head = head;
   m_core.OnServerAnswer(m_server_process, head, m_send_started_at);
   m_last_progress = m_core.Now();
-  m_streaming = head.status / 100 == 2 && head.is_event_stream &&
-                head.authentic && m_route->kind == RouteKind::kStream;
+  m_streaming = m_route->kind == RouteKind::kStream && head.status / 100 == 2;
   switch (m_forward.AssessHead(
       {head.status, head.not_run, head.authentic, head.is_event_stream})) {
     case BodyUse::kForwarded:
@@ -105,7 +104,7 @@
   }
   m_body += bytes;
   if (m_body.size() > kMaxBufferedResponseBytes && m_head.status / 100 == 2 &&
-      m_head.authentic && !m_events.has_events()) {
+      m_head.authentic) {
     m_passthrough = true;
     CommitResponse();
     m_session->SendChunk(std::exchange(m_body, {}));
@@ -117,8 +116,7 @@
 void Exchange::CommitResponse() {
   if (std::exchange(m_response_committed, true))
     return;
-  m_forward.OnServerEvent(m_streaming ? ServerEvent::kAnswerBegun
-                                      : ServerEvent::kPlainAnswerBegun);
+  m_forward.OnServerEvent(ServerEvent::kAnswerBegun);
   m_first_event_at = m_core.Now();
   m_session->BeginChunkedResponse(m_head.status, m_head.forwarded_headers);
 }
