End events where their clients do: read streams line by line

The reader looked for two kinds of blank lines and took everything before one for an event; a client also ends a line at CR and an event at LF CR LF, so one numbered event for us was two for it. The library event_stream now reads line by line: each empty line ends an event, a carriage return within a line is refused, and an id counts only in its shortest form. Each fault of a run has a name, in the log line and in the counter trefoilwick_broken_streams_total. A resumed run that ends among events that were forwarded already is no end of the stream.

--- /dev/null
+++ b/src/event_stream.cc
@@ -0,0 +1,161 @@
+#include "trefoilwick/event_stream.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace trefoilwick {
+
+namespace {
+
+constexpr size_t kMaxEventBytes = size_t{64} * 1024;
+// Servers send an element in one piece; a lost packet delays a part of it by
+// some retransmission timeouts.
+constexpr Duration kMaxElementTime = std::chrono::milliseconds(500);
+
+// Ids in another form than the shortest may be another event to a client.
+std::optional<int64_t> ParseEventId(std::string_view value) {
+  int64_t id = -1;
+  const char* end = value.data() + value.size();
+  const auto [parsed_to, error] = std::from_chars(value.data(), end, id);
+  if (error != std::errc() || parsed_to != end || id < 0)
+    return std::nullopt;
+  const bool has_leading_zero = value.size() > 1 && value.front() == '0';
+  return has_leading_zero ? std::nullopt : std::optional(id);
+}
+
+bool IsFieldNameChar(char c) {
+  return (c >= 'a' && c <= 'z') || c == '-' || c == '_';
+}
+
+}  // namespace
+
+bool EndlessElementDetector::OnBytes(bool completed,
+                                     bool pending,
+                                     TimePoint now) {
+  if (completed || !pending)
+    m_pending_since.reset();
+  if (!pending)
+    return true;
+  if (!m_pending_since)
+    m_pending_since = now;
+  return now - *m_pending_since <= kMaxElementTime;
+}
+
+void EventStreamReader::BeginRun() {
+  m_partial.clear();
+  m_read_bytes = 0;
+  m_event = EventFacts();
+  m_comment_bytes = 0;
+  m_endless_event.Reset();
+  m_first_seen_id.reset();
+  m_last_seen_id.reset();
+  m_fault = StreamFault::kNone;
+}
+
+std::string EventStreamReader::Feed(std::string_view bytes, TimePoint now) {
+  if (m_fault != StreamFault::kNone)
+    return {};
+  m_partial.append(bytes);
+  std::string out;
+  size_t event_begin = 0;
+  for (;;) {
+    const size_t line_end = m_partial.find('\n', m_read_bytes);
+    if (line_end == std::string::npos)
+      break;
+    std::string_view line(m_partial);
+    line = line.substr(m_read_bytes, line_end - m_read_bytes);
+    m_read_bytes = line_end + 1;
+    if (line.ends_with('\r'))
+      line.remove_suffix(1);
+    if (line.empty()) {
+      const std::string_view event(m_partial);
+      out += EndEvent(event.substr(event_begin, m_read_bytes - event_begin));
+      event_begin = m_read_bytes;
+    } else {
+      m_fault = ReadLine(line);
+    }
+    if (m_fault != StreamFault::kNone)
+      return out;
+  }
+  m_partial.erase(0, event_begin);
+  m_read_bytes -= event_begin;
+  if (!m_endless_event.OnBytes(event_begin > 0, !m_partial.empty(), now))
+    m_fault = StreamFault::kEndlessEvent;
+  else if (m_partial.size() > kMaxEventBytes)
+    m_fault = StreamFault::kEventTooLarge;
+  else if (m_partial.size() + m_comment_bytes > kMaxEventBytes)
+    m_fault = StreamFault::kTooManyComments;
+  return out;
+}
+
+StreamFault EventStreamReader::ReadLine(std::string_view line) {
+  if (line.find('\r') != std::string_view::npos)
+    return StreamFault::kMalformedLine;
+  if (line.front() == ':')
+    return StreamFault::kNone;
+  const std::string_view name = line.substr(0, line.find(':'));
+  // Only an empty line of data has no colon.
+  const bool is_field = name.size() < line.size() || name == "data";
+  if (!is_field || name.empty() ||
+      !std::all_of(name.begin(), name.end(), IsFieldNameChar))
+    return StreamFault::kMalformedLine;
+  std::string_view value = line.substr(std::min(line.size(), name.size() + 1));
+  if (value.starts_with(' '))
+    value.remove_prefix(1);
+  return ReadField(name, value);
+}
+
+StreamFault EventStreamReader::ReadField(std::string_view name,
+                                         std::string_view value) {
+  m_event.has_fields = true;
+  if (name != "id")
+    return StreamFault::kNone;
+  if (m_event.id)
+    return StreamFault::kSecondEventId;
+  m_event.id = ParseEventId(value);
+  return m_event.id ? StreamFault::kNone : StreamFault::kNoEventId;
+}
+
+std::string_view EventStreamReader::EndEvent(std::string_view event) {
+  const EventFacts facts = std::exchange(m_event, EventFacts());
+  if (!facts.has_fields) {
+    m_comment_bytes += event.size();
+    return {};
+  }
+  m_comment_bytes = 0;
+  if (!facts.id) {
+    m_fault = StreamFault::kNoEventId;
+    return {};
+  }
+  const bool follows_last = !m_last_seen_id || *facts.id == *m_last_seen_id + 1;
+  if (!m_first_seen_id)
+    m_first_seen_id = facts.id;
+  m_last_seen_id = facts.id;
+  if (!m_has_position)
+    m_due_id = *facts.id;
+  if (!follows_last || *facts.id > m_due_id) {
+    m_fault = StreamFault::kUnexpectedEvent;
+    return {};
+  }
+  if (*facts.id < m_due_id)
+    return {};
+  m_has_position = true;
+  if (m_first_id < 0)
+    m_first_id = *facts.id;
+  m_last_id = *facts.id;
+  ++m_due_id;
+  return event;
+}
+
+StreamFault EventStreamReader::FaultAtEnd() const {
+  if (m_fault != StreamFault::kNone)
+    return m_fault;
+  if (!m_partial.empty())
+    return StreamFault::kEndsWithinEvent;
+  if (m_last_seen_id && *m_last_seen_id + 1 < m_due_id)
+    return StreamFault::kEndsBeforeDueEvent;
+  return m_has_position ? StreamFault::kNone : StreamFault::kNoEvents;
+}
+
+}  // namespace trefoilwick
--- a/src/forwarding.cc
+++ b/src/forwarding.cc
@@ -1,7 +1,6 @@
 #include "trefoilwick/forwarding.h"
 
 #include <algorithm>
-#include <charconv>
 #include <numeric>
 #include <tuple>
 
@@ -25,10 +24,6 @@
 // Time from when a server has free capacity to the first event, when servers
 // are busy.
 constexpr Duration kTimeToFirstEvent = std::chrono::milliseconds(100);
-constexpr size_t kMaxEventBytes = size_t{64} * 1024;
-// Servers send an element in one piece; a lost packet delays a part of it by
-// some retransmission timeouts.
-constexpr Duration kMaxElementTime = std::chrono::milliseconds(500);
 constexpr Duration kMoveRetryInterval = std::chrono::milliseconds(100);
 
 Duration ScaleDuration(Duration duration, double share) {
@@ -36,78 +31,6 @@
       static_cast<int64_t>(static_cast<double>(duration.count()) * share));
 }
 
-// What the lines of an event say. A block of comments only is no event.
-struct EventFacts {
-  bool well_formed = true;
-  bool only_comments = true;
-  // Null when there is no field `id`.
-  std::optional<int64_t> id;
-  bool has_ambiguous_lines = false;
-};
-
-std::optional<int64_t> ParseEventId(std::string_view value) {
-  if (value.starts_with(' '))
-    value.remove_prefix(1);
-  int64_t id = -1;
-  const char* end = value.data() + value.size();
-  const auto [parsed_to, error] = std::from_chars(value.data(), end, id);
-  if (error != std::errc() || parsed_to != end || id < 0)
-    return std::nullopt;
-  return id;
-}
-
-bool IsFieldNameChar(char c) {
-  return (c >= 'a' && c <= 'z') || c == '-' || c == '_';
-}
-
-// Adds a line without its end to the facts of its event.
-void ReadEventLine(std::string_view line, EventFacts& facts) {
-  if (line.empty() || line.front() == ':')
-    return;
-  facts.only_comments = false;
-  const std::string_view name = line.substr(0, line.find(':'));
-  // Only an empty line of data has no colon.
-  const bool is_field = name.size() < line.size() || name == "data";
-  if (!is_field || !std::all_of(name.begin(), name.end(), IsFieldNameChar)) {
-    facts.well_formed = false;
-    return;
-  }
-  if (name != "id")
-    return;
-  // A second id shows that parts of two events were joined.
-  const bool is_second = facts.id.has_value();
-  facts.id = ParseEventId(line.substr(std::min(line.size(), name.size() + 1)));
-  if (is_second || !facts.id)
-    facts.well_formed = false;
-}
-
-EventFacts ReadEvent(std::string_view event) {
-  EventFacts facts;
-  for (size_t at = 0; at < event.size();) {
-    const size_t end = std::min(event.find('\n', at), event.size());
-    std::string_view line = event.substr(at, end - at);
-    if (line.ends_with('\r'))
-      line.remove_suffix(1);
-    const bool is_blank_within = line.empty() && end + 1 < event.size();
-    facts.has_ambiguous_lines |=
-        is_blank_within || line.find('\r') != std::string_view::npos;
-    ReadEventLine(line, facts);
-    at = end + 1;
-  }
-  return facts;
-}
-
-// Length of the first complete event, its blank line included; 0 when none.
-size_t EventLength(std::string_view bytes) {
-  const size_t lf_end = bytes.find("\n\n");
-  const size_t crlf_end = bytes.find("\r\n\r\n");
-  if (lf_end == std::string_view::npos && crlf_end == std::string_view::npos)
-    return 0;
-  if (lf_end < crlf_end)
-    return lf_end + 2;
-  return crlf_end + 4;
-}
-
 }  // namespace
 
 ForwardState::Builder& ForwardState::Builder::SetRoute(const Route& route) {
@@ -271,76 +194,4 @@
   return true;
 }
 
-bool EndlessElementDetector::OnBytes(bool completed,
-                                     bool pending,
-                                     TimePoint now) {
-  if (completed || !pending)
-    m_pending_since.reset();
-  if (!pending)
-    return true;
-  if (!m_pending_since)
-    m_pending_since = now;
-  return now - *m_pending_since <= kMaxElementTime;
-}
-
-std::string EventSplitter::Feed(std::string_view bytes, TimePoint now) {
-  m_partial.append(bytes);
-  std::string out;
-  size_t at = 0;
-  while (in_order()) {
-    const std::string_view rest = std::string_view(m_partial).substr(at);
-    const size_t length = EventLength(rest);
-    if (length == 0)
-      break;
-    if (Accept(rest.substr(0, length)))
-      out.append(rest.substr(0, length));
-    at += length;
-  }
-  m_partial.erase(0, at);
-  const bool event_ends =
-      m_endless_event.OnBytes(at > 0, !m_partial.empty(), now);
-  if (!in_order())
-    return out;
-  if (!event_ends)
-    m_fault = StreamFault::kEndlessEvent;
-  else if (m_partial.size() + m_comment_bytes > kMaxEventBytes)
-    m_fault = StreamFault::kEventTooLarge;
-  return out;
-}
-
-bool EventSplitter::Accept(std::string_view event) {
-  const EventFacts facts = ReadEvent(event);
-  if (facts.only_comments) {
-    m_comment_bytes += event.size();
-    return false;
-  }
-  m_comment_bytes = 0;
-  if (!facts.well_formed || !facts.id) {
-    m_fault = facts.well_formed ? StreamFault::kNoEventId
-                                : StreamFault::kMalformedEvent;
-    return false;
-  }
-  m_seen_id = *facts.id;
-  m_has_ambiguous_lines |= facts.has_ambiguous_lines;
-  if (m_resumed && *facts.id <= m_last_id)
-    return false;
-  if (m_last_id >= 0 && *facts.id != m_last_id + 1) {
-    m_fault = StreamFault::kUnexpectedEvent;
-    return false;
-  }
-  if (m_first_id < 0)
-    m_first_id = *facts.id;
-  m_last_id = *facts.id;
-  return true;
-}
-
-void EventSplitter::BeginRun() {
-  m_partial.clear();
-  m_comment_bytes = 0;
-  m_endless_event.Reset();
-  m_resumed = has_events();
-  m_seen_id = -1;
-  m_fault = StreamFault::kNone;
-}
-
 }  // namespace trefoilwick
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -692,20 +692,18 @@
     m_core.metrics()
         .GetHistogram("trefoilwick_first_event_seconds")
         .Record(m_first_event_at - m_start_time);
-  m_core.Log("request",
-             {{"id", m_request.attempt_id},
-              {"route", m_route ? m_route->name : ""},
-              {"status", std::to_string(status)},
-              {"outcome", outcome},
-              {"server", m_server},
-              {"parts", std::to_string(m_path.size())},
-              {"sends", std::to_string(m_forward.sends())},
-              {"events", std::to_string(m_events.first_id()) + ":" +
-                             std::to_string(m_events.last_id())},
-              {"ambiguous_lines", m_events.has_ambiguous_lines() ? "1" : "0"},
-              {"offered_ms", ms(m_send_started_at)},
-              {"first_ms", ms(m_first_event_at)},
-              {"total_ms", ms(m_core.Now())}});
+  m_core.Log("request", {{"id", m_request.attempt_id},
+                         {"route", m_route ? m_route->name : ""},
+                         {"status", std::to_string(status)},
+                         {"outcome", outcome},
+                         {"server", m_server},
+                         {"parts", std::to_string(m_path.size())},
+                         {"sends", std::to_string(m_forward.sends())},
+                         {"events", std::to_string(m_events.first_id()) + ":" +
+                                        std::to_string(m_events.last_id())},
+                         {"offered_ms", ms(m_send_started_at)},
+                         {"first_ms", ms(m_first_event_at)},
+                         {"total_ms", ms(m_core.Now())}});
   m_core.ScheduleDispatch();
   return true;
 }
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -8,6 +8,7 @@
 #include "gateway_session.h"
 #include "gateway_upstream.h"
 #include "trefoilwick/crash_suspects.h"
+#include "trefoilwick/event_stream.h"
 #include "trefoilwick/forwarding.h"
 #include "trefoilwick/liveness.h"
 
@@ -148,7 +149,9 @@
   bool IsExcluded(const std::string& server) const;
   void OnRepathed(OrderResult result, const PathChoice& choice);
   void CommitResponse();
-  void ForwardEvents(const std::string& bytes);
+  // Forwards the events that are due and become complete with `bytes`.
+  void ForwardEvents(std::string_view bytes, TimePoint now);
+  void RecordStreamFault(StreamFault fault);
   void RelayFullResponse();
   void OnDeadline();
   // Goes on without the rest of a response whose head has decided, when it does
@@ -156,9 +159,6 @@
   void SkipOptionalBody(TimePoint now);
   void SendLocalReply(int status, const char* outcome, const char* detail);
   void SendRefusal();
-  // True when a stream that ended was broken off, as far as that shows: a
-  // faulty server may end the framing of a response that it cut off.
-  bool IsStreamCutShort() const;
   void RecordRefusal();
   // False when the request has ended before: its client must get nothing more.
   bool Finish(const char* outcome, int status);
@@ -214,7 +214,7 @@
   // When the head arrived of a response whose body is optional.
   std::optional<TimePoint> m_optional_body_since;
   std::string m_body;
-  EventSplitter m_events;
+  EventStreamReader m_events;
   // Servers with a limit that the request chose and that count it as demand.
   std::set<std::string> m_demanded_servers;
   // A server has begun to run the request and did not crash at once.
--- a/src/gateway_exchange_response.cc
+++ b/src/gateway_exchange_response.cc
@@ -93,7 +93,7 @@
   m_last_progress = now;
   m_last_event = now;
   if (m_streaming) {
-    ForwardEvents(m_events.Feed(bytes, now));
+    ForwardEvents(bytes, now);
     return;
   }
   if (m_passthrough) {
@@ -121,21 +121,16 @@
   m_session->BeginChunkedResponse(m_head.status, m_head.forwarded_headers);
 }
 
-void Exchange::ForwardEvents(const std::string& bytes) {
-  if (!bytes.empty()) {
+void Exchange::ForwardEvents(std::string_view bytes, TimePoint now) {
+  const std::string events = m_events.Feed(bytes, now);
+  if (!events.empty()) {
     CommitResponse();
-    m_session->SendChunk(bytes);
+    m_session->SendChunk(events);
   }
   if (m_events.last_id() - m_last_event_before_send >= kMinEventsOfBegun)
     RecordBegun();
-  if (!m_events.in_order()) {
-    m_core.Log(
-        "events_out_of_order",
-        {{"id", m_request.attempt_id},
-         {"server", m_server},
-         {"reason", std::string(kStreamFaultNames.Name(m_events.fault()))},
-         {"last_event", std::to_string(m_events.last_id())},
-         {"seen", std::to_string(m_events.seen_id())}});
+  if (m_events.fault() != StreamFault::kNone) {
+    RecordStreamFault(m_events.fault());
     OnUpstreamBroken(false);
     return;
   }
@@ -143,20 +138,31 @@
     m_call->Pause();
 }
 
+void Exchange::RecordStreamFault(StreamFault fault) {
+  const std::string reason(kStreamFaultNames.Name(fault));
+  m_core.metrics()
+      .GetCounter("trefoilwick_broken_streams_total", {{"reason", reason}})
+      .Add();
+  m_core.Log("events_out_of_order",
+             {{"id", m_request.attempt_id},
+              {"server", m_server},
+              {"reason", reason},
+              {"due", std::to_string(m_events.due_id())},
+              {"seen", std::to_string(m_events.last_seen_id().value_or(-1))},
+              {"last_event", std::to_string(m_events.last_id())}});
+}
+
 void Exchange::OnClientWritesFlushed() {
   if (m_call)
     m_call->Unpause();
 }
 
-bool Exchange::IsStreamCutShort() const {
-  const bool has_no_event =
-      !m_events.has_events() && m_request.last_event_id < 0;
-  return m_streaming && (!m_events.partial().empty() || has_no_event);
-}
-
 void Exchange::OnUpstreamComplete(bool ended_by_close) {
   const auto self = shared_from_this();
-  if (IsStreamCutShort()) {
+  const StreamFault fault =
+      m_streaming ? m_events.FaultAtEnd() : StreamFault::kNone;
+  if (fault != StreamFault::kNone) {
+    RecordStreamFault(fault);
     OnUpstreamBroken(ended_by_close);
     return;
   }
--- a/src/gateway_upstream.h
+++ b/src/gateway_upstream.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "trefoilwick/forwarding.h"
+#include "trefoilwick/event_stream.h"
 #include "trefoilwick/gateway.h"
 
 namespace trefoilwick::detail {
--- a/test/forwarding_test.cc
+++ b/test/forwarding_test.cc
@@ -57,15 +57,7 @@
   CPPUNIT_TEST(MovesOffDrainingServersAreSpread);
   CPPUNIT_TEST(WaitingRequestsAreSorted);
   CPPUNIT_TEST(UrgentRequestsStayOnTimeInBurst);
-  CPPUNIT_TEST(EventsAreSplitAtTheirEnds);
-  CPPUNIT_TEST(EventThatDoesNotEndStopsStream);
   CPPUNIT_TEST(HeadDecidesHowBodyIsUsed);
-  CPPUNIT_TEST(ResumedStreamSkipsForwardedEvents);
-  CPPUNIT_TEST(NextRunBeginsWithoutPartialEvent);
-  CPPUNIT_TEST(MissingEventStopsStream);
-  CPPUNIT_TEST(MalformedEventStopsStream);
-  CPPUNIT_TEST(CommentsAreDropped);
-  CPPUNIT_TEST(EventsDoNotDependOnChunkSizes);
   CPPUNIT_TEST(RefusedRetryStillCountsEarlierRunOnServer);
   CPPUNIT_TEST_SUITE_END();
 
@@ -353,36 +345,6 @@
     CPPUNIT_ASSERT(on_time > static_cast<int>(entries.size()) * 85 / 100);
   }
 
-  void EventsAreSplitAtTheirEnds() {
-    EventSplitter events;
-    CPPUNIT_ASSERT_EQUAL(std::string(),
-                         events.Feed("id: 0\ndata: a", TimePoint{}));
-    CPPUNIT_ASSERT_EQUAL(std::string("id: 0\ndata: ab\n\n"),
-                         events.Feed("b\n\nid: 1\nda", TimePoint{}));
-    CPPUNIT_ASSERT_EQUAL(int64_t{0}, events.last_id());
-    CPPUNIT_ASSERT_EQUAL(std::string("id: 1\nda"), events.partial());
-  }
-
-  // An event whose bytes arrive slowly but without end stayed below the limit
-  // on bytes. A slow stream of events that do end must go on.
-  void EventThatDoesNotEndStopsStream() {
-    EventSplitter events;
-    TimePoint now;
-    const auto feed = [&](std::string_view bytes) {
-      now += milliseconds(200);
-      events.Feed(bytes, now);
-    };
-    for (int id = 0; id < 10; ++id) {
-      feed("id: " + std::to_string(id) + "\nda");
-      feed("ta: x\n\n");
-    }
-    CPPUNIT_ASSERT(events.in_order());
-    CPPUNIT_ASSERT_EQUAL(int64_t{9}, events.last_id());
-    for (int part = 0; part < 4; ++part)
-      feed("z");
-    CPPUNIT_ASSERT(!events.in_order());
-  }
-
   // Requests waited for the whole body of a response that could not change how
   // they go on.
   void HeadDecidesHowBodyIsUsed() {
@@ -420,94 +382,6 @@
       CPPUNIT_ASSERT(assess(stream, head) == BodyUse::kInvalid);
   }
 
-  // A run that resumes a few events earlier must not repeat events.
-  void ResumedStreamSkipsForwardedEvents() {
-    EventSplitter events;
-    events.Feed("id: 0\ndata: a\n\nid: 1\ndata: b\n\nid: 2\nda", TimePoint{});
-    events.BeginRun();
-    CPPUNIT_ASSERT_EQUAL(
-        std::string("id: 2\ndata: c\n\n"),
-        events.Feed("id: 1\ndata: b\n\nid: 2\ndata: c\n\n", TimePoint{}));
-    CPPUNIT_ASSERT(events.in_order());
-  }
-
-  // The part of an event that a crash cut off was joined to the first event of
-  // the next run when it was the first of the stream.
-  void NextRunBeginsWithoutPartialEvent() {
-    const std::string event = "id: 0\ndata: a\n\n";
-    for (size_t length = 0; length < event.size(); ++length) {
-      EventSplitter events;
-      events.BeginRun();
-      events.Feed(event.substr(0, length), TimePoint{});
-      events.BeginRun();
-      CPPUNIT_ASSERT(events.partial().empty());
-      CPPUNIT_ASSERT_EQUAL(event, events.Feed(event, TimePoint{}));
-      CPPUNIT_ASSERT(events.in_order());
-    }
-  }
-
-  void MissingEventStopsStream() {
-    EventSplitter events;
-    CPPUNIT_ASSERT_EQUAL(
-        std::string("id: 0\n\n"),
-        events.Feed("id: 0\n\nid: 2\n\nid: 3\n\n", TimePoint{}));
-    CPPUNIT_ASSERT(!events.in_order());
-    CPPUNIT_ASSERT_EQUAL(std::string(), events.Feed("id: 1\n\n", TimePoint{}));
-  }
-
-  // Events without an id, which only a faulty server sends, were forwarded.
-  void MalformedEventStopsStream() {
-    for (const char* event :
-         {"garbage\n\n", "data: a\n\n", "id\n\n", "id:\n\n", "id: x\n\n",
-          "id: 1x\n\n", "id: -1\n\n", "id: 99999999999999999999\n\n",
-          "id: 1\nid: 1\n\n", "id: 1\ngarbage\n\n", "\x01: 2\nid: 1\n\n",
-          "\xff\xfe\r\n\r\n", "data: id: 1\n\n"}) {
-      EventSplitter events;
-      events.Feed("id: 0\ndata: a\n\n", TimePoint{});
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(event, std::string(),
-                                   events.Feed(event, TimePoint{}));
-      CPPUNIT_ASSERT_MESSAGE(event, !events.in_order());
-      CPPUNIT_ASSERT_EQUAL(int64_t{0}, events.last_id());
-    }
-    for (const char* event :
-         {"id: 1\n\n", "id:1\ndata\n\n", "event: token\nid: 1\ndata: x\n\n",
-          "weight-versions: 3\nid: 1\ndata: \xff\n\n", ": x\nid: 1\n\n"}) {
-      EventSplitter events;
-      events.Feed("id: 0\ndata: a\n\n", TimePoint{});
-      CPPUNIT_ASSERT_EQUAL(std::string(event), events.Feed(event, TimePoint{}));
-      CPPUNIT_ASSERT(events.in_order());
-    }
-  }
-
-  // A comment belongs to the connection of its server. Comments without end
-  // stop the stream.
-  void CommentsAreDropped() {
-    EventSplitter events;
-    CPPUNIT_ASSERT_EQUAL(
-        std::string("id: 0\n\nid: 1\n\n"),
-        events.Feed(": wait\n\nid: 0\n\n: wait\n\nid: 1\n\n", TimePoint{}));
-    CPPUNIT_ASSERT(events.in_order());
-    for (int i = 0; i < 20'000 && events.in_order(); ++i)
-      events.Feed(": wait\n\n", TimePoint{});
-    CPPUNIT_ASSERT(!events.in_order());
-  }
-
-  // Bytes arrive in chunks of any size; the forwarded events must not depend on
-  // them.
-  void EventsDoNotDependOnChunkSizes() {
-    const std::string all =
-        "id: 5\ndata: x\n\nid: 6\r\ndata: y\r\n\r\nid: 7\ndata: z\n\n";
-    for (size_t first = 0; first <= all.size(); ++first)
-      for (size_t second = first; second <= all.size(); ++second) {
-        EventSplitter events;
-        std::string out = events.Feed(all.substr(0, first), TimePoint{});
-        out += events.Feed(all.substr(first, second - first), TimePoint{});
-        out += events.Feed(all.substr(second), TimePoint{});
-        CPPUNIT_ASSERT_EQUAL(all, out);
-        CPPUNIT_ASSERT_EQUAL(int64_t{7}, events.last_id());
-      }
-  }
-
   // A server that had run the stream was forgotten when it refused to continue
   // it, and the stream ran on a third server where two were allowed.
   void RefusedRetryStillCountsEarlierRunOnServer() {
