Forward only the event that is due, from the first one on

The reader took the number of the first event of a response for the one due. It now knows it: the first of a stream, the one after the client's Last-Event-Id, or the one after the last event forwarded; what comes before is skipped in order, anything else breaks the run off.

No message states the first number.

--- a/include/trefoilwick/event_stream.h
+++ b/include/trefoilwick/event_stream.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -72,9 +73,12 @@
 // Every event has one id, and the ids count up by one.
 class EventStreamReader {
  public:
+  // The client has the events up to `id` already.
+  void ContinueAfter(int64_t id);
   // Begins the stream of the next server. Nothing of the one before stays but
-  // the number of its last complete event.
-  void BeginRun();
+  // the number of its last complete event. `first_id` is the number of the
+  // first event of any stream; it counts while no event is known.
+  void BeginRun(int64_t first_id);
   // Returns the bytes of the events that became complete, without comments
   // between events and without events that the client has already.
   std::string Feed(std::string_view bytes, TimePoint now);
@@ -118,7 +122,7 @@
   // Size of the comments since the last event.
   size_t m_comment_bytes = 0;
   EndlessElementDetector m_endless_event;
-  // An event was returned.
+  // The client's position is known, or an event was returned.
   bool m_has_position = false;
   int64_t m_due_id = 0;
   int64_t m_first_id = -1;
@@ -128,4 +132,24 @@
   StreamFault m_fault = StreamFault::kNone;
 };
 
+// Learns the number of the first event of the streams of a service, which no
+// message states. A run that begins with another number is not forwarded, so
+// one faulty server cannot change it: two servers must agree.
+class FirstEventNumber {
+ public:
+  // `expected` counts until two servers show another number.
+  explicit FirstEventNumber(int64_t expected) : m_expected(expected) {}
+  int64_t expected() const { return m_expected; }
+  // A run that was to begin at the first event began with `id`.
+  void OnRunBegan(const std::string& server, int64_t id);
+
+ private:
+  int64_t m_expected;
+  // Some run began with `m_expected`.
+  bool m_confirmed = false;
+  // Another number, and the servers whose runs began with it.
+  int64_t m_candidate = -1;
+  std::set<std::string> m_candidate_servers;
+};
+
 }  // namespace trefoilwick
--- a/include/trefoilwick/gateway.h
+++ b/include/trefoilwick/gateway.h
@@ -216,6 +216,8 @@
   double retry_slack = 100;
   Duration retry_window = std::chrono::seconds(10);
   Duration directory_ttl = std::chrono::seconds(2);
+  // Number of the first event of a stream, until servers show another one.
+  int64_t first_event_id = 0;
 };
 
 namespace detail {
--- a/src/event_stream.cc
+++ b/src/event_stream.cc
@@ -42,7 +42,12 @@
   return now - *m_pending_since <= kMaxElementTime;
 }
 
-void EventStreamReader::BeginRun() {
+void EventStreamReader::ContinueAfter(int64_t id) {
+  m_has_position = true;
+  m_due_id = id + 1;
+}
+
+void EventStreamReader::BeginRun(int64_t first_id) {
   m_partial.clear();
   m_read_bytes = 0;
   m_event = EventFacts();
@@ -51,6 +56,8 @@
   m_first_seen_id.reset();
   m_last_seen_id.reset();
   m_fault = StreamFault::kNone;
+  if (!m_has_position)
+    m_due_id = first_id;
 }
 
 std::string EventStreamReader::Feed(std::string_view bytes, TimePoint now) {
@@ -132,9 +139,8 @@
   if (!m_first_seen_id)
     m_first_seen_id = facts.id;
   m_last_seen_id = facts.id;
-  if (!m_has_position)
-    m_due_id = *facts.id;
-  if (!follows_last || *facts.id > m_due_id) {
+  if (!follows_last || *facts.id > m_due_id ||
+      (*facts.id < m_due_id && !m_has_position)) {
     m_fault = StreamFault::kUnexpectedEvent;
     return {};
   }
@@ -158,4 +164,23 @@
   return m_has_position ? StreamFault::kNone : StreamFault::kNoEvents;
 }
 
+void FirstEventNumber::OnRunBegan(const std::string& server, int64_t id) {
+  if (id == m_expected) {
+    m_confirmed = true;
+    return;
+  }
+  // With a run that begins earlier, a later number is not the first.
+  if (m_confirmed && id > m_expected)
+    return;
+  if (id != m_candidate)
+    m_candidate_servers.clear();
+  m_candidate = id;
+  m_candidate_servers.insert(server);
+  if (m_candidate_servers.size() < 2)
+    return;
+  m_expected = id;
+  m_confirmed = true;
+  m_candidate_servers.clear();
+}
+
 }  // namespace trefoilwick
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <boost/asio/ip/udp.hpp>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -12,6 +13,7 @@
 
 #include "gateway_upstream.h"
 #include "trefoilwick/coordination.h"
+#include "trefoilwick/event_stream.h"
 #include "trefoilwick/forwarding.h"
 #include "trefoilwick/gateway.h"
 #include "trefoilwick/liveness.h"
@@ -97,6 +99,12 @@
   // True when a waiting request must be served before this one.
   bool MustQueue(const Exchange& exchange) const;
 
+  // Number that the first event of a stream of the service must have.
+  int64_t FirstEventId(const std::string& service);
+  // A run that was to begin at the first event of its stream began with `id`.
+  void OnStreamBegan(const std::string& service,
+                     const std::string& server,
+                     int64_t id);
   // Records a stream that met its event interval target as a baseline sample of
   // the slowdown detector.
   void RecordStreamBaseline(Duration interval, double token_ms) {
@@ -235,6 +243,8 @@
   Random m_random;
   Coordination m_coordination;
   ConnectionPool m_pool;
+  // By service.
+  std::map<std::string, FirstEventNumber> m_first_event_numbers;
   HttpClient m_server_client;
   RetryWindows m_retries;
   CrossDataCenterBudget m_cross_data_center_budget;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -74,6 +74,8 @@
   }
   m_request = std::move(*parsed);
   m_request.body = std::move(request.body());
+  if (m_request.last_event_id >= 0)
+    m_events.ContinueAfter(m_request.last_event_id);
   m_queue_deadline = m_start_time + kStartQueueTime;
   TryDispatch();
 }
@@ -519,7 +521,7 @@
   m_head = ResponseHead();
   m_optional_body_since.reset();
   m_body.clear();
-  m_events.BeginRun();
+  m_events.BeginRun(m_core.FirstEventId(m_service));
   m_streaming = false;
   m_repathing = false;
   m_migration_plan.Clear();
--- a/src/gateway_exchange_response.cc
+++ b/src/gateway_exchange_response.cc
@@ -122,7 +122,10 @@
 }
 
 void Exchange::ForwardEvents(std::string_view bytes, TimePoint now) {
+  const bool had_begun = m_events.first_seen_id().has_value();
   const std::string events = m_events.Feed(bytes, now);
+  if (!had_begun && m_events.first_seen_id() && m_last_event_before_send < 0)
+    m_core.OnStreamBegan(m_service, m_server, *m_events.first_seen_id());
   if (!events.empty()) {
     CommitResponse();
     m_session->SendChunk(events);
--- a/src/gateway_health.cc
+++ b/src/gateway_health.cc
@@ -78,6 +78,25 @@
   RunActions();
 }
 
+int64_t GatewayCore::FirstEventId(const std::string& service) {
+  return m_first_event_numbers.try_emplace(service, m_settings.first_event_id)
+      .first->second.expected();
+}
+
+void GatewayCore::OnStreamBegan(const std::string& service,
+                                const std::string& server,
+                                int64_t id) {
+  FirstEventNumber& number =
+      m_first_event_numbers.try_emplace(service, m_settings.first_event_id)
+          .first->second;
+  const int64_t before = number.expected();
+  number.OnRunBegan(server, id);
+  if (number.expected() != before)
+    Log("first_event", {{"service", service},
+                        {"id", std::to_string(number.expected())},
+                        {"before", std::to_string(before)}});
+}
+
 void GatewayCore::LogInvalidHeaders(const std::string& server,
                                     const ResponseHead& head) {
   for (const std::string& header : head.invalid_headers)
--- a/test/event_stream_test.cc
+++ b/test/event_stream_test.cc
@@ -12,7 +12,7 @@
 
 EventStreamReader BeginStream() {
   EventStreamReader events;
-  events.BeginRun();
+  events.BeginRun(0);
   return events;
 }
 
@@ -33,6 +33,8 @@
   CPPUNIT_TEST(EventsDoNotDependOnChunkSizes);
   CPPUNIT_TEST(EachKindOfGarbageIsNamed);
   CPPUNIT_TEST(StreamThatEndsTooEarlyIsAtFault);
+  CPPUNIT_TEST(OnlyEventThatIsDueIsReturned);
+  CPPUNIT_TEST(OneServerCannotChangeFirstEventNumber);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -70,7 +72,7 @@
   void ResumedStreamSkipsForwardedEvents() {
     EventStreamReader events = BeginStream();
     events.Feed("id: 0\ndata: a\n\nid: 1\ndata: b\n\nid: 2\nda", TimePoint{});
-    events.BeginRun();
+    events.BeginRun(0);
     CPPUNIT_ASSERT_EQUAL(
         std::string("id: 2\ndata: c\n\n"),
         events.Feed("id: 1\ndata: b\n\nid: 2\ndata: c\n\n", TimePoint{}));
@@ -83,9 +85,9 @@
     const std::string event = "id: 0\ndata: a\n\n";
     for (size_t length = 0; length < event.size(); ++length) {
       EventStreamReader events = BeginStream();
-      events.BeginRun();
+      events.BeginRun(0);
       events.Feed(event.substr(0, length), TimePoint{});
-      events.BeginRun();
+      events.BeginRun(0);
       CPPUNIT_ASSERT(events.partial().empty());
       CPPUNIT_ASSERT_EQUAL(event, events.Feed(event, TimePoint{}));
       AssertFault(StreamFault::kNone, events);
@@ -145,7 +147,8 @@
         "id: 5\ndata: x\n\nid: 6\r\ndata: y\r\n\r\nid: 7\ndata: z\n\n";
     for (size_t first = 0; first <= all.size(); ++first)
       for (size_t second = first; second <= all.size(); ++second) {
-        EventStreamReader events = BeginStream();
+        EventStreamReader events;
+        events.BeginRun(5);
         std::string out = events.Feed(all.substr(0, first), TimePoint{});
         out += events.Feed(all.substr(first, second - first), TimePoint{});
         out += events.Feed(all.substr(second), TimePoint{});
@@ -193,13 +196,54 @@
     CPPUNIT_ASSERT(events.FaultAtEnd() == StreamFault::kNoEvents);
     events.Feed("id: 0\n\nid: 1\n\nid: 2\n", TimePoint{});
     CPPUNIT_ASSERT(events.FaultAtEnd() == StreamFault::kEndsWithinEvent);
-    events.BeginRun();
+    events.BeginRun(0);
     CPPUNIT_ASSERT(events.FaultAtEnd() == StreamFault::kNone);
     events.Feed("id: 0\n\n", TimePoint{});
     CPPUNIT_ASSERT(events.FaultAtEnd() == StreamFault::kEndsBeforeDueEvent);
     events.Feed("id: 1\n\n", TimePoint{});
     CPPUNIT_ASSERT(events.FaultAtEnd() == StreamFault::kNone);
   }
+
+  // Any number was taken for that of the first event, also when the client had
+  // said which one it waits for.
+  void OnlyEventThatIsDueIsReturned() {
+    for (const char* bytes : {"id: 1\n\n", "id: 7\n\n"}) {
+      EventStreamReader events = BeginStream();
+      CPPUNIT_ASSERT_EQUAL(std::string(), events.Feed(bytes, TimePoint{}));
+      AssertFault(StreamFault::kUnexpectedEvent, events);
+    }
+    EventStreamReader resumed;
+    resumed.ContinueAfter(4);
+    resumed.BeginRun(0);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("id: 5\n\n"),
+        resumed.Feed("id: 3\n\nid: 4\n\nid: 5\n\n", TimePoint{}));
+    AssertFault(StreamFault::kNone, resumed);
+    for (const char* bytes : {"id: 7\n\n", "id: 3\n\nid: 6\n\n"}) {
+      resumed.BeginRun(0);
+      CPPUNIT_ASSERT_EQUAL(std::string(), resumed.Feed(bytes, TimePoint{}));
+      AssertFault(StreamFault::kUnexpectedEvent, resumed);
+      CPPUNIT_ASSERT_EQUAL(int64_t{6}, resumed.due_id());
+    }
+  }
+
+  // With a wrong first number no stream of the service begins, so two servers
+  // correct it; one faulty server must not.
+  void OneServerCannotChangeFirstEventNumber() {
+    FirstEventNumber number(0);
+    number.OnRunBegan("a", 1);
+    number.OnRunBegan("a", 1);
+    CPPUNIT_ASSERT_EQUAL(int64_t{0}, number.expected());
+    number.OnRunBegan("b", 1);
+    CPPUNIT_ASSERT_EQUAL(int64_t{1}, number.expected());
+    // Both had lost their first event: an earlier number replaces it.
+    number.OnRunBegan("c", 0);
+    number.OnRunBegan("d", 0);
+    CPPUNIT_ASSERT_EQUAL(int64_t{0}, number.expected());
+    for (const char* server : {"a", "b", "c"})
+      number.OnRunBegan(server, 1);
+    CPPUNIT_ASSERT_EQUAL(int64_t{0}, number.expected());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EventStreamTest);
