Refuse events with unknown fields, without data, or with mixed line ends

Callers could see an event with the number due that no run made: garbage in front of a line made another field of it (garbagedata), a blank line in the middle left an event without data, and a carriage return before a blank line was a blank line for some clients and not for others.

Existing tests of events get a line of data, as servers send it; no assertion left.

--- a/include/trefoilwick/event_stream.h
+++ b/include/trefoilwick/event_stream.h
@@ -8,6 +8,8 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "trefoilwick/kernel.h"
 
@@ -31,10 +33,15 @@
 // Why the bytes of a stream are not those of a sound server.
 enum class StreamFault : uint8_t {
   kNone,
-  // A line is no field, or has a carriage return within it.
+  // A line is no field, has a carriage return within it, or ends in another way
+  // than the others of its event.
   kMalformedLine,
+  // A line is a field that no event has.
+  kUnknownField,
   // The event has no id, or one that is not a number in its shortest form.
   kNoEventId,
+  // The event has no data, so that clients ignore it.
+  kNoData,
   // The event has several ids: parts of events were joined.
   kSecondEventId,
   // The event has another number than the one that is due.
@@ -54,7 +61,9 @@
 inline constexpr auto kStreamFaultNames = MakeEnumTable<StreamFault>({
     {StreamFault::kNone, "none"},
     {StreamFault::kMalformedLine, "malformed_line"},
+    {StreamFault::kUnknownField, "unknown_field"},
     {StreamFault::kNoEventId, "no_event_id"},
+    {StreamFault::kNoData, "no_data"},
     {StreamFault::kSecondEventId, "second_event_id"},
     {StreamFault::kUnexpectedEvent, "unexpected_event"},
     {StreamFault::kEventTooLarge, "event_too_large"},
@@ -69,10 +78,15 @@
 // bytes to forward.
 //
 // A line ends with LF or CR LF, and every empty line ends an event. A carriage
-// return elsewhere is refused, as clients may take it for the end of a line.
-// Every event has one id, and the ids count up by one.
+// return elsewhere, and an event with lines of both kinds, is refused: clients
+// may find other lines or blank lines in it.
+// Every event has data and one id, and the ids count up by one. Garbage in
+// front of a line makes another field of it, so only known fields are
+// forwarded.
 class EventStreamReader {
  public:
+  class Builder;
+
   // The client has the events up to `id` already.
   void ContinueAfter(int64_t id);
   // Begins the stream of the next server. Nothing of the one before stays but
@@ -107,14 +121,22 @@
   // What the lines of an event say.
   struct EventFacts {
     bool has_fields = false;
+    bool has_data = false;
+    // The lines end with CR LF; null before the first one.
+    std::optional<bool> ends_with_cr;
     std::optional<int64_t> id;
   };
-  StreamFault ReadLine(std::string_view line);
+  StreamFault ReadLine(std::string_view line, bool ends_with_cr);
   StreamFault ReadField(std::string_view name, std::string_view value);
+  bool IsKnownField(std::string_view name) const;
   // Judges the event whose lines were read. Its bytes are returned if it is the
   // one that is due.
   std::string_view EndEvent(std::string_view event);
 
+  friend class Builder;
+
+  // Fields of events beside `id`, `data` and `event`.
+  std::vector<std::string> m_extra_fields;
   std::string m_partial;
   // Lines of `m_partial` before this offset were read.
   size_t m_read_bytes = 0;
@@ -132,6 +154,18 @@
   StreamFault m_fault = StreamFault::kNone;
 };
 
+class EventStreamReader::Builder {
+ public:
+  Builder& SetExtraFields(std::vector<std::string> names) {
+    m_reader.m_extra_fields = std::move(names);
+    return *this;
+  }
+  EventStreamReader Build() const { return m_reader; }
+
+ private:
+  EventStreamReader m_reader;
+};
+
 // Learns the number of the first event of the streams of a service, which no
 // message states. A run that begins with another number is not forwarded, so
 // one faulty server cannot change it: two servers must agree.
--- a/include/trefoilwick/gateway.h
+++ b/include/trefoilwick/gateway.h
@@ -218,6 +218,8 @@
   Duration directory_ttl = std::chrono::seconds(2);
   // Number of the first event of a stream, until servers show another one.
   int64_t first_event_id = 0;
+  // Fields of events beside `id`, `data` and `event`.
+  std::vector<std::string> event_fields;
 };
 
 namespace detail {
--- a/src/event_stream.cc
+++ b/src/event_stream.cc
@@ -18,14 +18,11 @@
   int64_t id = -1;
   const char* end = value.data() + value.size();
   const auto [parsed_to, error] = std::from_chars(value.data(), end, id);
-  if (error != std::errc() || parsed_to != end || id < 0)
+  if (error != std::errc() || parsed_to != end)
     return std::nullopt;
-  const bool has_leading_zero = value.size() > 1 && value.front() == '0';
-  return has_leading_zero ? std::nullopt : std::optional(id);
-}
-
-bool IsFieldNameChar(char c) {
-  return (c >= 'a' && c <= 'z') || c == '-' || c == '_';
+  const bool has_sign_or_zero =
+      value.front() == '-' || (value.size() > 1 && value.front() == '0');
+  return has_sign_or_zero ? std::nullopt : std::optional(id);
 }
 
 }  // namespace
@@ -73,14 +70,14 @@
     std::string_view line(m_partial);
     line = line.substr(m_read_bytes, line_end - m_read_bytes);
     m_read_bytes = line_end + 1;
-    if (line.ends_with('\r'))
+    const bool ends_with_cr = line.ends_with('\r');
+    if (ends_with_cr)
       line.remove_suffix(1);
-    if (line.empty()) {
+    m_fault = ReadLine(line, ends_with_cr);
+    if (line.empty() && m_fault == StreamFault::kNone) {
       const std::string_view event(m_partial);
       out += EndEvent(event.substr(event_begin, m_read_bytes - event_begin));
       event_begin = m_read_bytes;
-    } else {
-      m_fault = ReadLine(line);
     }
     if (m_fault != StreamFault::kNone)
       return out;
@@ -96,16 +93,18 @@
   return out;
 }
 
-StreamFault EventStreamReader::ReadLine(std::string_view line) {
-  if (line.find('\r') != std::string_view::npos)
+StreamFault EventStreamReader::ReadLine(std::string_view line,
+                                        bool ends_with_cr) {
+  const bool is_same_end =
+      ends_with_cr == m_event.ends_with_cr.value_or(ends_with_cr);
+  if (!is_same_end || line.find('\r') != std::string_view::npos)
     return StreamFault::kMalformedLine;
-  if (line.front() == ':')
+  m_event.ends_with_cr = ends_with_cr;
+  if (line.empty() || line.front() == ':')
     return StreamFault::kNone;
   const std::string_view name = line.substr(0, line.find(':'));
   // Only an empty line of data has no colon.
-  const bool is_field = name.size() < line.size() || name == "data";
-  if (!is_field || name.empty() ||
-      !std::all_of(name.begin(), name.end(), IsFieldNameChar))
+  if (name.size() == line.size() && name != "data")
     return StreamFault::kMalformedLine;
   std::string_view value = line.substr(std::min(line.size(), name.size() + 1));
   if (value.starts_with(' '))
@@ -116,14 +115,21 @@
 StreamFault EventStreamReader::ReadField(std::string_view name,
                                          std::string_view value) {
   m_event.has_fields = true;
+  m_event.has_data |= name == "data";
   if (name != "id")
-    return StreamFault::kNone;
+    return IsKnownField(name) ? StreamFault::kNone : StreamFault::kUnknownField;
   if (m_event.id)
     return StreamFault::kSecondEventId;
   m_event.id = ParseEventId(value);
   return m_event.id ? StreamFault::kNone : StreamFault::kNoEventId;
 }
 
+bool EventStreamReader::IsKnownField(std::string_view name) const {
+  return name == "data" || name == "event" ||
+         std::find(m_extra_fields.begin(), m_extra_fields.end(), name) !=
+             m_extra_fields.end();
+}
+
 std::string_view EventStreamReader::EndEvent(std::string_view event) {
   const EventFacts facts = std::exchange(m_event, EventFacts());
   if (!facts.has_fields) {
@@ -131,8 +137,8 @@
     return {};
   }
   m_comment_bytes = 0;
-  if (!facts.id) {
-    m_fault = StreamFault::kNoEventId;
+  if (!facts.id || !facts.has_data) {
+    m_fault = facts.id ? StreamFault::kNoData : StreamFault::kNoEventId;
     return {};
   }
   const bool follows_last = !m_last_seen_id || *facts.id == *m_last_seen_id + 1;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -53,7 +53,10 @@
     : m_core(core),
       m_session(session.shared_from_this()),
       m_start_time(start_time),
-      m_timer(core.io()) {
+      m_timer(core.io()),
+      m_events(EventStreamReader::Builder()
+                   .SetExtraFields(core.settings().event_fields)
+                   .Build()) {
   m_core.AddExchange(this);
 }
 
--- a/test/event_stream_test.cc
+++ b/test/event_stream_test.cc
@@ -11,7 +11,8 @@
 using std::chrono::milliseconds;
 
 EventStreamReader BeginStream() {
-  EventStreamReader events;
+  EventStreamReader events =
+      EventStreamReader::Builder().SetExtraFields({"weight-versions"}).Build();
   events.BeginRun(0);
   return events;
 }
@@ -97,19 +98,22 @@
   void MissingEventStopsStream() {
     EventStreamReader events = BeginStream();
     CPPUNIT_ASSERT_EQUAL(
-        std::string("id: 0\n\n"),
-        events.Feed("id: 0\n\nid: 2\n\nid: 3\n\n", TimePoint{}));
+        std::string("id: 0\ndata: x\n\n"),
+        events.Feed("id: 0\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n",
+                    TimePoint{}));
     CPPUNIT_ASSERT(events.fault() != StreamFault::kNone);
-    CPPUNIT_ASSERT_EQUAL(std::string(), events.Feed("id: 1\n\n", TimePoint{}));
+    CPPUNIT_ASSERT_EQUAL(std::string(),
+                         events.Feed("id: 1\ndata: x\n\n", TimePoint{}));
   }
 
   // Events without an id, which only a faulty server sends, were forwarded.
   void MalformedEventStopsStream() {
     for (const char* event :
          {"garbage\n\n", "data: a\n\n", "id\n\n", "id:\n\n", "id: x\n\n",
-          "id: 1x\n\n", "id: -1\n\n", "id: 99999999999999999999\n\n",
-          "id: 1\nid: 1\n\n", "id: 1\ngarbage\n\n", "\x01: 2\nid: 1\n\n",
-          "\xff\xfe\r\n\r\n", "data: id: 1\n\n"}) {
+          "id: 1x\n\n", "id: -1\ndata: x\n\n", "id: 99999999999999999999\n\n",
+          "id: 1\nid: 1\ndata: x\n\n", "id: 1\ngarbage\n\n",
+          "\x01: 2\nid: 1\ndata: x\n\n", "\xff\xfe\r\n\r\n",
+          "data: id: 1\ndata: x\n\n"}) {
       EventStreamReader events = BeginStream();
       events.Feed("id: 0\ndata: a\n\n", TimePoint{});
       CPPUNIT_ASSERT_EQUAL_MESSAGE(event, std::string(),
@@ -117,9 +121,10 @@
       CPPUNIT_ASSERT_MESSAGE(event, events.fault() != StreamFault::kNone);
       CPPUNIT_ASSERT_EQUAL(int64_t{0}, events.last_id());
     }
-    for (const char* event :
-         {"id: 1\n\n", "id:1\ndata\n\n", "event: token\nid: 1\ndata: x\n\n",
-          "weight-versions: 3\nid: 1\ndata: \xff\n\n", ": x\nid: 1\n\n"}) {
+    for (const char* event : {"id: 1\ndata: x\n\n", "id:1\ndata\n\n",
+                              "event: token\nid: 1\ndata: x\n\n",
+                              "weight-versions: 3\nid: 1\ndata: \xff\n\n",
+                              ": x\nid: 1\ndata: x\n\n"}) {
       EventStreamReader events = BeginStream();
       events.Feed("id: 0\ndata: a\n\n", TimePoint{});
       CPPUNIT_ASSERT_EQUAL(std::string(event), events.Feed(event, TimePoint{}));
@@ -132,8 +137,9 @@
   void CommentsAreDropped() {
     EventStreamReader events = BeginStream();
     CPPUNIT_ASSERT_EQUAL(
-        std::string("id: 0\n\nid: 1\n\n"),
-        events.Feed(": wait\n\nid: 0\n\n: wait\n\nid: 1\n\n", TimePoint{}));
+        std::string("id: 0\ndata: x\n\nid: 1\ndata: x\n\n"),
+        events.Feed(": wait\n\nid: 0\ndata: x\n\n: wait\n\nid: 1\ndata: x\n\n",
+                    TimePoint{}));
     AssertFault(StreamFault::kNone, events);
     for (int i = 0; i < 20'000 && events.fault() == StreamFault::kNone; ++i)
       events.Feed(": wait\n\n", TimePoint{});
@@ -170,13 +176,19 @@
              {"id: 1\rdata: x\r\r", StreamFault::kNone},
              {"id: 1\rdata: x\r\r\n", StreamFault::kMalformedLine},
              {": 1\r: x\n\n", StreamFault::kMalformedLine},
+             {"id: 1\ngarbagedata: x\n\n", StreamFault::kUnknownField},
+             {"id: 1\ndata: x\nretry: 1\n\n", StreamFault::kUnknownField},
+             {"id: 1\nData: x\n\n", StreamFault::kUnknownField},
              {"data: x\n\n", StreamFault::kNoEventId},
              {"id: 01\ndata: x\n\n", StreamFault::kNoEventId},
-             {"id: 1\ndata: x\n\r\ndata: y\n\n", StreamFault::kNoEventId},
-             {"id: 1\r\n\ndata: y\n\n", StreamFault::kNoEventId},
-             {"id: 1\nid: 1\n\n", StreamFault::kSecondEventId},
-             {"id: 2\n\n", StreamFault::kUnexpectedEvent},
-             {"id: 0\n\n", StreamFault::kUnexpectedEvent},
+             {"id: -0\ndata: x\n\n", StreamFault::kNoEventId},
+             {"id: 1\ndata: x\n\r\ndata: y\n\n", StreamFault::kMalformedLine},
+             {"id: 1\r\n\ndata: y\n\n", StreamFault::kMalformedLine},
+             {"id: 1\nid: 1\ndata: x\n\n", StreamFault::kSecondEventId},
+             {"id: 1\n\n", StreamFault::kNoData},
+             {"id: 1\nevent: x\n\ndata: y\n\n", StreamFault::kNoData},
+             {"id: 2\ndata: x\n\n", StreamFault::kUnexpectedEvent},
+             {"id: 0\ndata: x\n\n", StreamFault::kUnexpectedEvent},
              {"data: " + std::string(70'000, 'x'),
               StreamFault::kEventTooLarge}}) {
       EventStreamReader events = BeginStream();
@@ -185,7 +197,7 @@
       CPPUNIT_ASSERT_MESSAGE(out, !out.ends_with("y\n\n"));
       AssertFault(test.fault, events);
       CPPUNIT_ASSERT_EQUAL(std::string(),
-                           events.Feed("id: 9\n\n", TimePoint{}));
+                           events.Feed("id: 9\ndata: x\n\n", TimePoint{}));
     }
   }
 
@@ -194,20 +206,20 @@
   void StreamThatEndsTooEarlyIsAtFault() {
     EventStreamReader events = BeginStream();
     CPPUNIT_ASSERT(events.FaultAtEnd() == StreamFault::kNoEvents);
-    events.Feed("id: 0\n\nid: 1\n\nid: 2\n", TimePoint{});
+    events.Feed("id: 0\ndata: x\n\nid: 1\ndata: x\n\nid: 2\n", TimePoint{});
     CPPUNIT_ASSERT(events.FaultAtEnd() == StreamFault::kEndsWithinEvent);
     events.BeginRun(0);
     CPPUNIT_ASSERT(events.FaultAtEnd() == StreamFault::kNone);
-    events.Feed("id: 0\n\n", TimePoint{});
+    events.Feed("id: 0\ndata: x\n\n", TimePoint{});
     CPPUNIT_ASSERT(events.FaultAtEnd() == StreamFault::kEndsBeforeDueEvent);
-    events.Feed("id: 1\n\n", TimePoint{});
+    events.Feed("id: 1\ndata: x\n\n", TimePoint{});
     CPPUNIT_ASSERT(events.FaultAtEnd() == StreamFault::kNone);
   }
 
   // Any number was taken for that of the first event, also when the client had
   // said which one it waits for.
   void OnlyEventThatIsDueIsReturned() {
-    for (const char* bytes : {"id: 1\n\n", "id: 7\n\n"}) {
+    for (const char* bytes : {"id: 1\ndata: x\n\n", "id: 7\ndata: x\n\n"}) {
       EventStreamReader events = BeginStream();
       CPPUNIT_ASSERT_EQUAL(std::string(), events.Feed(bytes, TimePoint{}));
       AssertFault(StreamFault::kUnexpectedEvent, events);
@@ -216,10 +228,12 @@
     resumed.ContinueAfter(4);
     resumed.BeginRun(0);
     CPPUNIT_ASSERT_EQUAL(
-        std::string("id: 5\n\n"),
-        resumed.Feed("id: 3\n\nid: 4\n\nid: 5\n\n", TimePoint{}));
+        std::string("id: 5\ndata: x\n\n"),
+        resumed.Feed("id: 3\ndata: x\n\nid: 4\ndata: x\n\nid: 5\ndata: x\n\n",
+                     TimePoint{}));
     AssertFault(StreamFault::kNone, resumed);
-    for (const char* bytes : {"id: 7\n\n", "id: 3\n\nid: 6\n\n"}) {
+    for (const char* bytes :
+         {"id: 7\ndata: x\n\n", "id: 3\ndata: x\n\nid: 6\ndata: x\n\n"}) {
       resumed.BeginRun(0);
       CPPUNIT_ASSERT_EQUAL(std::string(), resumed.Feed(bytes, TimePoint{}));
       AssertFault(StreamFault::kUnexpectedEvent, resumed);
