--- /dev/null
+++ b/test/adapter_response_test.cc
@@ -0,0 +1,65 @@
+// Tests of whole responses over real sockets: what the head of a faulty server
+// says must not reach a client as the truth.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "gateway_fixtures.h"
+
+namespace trefoilwick {
+namespace {
+
+// Response of a gateway with two servers; both send `first` to their first
+// request and "done" to others.
+struct Answer {
+  std::string response;
+  size_t sends = 0;
+};
+
+Answer CallWithFirstAnswer(const std::string& line, const std::string& first) {
+  std::atomic<int> calls{0};
+  const auto serve = [&](const std::string&) {
+    return ScriptedResponse{++calls == 1 ? first : MakeSealedResponse("done")};
+  };
+  ScriptedServer one(serve);
+  ScriptedServer two(serve);
+  GatewayHarness harness;
+  StartGateway(harness, {&one, &two});
+  Answer answer;
+  answer.response = harness.CallAsClient(Request(line, "", "b"));
+  answer.sends = one.requests().size() + two.requests().size();
+  return answer;
+}
+
+class AdapterResponseTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AdapterResponseTest);
+  CPPUNIT_TEST(MarkOfRefusalBesideOtherStatusIsNotBelieved);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // A failure or a success that also said "not run" was believed: a request
+  // that must run once was sent again, or refused although it had run.
+  void MarkOfRefusalBesideOtherStatusIsNotBelieved() {
+    for (const char* status :
+         {"500 Internal Server Error", "504 Late", "404 Not Found", "200 OK"}) {
+      const Answer answer = CallWithFirstAnswer(
+          "POST /post/x",
+          MakeResponse(status, "Server-Seal: s\r\nNot-Run: 1\r\n", "first"));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(status, size_t{1}, answer.sends);
+      CPPUNIT_ASSERT_MESSAGE(
+          answer.response,
+          answer.response.starts_with("HTTP/1.1 " + std::string(status, 3)));
+      CPPUNIT_ASSERT_MESSAGE(answer.response,
+                             answer.response.ends_with("first"));
+    }
+    for (const char* status : {"503 Full", "429 Many", "421 Other"}) {
+      const Answer answer = CallWithFirstAnswer(
+          "GET /get/x", MakeResponse(status, "Not-Run: 1\r\n", ""));
+      CPPUNIT_ASSERT_MESSAGE(answer.response,
+                             answer.response.ends_with("done"));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdapterResponseTest);
+
+}  // namespace
+}  // namespace trefoilwick
