Refuse a success with a content encoding

Callers got a body that they had not asked for and could not read: no request allows an encoding, so a success with one is not the server's body. It is now a broken answer, judged with the head.

--- a/include/trefoilwick/forwarding.h
+++ b/include/trefoilwick/forwarding.h
@@ -95,6 +95,8 @@
   // The response is marked as made by the server itself.
   bool authentic = false;
   bool is_event_stream = false;
+  // The body is encoded, which no request asks for.
+  bool is_encoded = false;
 };
 
 // How the body of a response is used, once its head is known.
--- a/include/trefoilwick/gateway.h
+++ b/include/trefoilwick/gateway.h
@@ -72,6 +72,7 @@
   bool not_run = false;
   // The response is marked as made by the server itself.
   bool authentic = false;
+  bool has_content_encoding = false;
   bool is_event_stream = false;
   // How long the server keeps an idle connection; null when it does not state
   // it.
--- a/src/forwarding.cc
+++ b/src/forwarding.cc
@@ -128,7 +128,7 @@
   if (head.not_run)
     return BodyUse::kOptional;
   const bool success = head.status / 100 == 2;
-  if (success && !head.authentic)
+  if (success && (!head.authentic || head.is_encoded))
     return BodyUse::kInvalid;
   // Clients of a stream read any success as events.
   if (success && m_kind == RouteKind::kStream && !head.is_event_stream)
--- a/src/gateway_exchange_response.cc
+++ b/src/gateway_exchange_response.cc
@@ -55,8 +55,9 @@
   m_core.OnServerAnswer(m_server_process, head, m_send_started_at);
   m_last_progress = m_core.Now();
   m_streaming = m_route->kind == RouteKind::kStream && head.status / 100 == 2;
-  switch (m_forward.AssessHead(
-      {head.status, head.not_run, head.authentic, head.is_event_stream})) {
+  switch (
+      m_forward.AssessHead({head.status, head.not_run, head.authentic,
+                            head.is_event_stream, head.has_content_encoding})) {
     case BodyUse::kForwarded:
       return;
     case BodyUse::kOptional:
--- a/test/adapter_response_test.cc
+++ b/test/adapter_response_test.cc
@@ -32,6 +32,7 @@
 class AdapterResponseTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AdapterResponseTest);
   CPPUNIT_TEST(MarkOfRefusalBesideOtherStatusIsNotBelieved);
+  CPPUNIT_TEST(EncodedSuccessIsNotForwarded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -57,6 +58,20 @@
                              answer.response.ends_with("done"));
     }
   }
+
+  // No request asks for an encoding, so an encoded body is not that of the
+  // server, and its client cannot read it.
+  void EncodedSuccessIsNotForwarded() {
+    const std::string encoded = MakeResponse(
+        "200 OK", "Server-Seal: s\r\nContent-Encoding: gzip\r\n", "first");
+    const Answer repeated = CallWithFirstAnswer("GET /get/x", encoded);
+    CPPUNIT_ASSERT_MESSAGE(repeated.response,
+                           repeated.response.ends_with("done"));
+    const Answer once = CallWithFirstAnswer("POST /post/x", encoded);
+    CPPUNIT_ASSERT_MESSAGE(once.response,
+                           once.response.starts_with("HTTP/1.1 502"));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, once.sends);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AdapterResponseTest);
--- a/test/forwarding_test.cc
+++ b/test/forwarding_test.cc
@@ -353,6 +353,7 @@
     const HeadFacts unsealed{200, false, false, false};
     const HeadFacts success{200, false, true, false};
     const HeadFacts event_stream{200, false, true, true};
+    const HeadFacts encoded{200, false, true, false, true};
     const HeadFacts not_found{404, false, true, false};
     const auto assess = [](ForwardState state, const HeadFacts& head) {
       state.OnSend("a");
@@ -364,6 +365,7 @@
     for (const ForwardState& state : {once, repeated, single}) {
       CPPUNIT_ASSERT(assess(state, refusal) == BodyUse::kOptional);
       CPPUNIT_ASSERT(assess(state, unsealed) == BodyUse::kInvalid);
+      CPPUNIT_ASSERT(assess(state, encoded) == BodyUse::kInvalid);
       CPPUNIT_ASSERT(assess(state, success) == BodyUse::kForwarded);
     }
     // A failure is forwarded when the request may not be sent again.
