Soak: servers that send garbage

Two in five of the faults of servers are now garbage: between events, in front of an event and within it, outside of chunks, a success of another type or without a seal, streams that begin behind or before the event that is due, a refusal's mark beside a failure. The faults have a random sequence of their own, so that earlier seeds keep theirs.

--- a/soak/servers.py
+++ b/soak/servers.py
@@ -5,12 +5,22 @@
 import dataclasses
 import json
 import time
+import zlib
 
 import http_lite
 
 LAYERS = 8
 EVENT_INTERVAL_S = 0.02
 MAX_STALL_S = 1.0
+# What a faulty model server sends between two events: in a chunk of its own,
+# in front of the next event, and outside of any chunk.
+GARBAGE_CHUNKS = (
+    b"garbage\n\n", b"data: garbage\n\n", b"garbage", b"id: 07\ndata: x\n\n",
+    b"id: x\ndata: x\n\n", b"\x01\xff\r\n\r\n")
+GARBAGE_PREFIXES = (b"garbage", b"\n\r\n", b"id: 3\n", b"\r", b"\n")
+GARBAGE_OUTSIDE = (b"garbage\r\n", b"HTTP/1.1 200 OK\r\n\r\n")
+# Kinds of garbage in place of a stream.
+GARBAGE_ANSWERS = ("plain", "no type", "behind", "before", "no seal")
 LAYER_LOAD_S = 0.25
 
 
@@ -40,6 +50,11 @@
         self.pauses = []
 
 
+def pick(choices, text):
+    """One of the choices, always the same for a text."""
+    return choices[zlib.crc32(text.encode()) % len(choices)]
+
+
 def event_count(attempt):
     return 20 + int(attempt[-2:], 16) % 60
 
@@ -84,6 +99,8 @@
         self._server = None
         self._heartbeat = None
 
+    # Injected beside FAULTS by its own random sequence.
+    GARBAGE = "garbage"
     FAULTS = ("fail", "cut", "lose", "refuse", "slow", "extra")
 
     @property
@@ -203,6 +220,9 @@
             writer.write(http_lite.response_bytes(500, b"failed",
                                                   self.answer_headers(run)))
             return True
+        if self.fault == self.GARBAGE:
+            writer.write(self.garbage_answer(run))
+            return False
         answer = http_lite.response_bytes(
             200, plain_body(run.attempt, run.request), self.answer_headers(run))
         if self.fault == "cut":
@@ -213,6 +233,18 @@
             writer.write(answer[:60])
         return True
 
+    def garbage_answer(self, run):
+        headers = self.answer_headers(run)
+        kind = pick(("unsealed", "other request", "not run"), run.attempt)
+        if kind == "unsealed":
+            del headers["Server-Seal"]
+            return http_lite.response_bytes(200, b"garbage", headers)
+        if kind == "other request":
+            headers["Attempt-Id"] += "0"
+            return http_lite.response_bytes(200, b"garbage", headers)
+        return http_lite.response_bytes(500, b"failed",
+                                        {**headers, "Not-Run": "1"})
+
 
 class ModelServer(Server):
     def __init__(self, *args, kind):
@@ -320,16 +352,47 @@
         finally:
             self._paths.pop(run.attempt, None)
 
+    def add_garbage(self, writer, event, text):
+        """Sends garbage, or returns the event with garbage in front."""
+        kind = pick(("chunk", "prefix", "within", "outside", "cut"), text)
+        if kind == "chunk":
+            garbage = pick(GARBAGE_CHUNKS, text[1:])
+            writer.write(b"%x\r\n%s\r\n" % (len(garbage), garbage))
+        elif kind == "prefix":
+            return pick(GARBAGE_PREFIXES, text[1:]) + event
+        elif kind == "within":
+            id_line, _, rest = event.partition(b"\n")
+            return id_line + b"\n" + pick(GARBAGE_PREFIXES, text[1:]) + rest
+        elif kind == "outside":
+            writer.write(pick(GARBAGE_OUTSIDE, text[1:]))
+        else:
+            return event[:5]
+        return event
+
     async def _stream(self, head, run, writer):
         if self.fault == "fail":
             writer.write(http_lite.response_bytes(500, b"failed",
                                                   self.answer_headers(run)))
             return True
-        writer.write(http_lite.head_bytes("HTTP/1.1 200 OK", {
-            **self.answer_headers(run), "Content-Type": "text/event-stream",
-            "Transfer-Encoding": "chunked"}))
         first = int(head.get("last-event-id", "0") or 0) + 1
         last = event_count(run.attempt)
+        headers = {**self.answer_headers(run),
+                   "Content-Type": "text/event-stream",
+                   "Transfer-Encoding": "chunked"}
+        garbage_answer = None
+        if self.fault == self.GARBAGE:
+            garbage_answer = pick(GARBAGE_ANSWERS + 8 * (None,), run.attempt)
+        if garbage_answer == "plain":
+            headers["Content-Type"] = "text/plain"
+        elif garbage_answer == "no type":
+            del headers["Content-Type"]
+        elif garbage_answer == "no seal":
+            del headers["Server-Seal"]
+        elif garbage_answer == "behind":
+            first += 3
+        elif garbage_answer == "before":
+            first = 1
+        writer.write(http_lite.head_bytes("HTTP/1.1 200 OK", headers))
         for number in range(first, last + 1):
             await asyncio.sleep(0.3 if self.fault == "slow" else
                                 EVENT_INTERVAL_S)
@@ -342,6 +405,8 @@
             event = event_bytes(run.attempt, number)
             if self.fault == "cut" and number == last // 2:
                 event = event[:5]
+            if self.fault == self.GARBAGE and number % 4 == 3:
+                event = self.add_garbage(writer, event, f"{run.attempt}{number}")
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
             if writer.transport.is_closing():
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -4,9 +4,9 @@
 Store, backend servers and clients are stand-ins in this process. Faults are
 injected from outside the instances, several at a time: links that are delayed,
 reset, cut in one or both directions, or silenced; signals; a store that is
-down, silent, slow or loses answers; servers that crash, fail, cut answers or
-leave; configuration changes. The records of clients and servers are checked
-against the guarantees.
+down, silent, slow or loses answers; servers that crash, fail, cut answers,
+send garbage or leave; configuration changes. The records of clients and
+servers are checked against the guarantees.
 
   soak.py --bin TREFOILWICK [--seeds 50 | --seed N ...] [--jobs 3]
 """
@@ -35,6 +35,8 @@
 RECOVERY_S = 6.0
 RECOVERY_CHECK_S = 4.0
 VARIANT_SEED_OFFSET = 1 << 40
+# Share of the faults of servers in which they send garbage instead.
+GARBAGE_SHARE = 0.4
 GRACE_S = 5
 ACCOUNT = "club"
 KEY = "key-of-club"
@@ -150,6 +152,7 @@
         self.random = random.Random(seed)
         # Separate, so that seeds of earlier failures keep their faults.
         self.variant_random = random.Random(seed + VARIANT_SEED_OFFSET)
+        self.garbage_random = random.Random(seed + 2 * VARIANT_SEED_OFFSET)
         self.directory = directory
         self.block = block
         self.store = store.Store()
@@ -310,6 +313,9 @@
             return
         fault_kind = self.random.choice(
             server.FAULTS + ("crash", "crash", "leave", "late orders"))
+        if (fault_kind in server.FAULTS
+                and self.garbage_random.random() < GARBAGE_SHARE):
+            fault_kind = server.GARBAGE
         self.fault_log.append(f"server {server.ident} {fault_kind}")
         duration_s = self.random.uniform(0.5, 4)
         self.record_disturbance(self.server_disturbances, duration_s + 2)
