Let a wrong number of the first event correct itself

Two servers that began a run with a lower number, hours apart, would have changed the first number of a service for the life of the process: every later stream of sound servers would have been refused. A run that begins as expected now clears the candidate, and a number changes in either direction.

--- a/include/trefoilwick/event_stream.h
+++ b/include/trefoilwick/event_stream.h
@@ -167,11 +167,12 @@
 };
 
 // Learns the number of the first event of the streams of a service, which no
-// message states. A run that begins with another number is not forwarded, so
-// one faulty server cannot change it: two servers must agree.
+// message states. A run that begins with another number is not forwarded. The
+// number changes when the runs of two servers begin with the same other one and
+// none in between as expected, so that a wrong number corrects itself and one
+// faulty server among sound ones changes nothing.
 class FirstEventNumber {
  public:
-  // `expected` counts until two servers show another number.
   explicit FirstEventNumber(int64_t expected) : m_expected(expected) {}
   int64_t expected() const { return m_expected; }
   // A run that was to begin at the first event began with `id`.
@@ -179,8 +180,6 @@
 
  private:
   int64_t m_expected;
-  // Some run began with `m_expected`.
-  bool m_confirmed = false;
   // Another number, and the servers whose runs began with it.
   int64_t m_candidate = -1;
   std::set<std::string> m_candidate_servers;
--- a/src/event_stream.cc
+++ b/src/event_stream.cc
@@ -171,21 +171,15 @@
 }
 
 void FirstEventNumber::OnRunBegan(const std::string& server, int64_t id) {
-  if (id == m_expected) {
-    m_confirmed = true;
-    return;
-  }
-  // With a run that begins earlier, a later number is not the first.
-  if (m_confirmed && id > m_expected)
-    return;
-  if (id != m_candidate)
+  if (id == m_expected || id != m_candidate)
     m_candidate_servers.clear();
+  if (id == m_expected)
+    return;
   m_candidate = id;
   m_candidate_servers.insert(server);
   if (m_candidate_servers.size() < 2)
     return;
   m_expected = id;
-  m_confirmed = true;
   m_candidate_servers.clear();
 }
 
