--- a/test/adapter_response_test.cc
+++ b/test/adapter_response_test.cc
@@ -51,7 +51,7 @@
       CPPUNIT_ASSERT_MESSAGE(answer.response,
                              answer.response.ends_with("first"));
     }
-    for (const char* status : {"503 Full", "429 Many", "421 Other"}) {
+    for (const char* status : {"503 Full", "429 Many", "421 Other", "408 Late"}) {
       const Answer answer = CallWithFirstAnswer(
           "GET /get/x", MakeResponse(status, "Not-Run: 1\r\n", ""));
       CPPUNIT_ASSERT_MESSAGE(answer.response,
