--- a/soak/servers.py
+++ b/soak/servers.py
@@ -19,8 +19,11 @@
     b"id: x\ndata: x\n\n", b"\x01\xff\r\n\r\n")
 GARBAGE_PREFIXES = (b"garbage", b"\n\r\n", b"id: 3\n", b"\r", b"\n")
 GARBAGE_OUTSIDE = (b"garbage\r\n", b"HTTP/1.1 200 OK\r\n\r\n")
-# Kinds of garbage in place of a stream.
-GARBAGE_ANSWERS = ("plain", "no type", "behind", "before", "no seal")
+# Kinds of garbage in place of a stream; None for garbage within it.
+GARBAGE_ANSWERS = ("plain", "no type", "behind", "before", "no seal",
+                   None, None, None, None, None)
+# Garbage within a stream comes before one of its first events.
+GARBAGE_EVENTS = range(3, 15)
 LAYER_LOAD_S = 0.25
 
 
@@ -352,6 +355,14 @@
         finally:
             self._paths.pop(run.attempt, None)
 
+    def garbage_success(self, kind, headers):
+        """A success that is no event stream."""
+        del headers["Transfer-Encoding"]
+        del headers["Content-Type"]
+        if kind == "plain":
+            headers["Content-Type"] = "text/plain"
+        return http_lite.response_bytes(200, b"garbage\n\n", headers)
+
     def add_garbage(self, writer, event, text):
         """Sends garbage, or returns the event with garbage in front."""
         kind = pick(("chunk", "prefix", "within", "outside", "cut"), text)
@@ -379,19 +390,20 @@
         headers = {**self.answer_headers(run),
                    "Content-Type": "text/event-stream",
                    "Transfer-Encoding": "chunked"}
-        garbage_answer = None
+        garbage_event = None
         if self.fault == self.GARBAGE:
-            garbage_answer = pick(GARBAGE_ANSWERS + 8 * (None,), run.attempt)
-        if garbage_answer == "plain":
-            headers["Content-Type"] = "text/plain"
-        elif garbage_answer == "no type":
-            del headers["Content-Type"]
-        elif garbage_answer == "no seal":
-            del headers["Server-Seal"]
-        elif garbage_answer == "behind":
-            first += 3
-        elif garbage_answer == "before":
-            first = 1
+            answer = pick(GARBAGE_ANSWERS, run.attempt)
+            if answer in ("plain", "no type"):
+                writer.write(self.garbage_success(answer, headers))
+                return False
+            if answer == "no seal":
+                del headers["Server-Seal"]
+            elif answer == "behind":
+                first += 3
+            elif answer == "before":
+                first = 1
+            else:
+                garbage_event = pick(GARBAGE_EVENTS, run.attempt)
         writer.write(http_lite.head_bytes("HTTP/1.1 200 OK", headers))
         for number in range(first, last + 1):
             await asyncio.sleep(0.3 if self.fault == "slow" else
@@ -405,8 +417,8 @@
             event = event_bytes(run.attempt, number)
             if self.fault == "cut" and number == last // 2:
                 event = event[:5]
-            if self.fault == self.GARBAGE and number % 4 == 3:
-                event = self.add_garbage(writer, event, f"{run.attempt}{number}")
+            if number == garbage_event:
+                event = self.add_garbage(writer, event, run.attempt)
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
             if writer.transport.is_closing():
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -308,6 +308,14 @@
         await asyncio.sleep(duration_s)
         self.store.fault = store.StoreFault.NONE
 
+    def pick_answering_server(self, server):
+        """Another server of the service that answers clients: of model servers
+        only those with the first layers do."""
+        answering = [s for s in self.servers if s.service == server.service
+                     and s.alive and not s.draining
+                     and (s.service != MODEL or (s.layers or (1,))[0] == 0)]
+        return self.garbage_random.choice(answering) if answering else server
+
     async def inject_server_fault(self, server):
         if not server.alive or server.draining:
             return
@@ -316,6 +324,7 @@
         if (fault_kind in server.FAULTS
                 and self.garbage_random.random() < GARBAGE_SHARE):
             fault_kind = server.GARBAGE
+            server = self.pick_answering_server(server)
         self.fault_log.append(f"server {server.ident} {fault_kind}")
         duration_s = self.random.uniform(0.5, 4)
         self.record_disturbance(self.server_disturbances, duration_s + 2)
