Believe no notices of a success that is refused

What callers saw: after one success that was refused (no seal, an encoding, or no event stream on a stream route) its server got no more requests, as leaving or by a limit of 0; with no other server, callers got 503. Nothing in that response was known to be the server's own.

Cause: the limit, the pause and the leaving in a head were read before the head was judged.

Fix: the head is judged first. Notices of refusals and of failures are believed as before, also of a failure that cannot continue a stream: it is the server's own word.

--- a/src/gateway_exchange_response.cc
+++ b/src/gateway_exchange_response.cc
@@ -52,12 +52,17 @@
 
 void Exchange::OnUpstreamHead(const ResponseHead& head) {
   m_head = head;
-  m_core.OnServerAnswer(m_server_process, head, m_send_started_at);
-  m_last_progress = m_core.Now();
-  m_streaming = m_route->kind == RouteKind::kStream && head.status / 100 == 2;
-  switch (
+  const bool success = head.status / 100 == 2;
+  const BodyUse use =
       m_forward.AssessHead({head.status, head.not_run, head.authentic,
-                            head.is_event_stream, head.has_content_encoding})) {
+                            head.is_event_stream, head.has_content_encoding});
+  // What a faulty server made up says nothing about the server. A failure that
+  // cannot continue a stream is still the server's own.
+  if (!success || use != BodyUse::kInvalid)
+    m_core.OnServerAnswer(m_server_process, head, m_send_started_at);
+  m_last_progress = m_core.Now();
+  m_streaming = m_route->kind == RouteKind::kStream && success;
+  switch (use) {
     case BodyUse::kForwarded:
       return;
     case BodyUse::kOptional:
--- a/test/adapter_response_test.cc
+++ b/test/adapter_response_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST_SUITE(AdapterResponseTest);
   CPPUNIT_TEST(MarkOfRefusalBesideOtherStatusIsNotBelieved);
   CPPUNIT_TEST(EncodedSuccessIsNotForwarded);
+  CPPUNIT_TEST(NoticesOfRefusedSuccessAreNotBelieved);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -72,6 +73,41 @@
                            once.response.starts_with("HTTP/1.1 502"));
     CPPUNIT_ASSERT_EQUAL(size_t{1}, once.sends);
   }
+
+  // A success that no client got took its server out of use: as leaving, or by
+  // a limit of no requests.
+  void NoticesOfRefusedSuccessAreNotBelieved() {
+    const std::string sealed = "Server-Seal: s\r\n";
+    const std::string leaving = "Server-Leaving: 1\r\n";
+    const std::string limit = "Server-Limit: 0\r\n";
+    const std::string encoded = "Content-Encoding: gzip\r\n";
+    const std::vector<std::pair<std::string, std::string>> cases = {
+        {"/post/x", leaving},
+        {"/post/x", sealed + encoded + leaving},
+        {"/post/x", sealed + encoded + limit},
+        {"/single/x", sealed + leaving},
+        {"/single/x", sealed + limit}};
+    std::string out_of_use;
+    for (const auto& [path, headers] : cases) {
+      std::atomic<int> calls{0};
+      ScriptedServer server([&](const std::string&) {
+        return ScriptedResponse{++calls == 1
+                                    ? MakeResponse("200 OK", headers, "first")
+                                    : MakeSealedResponse("done")};
+      });
+      GatewayHarness harness;
+      StartGateway(harness, {&server});
+      const std::string refused =
+          harness.CallAsClient(Request("POST " + path, "", "b"));
+      CPPUNIT_ASSERT_MESSAGE(refused, refused.starts_with("HTTP/1.1 502"));
+      // Longer than a server that broke off is left alone.
+      std::this_thread::sleep_for(seconds(1));
+      const std::string next = harness.CallAsClient(Request("GET /get/x"));
+      if (!next.ends_with("done"))
+        out_of_use += path + " " + headers;
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), out_of_use);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AdapterResponseTest);
