Believe no response without an id on a reused connection

What callers saw: the bytes of another answer, as a success or a failure of their own request, when a server sent a late copy of an earlier answer without an Attempt-Id on a connection that was in use again.

Cause: a response without an id counted as the one that is due. Servers echo the id (PROTOCOL.md, Servers).

Fix: on a reused connection a response without the id of its request breaks the call; only requests that may run again use such connections. On a connection of its own a response without an id is judged as before. Interim responses are skipped as before.

Test: ResponseWithoutIdOnReusedConnectionIsNotBelieved failed before the fix for a sealed success and, alone, for a 404 (one run each) and passes now; adapter_gateway_test, adapter_notices_test and adapter_call_test pass (one run each).

--- a/src/gateway_upstream.cc
+++ b/src/gateway_upstream.cc
@@ -266,6 +266,12 @@
   m_discarding_response = is_interim || is_for_other_request;
   if (m_discarding_response)
     return;
+  // Servers echo the id. Without it this may be a late copy of the answer to an
+  // earlier request on this connection.
+  if (m_connection_reused && head.attempt_id != m_attempt_id) {
+    ReportBroken();
+    return;
+  }
   m_keep_alive = head.keep_alive;
   m_server_is_leaving = head.is_leaving;
   m_listener->OnUpstreamHead(head);
--- a/test/adapter_response_test.cc
+++ b/test/adapter_response_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(MarkOfRefusalBesideOtherStatusIsNotBelieved);
   CPPUNIT_TEST(EncodedSuccessIsNotForwarded);
   CPPUNIT_TEST(NoticesOfRefusedSuccessAreNotBelieved);
+  CPPUNIT_TEST(ResponseWithoutIdOnReusedConnectionIsNotBelieved);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -108,6 +109,35 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::string(), out_of_use);
   }
+
+  // It may be a late copy of an earlier answer on that connection. Servers echo
+  // the id.
+  void ResponseWithoutIdOnReusedConnectionIsNotBelieved() {
+    for (const std::string& late :
+         {MakeAnonymousResponse("late"),
+          std::string("HTTP/1.1 404 Not Found\r\nContent-Length: 4\r\n\r\n"
+                      "late")}) {
+      std::atomic<bool> was_late{false};
+      const auto make_handler = [&] {
+        return [&, calls = 0](const std::string&) mutable {
+          ScriptedResponse response{MakeSealedResponse("done"), false};
+          if (++calls == 2 && !was_late.exchange(true))
+            response.bytes = late;
+          return response;
+        };
+      };
+      ScriptedServer one(make_handler());
+      ScriptedServer two(make_handler());
+      GatewayHarness harness;
+      StartGateway(harness, {&one, &two});
+      for (int i = 0; i < 6; ++i) {
+        const std::string response =
+            harness.CallAsClient(Request("GET /get/x"));
+        CPPUNIT_ASSERT_MESSAGE(response, response.ends_with("done"));
+      }
+      CPPUNIT_ASSERT(was_late);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AdapterResponseTest);
