Send a request again to the same server on a new connection

What callers saw: 503, not run, for a request that its server had run.

Cause: a server refused the request with a short pause; the request was sent again on the connection of the refusal. A second copy of the refusal, late, stood where the answer was due, and its id is that of the request.

Fix: only the first send of a request to a server may use an idle connection. This includes the servers in m_failed_servers, for which it was so before.

--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -454,10 +454,11 @@
                                           m_core.pool(), this);
   // The server may close an idle connection while a request is sent on it,
   // which leaves the outcome unknown: only requests that may run again use one.
-  m_call->Start(
-      found->second, m_request.attempt_id, m_is_head_request,
-      RequestBytes(request),
-      m_route->AllowsReexecution() && !m_failed_servers.contains(m_server));
+  // A late copy of the answer to an earlier send would have the same id.
+  const bool is_first_send = m_servers_sent_to.insert(m_server).second;
+  m_call->Start(found->second, m_request.attempt_id, m_is_head_request,
+                RequestBytes(request),
+                m_route->AllowsReexecution() && is_first_send);
 }
 
 void Exchange::RecordPrefill(const LayerPath& path,
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -206,6 +206,8 @@
   // which it was sent. They are used for it again only when no other server can
   // be.
   std::set<std::string> m_failed_servers;
+  // Servers for which a call of this request was started.
+  std::set<std::string> m_servers_sent_to;
   // Servers that closed the connection of this request before its end.
   std::set<std::string> m_closed_by_server;
   // Preferred data center of the path; empty for that of this instance.
--- a/test/adapter_response_test.cc
+++ b/test/adapter_response_test.cc
@@ -29,12 +29,83 @@
   return answer;
 }
 
+// Refuses the first request of all with a short pause and sends that refusal
+// once more, late, where the next answer on that connection is due. Serves many
+// connections at a time.
+class LateRefusalServer {
+ public:
+  LateRefusalServer()
+      : m_acceptor(m_io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        m_address("127.0.0.1:" +
+                  std::to_string(m_acceptor.local_endpoint().port())) {
+    Accept();
+    m_thread = std::thread([this] { m_io.run(); });
+  }
+  ~LateRefusalServer() {
+    m_io.stop();
+    m_thread.join();
+  }
+  const std::string& address() const { return m_address; }
+  // Requests that were run.
+  int runs() const { return m_runs; }
+
+ private:
+  struct Connection {
+    explicit Connection(tcp::socket accepted) : socket(std::move(accepted)) {}
+    tcp::socket socket;
+    std::string bytes;
+    bool has_refused = false;
+  };
+
+  void Accept() {
+    m_acceptor.async_accept(
+        [this](const boost::system::error_code& error, tcp::socket socket) {
+          if (error)
+            return;
+          Serve(std::make_shared<Connection>(std::move(socket)));
+          Accept();
+        });
+  }
+
+  void Serve(const std::shared_ptr<Connection>& connection) {
+    asio::async_read_until(
+        connection->socket, asio::dynamic_buffer(connection->bytes), "\r\n\r\n",
+        [this, connection](const boost::system::error_code& error, size_t) {
+          if (error)
+            return;
+          connection->bytes.clear();
+          const std::string refusal = MakeResponse(
+              "503 Full", "Not-Run: 1\r\nRetry-After: 0.15\r\n", "");
+          std::string answer = refusal;
+          if (std::exchange(m_has_refused, true)) {
+            ++m_runs;
+            answer = MakeSealedResponse("done");
+            if (std::exchange(connection->has_refused, false))
+              answer.insert(0, refusal);
+          } else {
+            connection->has_refused = true;
+          }
+          boost::system::error_code ignored;
+          asio::write(connection->socket, asio::buffer(answer), ignored);
+          Serve(connection);
+        });
+  }
+
+  asio::io_context m_io;
+  tcp::acceptor m_acceptor;
+  std::string m_address;
+  bool m_has_refused = false;
+  std::atomic<int> m_runs{0};
+  std::thread m_thread;
+};
+
 class AdapterResponseTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AdapterResponseTest);
   CPPUNIT_TEST(MarkOfRefusalBesideOtherStatusIsNotBelieved);
   CPPUNIT_TEST(EncodedSuccessIsNotForwarded);
   CPPUNIT_TEST(NoticesOfRefusedSuccessAreNotBelieved);
   CPPUNIT_TEST(ResponseWithoutIdOnReusedConnectionIsNotBelieved);
+  CPPUNIT_TEST(LateRefusalIsNotTakenForAnswerToNextSend);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -138,6 +209,20 @@
       CPPUNIT_ASSERT(was_late);
     }
   }
+
+  // The late copy was read as the answer to the request when it was sent again
+  // on the same connection: both have its id. The request was refused as not
+  // run, or sent once more, while the server ran it.
+  void LateRefusalIsNotTakenForAnswerToNextSend() {
+    LateRefusalServer server;
+    GatewayHarness harness;
+    harness.store().table = MakeTable();
+    harness.AddServer("i-0", "desk", server.address());
+    harness.Start();
+    const std::string response = harness.CallAsClient(Request("GET /get/x"));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(response, 1, server.runs());
+    CPPUNIT_ASSERT_MESSAGE(response, response.ends_with("done"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AdapterResponseTest);
