--- a/test/adapter_response_test.cc
+++ b/test/adapter_response_test.cc
@@ -124,7 +124,8 @@
       CPPUNIT_ASSERT_MESSAGE(answer.response,
                              answer.response.ends_with("first"));
     }
-    for (const char* status : {"503 Full", "429 Many", "421 Other", "408 Late"}) {
+    for (const char* status :
+         {"503 Full", "429 Many", "421 Other", "408 Late"}) {
       const Answer answer = CallWithFirstAnswer(
           "GET /get/x", MakeResponse(status, "Not-Run: 1\r\n", ""));
       CPPUNIT_ASSERT_MESSAGE(answer.response,
