--- a/test/adapter_response_test.cc
+++ b/test/adapter_response_test.cc
@@ -161,7 +161,9 @@
         {"/single/x", sealed + leaving},
         {"/single/x", sealed + limit}};
     std::string out_of_use;
-    for (const auto& [path, headers] : cases) {
+    for (const auto& item : cases) {
+      const std::string& path = item.first;
+      const std::string& headers = item.second;
       std::atomic<int> calls{0};
       ScriptedServer server([&](const std::string&) {
         return ScriptedResponse{++calls == 1
@@ -177,7 +179,7 @@
       std::this_thread::sleep_for(seconds(1));
       const std::string next = harness.CallAsClient(Request("GET /get/x"));
       if (!next.ends_with("done"))
-        out_of_use += path + " " + headers;
+        out_of_use.append(path).append(" ").append(headers);
     }
     CPPUNIT_ASSERT_EQUAL(std::string(), out_of_use);
   }
--- a/test/adapter_stream_test.cc
+++ b/test/adapter_stream_test.cc
@@ -150,9 +150,11 @@
            {std::string("garbage\n\n"), std::string(), MakeEvents(1)}) {
         const std::string length =
             "Content-Length: " + std::to_string(body.size()) + "\r\n";
-        for (const std::string& framing : {length, std::string()})
-          AssertEvents(0, 2,
-                       CallStream({head + type + framing + "\r\n" + body}, 2));
+        for (const std::string& framing : {length, std::string()}) {
+          std::string answer = head;
+          answer.append(type).append(framing).append("\r\n").append(body);
+          AssertEvents(0, 2, CallStream({answer}, 2));
+        }
       }
     }
   }
--- a/test/event_stream_random_test.cc
+++ b/test/event_stream_random_test.cc
@@ -84,8 +84,10 @@
     std::string event;
     if (random.UniformBelow(8) == 0)
       event += "weight-versions: 2" + end;
-    event += "id: " + std::to_string(stream.first_id + i) + end + "data: t" +
-             std::to_string(i) + end + end;
+    for (const std::string& line :
+         {"id: " + std::to_string(stream.first_id + i),
+          "data: t" + std::to_string(i), std::string()})
+      event.append(line).append(end);
     stream.events.push_back(event);
   }
   return stream;
@@ -118,7 +120,7 @@
 // Garbage without lines of data: a reader that does not know the data cannot
 // tell these from those of the event.
 std::string MakeGarbage(Random& random) {
-  static const std::vector<std::string> kPieces = {
+  static const std::vector<std::string> pieces = {
       "garbage",    "\n",       "\r",          "\r\n",
       "\n\n",       "\r\n\r\n", "\n\r\n",      "\r\r",
       "id",         "id:",      "id: 3\n",     "id: 4\n\n",
@@ -127,7 +129,7 @@
       "retry: 9\n", "x: y\n",   "\xef\xbb\xbf"};
   std::string out;
   for (uint64_t i = 0, count = 1 + random.UniformBelow(3); i < count; ++i)
-    out += PickOne(random, kPieces);
+    out += PickOne(random, pieces);
   return out;
 }
 
