--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -17,6 +17,7 @@
 #include "trefoilwick/crash_suspects.h"
 #include "trefoilwick/layer_path.h"
 #include "trefoilwick/liveness.h"
+#include "trefoilwick/overload.h"
 #include "trefoilwick/retry_window.h"
 #include "trefoilwick/server_availability.h"
 
@@ -206,6 +207,14 @@
   void OnServerPause(TimePoint now, const std::string& server, Duration pause) {
     m_availability.pauses().Set(now, server, pause);
   }
+  // Demand of this instance, which the coordinator sums over all instances.
+  void SetLocalDemand(DemandRates demand) {
+    m_local_demand = std::move(demand);
+  }
+  // Demand of all instances as of the last sum; empty when there is none or it
+  // is too old.
+  DemandRates ClusterDemand(TimePoint now) const;
+
   ServerAvailability& availability() { return m_availability; }
   const ServerAvailability& availability() const { return m_availability; }
 
@@ -233,6 +242,8 @@
   std::vector<ClusterMember> Members(TimePoint now) const;
   // Loads of all instances, including this one.
   LoadMap Loads(TimePoint now) const;
+  // What Loads() does not contain.
+  UnreportedWork EstimateUnreportedWork(TimePoint now) const;
   // Servers that this instance cannot reach, whatever others report.
   std::set<std::string> LostServers(TimePoint now) const;
   // Servers that this instance cannot reach but most others can: they may still
@@ -254,6 +265,8 @@
     std::set<std::string> unreachable_servers;
     // Demand for servers with a limit, requests a second.
     std::map<std::string, double> limit_demand;
+    // Demand of client accounts.
+    DemandRates demand;
     // Version of the list that was sent last; it is not sent again before the
     // instance can have acknowledged it.
     int64_t sent_list_version = 0;
@@ -269,7 +282,10 @@
                                       const std::string& server,
                                       const UnreachableMark& mark) const;
 
+  void SetClusterLoads(TimePoint now, const LoadMap& sum);
   LoadMap EstimateUnreportedPeerLoads() const;
+  // Other instances of this data center that accept requests.
+  size_t PeersInDataCenter() const;
   void BeginCoordinating(TimePoint now);
   // Keeps the sums of this coordinator for the time until it hears from the
   // next one.
@@ -434,7 +450,11 @@
   // part of that sum, which is what it reported last.
   LoadMap m_cluster_loads;
   LoadMap m_own_loads_in_cluster_sum;
+  TimePoint m_cluster_loads_at;
   LoadMap m_reported_loads;
+  DemandRates m_local_demand;
+  DemandRates m_cluster_demand;
+  TimePoint m_cluster_demand_at;
   ServiceSends m_local_sends;
   ServiceSends m_reported_sends;
   // From the last heartbeat with complete sums, before it from the lease row.
--- a/include/trefoilwick/layer_path.h
+++ b/include/trefoilwick/layer_path.h
@@ -62,6 +62,14 @@
 };
 using LoadMap = std::map<std::string, ServerLoad>;
 
+// Work of other instances that a sum of loads does not contain.
+struct UnreportedWork {
+  // Instances that choose among the same servers by the same sum.
+  double peers = 0;
+  // Age of the loads: requests in them have ended since.
+  Duration age{0};
+};
+
 struct PathStage {
   std::string server;
   LayerRange layers;
@@ -106,6 +114,9 @@
   // Seed that varies the choice among servers of about equal cost; 0 for no
   // variation.
   uint64_t jitter_seed = 0;
+  UnreportedWork unreported;
+  // Mean time that a request takes; zero when it is not known.
+  Duration mean_service_time{0};
   // Allows a path through several data centers when no single one has the
   // capacity for it. All such paths share the links between data centers, which
   // carry only a small part of the traffic.
--- a/include/trefoilwick/route_table.h
+++ b/include/trefoilwick/route_table.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -129,6 +130,8 @@
   // Null when no account holds the key.
   const ClientAccount* FindAccount(const std::string& key) const;
   const Service* FindService(const std::string& name) const;
+  // Ranks that requests to each service can have, by their route or account.
+  std::map<std::string, std::set<int>> RanksByService() const;
 
  private:
   int64_t m_version = 0;
--- a/include/trefoilwick/server_availability.h
+++ b/include/trefoilwick/server_availability.h
@@ -89,6 +89,9 @@
   kLimitUsed,
   // No server of the route has the capacity.
   kNoCapacity,
+  // The servers of the route are short of capacity, and other requests go
+  // first.
+  kShed,
 };
 
 inline constexpr auto kSendVerdictNames = MakeEnumTable<SendVerdict>({
@@ -99,6 +102,7 @@
     {SendVerdict::kRetryBudgetSpent, "retry_budget"},
     {SendVerdict::kLimitUsed, "limit"},
     {SendVerdict::kNoCapacity, "no_capacity"},
+    {SendVerdict::kShed, "shed"},
 });
 
 // The one decision on a send to a server.
--- a/src/cluster.thrift
+++ b/src/cluster.thrift
@@ -66,6 +66,15 @@
   3: i32 age_ms
 }
 
+// What the requests of one account and rank ask for, admitted or not.
+struct Demand {
+  // Hash of the account's name.
+  1: i64 account
+  2: i32 rank
+  // Tokens of KV memory.
+  3: i32 tokens_per_second
+}
+
 // From every instance to the coordinator.
 struct Report {
   1: string ip
@@ -101,6 +110,8 @@
   21: list<ServerLimit> limits
   // Those that the server list shows as ready.
   22: list<LeavingServer> leaving
+  // Of this instance, while it sees a shortage of capacity.
+  23: list<Demand> demand
 }
 
 struct Member {
@@ -165,6 +176,8 @@
   22: list<ServerLimit> limits
   // Those that the server list shows as ready.
   23: list<LeavingServer> leaving
+  // Of all instances that see a shortage of capacity, the largest entries.
+  24: list<Demand> demand
 }
 
 struct Server {
--- a/src/cluster_codec.cc
+++ b/src/cluster_codec.cc
@@ -33,6 +33,8 @@
 // Slowdowns are sent in hundredths, and limited to this factor.
 constexpr double kHundredthsPerUnit = 100;
 constexpr double kMaxSlowdown = 1000;
+// Tokens a second.
+constexpr double kMaxDemandRate = 1e9;
 
 std::string Encode(const wire::Message& message) {
   auto buffer = std::make_shared<TMemoryBuffer>();
@@ -88,6 +90,27 @@
   return out;
 }
 
+std::vector<wire::Demand> ToWire(const DemandRates& demand) {
+  std::vector<wire::Demand> out;
+  for (const auto& [key, rate] : demand) {
+    wire::Demand& item = out.emplace_back();
+    item.account = static_cast<int64_t>(key.account);
+    item.rank = key.rank;
+    item.tokens_per_second =
+        static_cast<int32_t>(std::clamp(rate, 0.0, kMaxDemandRate));
+  }
+  return out;
+}
+
+DemandRates FromWire(const std::vector<wire::Demand>& demand) {
+  DemandRates out;
+  for (const wire::Demand& item : demand)
+    if (item.tokens_per_second > 0)
+      out[{static_cast<AccountHash>(item.account), item.rank}] =
+          item.tokens_per_second;
+  return out;
+}
+
 int32_t IpToNumber(const std::string& ip) {
   boost::system::error_code error;
   const auto address = boost::asio::ip::make_address_v4(ip, error);
@@ -188,7 +211,8 @@
           FromWire(report.starts),
           FromWire(report.quarantine),
           FromWire(report.limits),
-          FromWire(report.leaving)};
+          FromWire(report.leaving),
+          FromWire(report.demand)};
 }
 
 std::map<std::string, LayerRange> FromWire(
@@ -281,6 +305,7 @@
   out.quarantine = FromWire(heartbeat.quarantine);
   out.limits = FromWire(heartbeat.limits);
   out.leaving = FromWire(heartbeat.leaving);
+  out.demand = FromWire(heartbeat.demand);
   return out;
 }
 
@@ -359,6 +384,7 @@
   out.quarantine = ToWire(report.quarantine);
   out.limits = ToWire(report.limits);
   out.leaving = ToWire(report.leaving);
+  out.demand = ToWire(report.demand);
   message.__isset.report = true;
   return Encode(message);
 }
@@ -393,6 +419,7 @@
   out.quarantine = ToWire(heartbeat.quarantine);
   out.limits = ToWire(heartbeat.limits);
   out.leaving = ToWire(heartbeat.leaving);
+  out.demand = ToWire(heartbeat.demand);
   message.__isset.beat = true;
   return Encode(message);
 }
--- a/src/cluster_codec.h
+++ b/src/cluster_codec.h
@@ -89,6 +89,8 @@
   std::vector<LimitMessage> limits;
   // Servers that the server list shows as ready.
   std::vector<LeavingMessage> leaving;
+  // Of this instance, while it sees a shortage of capacity.
+  DemandRates demand;
 };
 
 struct CoordinatorHeartbeat {
@@ -119,6 +121,8 @@
   std::vector<QuarantineEntry> quarantine;
   std::vector<LimitMessage> limits;
   std::vector<LeavingMessage> leaving;
+  // Of all instances that see a shortage of capacity.
+  DemandRates demand;
 };
 
 struct ServerListMessage {
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -44,6 +44,10 @@
 // replaced after this long.
 constexpr int kReplacementCpuFactor = 2;
 constexpr Duration kReplacementDelay = seconds(2);
+// Age of the reports in a sum when the sum is sent, on average.
+constexpr Duration kMeanReportAge = detail::kReportInterval / 2;
+// An older sum says nothing of the requests that have ended since.
+constexpr Duration kMaxSumAge = milliseconds(1500);
 
 // Adds `more` times `sign` to `sum`; values do not fall below zero.
 void AddLoads(LoadMap& sum, const LoadMap& more, int sign) {
@@ -476,30 +480,46 @@
   return out;
 }
 
-// Estimates the work that the other instances of this data center began since
-// the last sum, on the assumption that each began as much as this one.
-LoadMap Coordination::EstimateUnreportedPeerLoads() const {
-  const auto peer_count = std::count_if(
+void Coordination::SetClusterLoads(TimePoint now, const LoadMap& sum) {
+  m_cluster_loads = sum;
+  m_own_loads_in_cluster_sum = m_reported_loads;
+  m_cluster_loads_at = now;
+}
+
+size_t Coordination::PeersInDataCenter() const {
+  return static_cast<size_t>(std::count_if(
       m_members.begin(), m_members.end(), [&](const ClusterMember& member) {
         return member.ip != m_ip && member.accepting &&
                member.data_center == m_data_center;
-      });
+      }));
+}
+
+// Estimates the work that the other instances of this data center began since
+// the last sum, on the assumption that each began as much as this one.
+LoadMap Coordination::EstimateUnreportedPeerLoads() const {
+  const size_t peers = PeersInDataCenter();
   LoadMap out;
   for (const auto& [server, load] : m_local_loads) {
     const auto reported = m_own_loads_in_cluster_sum.find(server);
     const ServerLoad reported_load =
         reported == m_own_loads_in_cluster_sum.end() ? ServerLoad{}
                                                      : reported->second;
-    const auto scale = static_cast<double>(peer_count);
     if (load.sequences > reported_load.sequences)
       out[server] = {
-          std::max(0.0, load.token_layers - reported_load.token_layers) * scale,
-          static_cast<int>(peer_count) *
-              (load.sequences - reported_load.sequences)};
+          std::max(0.0, load.token_layers - reported_load.token_layers) *
+              static_cast<double>(peers),
+          static_cast<int>(peers) * (load.sequences - reported_load.sequences)};
   }
   return out;
 }
 
+UnreportedWork Coordination::EstimateUnreportedWork(TimePoint now) const {
+  if (HasCompleteSums())
+    return {0, kMeanReportAge};
+  return {static_cast<double>(PeersInDataCenter()),
+          std::min(now - m_cluster_loads_at + kMeanReportAge, kMaxSumAge)};
+}
+
 std::vector<CoordinationAction> Coordination::TakeActions() {
   return std::exchange(m_actions, {});
 }
--- a/src/coordination_messages.cc
+++ b/src/coordination_messages.cc
@@ -31,6 +31,10 @@
 // Layers that a server reported take precedence over the server list for longer
 // than the list lags behind.
 constexpr Duration kReportedLayersTtl = seconds(3);
+// Entries of demand in one message: the accounts that ask for most decide how
+// capacity is divided.
+constexpr size_t kMaxDemandEntries = 64;
+constexpr Duration kClusterDemandTtl = seconds(2);
 
 }  // namespace
 
@@ -79,6 +83,17 @@
       m_actions.emplace_back(SendDatagram{member.ip, bytes});
 }
 
+DemandRates Coordination::ClusterDemand(TimePoint now) const {
+  if (!m_is_coordinator)
+    return now - m_cluster_demand_at <= kClusterDemandTtl ? m_cluster_demand
+                                                          : DemandRates();
+  DemandRates sum = m_local_demand;
+  for (const auto& [ip, peer] : m_peers)
+    if (now - peer.last_report_at <= detail::kMemberTimeout)
+      AddDemand(sum, peer.demand);
+  return LargestDemand(sum, kMaxDemandEntries);
+}
+
 void Coordination::SendReport(TimePoint now) {
   m_next_report = now + detail::kReportInterval;
   detail::InstanceReport report;
@@ -95,6 +110,7 @@
   AddCrashState(now, report);
   AddLimits(now, report);
   report.leaving = LeavingMessages(now);
+  report.demand = LargestDemand(m_local_demand, kMaxDemandEntries);
   m_reported_sends = m_local_sends;
   m_actions.emplace_back(SendDatagram{
       m_coordinator_ip, detail::EncodeReport(report, *m_server_ids)});
@@ -130,6 +146,7 @@
   heartbeat.earlier_sends_unknown = !KnowsEarlierSends(now);
   AddLimits(now, heartbeat);
   heartbeat.leaving = LeavingMessages(now);
+  heartbeat.demand = ClusterDemand(now);
   m_suspects = m_crash_tracker.Suspects();
   heartbeat.suspects = m_suspects;
   heartbeat.quarantine = m_quarantine.List(now);
@@ -184,6 +201,7 @@
                          report.sends);
   if (report.earlier_sends)
     AddEarlierSends(now, *report.earlier_sends);
+  peer.demand = report.demand;
   peer.unreachable_servers = report.unreachable_servers;
   HandleCrashes(now, report);
   HandleLimits(now, report);
@@ -211,10 +229,10 @@
     m_last_heartbeat_at = now;
   if (!heartbeat.members.empty())
     m_members = heartbeat.members;
-  if (heartbeat.loads && !heartbeat.sums_incomplete) {
-    m_cluster_loads = *heartbeat.loads;
-    m_own_loads_in_cluster_sum = m_reported_loads;
-  }
+  if (heartbeat.loads && !heartbeat.sums_incomplete)
+    SetClusterLoads(now, *heartbeat.loads);
+  m_cluster_demand = heartbeat.demand;
+  m_cluster_demand_at = now;
   if (!heartbeat.sums_incomplete && !heartbeat.earlier_sends_unknown)
     HandleClusterSends(now, heartbeat);
   MergeQuarantine(now, heartbeat.quarantine);
--- a/src/coordination_sends.cc
+++ b/src/coordination_sends.cc
@@ -137,8 +137,8 @@
 void Coordination::KeepSumsAsFollower(TimePoint now) {
   if (!HasCompleteSums())
     return;
-  m_cluster_loads = Loads(now);
-  m_own_loads_in_cluster_sum = m_local_loads;
+  m_reported_loads = m_local_loads;
+  SetClusterLoads(now, Loads(now));
   m_remote_sends = GetRemoteSends(now);
   m_unreported_sends = m_send_ledger.Unreported(now);
   m_sums_fencing_token = KnowsEarlierSends(now) ? m_fencing_token : 0;
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -152,6 +152,14 @@
                      });
 }
 
+void GatewayCore::RecordServiceTime(Duration time) {
+  constexpr int kWeightDivisor = 16;
+  m_mean_service_time =
+      m_mean_service_time == Duration(0)
+          ? time
+          : m_mean_service_time + (time - m_mean_service_time) / kWeightDivisor;
+}
+
 void GatewayCore::AddLoad(const LayerPath& path, double tokens, int sign) {
   for (const PathStage& stage : path) {
     ServerLoad& load = m_local_loads[stage.server];
@@ -343,6 +351,8 @@
   const TimePoint now = Now();
   DetectSuspension(now);
   m_coordination.SetLocalSends(m_retries.LocalCounts(now));
+  m_coordination.SetLocalDemand(m_overload.LocalDemand(now));
+  m_overload.SetClusterDemand(now, m_coordination.ClusterDemand(now));
   m_coordination.OnTick(now);
   RunActions();
   NotifyRequestsOfLostServers();
@@ -511,6 +521,8 @@
   if (!table || (m_table && table->version() <= m_table->version()))
     return;
   m_table = std::move(table);
+  for (auto& [service, ranks] : m_table->RanksByService())
+    m_overload.SetRanks(service, ranks);
   m_coordination.OnConfigurationApplied(Now(), m_table->version(),
                                         m_store->ConfigurationRow());
   Log("configuration", {{"version", std::to_string(m_table->version())},
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -17,6 +17,7 @@
 #include "trefoilwick/forwarding.h"
 #include "trefoilwick/gateway.h"
 #include "trefoilwick/liveness.h"
+#include "trefoilwick/overload.h"
 #include "trefoilwick/retry_window.h"
 
 namespace trefoilwick::detail {
@@ -86,6 +87,11 @@
                                 const PathChoice& choice,
                                 double tokens);
 
+  OverloadController& overload() { return m_overload; }
+  // Mean time from the send of a stream to its end; zero before the first one.
+  Duration mean_service_time() const { return m_mean_service_time; }
+  void RecordServiceTime(Duration time);
+
   // Requests that wait for a server with free capacity.
   void AddWaitingRequest(Exchange* exchange);
   void RemoveWaitingRequest(Exchange* exchange);
@@ -249,6 +255,8 @@
   RetryWindows m_retries;
   CrossDataCenterBudget m_cross_data_center_budget;
   PrefillBacklog m_prefill_backlog;
+  OverloadController m_overload;
+  Duration m_mean_service_time{0};
   struct Recovery {
     double multiplier = 1;
     TimePoint until;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -24,6 +24,10 @@
 // Clients give up on a stream that does not begin within about two seconds.
 constexpr Duration kMaxQueueTime = milliseconds(1300);
 constexpr Duration kDefaultTimeout = std::chrono::seconds(20);
+// Longest wait of a request when the servers are short of capacity: capacity
+// that becomes free by then was about to, and a client that is refused this
+// early loses nothing.
+constexpr Duration kMaxShortageQueueTime = milliseconds(60);
 // A server that refused or failed a request is not used for it again for this
 // time.
 constexpr Duration kServerExclusionTime = milliseconds(700);
@@ -52,6 +56,7 @@
       m_events(EventStreamReader::Builder()
                    .SetExtraFields(core.settings().event_fields)
                    .Build()) {
+  m_admission_draw = m_core.random().UniformDouble();
   m_core.AddExchange(this);
 }
 
@@ -90,6 +95,7 @@
     return false;
   }
   m_forward = ForwardState::Builder().SetRoute(*m_route).Build();
+  m_core.overload().CountDemand(m_core.Now(), DemandKey(), KvTokensToReserve());
   const Duration route_timeout =
       m_route->timeout > Duration(0) ? m_route->timeout : kDefaultTimeout;
   const Duration time_limit =
@@ -121,6 +127,10 @@
   return true;
 }
 
+AccountDemandKey Exchange::DemandKey() const {
+  return {HashAccount(m_account), m_rank};
+}
+
 const EngineModel* Exchange::EngineOf(const std::string& service) const {
   const Service* found = m_table->FindService(service);
   return found && found->engine && found->engine->layers > 0 ? &*found->engine
@@ -154,6 +164,7 @@
     return true;
   }
   m_refusal_reason = "no server has room";
+  m_shed = false;
   DropEndedServers();
   if (!m_waiting && m_core.MustQueue(*this)) {
     WaitOrRefuse();
@@ -184,11 +195,29 @@
     WaitOrRefuse();
     return true;
   }
+  if (verdict == SendVerdict::kShed) {
+    m_shed = true;
+    if (!m_response_committed)
+      m_queue_deadline =
+          std::min(m_queue_deadline, m_start_time + kMaxShortageQueueTime);
+    WaitOrRefuse();
+    // A more urgent request may begin where this one may not.
+    return true;
+  }
   WaitOrRefuse();
   // A request that reached its limit of servers does not block later ones.
   return m_forward.server_limit_reached();
 }
 
+double Exchange::UtilizationLimit() const {
+  const double limit = MaxMemoryUtilization(m_response_committed);
+  if (m_response_committed || m_forward.sends() > 0)
+    return limit;
+  return std::min(
+      limit, m_core.overload().UtilizationLimit(m_core.Now(), m_service,
+                                                DemandKey(), m_admission_draw));
+}
+
 WaitingRequest Exchange::MakeWaitingRequest() const {
   WaitingRequest out;
   if (m_route != nullptr) {
@@ -246,6 +275,7 @@
 SendVerdict Exchange::ChooseServer() {
   // Weighted random choice among the services of the route that can be used.
   std::vector<WeightedService> services = m_route->services;
+  SendVerdict without_server = SendVerdict::kNoCapacity;
   while (!services.empty()) {
     double total_weight = 0;
     for (const WeightedService& service : services)
@@ -261,9 +291,11 @@
     if (verdict == SendVerdict::kAllowed ||
         verdict == SendVerdict::kRetryBudgetSpent)
       return verdict;
+    if (verdict == SendVerdict::kShed)
+      without_server = verdict;
     services.erase(services.begin() + static_cast<std::ptrdiff_t>(index));
   }
-  return SendVerdict::kNoCapacity;
+  return without_server;
 }
 
 PathRequest Exchange::MakePathRequest() const {
@@ -282,6 +314,9 @@
   if (m_forward.server_limit_reached())
     path_request.allowed_first_servers = m_forward.attempted_servers();
   path_request.jitter_seed = m_core.random().Next();
+  path_request.unreported =
+      m_core.coordination().EstimateUnreportedWork(m_core.Now());
+  path_request.mean_service_time = m_core.mean_service_time();
   path_request.slowdowns = m_core.coordination().SlowServers(m_core.Now());
   path_request.prefill_backlog_ms =
       m_core.prefill_backlog().RemainingMsByServer(m_core.Now());
@@ -299,9 +334,10 @@
   PathRequest path_request = MakePathRequest();
   path_request.allow_cross_data_center = true;
   const LoadMap loads = m_core.coordination().Loads(m_core.Now());
+  const double utilization_limit = UtilizationLimit();
   const auto choose = [&] {
     return ChoosePath(engine, m_core.servers(), loads, path_request,
-                      MaxMemoryUtilization(m_response_committed));
+                      utilization_limit);
   };
   // Servers that failed the request come last.
   std::set<std::string> to_avoid = m_failed_servers;
@@ -316,6 +352,10 @@
         path_request.excluded_as_first.erase(server);
       choice = choose();
     }
+    if (!choice && HasPathWhenIdle(engine, path_request)) {
+      m_core.overload().OnShortage(m_core.Now());
+      return SendVerdict::kShed;
+    }
     if (!choice ||
         !m_core.AdmitCrossDataCenterPath(engine, *choice, path_request.tokens))
       return SendVerdict::kNoCapacity;
@@ -333,6 +373,13 @@
   return SendVerdict::kAllowed;
 }
 
+bool Exchange::HasPathWhenIdle(const EngineModel& engine,
+                               const PathRequest& path_request) const {
+  return ChoosePath(engine, m_core.servers(), {}, path_request,
+                    MaxMemoryUtilization(m_response_committed))
+      .has_value();
+}
+
 SendVerdict Exchange::ChoosePlainServer() {
   const LoadMap loads = m_core.coordination().Loads(m_core.Now());
   std::set<std::string> excluded = m_core.ExcludedServers(m_core.Now());
@@ -566,9 +613,14 @@
   const Duration retry_delay =
       milliseconds(200 + 200 * std::min(m_rank, 4)) +
       Duration(static_cast<int64_t>(m_core.random().UniformDouble() * 300'000));
+  const TimePoint now = m_core.Now();
+  const Duration shortage_delay =
+      m_shed ? m_core.overload().RetryAfter(now, m_deadline - now,
+                                            m_core.random().UniformDouble())
+             : Duration(0);
   const Duration retry_after =
-      std::max(retry_delay + PauseTime(),
-               m_route != nullptr ? QuarantineTime() : Duration(0));
+      std::max({retry_delay + PauseTime(), shortage_delay,
+                m_route != nullptr ? QuarantineTime() : Duration(0)});
   FullResponse response;
   response.status = 503;
   m_core.dialect().AddLocalReplyHeaders(m_request.attempt_id, response.headers);
@@ -603,6 +655,9 @@
   m_waiting = false;
   ReleaseLoad();
   ReportHeldCrash();
+  if (m_events.has_events() && !m_path.empty() &&
+      m_send_started_at != TimePoint{})
+    m_core.RecordServiceTime(m_core.Now() - m_send_started_at);
   const auto ms = [&](TimePoint at) {
     return at == TimePoint{}
                ? std::string("-")
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -83,6 +83,7 @@
   bool ResolveRoute();
   bool Authorize(const RouteTable& table);
   const EngineModel* Engine() const { return EngineOf(m_service); }
+  AccountDemandKey DemandKey() const;
   // Null for a service without layers.
   const EngineModel* EngineOf(const std::string& service) const;
   PathRequest MakePathRequest() const;
@@ -108,7 +109,12 @@
   // Reports the interruption that might have been a coincidence.
   void ReportHeldCrash();
   SendVerdict TrySend(const std::string& server);
+  // Highest utilization of the servers of a path that the request may take.
+  double UtilizationLimit() const;
   SendVerdict ChooseEnginePath(const EngineModel& engine);
+  // True when only the load of the servers keeps the request from a path.
+  bool HasPathWhenIdle(const EngineModel& engine,
+                       const PathRequest& path_request) const;
   SendVerdict ChoosePlainServer();
   void StartUpstreamCall();
   void WaitOrRefuse();
@@ -230,6 +236,11 @@
   std::optional<SuspectedCrash> m_held_crash;
   // Last event before the present send.
   int64_t m_last_event_before_send = -1;
+  // In [0, 1): decides whether the request is among those that begin when only
+  // a part of them can.
+  double m_admission_draw = 0;
+  // The request waits or is refused because the servers are short of capacity.
+  bool m_shed = false;
   bool m_is_head_request = false;
   bool m_waiting = false;
   bool m_streaming = false;
--- a/src/gen/cluster_types.cpp
+++ b/src/gen/cluster_types.cpp
@@ -998,6 +998,138 @@
 }
 
 
+Demand::~Demand() noexcept {
+}
+
+
+void Demand::__set_account(const int64_t val) {
+  this->account = val;
+}
+
+void Demand::__set_rank(const int32_t val) {
+  this->rank = val;
+}
+
+void Demand::__set_tokens_per_second(const int32_t val) {
+  this->tokens_per_second = val;
+}
+std::ostream& operator<<(std::ostream& out, const Demand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Demand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rank);
+          this->__isset.rank = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tokens_per_second);
+          this->__isset.tokens_per_second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Demand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Demand");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rank", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->rank);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens_per_second", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->tokens_per_second);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Demand &a, Demand &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.rank, b.rank);
+  swap(a.tokens_per_second, b.tokens_per_second);
+  swap(a.__isset, b.__isset);
+}
+
+Demand::Demand(const Demand& other26) noexcept {
+  account = other26.account;
+  rank = other26.rank;
+  tokens_per_second = other26.tokens_per_second;
+  __isset = other26.__isset;
+}
+Demand& Demand::operator=(const Demand& other27) noexcept {
+  account = other27.account;
+  rank = other27.rank;
+  tokens_per_second = other27.tokens_per_second;
+  __isset = other27.__isset;
+  return *this;
+}
+void Demand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Demand(";
+  out << "account=" << to_string(account);
+  out << ", " << "rank=" << to_string(rank);
+  out << ", " << "tokens_per_second=" << to_string(tokens_per_second);
+  out << ")";
+}
+
+
 Report::~Report() noexcept {
 }
 
@@ -1087,6 +1219,10 @@
 void Report::__set_leaving(const std::vector<LeavingServer> & val) {
   this->leaving = val;
 }
+
+void Report::__set_demand(const std::vector<Demand> & val) {
+  this->demand = val;
+}
 std::ostream& operator<<(std::ostream& out, const Report& obj)
 {
   obj.printTo(out);
@@ -1175,14 +1311,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->loads.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->loads.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
             {
-              xfer += this->loads[_i30].read(iprot);
+              xfer += this->loads[_i32].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1195,14 +1331,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->down.clear();
-            uint32_t _size31;
-            ::apache::thrift::protocol::TType _etype34;
-            xfer += iprot->readListBegin(_etype34, _size31);
-            this->down.resize(_size31);
-            uint32_t _i35;
-            for (_i35 = 0; _i35 < _size31; ++_i35)
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->down.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
             {
-              xfer += iprot->readString(this->down[_i35]);
+              xfer += iprot->readString(this->down[_i37]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1247,14 +1383,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sends.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->sends.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->sends.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->sends[_i40].read(iprot);
+              xfer += this->sends[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1267,14 +1403,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->earlier_sends.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->earlier_sends.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->earlier_sends.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
             {
-              xfer += this->earlier_sends[_i45].read(iprot);
+              xfer += this->earlier_sends[_i47].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1295,14 +1431,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->crashes.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->crashes.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += this->crashes[_i50].read(iprot);
+              xfer += this->crashes[_i52].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1315,14 +1451,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->starts.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->starts.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->starts.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
             {
-              xfer += this->starts[_i55].read(iprot);
+              xfer += this->starts[_i57].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1335,14 +1471,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantine.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->quarantine.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->quarantine.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
             {
-              xfer += this->quarantine[_i60].read(iprot);
+              xfer += this->quarantine[_i62].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1355,14 +1491,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size61;
-            ::apache::thrift::protocol::TType _etype64;
-            xfer += iprot->readListBegin(_etype64, _size61);
-            this->limits.resize(_size61);
-            uint32_t _i65;
-            for (_i65 = 0; _i65 < _size61; ++_i65)
+            uint32_t _size63;
+            ::apache::thrift::protocol::TType _etype66;
+            xfer += iprot->readListBegin(_etype66, _size63);
+            this->limits.resize(_size63);
+            uint32_t _i67;
+            for (_i67 = 0; _i67 < _size63; ++_i67)
             {
-              xfer += this->limits[_i65].read(iprot);
+              xfer += this->limits[_i67].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1375,14 +1511,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->leaving.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->leaving.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->leaving[_i70].read(iprot);
+              xfer += this->leaving[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1391,6 +1527,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->demand.clear();
+            uint32_t _size73;
+            ::apache::thrift::protocol::TType _etype76;
+            xfer += iprot->readListBegin(_etype76, _size73);
+            this->demand.resize(_size73);
+            uint32_t _i77;
+            for (_i77 = 0; _i77 < _size73; ++_i77)
+            {
+              xfer += this->demand[_i77].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.demand = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1439,10 +1595,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<Load> ::const_iterator _iter71;
-    for (_iter71 = this->loads.begin(); _iter71 != this->loads.end(); ++_iter71)
+    std::vector<Load> ::const_iterator _iter78;
+    for (_iter78 = this->loads.begin(); _iter78 != this->loads.end(); ++_iter78)
     {
-      xfer += (*_iter71).write(oprot);
+      xfer += (*_iter78).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1451,10 +1607,10 @@
   xfer += oprot->writeFieldBegin("down", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->down.size()));
-    std::vector<std::string> ::const_iterator _iter72;
-    for (_iter72 = this->down.begin(); _iter72 != this->down.end(); ++_iter72)
+    std::vector<std::string> ::const_iterator _iter79;
+    for (_iter79 = this->down.begin(); _iter79 != this->down.end(); ++_iter79)
     {
-      xfer += oprot->writeString((*_iter72));
+      xfer += oprot->writeString((*_iter79));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1479,10 +1635,10 @@
   xfer += oprot->writeFieldBegin("sends", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sends.size()));
-    std::vector<ServiceSends> ::const_iterator _iter73;
-    for (_iter73 = this->sends.begin(); _iter73 != this->sends.end(); ++_iter73)
+    std::vector<ServiceSends> ::const_iterator _iter80;
+    for (_iter80 = this->sends.begin(); _iter80 != this->sends.end(); ++_iter80)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter80).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1492,10 +1648,10 @@
     xfer += oprot->writeFieldBegin("earlier_sends", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->earlier_sends.size()));
-      std::vector<ServiceSends> ::const_iterator _iter74;
-      for (_iter74 = this->earlier_sends.begin(); _iter74 != this->earlier_sends.end(); ++_iter74)
+      std::vector<ServiceSends> ::const_iterator _iter81;
+      for (_iter81 = this->earlier_sends.begin(); _iter81 != this->earlier_sends.end(); ++_iter81)
       {
-        xfer += (*_iter74).write(oprot);
+        xfer += (*_iter81).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1509,10 +1665,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 18);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<Crash> ::const_iterator _iter75;
-    for (_iter75 = this->crashes.begin(); _iter75 != this->crashes.end(); ++_iter75)
+    std::vector<Crash> ::const_iterator _iter82;
+    for (_iter82 = this->crashes.begin(); _iter82 != this->crashes.end(); ++_iter82)
     {
-      xfer += (*_iter75).write(oprot);
+      xfer += (*_iter82).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1521,10 +1677,10 @@
   xfer += oprot->writeFieldBegin("starts", ::apache::thrift::protocol::T_LIST, 19);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->starts.size()));
-    std::vector<TraitStart> ::const_iterator _iter76;
-    for (_iter76 = this->starts.begin(); _iter76 != this->starts.end(); ++_iter76)
+    std::vector<TraitStart> ::const_iterator _iter83;
+    for (_iter83 = this->starts.begin(); _iter83 != this->starts.end(); ++_iter83)
     {
-      xfer += (*_iter76).write(oprot);
+      xfer += (*_iter83).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1533,10 +1689,10 @@
   xfer += oprot->writeFieldBegin("quarantine", ::apache::thrift::protocol::T_LIST, 20);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantine.size()));
-    std::vector<QuarantineEntry> ::const_iterator _iter77;
-    for (_iter77 = this->quarantine.begin(); _iter77 != this->quarantine.end(); ++_iter77)
+    std::vector<QuarantineEntry> ::const_iterator _iter84;
+    for (_iter84 = this->quarantine.begin(); _iter84 != this->quarantine.end(); ++_iter84)
     {
-      xfer += (*_iter77).write(oprot);
+      xfer += (*_iter84).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1545,10 +1701,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<ServerLimit> ::const_iterator _iter78;
-    for (_iter78 = this->limits.begin(); _iter78 != this->limits.end(); ++_iter78)
+    std::vector<ServerLimit> ::const_iterator _iter85;
+    for (_iter85 = this->limits.begin(); _iter85 != this->limits.end(); ++_iter85)
     {
-      xfer += (*_iter78).write(oprot);
+      xfer += (*_iter85).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1557,10 +1713,22 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<LeavingServer> ::const_iterator _iter79;
-    for (_iter79 = this->leaving.begin(); _iter79 != this->leaving.end(); ++_iter79)
+    std::vector<LeavingServer> ::const_iterator _iter86;
+    for (_iter86 = this->leaving.begin(); _iter86 != this->leaving.end(); ++_iter86)
     {
-      xfer += (*_iter79).write(oprot);
+      xfer += (*_iter86).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 23);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
+    std::vector<Demand> ::const_iterator _iter87;
+    for (_iter87 = this->demand.begin(); _iter87 != this->demand.end(); ++_iter87)
+    {
+      xfer += (*_iter87).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1594,56 +1762,59 @@
   swap(a.quarantine, b.quarantine);
   swap(a.limits, b.limits);
   swap(a.leaving, b.leaving);
+  swap(a.demand, b.demand);
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other80) {
-  ip = other80.ip;
-  data_center = other80.data_center;
-  incarnation = other80.incarnation;
-  accepting = other80.accepting;
-  cpu_milli = other80.cpu_milli;
-  config_version = other80.config_version;
-  list_version = other80.list_version;
-  loads = other80.loads;
-  down = other80.down;
-  requests = other80.requests;
-  retries = other80.retries;
-  names_key = other80.names_key;
-  age_ms = other80.age_ms;
-  sends = other80.sends;
-  earlier_sends = other80.earlier_sends;
-  earlier_sends_age_ms = other80.earlier_sends_age_ms;
-  crashes = other80.crashes;
-  starts = other80.starts;
-  quarantine = other80.quarantine;
-  limits = other80.limits;
-  leaving = other80.leaving;
-  __isset = other80.__isset;
-}
-Report& Report::operator=(const Report& other81) {
-  ip = other81.ip;
-  data_center = other81.data_center;
-  incarnation = other81.incarnation;
-  accepting = other81.accepting;
-  cpu_milli = other81.cpu_milli;
-  config_version = other81.config_version;
-  list_version = other81.list_version;
-  loads = other81.loads;
-  down = other81.down;
-  requests = other81.requests;
-  retries = other81.retries;
-  names_key = other81.names_key;
-  age_ms = other81.age_ms;
-  sends = other81.sends;
-  earlier_sends = other81.earlier_sends;
-  earlier_sends_age_ms = other81.earlier_sends_age_ms;
-  crashes = other81.crashes;
-  starts = other81.starts;
-  quarantine = other81.quarantine;
-  limits = other81.limits;
-  leaving = other81.leaving;
-  __isset = other81.__isset;
+Report::Report(const Report& other88) {
+  ip = other88.ip;
+  data_center = other88.data_center;
+  incarnation = other88.incarnation;
+  accepting = other88.accepting;
+  cpu_milli = other88.cpu_milli;
+  config_version = other88.config_version;
+  list_version = other88.list_version;
+  loads = other88.loads;
+  down = other88.down;
+  requests = other88.requests;
+  retries = other88.retries;
+  names_key = other88.names_key;
+  age_ms = other88.age_ms;
+  sends = other88.sends;
+  earlier_sends = other88.earlier_sends;
+  earlier_sends_age_ms = other88.earlier_sends_age_ms;
+  crashes = other88.crashes;
+  starts = other88.starts;
+  quarantine = other88.quarantine;
+  limits = other88.limits;
+  leaving = other88.leaving;
+  demand = other88.demand;
+  __isset = other88.__isset;
+}
+Report& Report::operator=(const Report& other89) {
+  ip = other89.ip;
+  data_center = other89.data_center;
+  incarnation = other89.incarnation;
+  accepting = other89.accepting;
+  cpu_milli = other89.cpu_milli;
+  config_version = other89.config_version;
+  list_version = other89.list_version;
+  loads = other89.loads;
+  down = other89.down;
+  requests = other89.requests;
+  retries = other89.retries;
+  names_key = other89.names_key;
+  age_ms = other89.age_ms;
+  sends = other89.sends;
+  earlier_sends = other89.earlier_sends;
+  earlier_sends_age_ms = other89.earlier_sends_age_ms;
+  crashes = other89.crashes;
+  starts = other89.starts;
+  quarantine = other89.quarantine;
+  limits = other89.limits;
+  leaving = other89.leaving;
+  demand = other89.demand;
+  __isset = other89.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
@@ -1670,6 +1841,7 @@
   out << ", " << "quarantine=" << to_string(quarantine);
   out << ", " << "limits=" << to_string(limits);
   out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "demand=" << to_string(demand);
   out << ")";
 }
 
@@ -1783,17 +1955,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other82) noexcept {
-  ip = other82.ip;
-  accepting = other82.accepting;
-  cpu_milli = other82.cpu_milli;
-  __isset = other82.__isset;
+Member::Member(const Member& other90) noexcept {
+  ip = other90.ip;
+  accepting = other90.accepting;
+  cpu_milli = other90.cpu_milli;
+  __isset = other90.__isset;
 }
-Member& Member::operator=(const Member& other83) noexcept {
-  ip = other83.ip;
-  accepting = other83.accepting;
-  cpu_milli = other83.cpu_milli;
-  __isset = other83.__isset;
+Member& Member::operator=(const Member& other91) noexcept {
+  ip = other91.ip;
+  accepting = other91.accepting;
+  cpu_milli = other91.cpu_milli;
+  __isset = other91.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -1857,14 +2029,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->members.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->members.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += this->members[_i88].read(iprot);
+              xfer += this->members[_i96].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1897,10 +2069,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter89;
-    for (_iter89 = this->members.begin(); _iter89 != this->members.end(); ++_iter89)
+    std::vector<Member> ::const_iterator _iter97;
+    for (_iter97 = this->members.begin(); _iter97 != this->members.end(); ++_iter97)
     {
-      xfer += (*_iter89).write(oprot);
+      xfer += (*_iter97).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1918,15 +2090,15 @@
   swap(a.__isset, b.__isset);
 }
 
-DataCenterMembers::DataCenterMembers(const DataCenterMembers& other90) {
-  data_center = other90.data_center;
-  members = other90.members;
-  __isset = other90.__isset;
+DataCenterMembers::DataCenterMembers(const DataCenterMembers& other98) {
+  data_center = other98.data_center;
+  members = other98.members;
+  __isset = other98.__isset;
 }
-DataCenterMembers& DataCenterMembers::operator=(const DataCenterMembers& other91) {
-  data_center = other91.data_center;
-  members = other91.members;
-  __isset = other91.__isset;
+DataCenterMembers& DataCenterMembers::operator=(const DataCenterMembers& other99) {
+  data_center = other99.data_center;
+  members = other99.members;
+  __isset = other99.__isset;
   return *this;
 }
 void DataCenterMembers::printTo(std::ostream& out) const {
@@ -2047,17 +2219,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Order::Order(const Order& other92) {
-  server = other92.server;
-  layer_from = other92.layer_from;
-  layer_to = other92.layer_to;
-  __isset = other92.__isset;
+Order::Order(const Order& other100) {
+  server = other100.server;
+  layer_from = other100.layer_from;
+  layer_to = other100.layer_to;
+  __isset = other100.__isset;
 }
-Order& Order::operator=(const Order& other93) {
-  server = other93.server;
-  layer_from = other93.layer_from;
-  layer_to = other93.layer_to;
-  __isset = other93.__isset;
+Order& Order::operator=(const Order& other101) {
+  server = other101.server;
+  layer_from = other101.layer_from;
+  layer_to = other101.layer_to;
+  __isset = other101.__isset;
   return *this;
 }
 void Order::printTo(std::ostream& out) const {
@@ -2165,6 +2337,10 @@
 void Beat::__set_leaving(const std::vector<LeavingServer> & val) {
   this->leaving = val;
 }
+
+void Beat::__set_demand(const std::vector<Demand> & val) {
+  this->demand = val;
+}
 std::ostream& operator<<(std::ostream& out, const Beat& obj)
 {
   obj.printTo(out);
@@ -2237,14 +2413,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->members.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size102;
+            ::apache::thrift::protocol::TType _etype105;
+            xfer += iprot->readListBegin(_etype105, _size102);
+            this->members.resize(_size102);
+            uint32_t _i106;
+            for (_i106 = 0; _i106 < _size102; ++_i106)
             {
-              xfer += this->members[_i98].read(iprot);
+              xfer += this->members[_i106].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2257,14 +2433,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loads.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->loads.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
+            uint32_t _size107;
+            ::apache::thrift::protocol::TType _etype110;
+            xfer += iprot->readListBegin(_etype110, _size107);
+            this->loads.resize(_size107);
+            uint32_t _i111;
+            for (_i111 = 0; _i111 < _size107; ++_i111)
             {
-              xfer += this->loads[_i103].read(iprot);
+              xfer += this->loads[_i111].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2277,14 +2453,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->down.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->down.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->down.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
             {
-              xfer += iprot->readString(this->down[_i108]);
+              xfer += iprot->readString(this->down[_i116]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2305,14 +2481,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size109;
-            ::apache::thrift::protocol::TType _etype112;
-            xfer += iprot->readListBegin(_etype112, _size109);
-            this->orders.resize(_size109);
-            uint32_t _i113;
-            for (_i113 = 0; _i113 < _size109; ++_i113)
+            uint32_t _size117;
+            ::apache::thrift::protocol::TType _etype120;
+            xfer += iprot->readListBegin(_etype120, _size117);
+            this->orders.resize(_size117);
+            uint32_t _i121;
+            for (_i121 = 0; _i121 < _size117; ++_i121)
             {
-              xfer += this->orders[_i113].read(iprot);
+              xfer += this->orders[_i121].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2341,14 +2517,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->held.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->held.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size122;
+            ::apache::thrift::protocol::TType _etype125;
+            xfer += iprot->readListBegin(_etype125, _size122);
+            this->held.resize(_size122);
+            uint32_t _i126;
+            for (_i126 = 0; _i126 < _size122; ++_i126)
             {
-              xfer += this->held[_i118].read(iprot);
+              xfer += this->held[_i126].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2393,14 +2569,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sends.clear();
-            uint32_t _size119;
-            ::apache::thrift::protocol::TType _etype122;
-            xfer += iprot->readListBegin(_etype122, _size119);
-            this->sends.resize(_size119);
-            uint32_t _i123;
-            for (_i123 = 0; _i123 < _size119; ++_i123)
+            uint32_t _size127;
+            ::apache::thrift::protocol::TType _etype130;
+            xfer += iprot->readListBegin(_etype130, _size127);
+            this->sends.resize(_size127);
+            uint32_t _i131;
+            for (_i131 = 0; _i131 < _size127; ++_i131)
             {
-              xfer += this->sends[_i123].read(iprot);
+              xfer += this->sends[_i131].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2421,14 +2597,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size124;
-            ::apache::thrift::protocol::TType _etype127;
-            xfer += iprot->readListBegin(_etype127, _size124);
-            this->suspects.resize(_size124);
-            uint32_t _i128;
-            for (_i128 = 0; _i128 < _size124; ++_i128)
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->suspects.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
             {
-              xfer += iprot->readI64(this->suspects[_i128]);
+              xfer += iprot->readI64(this->suspects[_i136]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2441,14 +2617,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantine.clear();
-            uint32_t _size129;
-            ::apache::thrift::protocol::TType _etype132;
-            xfer += iprot->readListBegin(_etype132, _size129);
-            this->quarantine.resize(_size129);
-            uint32_t _i133;
-            for (_i133 = 0; _i133 < _size129; ++_i133)
+            uint32_t _size137;
+            ::apache::thrift::protocol::TType _etype140;
+            xfer += iprot->readListBegin(_etype140, _size137);
+            this->quarantine.resize(_size137);
+            uint32_t _i141;
+            for (_i141 = 0; _i141 < _size137; ++_i141)
             {
-              xfer += this->quarantine[_i133].read(iprot);
+              xfer += this->quarantine[_i141].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2461,14 +2637,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            this->limits.resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size142;
+            ::apache::thrift::protocol::TType _etype145;
+            xfer += iprot->readListBegin(_etype145, _size142);
+            this->limits.resize(_size142);
+            uint32_t _i146;
+            for (_i146 = 0; _i146 < _size142; ++_i146)
             {
-              xfer += this->limits[_i138].read(iprot);
+              xfer += this->limits[_i146].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2481,14 +2657,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size139;
-            ::apache::thrift::protocol::TType _etype142;
-            xfer += iprot->readListBegin(_etype142, _size139);
-            this->leaving.resize(_size139);
-            uint32_t _i143;
-            for (_i143 = 0; _i143 < _size139; ++_i143)
+            uint32_t _size147;
+            ::apache::thrift::protocol::TType _etype150;
+            xfer += iprot->readListBegin(_etype150, _size147);
+            this->leaving.resize(_size147);
+            uint32_t _i151;
+            for (_i151 = 0; _i151 < _size147; ++_i151)
             {
-              xfer += this->leaving[_i143].read(iprot);
+              xfer += this->leaving[_i151].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2497,6 +2673,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->demand.clear();
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->demand.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
+            {
+              xfer += this->demand[_i156].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.demand = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2537,10 +2733,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<DataCenterMembers> ::const_iterator _iter144;
-    for (_iter144 = this->members.begin(); _iter144 != this->members.end(); ++_iter144)
+    std::vector<DataCenterMembers> ::const_iterator _iter157;
+    for (_iter157 = this->members.begin(); _iter157 != this->members.end(); ++_iter157)
     {
-      xfer += (*_iter144).write(oprot);
+      xfer += (*_iter157).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2549,10 +2745,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<Load> ::const_iterator _iter145;
-    for (_iter145 = this->loads.begin(); _iter145 != this->loads.end(); ++_iter145)
+    std::vector<Load> ::const_iterator _iter158;
+    for (_iter158 = this->loads.begin(); _iter158 != this->loads.end(); ++_iter158)
     {
-      xfer += (*_iter145).write(oprot);
+      xfer += (*_iter158).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2561,10 +2757,10 @@
   xfer += oprot->writeFieldBegin("down", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->down.size()));
-    std::vector<std::string> ::const_iterator _iter146;
-    for (_iter146 = this->down.begin(); _iter146 != this->down.end(); ++_iter146)
+    std::vector<std::string> ::const_iterator _iter159;
+    for (_iter159 = this->down.begin(); _iter159 != this->down.end(); ++_iter159)
     {
-      xfer += oprot->writeString((*_iter146));
+      xfer += oprot->writeString((*_iter159));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2577,10 +2773,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<Order> ::const_iterator _iter147;
-    for (_iter147 = this->orders.begin(); _iter147 != this->orders.end(); ++_iter147)
+    std::vector<Order> ::const_iterator _iter160;
+    for (_iter160 = this->orders.begin(); _iter160 != this->orders.end(); ++_iter160)
     {
-      xfer += (*_iter147).write(oprot);
+      xfer += (*_iter160).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2597,10 +2793,10 @@
   xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held.size()));
-    std::vector<Order> ::const_iterator _iter148;
-    for (_iter148 = this->held.begin(); _iter148 != this->held.end(); ++_iter148)
+    std::vector<Order> ::const_iterator _iter161;
+    for (_iter161 = this->held.begin(); _iter161 != this->held.end(); ++_iter161)
     {
-      xfer += (*_iter148).write(oprot);
+      xfer += (*_iter161).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2625,10 +2821,10 @@
   xfer += oprot->writeFieldBegin("sends", ::apache::thrift::protocol::T_LIST, 18);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sends.size()));
-    std::vector<ServiceSends> ::const_iterator _iter149;
-    for (_iter149 = this->sends.begin(); _iter149 != this->sends.end(); ++_iter149)
+    std::vector<ServiceSends> ::const_iterator _iter162;
+    for (_iter162 = this->sends.begin(); _iter162 != this->sends.end(); ++_iter162)
     {
-      xfer += (*_iter149).write(oprot);
+      xfer += (*_iter162).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2641,10 +2837,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 20);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<int64_t> ::const_iterator _iter150;
-    for (_iter150 = this->suspects.begin(); _iter150 != this->suspects.end(); ++_iter150)
+    std::vector<int64_t> ::const_iterator _iter163;
+    for (_iter163 = this->suspects.begin(); _iter163 != this->suspects.end(); ++_iter163)
     {
-      xfer += oprot->writeI64((*_iter150));
+      xfer += oprot->writeI64((*_iter163));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2653,10 +2849,10 @@
   xfer += oprot->writeFieldBegin("quarantine", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantine.size()));
-    std::vector<QuarantineEntry> ::const_iterator _iter151;
-    for (_iter151 = this->quarantine.begin(); _iter151 != this->quarantine.end(); ++_iter151)
+    std::vector<QuarantineEntry> ::const_iterator _iter164;
+    for (_iter164 = this->quarantine.begin(); _iter164 != this->quarantine.end(); ++_iter164)
     {
-      xfer += (*_iter151).write(oprot);
+      xfer += (*_iter164).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2665,10 +2861,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<ServerLimit> ::const_iterator _iter152;
-    for (_iter152 = this->limits.begin(); _iter152 != this->limits.end(); ++_iter152)
+    std::vector<ServerLimit> ::const_iterator _iter165;
+    for (_iter165 = this->limits.begin(); _iter165 != this->limits.end(); ++_iter165)
     {
-      xfer += (*_iter152).write(oprot);
+      xfer += (*_iter165).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2677,10 +2873,22 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 23);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<LeavingServer> ::const_iterator _iter153;
-    for (_iter153 = this->leaving.begin(); _iter153 != this->leaving.end(); ++_iter153)
+    std::vector<LeavingServer> ::const_iterator _iter166;
+    for (_iter166 = this->leaving.begin(); _iter166 != this->leaving.end(); ++_iter166)
     {
-      xfer += (*_iter153).write(oprot);
+      xfer += (*_iter166).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 24);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
+    std::vector<Demand> ::const_iterator _iter167;
+    for (_iter167 = this->demand.begin(); _iter167 != this->demand.end(); ++_iter167)
+    {
+      xfer += (*_iter167).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2716,60 +2924,63 @@
   swap(a.quarantine, b.quarantine);
   swap(a.limits, b.limits);
   swap(a.leaving, b.leaving);
+  swap(a.demand, b.demand);
   swap(a.__isset, b.__isset);
 }
 
-Beat::Beat(const Beat& other154) {
-  fence = other154.fence;
-  ip = other154.ip;
-  config_version = other154.config_version;
-  list_version = other154.list_version;
-  list_age_ms = other154.list_age_ms;
-  members = other154.members;
-  loads = other154.loads;
-  down = other154.down;
-  store_reachable = other154.store_reachable;
-  orders = other154.orders;
-  requests = other154.requests;
-  retries = other154.retries;
-  held = other154.held;
-  names_key = other154.names_key;
-  unreported_retries = other154.unreported_retries;
-  instances = other154.instances;
-  sums_incomplete = other154.sums_incomplete;
-  sends = other154.sends;
-  earlier_sends_unknown = other154.earlier_sends_unknown;
-  suspects = other154.suspects;
-  quarantine = other154.quarantine;
-  limits = other154.limits;
-  leaving = other154.leaving;
-  __isset = other154.__isset;
-}
-Beat& Beat::operator=(const Beat& other155) {
-  fence = other155.fence;
-  ip = other155.ip;
-  config_version = other155.config_version;
-  list_version = other155.list_version;
-  list_age_ms = other155.list_age_ms;
-  members = other155.members;
-  loads = other155.loads;
-  down = other155.down;
-  store_reachable = other155.store_reachable;
-  orders = other155.orders;
-  requests = other155.requests;
-  retries = other155.retries;
-  held = other155.held;
-  names_key = other155.names_key;
-  unreported_retries = other155.unreported_retries;
-  instances = other155.instances;
-  sums_incomplete = other155.sums_incomplete;
-  sends = other155.sends;
-  earlier_sends_unknown = other155.earlier_sends_unknown;
-  suspects = other155.suspects;
-  quarantine = other155.quarantine;
-  limits = other155.limits;
-  leaving = other155.leaving;
-  __isset = other155.__isset;
+Beat::Beat(const Beat& other168) {
+  fence = other168.fence;
+  ip = other168.ip;
+  config_version = other168.config_version;
+  list_version = other168.list_version;
+  list_age_ms = other168.list_age_ms;
+  members = other168.members;
+  loads = other168.loads;
+  down = other168.down;
+  store_reachable = other168.store_reachable;
+  orders = other168.orders;
+  requests = other168.requests;
+  retries = other168.retries;
+  held = other168.held;
+  names_key = other168.names_key;
+  unreported_retries = other168.unreported_retries;
+  instances = other168.instances;
+  sums_incomplete = other168.sums_incomplete;
+  sends = other168.sends;
+  earlier_sends_unknown = other168.earlier_sends_unknown;
+  suspects = other168.suspects;
+  quarantine = other168.quarantine;
+  limits = other168.limits;
+  leaving = other168.leaving;
+  demand = other168.demand;
+  __isset = other168.__isset;
+}
+Beat& Beat::operator=(const Beat& other169) {
+  fence = other169.fence;
+  ip = other169.ip;
+  config_version = other169.config_version;
+  list_version = other169.list_version;
+  list_age_ms = other169.list_age_ms;
+  members = other169.members;
+  loads = other169.loads;
+  down = other169.down;
+  store_reachable = other169.store_reachable;
+  orders = other169.orders;
+  requests = other169.requests;
+  retries = other169.retries;
+  held = other169.held;
+  names_key = other169.names_key;
+  unreported_retries = other169.unreported_retries;
+  instances = other169.instances;
+  sums_incomplete = other169.sums_incomplete;
+  sends = other169.sends;
+  earlier_sends_unknown = other169.earlier_sends_unknown;
+  suspects = other169.suspects;
+  quarantine = other169.quarantine;
+  limits = other169.limits;
+  leaving = other169.leaving;
+  demand = other169.demand;
+  __isset = other169.__isset;
   return *this;
 }
 void Beat::printTo(std::ostream& out) const {
@@ -2798,6 +3009,7 @@
   out << ", " << "quarantine=" << to_string(quarantine);
   out << ", " << "limits=" << to_string(limits);
   out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "demand=" << to_string(demand);
   out << ")";
 }
 
@@ -3013,29 +3225,29 @@
   swap(a.__isset, b.__isset);
 }
 
-Server::Server(const Server& other156) {
-  id = other156.id;
-  service_name = other156.service_name;
-  address = other156.address;
-  data_center = other156.data_center;
-  draining = other156.draining;
-  kind = other156.kind;
-  layer_from = other156.layer_from;
-  layer_to = other156.layer_to;
-  born = other156.born;
-  __isset = other156.__isset;
-}
-Server& Server::operator=(const Server& other157) {
-  id = other157.id;
-  service_name = other157.service_name;
-  address = other157.address;
-  data_center = other157.data_center;
-  draining = other157.draining;
-  kind = other157.kind;
-  layer_from = other157.layer_from;
-  layer_to = other157.layer_to;
-  born = other157.born;
-  __isset = other157.__isset;
+Server::Server(const Server& other170) {
+  id = other170.id;
+  service_name = other170.service_name;
+  address = other170.address;
+  data_center = other170.data_center;
+  draining = other170.draining;
+  kind = other170.kind;
+  layer_from = other170.layer_from;
+  layer_to = other170.layer_to;
+  born = other170.born;
+  __isset = other170.__isset;
+}
+Server& Server::operator=(const Server& other171) {
+  id = other171.id;
+  service_name = other171.service_name;
+  address = other171.address;
+  data_center = other171.data_center;
+  draining = other171.draining;
+  kind = other171.kind;
+  layer_from = other171.layer_from;
+  layer_to = other171.layer_to;
+  born = other171.born;
+  __isset = other171.__isset;
   return *this;
 }
 void Server::printTo(std::ostream& out) const {
@@ -3129,14 +3341,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size158;
-            ::apache::thrift::protocol::TType _etype161;
-            xfer += iprot->readListBegin(_etype161, _size158);
-            this->servers.resize(_size158);
-            uint32_t _i162;
-            for (_i162 = 0; _i162 < _size158; ++_i162)
+            uint32_t _size172;
+            ::apache::thrift::protocol::TType _etype175;
+            xfer += iprot->readListBegin(_etype175, _size172);
+            this->servers.resize(_size172);
+            uint32_t _i176;
+            for (_i176 = 0; _i176 < _size172; ++_i176)
             {
-              xfer += this->servers[_i162].read(iprot);
+              xfer += this->servers[_i176].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3177,10 +3389,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<Server> ::const_iterator _iter163;
-    for (_iter163 = this->servers.begin(); _iter163 != this->servers.end(); ++_iter163)
+    std::vector<Server> ::const_iterator _iter177;
+    for (_iter177 = this->servers.begin(); _iter177 != this->servers.end(); ++_iter177)
     {
-      xfer += (*_iter163).write(oprot);
+      xfer += (*_iter177).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3200,19 +3412,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerList::ServerList(const ServerList& other164) {
-  fence = other164.fence;
-  version = other164.version;
-  age_ms = other164.age_ms;
-  servers = other164.servers;
-  __isset = other164.__isset;
+ServerList::ServerList(const ServerList& other178) {
+  fence = other178.fence;
+  version = other178.version;
+  age_ms = other178.age_ms;
+  servers = other178.servers;
+  __isset = other178.__isset;
 }
-ServerList& ServerList::operator=(const ServerList& other165) {
-  fence = other165.fence;
-  version = other165.version;
-  age_ms = other165.age_ms;
-  servers = other165.servers;
-  __isset = other165.__isset;
+ServerList& ServerList::operator=(const ServerList& other179) {
+  fence = other179.fence;
+  version = other179.version;
+  age_ms = other179.age_ms;
+  servers = other179.servers;
+  __isset = other179.__isset;
   return *this;
 }
 void ServerList::printTo(std::ostream& out) const {
@@ -3318,15 +3530,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Configuration::Configuration(const Configuration& other166) {
-  version = other166.version;
-  row = other166.row;
-  __isset = other166.__isset;
+Configuration::Configuration(const Configuration& other180) {
+  version = other180.version;
+  row = other180.row;
+  __isset = other180.__isset;
 }
-Configuration& Configuration::operator=(const Configuration& other167) {
-  version = other167.version;
-  row = other167.row;
-  __isset = other167.__isset;
+Configuration& Configuration::operator=(const Configuration& other181) {
+  version = other181.version;
+  row = other181.row;
+  __isset = other181.__isset;
   return *this;
 }
 void Configuration::printTo(std::ostream& out) const {
@@ -3430,15 +3642,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SlowServer::SlowServer(const SlowServer& other168) {
-  server = other168.server;
-  pace_percent = other168.pace_percent;
-  __isset = other168.__isset;
+SlowServer::SlowServer(const SlowServer& other182) {
+  server = other182.server;
+  pace_percent = other182.pace_percent;
+  __isset = other182.__isset;
 }
-SlowServer& SlowServer::operator=(const SlowServer& other169) {
-  server = other169.server;
-  pace_percent = other169.pace_percent;
-  __isset = other169.__isset;
+SlowServer& SlowServer::operator=(const SlowServer& other183) {
+  server = other183.server;
+  pace_percent = other183.pace_percent;
+  __isset = other183.__isset;
   return *this;
 }
 void SlowServer::printTo(std::ostream& out) const {
@@ -3549,14 +3761,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lost.clear();
-            uint32_t _size170;
-            ::apache::thrift::protocol::TType _etype173;
-            xfer += iprot->readListBegin(_etype173, _size170);
-            this->lost.resize(_size170);
-            uint32_t _i174;
-            for (_i174 = 0; _i174 < _size170; ++_i174)
+            uint32_t _size184;
+            ::apache::thrift::protocol::TType _etype187;
+            xfer += iprot->readListBegin(_etype187, _size184);
+            this->lost.resize(_size184);
+            uint32_t _i188;
+            for (_i188 = 0; _i188 < _size184; ++_i188)
             {
-              xfer += iprot->readString(this->lost[_i174]);
+              xfer += iprot->readString(this->lost[_i188]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3569,14 +3781,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->refusing.clear();
-            uint32_t _size175;
-            ::apache::thrift::protocol::TType _etype178;
-            xfer += iprot->readListBegin(_etype178, _size175);
-            this->refusing.resize(_size175);
-            uint32_t _i179;
-            for (_i179 = 0; _i179 < _size175; ++_i179)
+            uint32_t _size189;
+            ::apache::thrift::protocol::TType _etype192;
+            xfer += iprot->readListBegin(_etype192, _size189);
+            this->refusing.resize(_size189);
+            uint32_t _i193;
+            for (_i193 = 0; _i193 < _size189; ++_i193)
             {
-              xfer += iprot->readString(this->refusing[_i179]);
+              xfer += iprot->readString(this->refusing[_i193]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3605,14 +3817,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->slow.clear();
-            uint32_t _size180;
-            ::apache::thrift::protocol::TType _etype183;
-            xfer += iprot->readListBegin(_etype183, _size180);
-            this->slow.resize(_size180);
-            uint32_t _i184;
-            for (_i184 = 0; _i184 < _size180; ++_i184)
+            uint32_t _size194;
+            ::apache::thrift::protocol::TType _etype197;
+            xfer += iprot->readListBegin(_etype197, _size194);
+            this->slow.resize(_size194);
+            uint32_t _i198;
+            for (_i198 = 0; _i198 < _size194; ++_i198)
             {
-              xfer += this->slow[_i184].read(iprot);
+              xfer += this->slow[_i198].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3657,10 +3869,10 @@
     xfer += oprot->writeFieldBegin("lost", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->lost.size()));
-      std::vector<std::string> ::const_iterator _iter185;
-      for (_iter185 = this->lost.begin(); _iter185 != this->lost.end(); ++_iter185)
+      std::vector<std::string> ::const_iterator _iter199;
+      for (_iter199 = this->lost.begin(); _iter199 != this->lost.end(); ++_iter199)
       {
-        xfer += oprot->writeString((*_iter185));
+        xfer += oprot->writeString((*_iter199));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3670,10 +3882,10 @@
     xfer += oprot->writeFieldBegin("refusing", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->refusing.size()));
-      std::vector<std::string> ::const_iterator _iter186;
-      for (_iter186 = this->refusing.begin(); _iter186 != this->refusing.end(); ++_iter186)
+      std::vector<std::string> ::const_iterator _iter200;
+      for (_iter200 = this->refusing.begin(); _iter200 != this->refusing.end(); ++_iter200)
       {
-        xfer += oprot->writeString((*_iter186));
+        xfer += oprot->writeString((*_iter200));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3693,10 +3905,10 @@
     xfer += oprot->writeFieldBegin("slow", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->slow.size()));
-      std::vector<SlowServer> ::const_iterator _iter187;
-      for (_iter187 = this->slow.begin(); _iter187 != this->slow.end(); ++_iter187)
+      std::vector<SlowServer> ::const_iterator _iter201;
+      for (_iter201 = this->slow.begin(); _iter201 != this->slow.end(); ++_iter201)
       {
-        xfer += (*_iter187).write(oprot);
+        xfer += (*_iter201).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3720,27 +3932,27 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other188) {
-  report = other188.report;
-  beat = other188.beat;
-  servers = other188.servers;
-  lost = other188.lost;
-  refusing = other188.refusing;
-  configuration = other188.configuration;
-  packed = other188.packed;
-  slow = other188.slow;
-  __isset = other188.__isset;
-}
-Message& Message::operator=(const Message& other189) {
-  report = other189.report;
-  beat = other189.beat;
-  servers = other189.servers;
-  lost = other189.lost;
-  refusing = other189.refusing;
-  configuration = other189.configuration;
-  packed = other189.packed;
-  slow = other189.slow;
-  __isset = other189.__isset;
+Message::Message(const Message& other202) {
+  report = other202.report;
+  beat = other202.beat;
+  servers = other202.servers;
+  lost = other202.lost;
+  refusing = other202.refusing;
+  configuration = other202.configuration;
+  packed = other202.packed;
+  slow = other202.slow;
+  __isset = other202.__isset;
+}
+Message& Message::operator=(const Message& other203) {
+  report = other203.report;
+  beat = other203.beat;
+  servers = other203.servers;
+  lost = other203.lost;
+  refusing = other203.refusing;
+  configuration = other203.configuration;
+  packed = other203.packed;
+  slow = other203.slow;
+  __isset = other203.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
--- a/src/gen/cluster_types.h
+++ b/src/gen/cluster_types.h
@@ -35,6 +35,8 @@
 
 class LeavingServer;
 
+class Demand;
+
 class Report;
 
 class Member;
@@ -459,8 +461,65 @@
 
 std::ostream& operator<<(std::ostream& out, const LeavingServer& obj);
 
+typedef struct _Demand__isset {
+  _Demand__isset() : account(false), rank(false), tokens_per_second(false) {}
+  bool account :1;
+  bool rank :1;
+  bool tokens_per_second :1;
+} _Demand__isset;
+
+class Demand : public virtual ::apache::thrift::TBase {
+ public:
+
+  Demand(const Demand&) noexcept;
+  Demand& operator=(const Demand&) noexcept;
+  Demand() noexcept
+         : account(0),
+           rank(0),
+           tokens_per_second(0) {
+  }
+
+  virtual ~Demand() noexcept;
+  int64_t account;
+  int32_t rank;
+  int32_t tokens_per_second;
+
+  _Demand__isset __isset;
+
+  void __set_account(const int64_t val);
+
+  void __set_rank(const int32_t val);
+
+  void __set_tokens_per_second(const int32_t val);
+
+  bool operator == (const Demand & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (!(rank == rhs.rank))
+      return false;
+    if (!(tokens_per_second == rhs.tokens_per_second))
+      return false;
+    return true;
+  }
+  bool operator != (const Demand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Demand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Demand &a, Demand &b);
+
+std::ostream& operator<<(std::ostream& out, const Demand& obj);
+
 typedef struct _Report__isset {
-  _Report__isset() : ip(false), data_center(false), incarnation(false), accepting(false), cpu_milli(false), config_version(false), list_version(false), loads(false), down(false), requests(false), retries(false), names_key(false), age_ms(false), sends(false), earlier_sends(false), earlier_sends_age_ms(false), crashes(false), starts(false), quarantine(false), limits(false), leaving(false) {}
+  _Report__isset() : ip(false), data_center(false), incarnation(false), accepting(false), cpu_milli(false), config_version(false), list_version(false), loads(false), down(false), requests(false), retries(false), names_key(false), age_ms(false), sends(false), earlier_sends(false), earlier_sends_age_ms(false), crashes(false), starts(false), quarantine(false), limits(false), leaving(false), demand(false) {}
   bool ip :1;
   bool data_center :1;
   bool incarnation :1;
@@ -482,6 +541,7 @@
   bool quarantine :1;
   bool limits :1;
   bool leaving :1;
+  bool demand :1;
 } _Report__isset;
 
 class Report : public virtual ::apache::thrift::TBase {
@@ -526,6 +586,7 @@
   std::vector<QuarantineEntry>  quarantine;
   std::vector<ServerLimit>  limits;
   std::vector<LeavingServer>  leaving;
+  std::vector<Demand>  demand;
 
   _Report__isset __isset;
 
@@ -571,6 +632,8 @@
 
   void __set_leaving(const std::vector<LeavingServer> & val);
 
+  void __set_demand(const std::vector<Demand> & val);
+
   bool operator == (const Report & rhs) const
   {
     if (!(ip == rhs.ip))
@@ -619,6 +682,8 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
+    if (!(demand == rhs.demand))
+      return false;
     return true;
   }
   bool operator != (const Report &rhs) const {
@@ -801,7 +866,7 @@
 std::ostream& operator<<(std::ostream& out, const Order& obj);
 
 typedef struct _Beat__isset {
-  _Beat__isset() : fence(false), ip(false), config_version(false), list_version(false), list_age_ms(false), members(false), loads(false), down(false), store_reachable(false), orders(false), requests(false), retries(false), held(false), names_key(false), unreported_retries(false), instances(false), sums_incomplete(false), sends(false), earlier_sends_unknown(false), suspects(false), quarantine(false), limits(false), leaving(false) {}
+  _Beat__isset() : fence(false), ip(false), config_version(false), list_version(false), list_age_ms(false), members(false), loads(false), down(false), store_reachable(false), orders(false), requests(false), retries(false), held(false), names_key(false), unreported_retries(false), instances(false), sums_incomplete(false), sends(false), earlier_sends_unknown(false), suspects(false), quarantine(false), limits(false), leaving(false), demand(false) {}
   bool fence :1;
   bool ip :1;
   bool config_version :1;
@@ -825,6 +890,7 @@
   bool quarantine :1;
   bool limits :1;
   bool leaving :1;
+  bool demand :1;
 } _Beat__isset;
 
 class Beat : public virtual ::apache::thrift::TBase {
@@ -872,6 +938,7 @@
   std::vector<QuarantineEntry>  quarantine;
   std::vector<ServerLimit>  limits;
   std::vector<LeavingServer>  leaving;
+  std::vector<Demand>  demand;
 
   _Beat__isset __isset;
 
@@ -921,6 +988,8 @@
 
   void __set_leaving(const std::vector<LeavingServer> & val);
 
+  void __set_demand(const std::vector<Demand> & val);
+
   bool operator == (const Beat & rhs) const
   {
     if (!(fence == rhs.fence))
@@ -969,6 +1038,8 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
+    if (!(demand == rhs.demand))
+      return false;
     return true;
   }
   bool operator != (const Beat &rhs) const {
--- a/src/layer_path.cc
+++ b/src/layer_path.cc
@@ -13,6 +13,8 @@
 // One-way delay of a hop, plus processing at the receiver.
 constexpr double kLocalHopMs = 0.2;
 constexpr double kRemoteHopMs = 1.0;
+// Share of a pass of its server that a request waits for, on average.
+constexpr double kMeanPassWait = 0.5;
 // Transfers between data centers share one link; the factor keeps ordinary
 // traffic off it while a path inside a data center exists.
 constexpr double kSharedLinkCostFactor = 16.0;
@@ -39,6 +41,8 @@
 // Share of a response that is held in memory on average while it is written,
 // with a margin. The mean suffices because many streams share each server.
 constexpr double kMeanHeldResponseShare = 0.6;
+// Largest share of reported requests that is taken to have ended.
+constexpr double kMaxEndedShare = 0.4;
 constexpr double kMaxUtilizationForNew = 0.85;
 constexpr double kMaxUtilizationInProgress = 0.95;
 // Cost of a millisecond of prefill backlog. Two streams that were just sent to
@@ -59,9 +63,16 @@
   const BackendServer* server = nullptr;
   double capacity = 0;
   ServerLoad load;
+  // Share of `load` that has ended since it was reported, and requests that
+  // other instances may have begun.
+  double ended_share = 0;
+  double peer_requests = 0;
   // Weighted milliseconds that one layer adds to a request: decode and prefill.
   double layer_cost = 0;
   double step_ms_per_layer = 0;
+  // Weighted milliseconds that a request waits for the pass that the server is
+  // in when the request arrives from another server.
+  double pass_wait_cost = 0;
 };
 
 // Utilization of a server: the larger of the used shares of its KV memory and
@@ -81,6 +92,20 @@
   return std::max(memory_share, sequence_share);
 }
 
+// The same with the work that other instances are expected to have begun and
+// ended since the loads were reported. `added_token_layers` is what a request
+// adds.
+double ExpectedUtilization(const EngineModel& engine,
+                           Candidate candidate,
+                           double added_token_layers) {
+  ServerLoad& load = candidate.load;
+  load.token_layers *= 1 - candidate.ended_share;
+  load.token_layers += candidate.peer_requests * added_token_layers;
+  load.sequences = static_cast<int>(std::lround(
+      load.sequences * (1 - candidate.ended_share) + candidate.peer_requests));
+  return Utilization(engine, candidate, added_token_layers);
+}
+
 // Cost factor of a server whose memory or sequence limit is nearly used up.
 double CongestionFactor(double utilization) {
   if (utilization <= kUncongestedUtilization)
@@ -90,28 +115,52 @@
   return 1.3 + 6 * excess * excess;
 }
 
+// Shares the room of a server among the instances that choose by the same sum
+// of loads. Each may begin as many requests as fit when its peers begin as
+// many; `draw` in [0, 1) turns a fraction of a request into a probability. Load
+// pattern: many instances with few requests each, whose loads are reported
+// late; all of them send a request to the server that has room for one.
+void ApplyUnreportedWork(const PathRequest& request,
+                         double draw,
+                         Candidate& candidate) {
+  const UnreportedWork& unreported = request.unreported;
+  if (unreported.peers <= 0)
+    return;
+  if (request.mean_service_time > Duration(0))
+    candidate.ended_share =
+        std::min(kMaxEndedShare,
+                 static_cast<double>(unreported.age.count()) /
+                     static_cast<double>(request.mean_service_time.count()));
+  candidate.peer_requests = unreported.peers * draw;
+}
+
 Candidate MakeCandidate(const EngineModel& engine,
                         const BackendServer& server,
                         const AcceleratorKind& kind,
                         const ServerLoad& load,
                         const PathRequest& request) {
-  Candidate candidate{&server, KvCapacity(engine, server), load, 0, 0};
+  Candidate candidate;
+  candidate.server = &server;
+  candidate.capacity = KvCapacity(engine, server);
+  candidate.load = load;
   const double step =
       engine.step_ms + engine.step_ms_per_sequence * (load.sequences + 1);
   candidate.step_ms_per_layer = step * kind.step_scale / engine.layers;
   const double prefill = request.prompt_tokens / engine.prefill_tokens_per_ms *
                          kind.prefill_scale / engine.layers;
+  Random random(StableHash(server.id, request.jitter_seed));
+  const bool varied = request.jitter_seed != 0;
+  ApplyUnreportedWork(request, random.UniformDouble(), candidate);
   candidate.layer_cost =
       (candidate.step_ms_per_layer * kWeightedResponseTokens + prefill) *
       CongestionFactor(Utilization(engine, candidate, 0));
   if (const auto slowdown = request.slowdowns.find(server.id);
       slowdown != request.slowdowns.end())
     candidate.layer_cost *= slowdown->second;
-  if (request.jitter_seed != 0)
-    candidate.layer_cost *=
-        1 +
-        kMaxJitterShare *
-            Random(StableHash(server.id, request.jitter_seed)).UniformDouble();
+  if (varied)
+    candidate.layer_cost *= 1 + kMaxJitterShare * random.UniformDouble();
+  candidate.pass_wait_cost = kMeanPassWait * candidate.step_ms_per_layer *
+                             server.layers->size() * kWeightedResponseTokens;
   if (const auto backlog = request.prefill_backlog_ms.find(server.id);
       backlog != request.prefill_backlog_ms.end())
     candidate.layer_cost +=
@@ -162,8 +211,8 @@
         engine, server, *kind,
         load == loads.end() ? ServerLoad{} : load->second, request);
     // At least one layer must fit; ChooseAmong() checks the whole stage.
-    if (Utilization(engine, candidate, request.tokens) > utilization_limit &&
-        !is_pinned)
+    if (!is_pinned && ExpectedUtilization(engine, candidate, request.tokens) >
+                          utilization_limit)
       continue;
     out.push_back(candidate);
   }
@@ -336,10 +385,10 @@
           continue;
         double cost = before.cost + here.layer_cost * size;
         if (from != candidate_index)
-          cost +=
-              candidates[from].server->data_center == here.server->data_center
-                  ? local_hop
-                  : remote_hop;
+          cost += here.pass_wait_cost + (candidates[from].server->data_center ==
+                                                 here.server->data_center
+                                             ? local_hop
+                                             : remote_hop);
         if (cost < cell.cost)
           cell = {cost, from};
       }
@@ -389,7 +438,10 @@
       choice.max_utilization = std::max(choice.max_utilization, utilization);
       const bool is_pinned = request.pinned_first_stage &&
                              stage.server == request.pinned_first_stage->server;
-      if (utilization > utilization_limit && !is_pinned)
+      if (!is_pinned &&
+          ExpectedUtilization(engine, candidate,
+                              request.tokens * stage.layers.size()) >
+              utilization_limit)
         full_servers.insert(stage.server);
     }
     if (full_servers.empty())
--- a/src/layer_path_placement.cc
+++ b/src/layer_path_placement.cc
@@ -16,8 +16,8 @@
 using detail::ServerPlan;
 using detail::ServerPlans;
 
-// Token capacity that a data center keeps for each of its servers. Memory
-// beyond it holds layers a second time.
+// Token capacity that a data center keeps for each of its servers when it is
+// not known how long requests are. Memory beyond it holds layers a second time.
 constexpr double kMinTokensPerServer = 12'000;
 // A data center holds at least this share of the layers that fit; it holds
 // fewer than fit where that leaves more token capacity.
@@ -140,6 +140,26 @@
   return tokens;
 }
 
+// Number of layers, counted once for each holder, that fit beside the token
+// capacity to keep: as much as the sequences need that the servers of a replica
+// may run at once. With less, memory is used up before the servers are, and
+// they preempt requests; with more, it stays unused.
+double FittingLayers(const EngineModel& engine,
+                     size_t servers,
+                     double total_memory_mb) {
+  const double token_mb = engine.kv_bytes_per_token / kBytesPerMb;
+  if (engine.max_sequences > 0 && engine.mean_prompt_tokens > 0) {
+    const double replica_tokens =
+        engine.max_sequences * ReservedTokens({engine.mean_prompt_tokens, 0, 0,
+                                               engine.mean_answer_tokens});
+    return total_memory_mb /
+           (engine.layer_mb + replica_tokens * token_mb / engine.layers);
+  }
+  const double kept_mb =
+      kMinTokensPerServer * static_cast<double>(servers) * token_mb;
+  return (total_memory_mb - kept_mb) / engine.layer_mb;
+}
+
 // Number of layers, counted once for each holder, that a group holds beside the
 // token capacity that it keeps: at least every layer once, and no more than
 // fit. Somewhat fewer when that leaves the scarcest server a larger token
@@ -151,11 +171,8 @@
     total_memory_mb += plan->kind->memory_mb;
     max_total += plan->max_layers;
   }
-  const double kept_mb = kMinTokensPerServer *
-                         static_cast<double>(group.size()) *
-                         engine.kv_bytes_per_token / kBytesPerMb;
   const int fitting_layers =
-      static_cast<int>((total_memory_mb - kept_mb) / engine.layer_mb);
+      static_cast<int>(FittingLayers(engine, group.size(), total_memory_mb));
   const int min_layers = std::min(engine.layers, max_total);
   int best = std::clamp(fitting_layers, min_layers, max_total);
   double best_tokens = -1;
--- a/src/route_table.cc
+++ b/src/route_table.cc
@@ -46,6 +46,23 @@
                                           : &m_accounts[found->second];
 }
 
+std::map<std::string, std::set<int>> RouteTable::RanksByService() const {
+  std::set<int> account_ranks;
+  for (const ClientAccount& account : m_accounts)
+    if (account.rank)
+      account_ranks.insert(*account.rank);
+  std::map<std::string, std::set<int>> out;
+  for (const Route& route : m_routes) {
+    for (const WeightedService& service : route.services) {
+      std::set<int>& ranks = out[service.service];
+      ranks.insert(route.rank);
+      if (m_requires_account && !route.is_public)
+        ranks.insert(account_ranks.begin(), account_ranks.end());
+    }
+  }
+  return out;
+}
+
 const Service* RouteTable::FindService(const std::string& name) const {
   const auto found = m_services.find(name);
   return found == m_services.end() ? nullptr : &found->second;
