--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -283,9 +283,9 @@
                                       const UnreachableMark& mark) const;
 
   void SetClusterLoads(TimePoint now, const LoadMap& sum);
-  LoadMap EstimateUnreportedPeerLoads() const;
+  LoadMap EstimateUnreportedPeerLoads(TimePoint now) const;
   // Other instances of this data center that accept requests.
-  size_t PeersInDataCenter() const;
+  size_t PeersInDataCenter(TimePoint now) const;
   void BeginCoordinating(TimePoint now);
   // Keeps the sums of this coordinator for the time until it hears from the
   // next one.
--- a/include/trefoilwick/layer_path.h
+++ b/include/trefoilwick/layer_path.h
@@ -64,10 +64,20 @@
 
 // Work of other instances that a sum of loads does not contain.
 struct UnreportedWork {
-  // Instances that choose among the same servers by the same sum.
-  double peers = 0;
+  // Other instances that may begin a request by the same sum: those of this data
+  // center, and all of them, which also use the servers of other data centers.
+  double local_peers = 0;
+  double remote_peers = 0;
   // Age of the loads: requests in them have ended since.
   Duration age{0};
+  // The same as long as the instance decides by the same sum.
+  uint64_t seed = 0;
+
+  // Keeps only a share of the peers.
+  void Scale(double share) {
+    local_peers *= share;
+    remote_peers *= share;
+  }
 };
 
 struct PathStage {
--- a/include/trefoilwick/overload.h
+++ b/include/trefoilwick/overload.h
@@ -88,6 +88,11 @@
                           const std::string& service,
                           const AccountDemandKey& key,
                           double draw) const;
+  // Share of the demand of all instances that may begin at a utilization; 1
+  // when the demand is not known.
+  double AdmittedDemandShare(TimePoint now,
+                             const std::string& service,
+                             double utilization) const;
   // A request found no path below its limit.
   void OnShortage(TimePoint now);
   // True when requests were refused for want of capacity a moment ago.
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -474,7 +474,7 @@
   } else {
     out = m_cluster_loads;
     AddLoads(out, m_own_loads_in_cluster_sum, -1);
-    AddLoads(out, EstimateUnreportedPeerLoads(), 1);
+    AddLoads(out, EstimateUnreportedPeerLoads(now), 1);
   }
   AddLoads(out, m_local_loads, 1);
   return out;
@@ -486,9 +486,10 @@
   m_cluster_loads_at = now;
 }
 
-size_t Coordination::PeersInDataCenter() const {
+size_t Coordination::PeersInDataCenter(TimePoint now) const {
+  const std::vector<ClusterMember> members = Members(now);
   return static_cast<size_t>(std::count_if(
-      m_members.begin(), m_members.end(), [&](const ClusterMember& member) {
+      members.begin(), members.end(), [&](const ClusterMember& member) {
         return member.ip != m_ip && member.accepting &&
                member.data_center == m_data_center;
       }));
@@ -496,8 +497,8 @@
 
 // Estimates the work that the other instances of this data center began since
 // the last sum, on the assumption that each began as much as this one.
-LoadMap Coordination::EstimateUnreportedPeerLoads() const {
-  const size_t peers = PeersInDataCenter();
+LoadMap Coordination::EstimateUnreportedPeerLoads(TimePoint now) const {
+  const size_t peers = PeersInDataCenter(now);
   LoadMap out;
   for (const auto& [server, load] : m_local_loads) {
     const auto reported = m_own_loads_in_cluster_sum.find(server);
@@ -514,10 +515,21 @@
 }
 
 UnreportedWork Coordination::EstimateUnreportedWork(TimePoint now) const {
-  if (HasCompleteSums())
-    return {0, kMeanReportAge};
-  return {static_cast<double>(PeersInDataCenter()),
-          std::min(now - m_cluster_loads_at + kMeanReportAge, kMaxSumAge)};
+  UnreportedWork out;
+  const size_t members = Members(now).size();
+  out.remote_peers = static_cast<double>(members - 1);
+  out.local_peers = static_cast<double>(PeersInDataCenter(now));
+  if (HasCompleteSums()) {
+    out.age = kMeanReportAge;
+    out.seed = StableHash(m_ip, static_cast<uint64_t>(now.time_since_epoch() /
+                                                      detail::kReportInterval));
+    return out;
+  }
+  out.age = std::min(now - m_cluster_loads_at + kMeanReportAge, kMaxSumAge);
+  out.seed = StableHash(
+      m_ip,
+      static_cast<uint64_t>(m_cluster_loads_at.time_since_epoch().count()));
+  return out;
 }
 
 std::vector<CoordinationAction> Coordination::TakeActions() {
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -28,6 +28,9 @@
 // that becomes free by then was about to, and a client that is refused this
 // early loses nothing.
 constexpr Duration kMaxShortageQueueTime = milliseconds(60);
+// Below this utilization the room of a server is not shared: what all instances
+// begin until the next sum of loads fits.
+constexpr double kAmpleRoomUtilization = 0.6;
 // A server that refused or failed a request is not used for it again for this
 // time.
 constexpr Duration kServerExclusionTime = milliseconds(700);
@@ -335,6 +338,9 @@
   path_request.allow_cross_data_center = true;
   const LoadMap loads = m_core.coordination().Loads(m_core.Now());
   const double utilization_limit = UtilizationLimit();
+  // Room near the limit is for those that may still use it.
+  path_request.unreported.Scale(m_core.overload().AdmittedDemandShare(
+      m_core.Now(), m_service, utilization_limit));
   const auto choose = [&] {
     return ChoosePath(engine, m_core.servers(), loads, path_request,
                       utilization_limit);
@@ -352,6 +358,12 @@
         path_request.excluded_as_first.erase(server);
       choice = choose();
     }
+    if (!choice) {
+      // Servers far below the limit have room whatever the others begin.
+      path_request.unreported = {};
+      choice = ChoosePath(engine, m_core.servers(), loads, path_request,
+                          std::min(utilization_limit, kAmpleRoomUtilization));
+    }
     if (!choice && HasPathWhenIdle(engine, path_request)) {
       m_core.overload().OnShortage(m_core.Now());
       return SendVerdict::kShed;
--- a/src/layer_path.cc
+++ b/src/layer_path.cc
@@ -21,7 +21,7 @@
 // Cost of a first stage in another data center: higher than the gain from
 // faster servers there, lower than the cost of a path whose memory is more than
 // half full.
-constexpr double kRemoteEntryCost = 400;
+constexpr double kRemoteEntryCost = 600;
 // Largest share that is added at random to the time of a server.
 constexpr double kMaxJitterShare = 0.08;
 // Utilization above which a server is avoided.
@@ -41,7 +41,10 @@
 // Share of a response that is held in memory on average while it is written,
 // with a margin. The mean suffices because many streams share each server.
 constexpr double kMeanHeldResponseShare = 0.6;
-// Largest share of reported requests that is taken to have ended.
+// Part of the requests that end on average which is taken to have ended, since
+// the requests of a burst that has just begun are all young, and the largest
+// share of the reported requests.
+constexpr double kEndedConfidence = 0.7;
 constexpr double kMaxEndedShare = 0.4;
 constexpr double kMaxUtilizationForNew = 0.85;
 constexpr double kMaxUtilizationInProgress = 0.95;
@@ -117,21 +120,23 @@
 
 // Shares the room of a server among the instances that choose by the same sum
 // of loads. Each may begin as many requests as fit when its peers begin as
-// many; `draw` in [0, 1) turns a fraction of a request into a probability. Load
-// pattern: many instances with few requests each, whose loads are reported
-// late; all of them send a request to the server that has room for one.
-void ApplyUnreportedWork(const PathRequest& request,
-                         double draw,
-                         Candidate& candidate) {
+// many. A random number that is fixed until the next sum turns a fraction of a
+// request into a probability. Load pattern: many instances with few requests
+// each, whose loads are reported late; all of them send a request to the server
+// that has room for one.
+void ApplyUnreportedWork(const PathRequest& request, Candidate& candidate) {
   const UnreportedWork& unreported = request.unreported;
-  if (unreported.peers <= 0)
-    return;
+  const double peers = candidate.server->data_center == request.data_center
+                           ? unreported.local_peers
+                           : unreported.remote_peers;
   if (request.mean_service_time > Duration(0))
-    candidate.ended_share =
-        std::min(kMaxEndedShare,
-                 static_cast<double>(unreported.age.count()) /
-                     static_cast<double>(request.mean_service_time.count()));
-  candidate.peer_requests = unreported.peers * draw;
+    candidate.ended_share = std::min(
+        kMaxEndedShare,
+        kEndedConfidence * static_cast<double>(unreported.age.count()) /
+            static_cast<double>(request.mean_service_time.count()));
+  candidate.peer_requests =
+      peers *
+      Random(StableHash(candidate.server->id, unreported.seed)).UniformDouble();
 }
 
 Candidate MakeCandidate(const EngineModel& engine,
@@ -150,7 +155,7 @@
                          kind.prefill_scale / engine.layers;
   Random random(StableHash(server.id, request.jitter_seed));
   const bool varied = request.jitter_seed != 0;
-  ApplyUnreportedWork(request, random.UniformDouble(), candidate);
+  ApplyUnreportedWork(request, candidate);
   candidate.layer_cost =
       (candidate.step_ms_per_layer * kWeightedResponseTokens + prefill) *
       CongestionFactor(Utilization(engine, candidate, 0));
--- a/src/overload.cc
+++ b/src/overload.cc
@@ -18,12 +18,12 @@
 // Utilization at which the most urgent rank is no longer admitted, the step to
 // the next rank, and the width over which the admitted share falls.
 constexpr double kLastAdmission = 0.85;
-constexpr double kRankStep = 0.05;
-constexpr double kRefusalWidth = 0.08;
+constexpr double kRankStep = 0.06;
+constexpr double kRefusalWidth = 0.06;
 // More ranks than this share the lowest level.
 constexpr int kMaxLevel = 4;
 // Share of a lower rank that begins while the servers are not full.
-constexpr double kFloorShare = 0.1;
+constexpr double kFloorShare = 0.05;
 // Steps of the search for a limit; its error is below a request of a server.
 constexpr int kLimitSearchSteps = 10;
 // A shortage ends when no request was refused for this long.
@@ -172,6 +172,23 @@
   return low;
 }
 
+double OverloadController::AdmittedDemandShare(TimePoint now,
+                                               const std::string& service,
+                                               double utilization) const {
+  if (now - m_cluster_demand_at > kClusterDemandTtl)
+    return 1;
+  double all = 0;
+  double admitted = 0;
+  for (const auto& [key, rate] : m_cluster_demand) {
+    all += rate;
+    admitted +=
+        rate * FairAccountShare(
+                   m_cluster_demand, key,
+                   AdmittedShare(LevelOf(service, key.rank), utilization));
+  }
+  return all > 0 ? admitted / all : 1;
+}
+
 void OverloadController::OnShortage(TimePoint now) {
   if (!IsShort(now))
     m_shortage_began_at = now;
