--- a/src/layer_path.cc
+++ b/src/layer_path.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <limits>
 
+#include "layer_path_tiling.h"
+
 namespace trefoilwick {
 
 namespace {
@@ -187,17 +189,6 @@
          kSharedLinkCostFactor * link_ms;
 }
 
-// Lowest cost of running all layers up to the end of a segment, with that
-// segment on a candidate.
-struct Cell {
-  int candidate_index = 0;
-  double cost = kInfinity;
-  // Position of the previous cell in its segment.
-  int previous = -1;
-};
-// The cells of one segment that can be reached, by candidate index.
-using SegmentCells = std::vector<Cell>;
-
 std::vector<Candidate> FindCandidates(const EngineModel& engine,
                                       const ServerMap& servers,
                                       const LoadMap& loads,
@@ -228,14 +219,6 @@
   return out;
 }
 
-// A pinned first stage keeps exactly its layers on its server.
-bool MayRunLayer(const PathRequest& request, const std::string& id, int layer) {
-  if (!request.pinned_first_stage)
-    return true;
-  return request.pinned_first_stage->layers.Contains(layer) ==
-         (request.pinned_first_stage->server == id);
-}
-
 // Merges the stages of a server that a path leaves and returns to. The range of
 // the server is contiguous, so it can run the layers in between.
 LayerPath MergeRevisitedServers(const std::vector<int>& by_layer,
@@ -328,23 +311,6 @@
 
 namespace {
 
-// Layers at which a path may change servers: the ends of the ranges that the
-// candidates hold. Between two of them the cost per layer of a candidate is
-// constant.
-std::vector<int> SegmentBoundaries(const EngineModel& engine,
-                                   const PathRequest& request,
-                                   const std::vector<Candidate>& candidates) {
-  std::set<int> out = {0, engine.layers};
-  for (const Candidate& candidate : candidates)
-    out.insert({candidate.server->layers->from, candidate.server->layers->to});
-  if (request.pinned_first_stage)
-    out.insert({request.pinned_first_stage->layers.from,
-                request.pinned_first_stage->layers.to});
-  out.erase(out.begin(), out.find(0));
-  out.erase(out.upper_bound(engine.layers), out.end());
-  return {out.begin(), out.end()};
-}
-
 // Additional cost of a candidate as first stage, by its data center; null when
 // it must not be the first.
 std::optional<double> FirstStageCost(const PathRequest& request,
@@ -361,132 +327,32 @@
              : kRemoteEntryCost;
 }
 
-// Indices of the candidates that may run each segment, in ascending order.
-std::vector<std::vector<int>> CandidatesBySegment(
-    const PathRequest& request,
-    const std::vector<Candidate>& candidates,
-    const std::vector<int>& bounds) {
-  std::vector<std::vector<int>> out(bounds.size() - 1);
-  for (size_t i = 0; i < candidates.size(); ++i) {
-    const BackendServer& server = *candidates[i].server;
-    const auto first =
-        std::lower_bound(bounds.begin(), bounds.end(), server.layers->from);
-    for (auto segment = static_cast<size_t>(first - bounds.begin());
-         segment < out.size() && bounds[segment] < server.layers->to; ++segment)
-      if (MayRunLayer(request, server.id, bounds[segment]))
-        out[segment].push_back(static_cast<int>(i));
-  }
-  return out;
-}
-
-// Numbers the data centers of the candidates from 0.
-std::vector<int> DataCenterIndices(const std::vector<Candidate>& candidates) {
-  std::map<std::string_view, int> index_by_name;
-  std::vector<int> out;
-  out.reserve(candidates.size());
-  for (const Candidate& candidate : candidates)
-    out.push_back(index_by_name
-                      .try_emplace(candidate.server->data_center,
-                                   static_cast<int>(index_by_name.size()))
-                      .first->second);
-  return out;
-}
-
-// Position of the cheapest cell of each data center, the first one of equal
-// cost.
-std::vector<int> CheapestByDataCenter(const SegmentCells& cells,
-                                      const std::vector<int>& data_centers,
-                                      int data_center_count) {
-  std::vector<int> out(static_cast<size_t>(data_center_count), -1);
-  for (size_t i = 0; i < cells.size(); ++i) {
-    int& best =
-        out[static_cast<size_t>(data_centers[cells[i].candidate_index])];
-    if (best < 0 || cells[i].cost < cells[best].cost)
-      best = static_cast<int>(i);
-  }
-  return out;
-}
-
-SegmentCells FirstSegmentCells(const PathRequest& request,
-                               const std::vector<Candidate>& candidates,
-                               const std::vector<int>& holders,
-                               int size) {
-  SegmentCells cells;
-  for (const int index : holders)
-    if (const auto entry = FirstStageCost(request, candidates[index]))
-      cells.push_back({index, candidates[index].layer_cost * size + *entry});
-  return cells;
-}
-
-// Index of the candidate that runs each layer on the cheapest path, and the
-// cost of that path; null when there is none.
-//
-// The cost of a hop depends only on whether it stays in its data center, so the
-// cheapest previous cell of each data center stands for all of them. The time
-// is linear in the number of servers.
-std::optional<std::pair<std::vector<int>, double>> CheapestTiling(
+std::optional<detail::Tiling> CheapestTiling(
     const EngineModel& engine,
     const PathRequest& request,
     const std::vector<Candidate>& candidates) {
-  const std::vector<int> bounds =
-      SegmentBoundaries(engine, request, candidates);
-  const std::vector<std::vector<int>> holders =
-      CandidatesBySegment(request, candidates, bounds);
-  const std::vector<int> data_centers = DataCenterIndices(candidates);
-  const int data_center_count =
-      data_centers.empty()
-          ? 0
-          : *std::max_element(data_centers.begin(), data_centers.end()) + 1;
-  const size_t segments = holders.size();
-  const double local_hop = HopCost(engine, request, true);
-  const double remote_hop = HopCost(engine, request, false);
-  std::vector<SegmentCells> table(segments);
-  table[0] =
-      FirstSegmentCells(request, candidates, holders[0], bounds[1] - bounds[0]);
-  for (size_t segment = 1; segment < segments; ++segment) {
-    const int size = bounds[segment + 1] - bounds[segment];
-    const SegmentCells& before = table[segment - 1];
-    const std::vector<int> cheapest =
-        CheapestByDataCenter(before, data_centers, data_center_count);
-    size_t same = 0;
-    for (const int index : holders[segment]) {
-      const Candidate& here = candidates[index];
-      Cell cell{index};
-      const auto consider = [&](int from, double hop) {
-        const double cost = before[from].cost + here.layer_cost * size + hop;
-        if (cost < cell.cost || (cost == cell.cost && from < cell.previous)) {
-          cell.cost = cost;
-          cell.previous = from;
-        }
-      };
-      while (same < before.size() && before[same].candidate_index < index)
-        ++same;
-      if (same < before.size() && before[same].candidate_index == index)
-        consider(static_cast<int>(same), 0);
-      for (int dc = 0; dc < data_center_count; ++dc)
-        if (cheapest[dc] >= 0 && before[cheapest[dc]].candidate_index != index)
-          consider(cheapest[dc],
-                   here.pass_wait_cost +
-                       (dc == data_centers[index] ? local_hop : remote_hop));
-      if (cell.cost != kInfinity)
-        table[segment].push_back(cell);
-    }
-  }
-  const SegmentCells& last = table.back();
-  const auto best = std::min_element(
-      last.begin(), last.end(),
-      [](const Cell& a, const Cell& b) { return a.cost < b.cost; });
-  if (best == last.end())
-    return std::nullopt;
-  int position = static_cast<int>(best - last.begin());
-  std::vector<int> by_layer(static_cast<size_t>(engine.layers));
-  for (size_t segment = segments; segment-- > 0;) {
-    const Cell& cell = table[segment][position];
-    std::fill(by_layer.begin() + bounds[segment],
-              by_layer.begin() + bounds[segment + 1], cell.candidate_index);
-    position = cell.previous;
+  detail::TilingProblem problem;
+  problem.layers = engine.layers;
+  problem.local_hop_cost = HopCost(engine, request, true);
+  problem.remote_hop_cost = HopCost(engine, request, false);
+  if (request.pinned_first_stage)
+    problem.pinned_layers = request.pinned_first_stage->layers;
+  std::map<std::string_view, int> data_centers;
+  problem.servers.reserve(candidates.size());
+  for (const Candidate& candidate : candidates) {
+    const BackendServer& server = *candidate.server;
+    const int data_center =
+        data_centers
+            .try_emplace(server.data_center,
+                         static_cast<int>(data_centers.size()))
+            .first->second;
+    problem.servers.push_back(
+        {*server.layers, data_center, candidate.layer_cost,
+         candidate.pass_wait_cost, FirstStageCost(request, candidate),
+         request.pinned_first_stage &&
+             server.id == request.pinned_first_stage->server});
   }
-  return std::make_pair(std::move(by_layer), best->cost);
+  return detail::FindCheapestTiling(problem);
 }
 
 // The cheapest path among the candidates on which no server exceeds
@@ -501,8 +367,9 @@
     const auto tiling = CheapestTiling(engine, request, candidates);
     if (!tiling)
       return std::nullopt;
-    PathChoice choice{MergeRevisitedServers(tiling->first, candidates), 0, 0,
-                      tiling->second};
+    PathChoice choice{
+        MergeRevisitedServers(tiling->server_by_layer, candidates), 0, 0,
+        tiling->cost};
     if (choice.path.size() > kMaxPathStages)
       return std::nullopt;
     std::map<std::string, const Candidate*> by_id;
