Placement orders use the server's order number and bounded calls

A new coordinator took the order sequence number of every server to be 0, and counted each accepted order as begun although a server that is already in that state does not count it; both cause 409. Orders were issued again after 4 s while servers still loaded. All orders were sent in one tick with a time-out of 1.5 s, and overdue ones polled each 150 ms. Each report and each finished order copied the server list and caused a heartbeat.

Reported layers are passed on together each 100 ms.

Not run yet: tests of coordination and adapter, a deployment with 3,000 servers.

--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -143,6 +143,9 @@
   void OnLayersReported(TimePoint now,
                         const std::string& server,
                         LayerRange layers);
+  // The same for several servers, by id. Each call makes a new server list.
+  void OnLayersReported(TimePoint now,
+                        const std::map<std::string, LayerRange>& reported);
   const std::map<std::string, LayerRange>& placement_orders() const {
     return m_placement_orders;
   }
--- a/src/coordination_messages.cc
+++ b/src/coordination_messages.cc
@@ -60,10 +60,22 @@
 void Coordination::OnLayersReported(TimePoint now,
                                     const std::string& server,
                                     LayerRange layers) {
-  const auto listed = m_listed_servers->find(server);
-  if (listed == m_listed_servers->end() || listed->second.layers == layers)
+  OnLayersReported(now, std::map<std::string, LayerRange>{{server, layers}});
+}
+
+void Coordination::OnLayersReported(
+    TimePoint now,
+    const std::map<std::string, LayerRange>& reported) {
+  bool changed = false;
+  for (const auto& [server, layers] : reported) {
+    const auto listed = m_listed_servers->find(server);
+    if (listed == m_listed_servers->end() || listed->second.layers == layers)
+      continue;
+    m_reported_layers[server] = {layers, now + kReportedLayersTtl};
+    changed = true;
+  }
+  if (!changed)
     return;
-  m_reported_layers[server] = {layers, now + kReportedLayersTtl};
   UpdateServers(now);
   if (m_is_coordinator)
     m_next_heartbeat = now;
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -371,7 +371,7 @@
   if (m_coordination.is_coordinator())
     SendDueOrders(now);
   else
-    m_orders.clear();
+    m_orders.Clear();
   std::vector<std::shared_ptr<Exchange>> active;
   for (Exchange* exchange : m_exchanges)
     active.push_back(exchange->shared_from_this());
@@ -536,12 +536,7 @@
   if (std::exchange(m_seen_list, m_coordination.listed_servers()) !=
       m_coordination.listed_servers())
     m_servers_changed_at = Now();
-  const ServerMap& listed = *m_coordination.listed_servers();
-  std::erase_if(m_orders, [&](const auto& entry) {
-    const auto server = listed.find(entry.first);
-    return server == listed.end() ||
-           server->second.layers == entry.second.layers;
-  });
+  m_orders.OnServerList(*m_coordination.listed_servers());
   if (previous_servers)
     NotifyRequestsOfDrainingServers(*previous_servers);
   NotifyRequestsOfNewOrders();
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -18,6 +18,7 @@
 #include "trefoilwick/gateway.h"
 #include "trefoilwick/liveness.h"
 #include "trefoilwick/overload.h"
+#include "trefoilwick/placement_orders.h"
 #include "trefoilwick/retry_window.h"
 
 namespace trefoilwick::detail {
@@ -31,16 +32,6 @@
 // Time for a server to respond to an order or a report request.
 inline constexpr Duration kOrderTimeout = std::chrono::milliseconds(1500);
 
-// A placement order that the server list does not show yet.
-struct PendingOrder {
-  LayerRange layers;
-  // Time at which the order is to be sent, or was sent.
-  TimePoint send_at;
-  bool sent = false;
-  // Next time to ask the server whether it has carried out the order.
-  TimePoint next_poll_at;
-};
-
 class GatewayCore {
  public:
   GatewayCore(boost::asio::io_context& io,
@@ -207,15 +198,14 @@
                  const std::set<std::string>& lost);
   void ScheduleOrder(TimePoint now, const PlacementOrder& order);
   void SendDueOrders(TimePoint now);
-  void SendOrder(const PlacementOrder& order);
-  void OnOrderResult(const PlacementOrder& order, OrderResult result);
-  // Requests a report from a server that carries out an order. With `resend`,
-  // set after the server refused the order, the order is sent again if the
-  // server's order sequence number differs from the expected one.
-  void PollOrderState(const std::string& server, bool resend);
-  void OnOrderState(const std::string& server,
-                    const std::optional<ServerReport>& report,
-                    bool resend);
+  void SendOrder(const SendOrderCall& order);
+  void OnOrderResult(const OrderCall& call, OrderResult result);
+  // Asks a server for its order sequence number, and whether it has carried out
+  // its order.
+  void RequestOrderReport(const OrderCall& call);
+  void OnOrderReport(const OrderCall& call,
+                     const std::optional<ServerReport>& report);
+  void PassOnReportedLayers(TimePoint now);
   Duration LayerLoadTime(const PlacementOrder& order) const;
   // Servers that were first listed a moment ago.
   std::set<std::string> RecentlyListedServers(TimePoint now);
@@ -306,11 +296,11 @@
   // requests to move off.
   std::map<std::string, LayerRange> m_seen_orders;
   EndedServers m_ended_servers;
-  std::map<std::string, PendingOrder> m_orders;
-  // Number of orders that each server has begun, as far as known; 0 after its
-  // start. A server refuses an order with another number, so that a late
-  // duplicate of an old order cannot undo a newer one.
-  std::map<std::string, int64_t> m_order_seq;
+  PlacementOrders m_orders;
+  // Layers that servers reported since the last tick. They are passed on
+  // together, since each change makes a new server list.
+  std::map<std::string, LayerRange> m_reported_layers;
+  TimePoint m_next_reported_layers;
   std::string m_layout_text;
   TimePoint m_next_placement;
   // When each server was first listed.
--- a/src/gateway_placement.cc
+++ b/src/gateway_placement.cc
@@ -16,16 +16,15 @@
 // Time for a notice of layers to be unloaded to reach every instance: a tick of
 // the coordinator and the network delay.
 constexpr Duration kUnloadNoticeTime = milliseconds(120);
-// An order that the server list does not show after this time is issued again.
-constexpr Duration kOrderTtl = seconds(4);
+// Load time that is assumed while the engine is not known.
+constexpr Duration kDefaultLoadTime = seconds(4);
+// Interval of passing reported layers on. Each time copies the server list and
+// causes a heartbeat.
+constexpr Duration kReportedLayersInterval = milliseconds(100);
 // Longer than the interval between two updates of a server's entry in the list.
 constexpr Duration kServerListSettleTime = milliseconds(1500);
 // A server must be lost for this long before its layers are placed on others.
 constexpr Duration kMinLostTimeBeforePlacement = milliseconds(300);
-// Interval of polling a server that should have carried out its order.
-constexpr Duration kOrderPollInterval = milliseconds(150);
-// A report may be this old and not show a recent order yet.
-constexpr Duration kMaxReportAge = milliseconds(600);
 // A server that was first listed within this time often replaces one that
 // drains soon after; it stays empty to take the layers of that one.
 constexpr Duration kRecentlyListedTime = milliseconds(1200);
@@ -56,16 +55,12 @@
       !m_coordination.has_server_list())
     return;
   m_next_placement = now + kPlacementInterval;
-  std::erase_if(m_orders, [&](const auto& entry) {
-    return now - entry.second.send_at > kOrderTtl;
-  });
+  m_orders.Expire(now);
   // While no server holds layers, the list may still be growing: a layout for
   // some of the servers would have to be changed for the rest.
   if (!AnyLayersHeld() && now - m_servers_changed_at < kServerListSettleTime)
     return;
-  std::map<std::string, LayerRange> pending;
-  for (const auto& [id, order] : m_orders)
-    pending[id] = order.layers;
+  std::map<std::string, LayerRange> pending = m_orders.Layers();
   const auto confirmed_lost =
       m_coordination.ConfirmedLostServers(now, kMinLostTimeBeforePlacement);
   // Orders cannot reach these servers, so they keep their layers.
@@ -101,25 +96,32 @@
   const bool unloads = server->second.layers &&
                        (server->second.layers->from < order.layers.from ||
                         server->second.layers->to > order.layers.to);
-  PendingOrder pending;
-  pending.layers = order.layers;
-  pending.send_at = unloads ? now + kUnloadNoticeTime : now;
-  m_orders[order.server] = pending;
+  const Service* service = m_table->FindService(server->second.service);
+  m_orders.Issue({order, server->second.start_unix_ms,
+                  unloads ? now + kUnloadNoticeTime : now, LayerLoadTime(order),
+                  service != nullptr && service->engine
+                      ? service->engine->max_concurrent_loads
+                      : 1});
 }
 
 void GatewayCore::SendDueOrders(TimePoint now) {
-  for (auto& [id, order] : m_orders) {
-    if (!order.sent && order.send_at <= now) {
-      order.sent = true;
-      order.next_poll_at = now + LayerLoadTime({id, order.layers});
-      SendOrder({id, order.layers});
-    } else if (order.sent && order.next_poll_at <= now) {
-      order.next_poll_at = now + kOrderPollInterval;
-      PollOrderState(id, false);
-    }
+  PassOnReportedLayers(now);
+  for (const PlacementCall& call : m_orders.TakeDueCalls(now)) {
+    if (const auto* order = std::get_if<SendOrderCall>(&call))
+      SendOrder(*order);
+    else
+      RequestOrderReport(std::get<RequestReportCall>(call).call);
   }
 }
 
+void GatewayCore::PassOnReportedLayers(TimePoint now) {
+  if (m_reported_layers.empty() || now < m_next_reported_layers)
+    return;
+  m_next_reported_layers = now + kReportedLayersInterval;
+  m_coordination.OnLayersReported(now, std::exchange(m_reported_layers, {}));
+  RunActions();
+}
+
 // Time to load the layers of an order that the server does not hold yet, while
 // other servers load theirs.
 Duration GatewayCore::LayerLoadTime(const PlacementOrder& order) const {
@@ -129,7 +131,7 @@
           ? nullptr
           : m_table->FindService(server->second.service);
   if (service == nullptr || !service->engine || service->engine->layers == 0)
-    return kOrderTtl;
+    return kDefaultLoadTime;
   int missing_layers = 0;
   for (int layer = order.layers.from; layer < order.layers.to; ++layer)
     missing_layers +=
@@ -140,10 +142,7 @@
 }
 
 void GatewayCore::PublishOrders() {
-  std::map<std::string, LayerRange> orders;
-  for (const auto& [id, order] : m_orders)
-    orders[id] = order.layers;
-  m_coordination.SetPlacementOrders(Now(), std::move(orders));
+  m_coordination.SetPlacementOrders(Now(), m_orders.Layers());
 }
 
 // Logs a line when the coverage or the capacity of a model in a data center
@@ -164,78 +163,76 @@
     Log("layout", {{"service", service}, {"state", text}});
 }
 
-void GatewayCore::SendOrder(const PlacementOrder& order) {
-  const int64_t seq = m_order_seq[order.server];
-  Log("place", {{"server", order.server},
+void GatewayCore::SendOrder(const SendOrderCall& order) {
+  const std::string& server = order.call.server;
+  Log("place", {{"server", server},
                 {"from", std::to_string(order.layers.from)},
                 {"to", std::to_string(order.layers.to)},
-                {"seq", std::to_string(seq)},
+                {"seq", std::to_string(order.order_seq)},
                 {"fence", std::to_string(m_coordination.fencing_token())}});
-  CallServer(
-      order.server,
-      m_dialect->WritePlacementOrder(order, m_coordination.fencing_token(),
-                                     seq),
-      [this, order](OrderResult result) { OnOrderResult(order, result); });
+  CallServer(server,
+             m_dialect->WritePlacementOrder({server, order.layers},
+                                            m_coordination.fencing_token(),
+                                            order.order_seq),
+             [this, call = order.call](OrderResult result) {
+               OnOrderResult(call, result);
+             });
 }
 
-void GatewayCore::OnOrderResult(const PlacementOrder& order,
-                                OrderResult result) {
-  switch (result) {
-    case OrderResult::kAccepted:
-      ++m_order_seq[order.server];
-      return;
-    case OrderResult::kStaleFencingToken:
-      m_orders.erase(order.server);
-      m_coordination.OnFencingTokenRejected(Now());
-      return;
-    default:
-      break;
+void GatewayCore::OnOrderResult(const OrderCall& call, OrderResult result) {
+  const TimePoint now = Now();
+  const auto sent_result = [&] {
+    switch (result) {
+      case OrderResult::kAccepted:
+        return SentOrderResult::kAccepted;
+      case OrderResult::kUnknown:
+        return SentOrderResult::kUnanswered;
+      default:
+        return SentOrderResult::kRefused;
+    }
+  }();
+  m_orders.OnOrderResult(now, call, sent_result);
+  if (result == OrderResult::kStaleFencingToken) {
+    m_orders.Erase(call.server);
+    m_coordination.OnFencingTokenRejected(now);
   }
-  // The server's order sequence number may differ from the one known here.
-  PollOrderState(order.server, result == OrderResult::kConflict);
+  if (m_coordination.is_coordinator())
+    SendDueOrders(now);
 }
 
-void GatewayCore::PollOrderState(const std::string& server, bool resend) {
-  const auto found = servers().find(server);
+void GatewayCore::RequestOrderReport(const OrderCall& call) {
+  const auto found = servers().find(call.server);
   if (found == servers().end()) {
-    m_orders.erase(server);
+    boost::asio::post(m_io,
+                      [this, call] { OnOrderReport(call, std::nullopt); });
     return;
   }
   m_server_client.Call(
-      found->second.address, m_dialect->WriteReportRequest(server),
+      found->second.address, m_dialect->WriteReportRequest(call.server),
       kOrderTimeout,
-      [this, server, resend,
+      [this, call,
        process = found->second.process()](const CallResult& result) {
         OnControlAnswer(process, result);
-        OnOrderState(server, m_dialect->ReadReport(result), resend);
+        OnOrderReport(call, m_dialect->ReadReport(result));
       });
 }
 
-void GatewayCore::OnOrderState(const std::string& server,
-                               const std::optional<ServerReport>& report,
-                               bool resend) {
-  Log("order_state", {{"server", server},
+void GatewayCore::OnOrderReport(const OrderCall& call,
+                                const std::optional<ServerReport>& report) {
+  Log("order_state", {{"server", call.server},
                       {"known", report ? "1" : "0"},
                       {"seq", std::to_string(report ? report->order_seq : 0)},
                       {"busy", report && report->busy ? "1" : "0"}});
-  const auto order = m_orders.find(server);
-  if (!report || order == m_orders.end() || !m_coordination.is_coordinator())
-    return;
   const TimePoint now = Now();
-  const bool seq_differs = m_order_seq[server] != report->order_seq;
-  m_order_seq[server] = report->order_seq;
-  if (report->layers)
-    m_coordination.OnLayersReported(now, server, *report->layers);
-  const bool done = report->layers == order->second.layers;
-  const bool abandoned =
-      !report->busy && now - order->second.send_at > kMaxReportAge;
-  if (!done && resend && seq_differs && !report->busy) {
-    SendOrder({server, order->second.layers});
-  } else if (done || abandoned) {
-    m_orders.erase(order);
-    PublishOrders();
-  }
-  RunActions();
+  std::optional<OrderReport> order_report;
+  if (report)
+    order_report = {report->order_seq, report->busy, report->layers};
+  m_orders.OnReport(now, call, order_report);
+  if (!m_coordination.is_coordinator())
+    return;
+  if (report && report->layers)
+    m_reported_layers[call.server] = *report->layers;
+  SendDueOrders(now);
 }
 
 }  // namespace trefoilwick::detail
