Placement plan: distribute layers with a heap; times by fleet size

Each layer was given to a server by a scan of the whole group, in each of some 400 trial distributions: a plan for 3,000 servers took 3.5 s, every 200 ms, and the coordinator did nothing else meanwhile. With a heap it takes 57 to 120 ms. A choice of path does without a map of all candidates by id and reads loads in the order of the servers: 0.55 ms at 3,000 servers instead of 2.0 ms, measured by layer_path_measure_test on a machine with other work.

--- a/src/layer_path.cc
+++ b/src/layer_path.cc
@@ -195,6 +195,8 @@
                                       const PathRequest& request,
                                       double utilization_limit) {
   std::vector<Candidate> out;
+  // Both maps are in the order of ids.
+  auto load = loads.begin();
   for (const auto& [id, server] : servers) {
     if (server.service != request.service || !server.layers ||
         request.excluded.contains(id) || !FitsModel(engine, server))
@@ -206,10 +208,12 @@
     const AcceleratorKind* kind = FindAcceleratorKind(engine, server.kind);
     if (kind == nullptr)
       continue;
-    const auto load = loads.find(id);
+    while (load != loads.end() && load->first < id)
+      ++load;
     Candidate candidate = MakeCandidate(
         engine, server, *kind,
-        load == loads.end() ? ServerLoad{} : load->second, request);
+        load == loads.end() || load->first != id ? ServerLoad{} : load->second,
+        request);
     // At least one layer must fit; ChooseAmong() checks the whole stage.
     if (!is_pinned && ExpectedUtilization(engine, candidate, request.tokens) >
                           utilization_limit)
@@ -372,12 +376,11 @@
         tiling->cost};
     if (choice.path.size() > kMaxPathStages)
       return std::nullopt;
-    std::map<std::string, const Candidate*> by_id;
-    for (const Candidate& candidate : candidates)
-      by_id[candidate.server->id] = &candidate;
     std::set<std::string> full_servers;
     for (const PathStage& stage : choice.path) {
-      const Candidate& candidate = *by_id[stage.server];
+      const int index =
+          tiling->server_by_layer[static_cast<size_t>(stage.layers.from)];
+      const Candidate& candidate = candidates[static_cast<size_t>(index)];
       choice.token_ms += candidate.step_ms_per_layer * stage.layers.size();
       const double utilization =
           Utilization(engine, candidate, request.tokens * stage.layers.size());
--- a/src/layer_path_placement.cc
+++ b/src/layer_path_placement.cc
@@ -89,20 +89,33 @@
     distributed += shares.back();
   }
   // The remaining layers go one by one to the server that keeps the largest
-  // token capacity.
-  for (; distributed < layer_count; ++distributed) {
-    int best = -1;
-    double best_tokens = -1;
-    for (size_t i = 0; i < group.size(); ++i) {
-      if (shares[i] >= group[i]->max_layers)
-        continue;
-      const double tokens = CapacityTokens(engine, *group[i], shares[i] + 1);
-      if (tokens > best_tokens) {
-        best_tokens = tokens;
-        best = static_cast<int>(i);
-      }
+  // token capacity, the first one of equal capacity. A heap has the candidates:
+  // with a scan for each layer a plan for 3,000 servers took 3.5 s.
+  struct NextLayer {
+    double tokens = 0;
+    size_t index = 0;
+    bool operator<(const NextLayer& other) const {
+      return tokens != other.tokens ? tokens < other.tokens
+                                    : index > other.index;
     }
-    ++shares[best];
+  };
+  std::vector<NextLayer> heap;
+  const auto next_layer = [&](size_t i) {
+    return NextLayer{CapacityTokens(engine, *group[i], shares[i] + 1), i};
+  };
+  if (distributed < layer_count)
+    for (size_t i = 0; i < group.size(); ++i)
+      if (shares[i] < group[i]->max_layers)
+        heap.push_back(next_layer(i));
+  std::make_heap(heap.begin(), heap.end());
+  for (; distributed < layer_count; ++distributed) {
+    std::pop_heap(heap.begin(), heap.end());
+    const size_t best = heap.back().index;
+    heap.pop_back();
+    if (++shares[best] >= group[best]->max_layers)
+      continue;
+    heap.push_back(next_layer(best));
+    std::push_heap(heap.begin(), heap.end());
   }
   return shares;
 }
