--- a/src/layer_path.cc
+++ b/src/layer_path.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <limits>
 
+#include "layer_path_tiling.h"
+
 namespace trefoilwick {
 
 namespace {
@@ -187,19 +189,14 @@
          kSharedLinkCostFactor * link_ms;
 }
 
-// Lowest cost of running all layers up to the end of a segment, with that
-// segment on a candidate.
-struct Cell {
-  double cost = kInfinity;
-  int previous = -1;
-};
-
 std::vector<Candidate> FindCandidates(const EngineModel& engine,
                                       const ServerMap& servers,
                                       const LoadMap& loads,
                                       const PathRequest& request,
                                       double utilization_limit) {
   std::vector<Candidate> out;
+  // Both maps are in the order of ids.
+  auto load = loads.begin();
   for (const auto& [id, server] : servers) {
     if (server.service != request.service || !server.layers ||
         request.excluded.contains(id) || !FitsModel(engine, server))
@@ -211,10 +208,12 @@
     const AcceleratorKind* kind = FindAcceleratorKind(engine, server.kind);
     if (kind == nullptr)
       continue;
-    const auto load = loads.find(id);
+    while (load != loads.end() && load->first < id)
+      ++load;
     Candidate candidate = MakeCandidate(
         engine, server, *kind,
-        load == loads.end() ? ServerLoad{} : load->second, request);
+        load == loads.end() || load->first != id ? ServerLoad{} : load->second,
+        request);
     // At least one layer must fit; ChooseAmong() checks the whole stage.
     if (!is_pinned && ExpectedUtilization(engine, candidate, request.tokens) >
                           utilization_limit)
@@ -224,14 +223,6 @@
   return out;
 }
 
-// A pinned first stage keeps exactly its layers on its server.
-bool MayRunLayer(const PathRequest& request, const std::string& id, int layer) {
-  if (!request.pinned_first_stage)
-    return true;
-  return request.pinned_first_stage->layers.Contains(layer) ==
-         (request.pinned_first_stage->server == id);
-}
-
 // Merges the stages of a server that a path leaves and returns to. The range of
 // the server is contiguous, so it can run the layers in between.
 LayerPath MergeRevisitedServers(const std::vector<int>& by_layer,
@@ -324,23 +315,6 @@
 
 namespace {
 
-// Layers at which a path may change servers: the ends of the ranges that the
-// candidates hold. Between two of them the cost per layer of a candidate is
-// constant.
-std::vector<int> SegmentBoundaries(const EngineModel& engine,
-                                   const PathRequest& request,
-                                   const std::vector<Candidate>& candidates) {
-  std::set<int> out = {0, engine.layers};
-  for (const Candidate& candidate : candidates)
-    out.insert({candidate.server->layers->from, candidate.server->layers->to});
-  if (request.pinned_first_stage)
-    out.insert({request.pinned_first_stage->layers.from,
-                request.pinned_first_stage->layers.to});
-  out.erase(out.begin(), out.find(0));
-  out.erase(out.upper_bound(engine.layers), out.end());
-  return {out.begin(), out.end()};
-}
-
 // Additional cost of a candidate as first stage, by its data center; null when
 // it must not be the first.
 std::optional<double> FirstStageCost(const PathRequest& request,
@@ -357,62 +331,32 @@
              : kRemoteEntryCost;
 }
 
-// Index of the candidate that runs each layer on the cheapest path, and the
-// cost of that path; null when there is none.
-std::optional<std::pair<std::vector<int>, double>> CheapestTiling(
+std::optional<detail::Tiling> CheapestTiling(
     const EngineModel& engine,
     const PathRequest& request,
     const std::vector<Candidate>& candidates) {
-  const std::vector<int> bounds =
-      SegmentBoundaries(engine, request, candidates);
-  const int count = static_cast<int>(candidates.size());
-  const size_t segments = bounds.size() - 1;
-  const double local_hop = HopCost(engine, request, true);
-  const double remote_hop = HopCost(engine, request, false);
-  std::vector<std::vector<Cell>> table(segments, std::vector<Cell>(count));
-  for (size_t segment = 0; segment < segments; ++segment) {
-    const int layer = bounds[segment];
-    const int size = bounds[segment + 1] - layer;
-    for (int candidate_index = 0; candidate_index < count; ++candidate_index) {
-      const Candidate& here = candidates[candidate_index];
-      if (!here.server->layers->Contains(layer) ||
-          !MayRunLayer(request, here.server->id, layer))
-        continue;
-      Cell& cell = table[segment][candidate_index];
-      if (segment == 0) {
-        if (const auto entry = FirstStageCost(request, here))
-          cell.cost = here.layer_cost * size + *entry;
-        continue;
-      }
-      for (int from = 0; from < count; ++from) {
-        const Cell& before = table[segment - 1][from];
-        if (before.cost == kInfinity)
-          continue;
-        double cost = before.cost + here.layer_cost * size;
-        if (from != candidate_index)
-          cost += here.pass_wait_cost + (candidates[from].server->data_center ==
-                                                 here.server->data_center
-                                             ? local_hop
-                                             : remote_hop);
-        if (cost < cell.cost)
-          cell = {cost, from};
-      }
-    }
-  }
-  const auto& last = table.back();
-  const auto best = std::min_element(
-      last.begin(), last.end(),
-      [](const Cell& a, const Cell& b) { return a.cost < b.cost; });
-  if (best == last.end() || best->cost == kInfinity)
-    return std::nullopt;
-  int candidate_index = static_cast<int>(best - last.begin());
-  std::vector<int> by_layer(static_cast<size_t>(engine.layers));
-  for (size_t segment = segments; segment-- > 0;) {
-    std::fill(by_layer.begin() + bounds[segment],
-              by_layer.begin() + bounds[segment + 1], candidate_index);
-    candidate_index = table[segment][candidate_index].previous;
+  detail::TilingProblem problem;
+  problem.layers = engine.layers;
+  problem.local_hop_cost = HopCost(engine, request, true);
+  problem.remote_hop_cost = HopCost(engine, request, false);
+  if (request.pinned_first_stage)
+    problem.pinned_layers = request.pinned_first_stage->layers;
+  std::map<std::string_view, int> data_centers;
+  problem.servers.reserve(candidates.size());
+  for (const Candidate& candidate : candidates) {
+    const BackendServer& server = *candidate.server;
+    const int data_center =
+        data_centers
+            .try_emplace(server.data_center,
+                         static_cast<int>(data_centers.size()))
+            .first->second;
+    problem.servers.push_back(
+        {*server.layers, data_center, candidate.layer_cost,
+         candidate.pass_wait_cost, FirstStageCost(request, candidate),
+         request.pinned_first_stage &&
+             server.id == request.pinned_first_stage->server});
   }
-  return std::make_pair(std::move(by_layer), best->cost);
+  return detail::FindCheapestTiling(problem);
 }
 
 // The cheapest path among the candidates on which no server exceeds
@@ -427,16 +371,16 @@
     const auto tiling = CheapestTiling(engine, request, candidates);
     if (!tiling)
       return std::nullopt;
-    PathChoice choice{MergeRevisitedServers(tiling->first, candidates), 0, 0,
-                      tiling->second};
+    PathChoice choice{
+        MergeRevisitedServers(tiling->server_by_layer, candidates), 0, 0,
+        tiling->cost};
     if (choice.path.size() > kMaxPathStages)
       return std::nullopt;
-    std::map<std::string, const Candidate*> by_id;
-    for (const Candidate& candidate : candidates)
-      by_id[candidate.server->id] = &candidate;
     std::set<std::string> full_servers;
     for (const PathStage& stage : choice.path) {
-      const Candidate& candidate = *by_id[stage.server];
+      const int index =
+          tiling->server_by_layer[static_cast<size_t>(stage.layers.from)];
+      const Candidate& candidate = candidates[static_cast<size_t>(index)];
       choice.token_ms += candidate.step_ms_per_layer * stage.layers.size();
       const double utilization =
           Utilization(engine, candidate, request.tokens * stage.layers.size());
