--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -200,6 +200,7 @@
   }
   if (verdict == SendVerdict::kShed) {
     m_shed = true;
+    m_refusal_reason = "the servers are short of capacity";
     if (!m_response_committed)
       m_queue_deadline =
           std::min(m_queue_deadline, m_start_time + kMaxShortageQueueTime);
@@ -625,6 +626,11 @@
   const Duration retry_delay =
       milliseconds(200 + 200 * std::min(m_rank, 4)) +
       Duration(static_cast<int64_t>(m_core.random().UniformDouble() * 300'000));
+  if (m_shed)
+    m_core.metrics()
+        .GetCounter("trefoilwick_shed_total",
+                    {{"service", m_service}, {"rank", std::to_string(m_rank)}})
+        .Add();
   const TimePoint now = m_core.Now();
   const Duration shortage_delay =
       m_shed ? m_core.overload().RetryAfter(now, m_deadline - now,
@@ -685,6 +691,8 @@
         .Record(m_first_event_at - m_start_time);
   m_core.Log("request", {{"id", m_request.attempt_id},
                          {"route", m_route ? m_route->name : ""},
+                         {"account", m_account},
+                         {"rank", std::to_string(m_rank)},
                          {"status", std::to_string(status)},
                          {"outcome", outcome},
                          {"server", m_server},
