--- a/src/gateway_session.cc
+++ b/src/gateway_session.cc
@@ -28,6 +28,15 @@
 // Stalled bodies are given up within this time.
 constexpr char kRetryAfterSeconds[] = "1";
 
+// Bytes of later requests that a connection may buffer: less when most of the
+// memory for clients is in use.
+size_t MaxBufferedBytes(GatewayCore& core) {
+  const size_t memory = core.settings().client_memory_bytes;
+  const bool is_scarce =
+      memory > 0 && core.client_budget().committed_bytes() > memory / 4 * 3;
+  return is_scarce ? kReadBufferBytes : kMaxPipelinedBytes;
+}
+
 }  // namespace
 
 ClientSession::ClientSession(GatewayCore& core,
@@ -71,8 +80,9 @@
 }
 
 void ClientSession::Read() {
-  if (m_reading || m_closed || m_buffer.size() > kMaxPipelinedBytes ||
-      IsReadingPaused() || m_closed)
+  if (m_reading || m_closed || IsReadingPaused() || m_closed ||
+      m_buffer.size() >
+          (m_exchange ? MaxBufferedBytes(m_core) : kMaxPipelinedBytes))
     return;
   m_reading = true;
   m_socket.async_read_some(
