--- a/src/layer_path_placement.cc
+++ b/src/layer_path_placement.cc
@@ -16,8 +16,9 @@
 using detail::ServerPlan;
 using detail::ServerPlans;
 
-// Token capacity that a data center keeps for each of its servers when it is
-// not known how long requests are. Memory beyond it holds layers a second time.
+// Token capacity that a data center keeps for each of its servers. Memory
+// beyond it holds layers a second time, as far as the sequences of the replicas
+// do not need it.
 constexpr double kMinTokensPerServer = 12'000;
 // A data center holds at least this share of the layers that fit; it holds
 // fewer than fit where that leaves more token capacity.
@@ -154,23 +155,25 @@
 }
 
 // Number of layers, counted once for each holder, that fit beside the token
-// capacity to keep: as much as the sequences need that the servers of a replica
-// may run at once. With less, memory is used up before the servers are, and
-// they preempt requests; with more, it stays unused.
+// capacity to keep: a minimum for each server, since servers hold whole layers,
+// and as much as the sequences need that the servers of a replica may run at
+// once. With less, memory is used up before the servers are, and they preempt
+// requests.
 double FittingLayers(const EngineModel& engine,
                      size_t servers,
                      double total_memory_mb) {
   const double token_mb = engine.kv_bytes_per_token / kBytesPerMb;
-  if (engine.max_sequences > 0 && engine.mean_prompt_tokens > 0) {
-    const double replica_tokens =
-        engine.max_sequences * ReservedTokens({engine.mean_prompt_tokens, 0, 0,
-                                               engine.mean_answer_tokens});
-    return total_memory_mb /
-           (engine.layer_mb + replica_tokens * token_mb / engine.layers);
-  }
   const double kept_mb =
       kMinTokensPerServer * static_cast<double>(servers) * token_mb;
-  return (total_memory_mb - kept_mb) / engine.layer_mb;
+  const double beside_minimum = (total_memory_mb - kept_mb) / engine.layer_mb;
+  if (engine.max_sequences <= 0 || engine.mean_prompt_tokens <= 0)
+    return beside_minimum;
+  const double replica_tokens =
+      engine.max_sequences * ReservedTokens({engine.mean_prompt_tokens, 0, 0,
+                                             engine.mean_answer_tokens});
+  return std::min(beside_minimum, total_memory_mb / (engine.layer_mb +
+                                                     replica_tokens * token_mb /
+                                                         engine.layers));
 }
 
 // Number of layers, counted once for each holder, that a group holds beside the
