Placement plan: try distributions by accelerator kind

The number of layers to hold is chosen from hundreds of distributions; servers of one kind have equal shares in each of them up to one layer.

--- a/src/layer_path_placement.cc
+++ b/src/layer_path_placement.cc
@@ -120,23 +120,90 @@
   return shares;
 }
 
-// Token capacity of the scarcest server of a distribution; negative when it is
-// empty.
+// Servers of one accelerator kind: a distribution gives them equal numbers of
+// layers, up to one.
+struct KindCount {
+  const ServerPlan* sample = nullptr;
+  int servers = 0;
+};
+
+std::vector<KindCount> CountKinds(const Group& group) {
+  std::map<const AcceleratorKind*, KindCount> by_kind;
+  for (const ServerPlan* plan : group) {
+    KindCount& count = by_kind[plan->kind];
+    count.sample = plan;
+    ++count.servers;
+  }
+  std::vector<KindCount> out;
+  for (const auto& [kind, count] : by_kind)
+    out.push_back(count);
+  return out;
+}
+
+// Token capacity of the scarcest server when DistributeLayers() distributes
+// `layer_count` layers; negative when their memory is too small. Works on kinds
+// instead of servers, since LayersToHold() tries hundreds of distributions.
 double MinCapacityTokens(const EngineModel& engine,
-                         const Group& group,
-                         const std::vector<int>& shares) {
-  if (shares.empty())
-    return -1;
+                         const std::vector<KindCount>& kinds,
+                         double total_memory_mb,
+                         int layer_count) {
+  struct Level {
+    const KindCount* kind = nullptr;
+    // Layers of the servers that have most, and the servers that have fewer.
+    int layers = 0;
+    int below = 0;
+  };
+  std::vector<Level> levels;
+  int remaining = layer_count;
+  for (const KindCount& kind : kinds) {
+    const double exact =
+        layer_count * kind.sample->kind->memory_mb / total_memory_mb;
+    const int share =
+        std::min(kind.sample->max_layers, static_cast<int>(exact));
+    levels.push_back({&kind, share, 0});
+    remaining -= share * kind.servers;
+  }
+  while (remaining > 0) {
+    Level* best = nullptr;
+    double best_tokens = -1;
+    for (Level& level : levels) {
+      const int next = level.below > 0 ? level.layers : level.layers + 1;
+      if (next > level.kind->sample->max_layers)
+        continue;
+      const double tokens = CapacityTokens(engine, *level.kind->sample, next);
+      if (tokens > best_tokens) {
+        best_tokens = tokens;
+        best = &level;
+      }
+    }
+    if (best == nullptr)
+      return -1;
+    if (best->below == 0) {
+      ++best->layers;
+      best->below = best->kind->servers;
+    }
+    const int taken = std::min(remaining, best->below);
+    best->below -= taken;
+    remaining -= taken;
+  }
   double min_tokens = -1;
-  for (size_t i = 0; i < group.size(); ++i) {
-    if (shares[i] == 0)
+  for (const Level& level : levels) {
+    if (level.layers == 0)
       continue;
-    const double tokens = CapacityTokens(engine, *group[i], shares[i]);
+    const double tokens =
+        CapacityTokens(engine, *level.kind->sample, level.layers);
     min_tokens = min_tokens < 0 ? tokens : std::min(min_tokens, tokens);
   }
   return min_tokens;
 }
 
+double TotalMemoryMb(const Group& group) {
+  double total = 0;
+  for (const ServerPlan* plan : group)
+    total += plan->kind->memory_mb;
+  return total;
+}
+
 // Token capacity of each layer, summed over the servers that it is planned for.
 std::vector<double> CapacityTokensByLayer(const EngineModel& engine,
                                           const Group& group) {
@@ -178,12 +245,11 @@
 // fit. Somewhat fewer when that leaves the scarcest server a larger token
 // capacity, since servers hold whole layers only.
 int LayersToHold(const EngineModel& engine, const Group& group) {
-  double total_memory_mb = 0;
+  const double total_memory_mb = TotalMemoryMb(group);
+  const std::vector<KindCount> kinds = CountKinds(group);
   int max_total = 0;
-  for (const ServerPlan* plan : group) {
-    total_memory_mb += plan->kind->memory_mb;
+  for (const ServerPlan* plan : group)
     max_total += plan->max_layers;
-  }
   const int fitting_layers =
       static_cast<int>(FittingLayers(engine, group.size(), total_memory_mb));
   const int min_layers = std::min(engine.layers, max_total);
@@ -192,8 +258,8 @@
   const int fewest =
       std::max(min_layers, static_cast<int>(best * kMinLayersShare));
   for (int layers = best; layers >= fewest; --layers) {
-    const double tokens = MinCapacityTokens(
-        engine, group, DistributeLayers(engine, group, layers));
+    const double tokens =
+        MinCapacityTokens(engine, kinds, total_memory_mb, layers);
     if (tokens > best_tokens) {
       best_tokens = tokens;
       best = layers;
@@ -494,7 +560,7 @@
   Group remaining;
   for (auto& [data_center, group] : by_data_center) {
     const double tokens = MinCapacityTokens(
-        engine, group, DistributeLayers(engine, group, engine.layers));
+        engine, CountKinds(group), TotalMemoryMb(group), engine.layers);
     if (tokens >= kMinStandaloneTokens)
       groups.push_back(group);
     else
