--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -111,6 +111,9 @@
   SendVerdict TrySend(const std::string& server);
   // Highest utilization of the servers of a path that the request may take.
   double UtilizationLimit() const;
+  // Leaves room for what other instances begin by the same sum of loads.
+  // Streams in progress do not share: they have their own limit.
+  void ShareRoom(double utilization_limit, PathRequest& path_request) const;
   SendVerdict ChooseEnginePath(const EngineModel& engine);
   // True when only the load of the servers keeps the request from a path.
   bool HasPathWhenIdle(const EngineModel& engine,
