--- a/src/layer_path_placement.cc
+++ b/src/layer_path_placement.cc
@@ -136,6 +136,7 @@
     ++count.servers;
   }
   std::vector<KindCount> out;
+  out.reserve(by_kind.size());
   for (const auto& [kind, count] : by_kind)
     out.push_back(count);
   return out;
