--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -30,6 +31,7 @@
 struct InstanceReport;
 struct LeavingMessage;
 struct LimitMessage;
+struct ListPartMessage;
 struct ServerListMessage;
 // A member without a report for this long does not count.
 inline constexpr Duration kMemberTimeout = std::chrono::milliseconds(1500);
@@ -63,9 +65,23 @@
   std::vector<QuarantineEntry> quarantine = {};
 };
 
+enum class PeerMessageType : uint8_t {
+  kReport,
+  kHeartbeat,
+  kServerList,
+  kListChanges,
+  kUnreachableServers,
+  kRefusingServers,
+  kSlowServers,
+  kConfiguration,
+  kInvalid,
+};
+const char* NameOf(PeerMessageType type);
+
 struct SendDatagram {
   std::string ip;
   std::string bytes;
+  PeerMessageType type = PeerMessageType::kInvalid;
 };
 struct ReadLease {};
 // Writes the lease if the row still has `expected_version`.
@@ -104,7 +120,8 @@
   static constexpr Duration kTickInterval = std::chrono::milliseconds(50);
 
   void OnTick(TimePoint now);
-  void OnDatagram(TimePoint now, const std::string& bytes);
+  // Returns the type of the message.
+  PeerMessageType OnDatagram(TimePoint now, const std::string& bytes);
   // `row` is null when the store did not answer.
   void OnLease(TimePoint now, const std::optional<LeaseRow>& row);
   void OnLeaseWritten(TimePoint now,
@@ -257,6 +274,33 @@
  private:
   friend class Builder;
   Coordination() = default;
+  struct ListUpdate {
+    int64_t version = 0;
+    PeerMessageType type = PeerMessageType::kServerList;
+    std::vector<std::string> datagrams;
+  };
+  // Change of the list; a version from `from` to `to` is the list before it.
+  struct ListStep {
+    int64_t from = 0;
+    int64_t to = 0;
+    std::set<std::string> changed;
+  };
+  // Parts of an update of which not all have come.
+  struct IncomingList {
+    int64_t fencing_token = 0;
+    int64_t version = 0;
+    int64_t base = 0;
+    int count = 0;
+    std::set<int> parts;
+    ServerMap servers;
+    std::vector<std::string> removed;
+  };
+  // Share of the rate of the link for one kind of message.
+  struct LinkBudget {
+    double share = 0;
+    double bytes = 0;
+    TimePoint refilled_at;
+  };
   struct Peer {
     ClusterMember member;
     int64_t list_version = 0;
@@ -271,6 +315,17 @@
     // instance can have acknowledged it.
     int64_t sent_list_version = 0;
     TimePoint list_sent_at;
+    // Datagrams of that update, and the first that is not sent yet. An update
+    // is finished before the next begins, so that changes that follow each
+    // other quickly do not keep a slow link from completing any.
+    std::shared_ptr<const ListUpdate> list_update;
+    size_t next_list_part = 0;
+    // Updates sent since the reported version last changed.
+    int list_updates_sent = 0;
+    int64_t config_version = 0;
+    int64_t sent_config_version = 0;
+    TimePoint config_sent_at;
+    bool got_all_loads = false;
   };
   struct UnreachableMark {
     TimePoint since;
@@ -282,7 +337,24 @@
                                       const std::string& server,
                                       const UnreachableMark& mark) const;
 
-  void SetClusterLoads(TimePoint now, const LoadMap& sum);
+  // Loads of servers outside of `data_centers` (null for all) are kept.
+  void SetClusterLoads(
+      TimePoint now,
+      const LoadMap& sum,
+      const std::optional<std::set<std::string>>& data_centers);
+  void SetStoredServers(int64_t version, ServerMap servers);
+  // Update of the list for an instance with `version`, or the whole list.
+  std::shared_ptr<const ListUpdate> ListUpdateFrom(TimePoint now,
+                                                   int64_t version);
+  void HandleListPart(TimePoint now, const detail::ListPartMessage& part);
+  // Sends configurations and, after them, lists to the instances that report
+  // older ones.
+  void RelayUpdates(TimePoint now);
+  // Instances wait for the configuration that this one has yet to send them.
+  bool IsSendingConfiguration(TimePoint now) const;
+  // The coordinator is known to be sending a newer list, or had no newer one a
+  // short time ago.
+  bool AwaitsList(TimePoint now) const;
   LoadMap EstimateUnreportedPeerLoads(TimePoint now) const;
   // Other instances of this data center that accept requests.
   size_t PeersInDataCenter(TimePoint now) const;
@@ -364,11 +436,10 @@
   void SendReport(TimePoint now);
   void SendHeartbeats(TimePoint now);
   void SendList(TimePoint now, const std::string& ip, Peer& peer);
-  void SendConfiguration(TimePoint now, const std::string& ip);
-  // Takes `bytes` from the part of the link's rate that is reserved for passing
-  // on lists and configurations. Returns false and takes nothing when they do
-  // not fit.
-  bool TryConsumeLinkBudget(TimePoint now, size_t bytes);
+  void SendConfiguration(TimePoint now, const std::string& ip, Peer& peer);
+  // Takes `bytes` from the budget of one kind of message. Returns false and
+  // takes nothing when they do not fit.
+  bool TryConsumeLinkBudget(TimePoint now, LinkBudget& budget, size_t bytes);
   // True when an instance with a much smaller processor share coordinates and
   // this one is first in the take-over order.
   bool ShouldReplaceCoordinator(TimePoint now) const;
@@ -376,7 +447,7 @@
   void FollowCoordinator(TimePoint now, const LeaseRow& row);
   void StepDown(TimePoint now);
   void ReadListIfStale(TimePoint now);
-  void Broadcast(TimePoint now, const std::string& bytes);
+  void Broadcast(TimePoint now, PeerMessageType type, const std::string& bytes);
   void RemoveExpiredHealthState(TimePoint now);
   void UpdateMajorityUnreachable(TimePoint now,
                                  const std::set<std::string>& servers);
@@ -412,8 +483,12 @@
   int m_heartbeat_count = 0;
   // 0 when the rate of the link is not known.
   double m_link_bytes_per_second = 0;
-  double m_link_budget_bytes = 0;
-  TimePoint m_link_budget_refilled_at;
+  // Instances need a configuration first, then the list, then loads. Each kind
+  // has its own bound, so that none waits for ever; the rest is for streams.
+  LinkBudget m_config_budget{0.35, 0, {}};
+  LinkBudget m_list_budget{0.25, 0, {}};
+  LinkBudget m_load_budget{0.2, 0, {}};
+  uint64_t m_heartbeat_round = 0;
   TimePoint m_following_since;
   bool m_replacing_coordinator = false;
 
@@ -431,9 +506,16 @@
       std::make_shared<const ServerMap>();
   std::map<std::string, LayerRange> m_placement_orders;
   int64_t m_list_version = 0;
-  // Encoded server list, as of `m_list_encoded_at`.
-  std::string m_list_message;
+  // Newest version of the store at which the list was still the same.
+  int64_t m_list_confirmed_version = 0;
+  std::deque<ListStep> m_list_steps;
+  // Encoded updates by the version that they start from (0 for whole lists),
+  // as of `m_list_encoded_at`.
+  std::map<int64_t, std::shared_ptr<const ListUpdate>> m_list_updates;
   TimePoint m_list_encoded_at;
+  IncomingList m_incoming_list;
+  // Since when the coordinator names a newer list.
+  std::optional<TimePoint> m_list_behind_since;
   TimePoint m_list_fresh_at;
   bool m_list_call_pending = false;
   int m_list_failures = 0;
--- a/src/cluster.thrift
+++ b/src/cluster.thrift
@@ -178,6 +178,11 @@
   23: list<LeavingServer> leaving
   // Of all instances that see a shortage of capacity, the largest entries.
   24: list<Demand> demand
+  // Data centers whose servers' loads are in `loads`; those of other data
+  // centers are as before. Unset when `loads` has all.
+  25: optional list<string> load_data_centers
+  // The sender has not sent the configuration to all instances yet.
+  26: bool sending_configuration
 }
 
 struct Server {
@@ -202,6 +207,25 @@
   4: list<Server> servers
 }
 
+// Part of an update of the server list to `version`. The update counts when all
+// parts have come.
+struct ListPart {
+  // Fencing token.
+  1: i64 fence
+  2: i64 version
+  3: i32 age_ms
+  // Oldest version that the changes apply to; 0 when the parts are the whole
+  // list.
+  4: i64 base
+  5: i32 index
+  6: i32 count
+  // New and changed servers.
+  7: list<Server> servers
+  8: list<string> removed
+  // Hash of the whole list of `version`.
+  9: i64 digest
+}
+
 // The configuration, from the coordinator to an instance with an older one.
 struct Configuration {
   1: i64 version
@@ -230,4 +254,5 @@
   7: optional binary packed
   // Servers whose slowdown an instance just read.
   8: optional list<SlowServer> slow
+  9: optional ListPart list_part
 }
--- a/src/cluster_codec.cc
+++ b/src/cluster_codec.cc
@@ -260,11 +260,15 @@
   return out;
 }
 
+// Messages that compression does not make smaller are sent as they are: the
+// stored block that deflate makes of a short one is not read back.
 std::string EncodeCompressed(const wire::Message& message) {
+  std::string bytes = Encode(message);
   wire::Message compressed;
-  compressed.packed = Deflate(Encode(message));
+  compressed.packed = Deflate(bytes);
   compressed.__isset.packed = true;
-  return Encode(compressed);
+  std::string packed = Encode(compressed);
+  return packed.size() < bytes.size() ? packed : bytes;
 }
 
 std::vector<wire::Order> ToWire(
@@ -306,16 +310,17 @@
   out.limits = FromWire(heartbeat.limits);
   out.leaving = FromWire(heartbeat.leaving);
   out.demand = FromWire(heartbeat.demand);
+  if (heartbeat.__isset.load_data_centers)
+    out.load_data_centers.emplace(heartbeat.load_data_centers.begin(),
+                                  heartbeat.load_data_centers.end());
+  out.sending_configuration = heartbeat.sending_configuration;
   return out;
 }
 
-ServerListMessage FromWire(const wire::ServerList& list) {
-  ServerListMessage out;
-  out.fencing_token = list.fence;
-  out.version = list.version;
-  out.age = std::chrono::milliseconds(list.age_ms);
-  for (const wire::Server& item : list.servers) {
-    BackendServer& server = out.servers[item.id];
+ServerMap FromWire(const std::vector<wire::Server>& servers) {
+  ServerMap out;
+  for (const wire::Server& item : servers) {
+    BackendServer& server = out[item.id];
     server.id = item.id;
     server.service = item.service_name;
     server.address = item.address;
@@ -329,6 +334,36 @@
   return out;
 }
 
+std::vector<wire::Server> ToWire(const ServerMap& servers) {
+  std::vector<wire::Server> out;
+  out.reserve(servers.size());
+  for (const auto& [id, server] : servers) {
+    wire::Server& item = out.emplace_back();
+    item.id = id;
+    item.service_name = server.service;
+    item.address = server.address;
+    item.data_center = server.data_center;
+    item.draining = server.state == ServerState::kDraining;
+    item.kind = server.kind;
+    item.layer_from = server.layers ? server.layers->from : 0;
+    item.layer_to = server.layers ? server.layers->to : 0;
+    item.born = server.start_unix_ms;
+  }
+  return out;
+}
+
+ListPartMessage FromWire(const wire::ListPart& part) {
+  return {part.fence,
+          part.version,
+          std::chrono::milliseconds(part.age_ms),
+          part.base,
+          part.index,
+          part.count,
+          FromWire(part.servers),
+          part.removed,
+          static_cast<uint64_t>(part.digest)};
+}
+
 }  // namespace
 
 void ServerIdDictionary::Update(const ServerMap& servers) {
@@ -420,6 +455,10 @@
   out.limits = ToWire(heartbeat.limits);
   out.leaving = ToWire(heartbeat.leaving);
   out.demand = ToWire(heartbeat.demand);
+  if (heartbeat.load_data_centers)
+    out.__set_load_data_centers({heartbeat.load_data_centers->begin(),
+                                 heartbeat.load_data_centers->end()});
+  out.sending_configuration = heartbeat.sending_configuration;
   message.__isset.beat = true;
   return Encode(message);
 }
@@ -430,22 +469,42 @@
   out.fence = list.fencing_token;
   out.version = list.version;
   out.age_ms = static_cast<int32_t>(ToMilliseconds(list.age));
-  for (const auto& [id, server] : list.servers) {
-    wire::Server& item = out.servers.emplace_back();
-    item.id = id;
-    item.service_name = server.service;
-    item.address = server.address;
-    item.data_center = server.data_center;
-    item.draining = server.state == ServerState::kDraining;
-    item.kind = server.kind;
-    item.layer_from = server.layers ? server.layers->from : 0;
-    item.layer_to = server.layers ? server.layers->to : 0;
-    item.born = server.start_unix_ms;
-  }
+  out.servers = ToWire(list.servers);
   message.__isset.servers = true;
   return EncodeCompressed(message);
 }
 
+std::string EncodeListPart(const ListPartMessage& part) {
+  wire::Message message;
+  wire::ListPart& out = message.list_part;
+  out.fence = part.fencing_token;
+  out.version = part.version;
+  out.age_ms = ToWireMilliseconds(part.age);
+  out.base = part.base;
+  out.index = part.index;
+  out.count = part.count;
+  out.servers = ToWire(part.servers);
+  out.removed = part.removed;
+  out.digest = static_cast<int64_t>(part.digest);
+  message.__isset.list_part = true;
+  return EncodeCompressed(message);
+}
+
+uint64_t DigestOf(const ServerMap& servers) {
+  uint64_t hash = servers.size();
+  for (const auto& [id, server] : servers) {
+    const LayerRange layers = server.layers.value_or(LayerRange{});
+    for (const std::string& text :
+         {id, server.service, server.address, server.data_center, server.kind})
+      hash = StableHash(text, hash);
+    for (const int64_t number :
+         {int64_t{server.state == ServerState::kDraining}, int64_t{layers.from},
+          int64_t{layers.to}, server.start_unix_ms})
+      hash = StableHash(std::to_string(number), hash);
+  }
+  return hash;
+}
+
 std::string EncodeUnreachableServers(const std::vector<std::string>& servers) {
   wire::Message message;
   message.lost = servers;
@@ -496,7 +555,11 @@
   if (message.__isset.beat)
     return FromWire(message.beat, dictionary);
   if (message.__isset.servers)
-    return FromWire(message.servers);
+    return ServerListMessage{message.servers.fence, message.servers.version,
+                             std::chrono::milliseconds(message.servers.age_ms),
+                             FromWire(message.servers.servers)};
+  if (message.__isset.list_part)
+    return FromWire(message.list_part);
   if (message.__isset.lost)
     return UnreachableServersMessage{message.lost};
   if (message.__isset.refusing)
--- a/src/cluster_codec.h
+++ b/src/cluster_codec.h
@@ -102,6 +102,10 @@
   std::vector<ClusterMember> members;
   // Null when the loads refer to a list that the receiver does not know.
   std::optional<LoadMap> loads;
+  // Data centers whose loads are in `loads`; null when all are.
+  std::optional<std::set<std::string>> load_data_centers;
+  // The sender has not sent the configuration to all instances yet.
+  bool sending_configuration = false;
   std::set<std::string> unreachable_servers;
   bool store_reachable = true;
   std::map<std::string, LayerRange> placement_orders;
@@ -132,6 +136,22 @@
   ServerMap servers;
 };
 
+// Part of an update of the server list to `version`.
+struct ListPartMessage {
+  int64_t fencing_token = 0;
+  int64_t version = 0;
+  Duration age{0};
+  // Oldest version that the changes apply to; 0 for a whole list.
+  int64_t base = 0;
+  int index = 0;
+  int count = 1;
+  // New and changed servers.
+  ServerMap servers;
+  std::vector<std::string> removed;
+  // Of the whole list of `version`.
+  uint64_t digest = 0;
+};
+
 struct UnreachableServersMessage {
   std::vector<std::string> servers;
 };
@@ -157,13 +177,16 @@
                                     UnreachableServersMessage,
                                     RefusingServersMessage,
                                     SlowServersMessage,
-                                    ConfigurationMessage>;
+                                    ConfigurationMessage,
+                                    ListPartMessage>;
 
 std::string EncodeReport(const InstanceReport& report,
                          const ServerIdDictionary& dictionary);
 std::string EncodeHeartbeat(const CoordinatorHeartbeat& heartbeat,
                             const ServerIdDictionary& dictionary);
 std::string EncodeServerList(const ServerListMessage& list);
+std::string EncodeListPart(const ListPartMessage& part);
+uint64_t DigestOf(const ServerMap& servers);
 std::string EncodeUnreachableServers(const std::vector<std::string>& servers);
 std::string EncodeRefusingServers(const std::vector<std::string>& servers);
 std::string EncodeSlowServers(const std::map<std::string, double>& slowdowns);
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -158,6 +158,7 @@
   if (m_is_coordinator) {
     UpdateSums(now);
     RenewLease(now);
+    RelayUpdates(now);
     if (now >= m_next_heartbeat)
       SendHeartbeats(now);
   } else {
@@ -346,7 +347,7 @@
   if (m_list_call_pending || now < m_next_list_call)
     return;
   const bool stale = ServerListAge(now) > kMaxListAge;
-  if (!m_is_coordinator && !stale)
+  if (!m_is_coordinator && (!stale || AwaitsList(now)))
     return;
   m_list_call_pending = true;
   m_next_list_call = now + kListReadInterval;
@@ -363,15 +364,17 @@
   m_list_fresh_at = std::max(m_list_fresh_at, requested_at);
   if (version < m_list_version ||
       (m_list_version > 0 && servers == *m_stored_servers)) {
+    if (version >= m_list_version)
+      m_list_confirmed_version = std::max(m_list_confirmed_version, version);
     UpdateServers(now);
     return;
   }
-  m_list_version = version;
-  m_stored_servers = std::make_shared<const ServerMap>(std::move(servers));
-  m_list_message.clear();
+  SetStoredServers(version, std::move(servers));
   UpdateServers(now);
-  if (m_is_coordinator)
+  if (m_is_coordinator) {
+    RelayUpdates(now);
     SendHeartbeats(now);
+  }
 }
 
 void Coordination::SetPlacementOrders(
@@ -386,7 +389,6 @@
 }
 
 void Coordination::UpdateServers(TimePoint now) {
-  m_server_ids->Update(*m_stored_servers);
   auto servers = std::make_shared<ServerMap>(*m_stored_servers);
   for (auto& [id, server] : *servers)
     if (m_availability.leaving().Contains(now, server.process()))
@@ -433,9 +435,7 @@
     m_config_message.clear();
   if (!m_is_coordinator)
     return;
-  for (const auto& [ip, peer] : m_peers)
-    if (now - peer.last_report_at <= detail::kMemberTimeout)
-      SendConfiguration(now, ip);
+  RelayUpdates(now);
 }
 
 void Coordination::OnConfigurationReadFailed(TimePoint now) {
@@ -480,9 +480,23 @@
   return out;
 }
 
-void Coordination::SetClusterLoads(TimePoint now, const LoadMap& sum) {
-  m_cluster_loads = sum;
-  m_own_loads_in_cluster_sum = m_reported_loads;
+void Coordination::SetClusterLoads(
+    TimePoint now,
+    const LoadMap& sum,
+    const std::optional<std::set<std::string>>& data_centers) {
+  const auto is_kept = [&](const auto& entry) {
+    const auto server = m_listed_servers->find(entry.first);
+    return data_centers && server != m_listed_servers->end() &&
+           !data_centers->contains(server->second.data_center);
+  };
+  const auto replace = [&](LoadMap& loads, const LoadMap& newer) {
+    std::erase_if(loads, [&](const auto& entry) { return !is_kept(entry); });
+    for (const auto& entry : newer)
+      if (!is_kept(entry))
+        loads.insert(entry);
+  };
+  replace(m_cluster_loads, sum);
+  replace(m_own_loads_in_cluster_sum, m_reported_loads);
   m_cluster_loads_at = now;
 }
 
--- a/src/coordination_messages.cc
+++ b/src/coordination_messages.cc
@@ -21,13 +21,13 @@
 // A coordinator that has had no answer from the store for this long says so in
 // its heartbeats, so that the others read the configuration themselves in time.
 constexpr Duration kStoreAnswerTimeout = milliseconds(1100);
-// Lists and configurations that the coordinator passes on take at most a
-// quarter of the link's rate, in bursts of at most this long, because
-// heartbeats and streams share the link.
-constexpr double kRelayLinkShare = 0.25;
+// Heartbeats carry the loads of the receiver's own data center, and those of
+// all data centers at each multiple of this: most paths stay inside one data
+// center.
+constexpr uint64_t kHeartbeatsPerAllLoads = 4;
+// What the coordinator sends of one kind is sent in bursts of at most this long
+// at the rate of the link, because streams share the link.
 constexpr Duration kMaxRelayBurst = milliseconds(100);
-// Longer than the time from sending a list to the next report of its receiver.
-constexpr Duration kListResendInterval = milliseconds(700);
 // Layers that a server reported take precedence over the server list for longer
 // than the list lags behind.
 constexpr Duration kReportedLayersTtl = seconds(3);
@@ -38,22 +38,25 @@
 
 }  // namespace
 
-bool Coordination::TryConsumeLinkBudget(TimePoint now, size_t bytes) {
+bool Coordination::TryConsumeLinkBudget(TimePoint now,
+                                        LinkBudget& budget,
+                                        size_t bytes) {
   if (m_link_bytes_per_second <= 0)
     return true;
   const auto elapsed_seconds =
-      static_cast<double>((now - m_link_budget_refilled_at).count()) / 1e6;
-  const double max_budget_bytes = m_link_bytes_per_second *
-                                  static_cast<double>(kMaxRelayBurst.count()) /
-                                  1e6;
-  m_link_budget_bytes =
-      std::min(max_budget_bytes, m_link_budget_bytes + m_link_bytes_per_second *
-                                                           kRelayLinkShare *
-                                                           elapsed_seconds);
-  m_link_budget_refilled_at = now;
-  if (m_link_budget_bytes < static_cast<double>(bytes))
+      static_cast<double>((now - budget.refilled_at).count()) / 1e6;
+  // A whole datagram must fit on a slow link as well.
+  const double max_bytes = std::max<double>(
+      detail::kMaxDatagramBytes,
+      m_link_bytes_per_second * static_cast<double>(kMaxRelayBurst.count()) /
+          1e6);
+  budget.bytes =
+      std::min(max_bytes, budget.bytes + m_link_bytes_per_second *
+                                             budget.share * elapsed_seconds);
+  budget.refilled_at = now;
+  if (budget.bytes < static_cast<double>(bytes))
     return false;
-  m_link_budget_bytes -= static_cast<double>(bytes);
+  budget.bytes -= static_cast<double>(bytes);
   return true;
 }
 
@@ -69,18 +72,12 @@
     m_next_heartbeat = now;
 }
 
-void Coordination::SendConfiguration(TimePoint now, const std::string& ip) {
-  // An instance that does not receive it reads it from the store when a
-  // heartbeat names the version.
-  if (!m_config_message.empty() &&
-      TryConsumeLinkBudget(now, m_config_message.size()))
-    m_actions.emplace_back(SendDatagram{ip, m_config_message});
-}
-
-void Coordination::Broadcast(TimePoint now, const std::string& bytes) {
+void Coordination::Broadcast(TimePoint now,
+                             PeerMessageType type,
+                             const std::string& bytes) {
   for (const ClusterMember& member : Members(now))
     if (member.ip != m_ip)
-      m_actions.emplace_back(SendDatagram{member.ip, bytes});
+      m_actions.emplace_back(SendDatagram{member.ip, bytes, type});
 }
 
 DemandRates Coordination::ClusterDemand(TimePoint now) const {
@@ -113,7 +110,8 @@
   report.demand = LargestDemand(m_local_demand, kMaxDemandEntries);
   m_reported_sends = m_local_sends;
   m_actions.emplace_back(SendDatagram{
-      m_coordinator_ip, detail::EncodeReport(report, *m_server_ids)});
+      m_coordinator_ip, detail::EncodeReport(report, *m_server_ids),
+      PeerMessageType::kReport});
 }
 
 void Coordination::SendHeartbeats(TimePoint now) {
@@ -131,6 +129,7 @@
       ++m_heartbeat_count % kHeartbeatsPerMemberList == 0)
     heartbeat.members = Members(now);
   heartbeat.loads = Loads(now);
+  heartbeat.sending_configuration = IsSendingConfiguration(now);
   for (const auto& [server, mark] : m_unreachable_marks)
     if (mark.until > now && AssessUnreachableServer(now, server, mark) !=
                                 LossVerdict::kContradicted)
@@ -152,36 +151,53 @@
   heartbeat.quarantine = m_quarantine.List(now);
   heartbeat.store_reachable =
       now - m_last_store_answer_at < kStoreAnswerTimeout;
-  const std::string bytes = detail::EncodeHeartbeat(heartbeat, *m_server_ids);
-  for (auto& [ip, peer] : m_peers) {
-    if (now - peer.last_report_at > detail::kMemberTimeout)
-      continue;
-    m_actions.emplace_back(SendDatagram{ip, bytes});
-    if (peer.list_version < m_list_version)
-      SendList(now, ip, peer);
-  }
-}
-
-void Coordination::SendList(TimePoint now, const std::string& ip, Peer& peer) {
-  if (peer.sent_list_version == m_list_version &&
-      now - peer.list_sent_at < kListResendInterval)
-    return;
-  // Encoded once for all instances that it is sent to at the same time.
-  if (m_list_message.empty() || m_list_encoded_at != now) {
-    m_list_encoded_at = now;
-    m_list_message =
-        detail::EncodeServerList({m_fencing_token, m_list_version,
-                                  ServerListAge(now), *m_stored_servers});
+  // Encoded once for all receivers of the same loads.
+  using DataCenters = std::optional<std::set<std::string>>;
+  std::map<DataCenters, std::string> encoded;
+  const LoadMap all_loads = std::move(*heartbeat.loads);
+  const auto encode = [&](const DataCenters& data_centers) -> std::string& {
+    std::string& bytes = encoded[data_centers];
+    if (!bytes.empty())
+      return bytes;
+    heartbeat.load_data_centers = data_centers;
+    heartbeat.loads = all_loads;
+    std::erase_if(*heartbeat.loads, [&](const auto& entry) {
+      const auto server = m_listed_servers->find(entry.first);
+      return data_centers && server != m_listed_servers->end() &&
+             !data_centers->contains(server->second.data_center);
+    });
+    return bytes = detail::EncodeHeartbeat(heartbeat, *m_server_ids);
+  };
+  std::vector<std::pair<const std::string, Peer>*> receivers;
+  for (auto& entry : m_peers)
+    if (now - entry.second.last_report_at <= detail::kMemberTimeout)
+      receivers.push_back(&entry);
+  // Each heartbeat begins with other instances, so that a link that does not
+  // carry all loads leaves out each of them as often.
+  ++m_heartbeat_round;
+  if (!receivers.empty())
+    std::rotate(receivers.begin(),
+                receivers.begin() + static_cast<std::ptrdiff_t>(
+                                        StableHash(m_ip, m_heartbeat_round) %
+                                        receivers.size()),
+                receivers.end());
+  for (auto* entry : receivers) {
+    auto& [ip, peer] = *entry;
+    const bool all =
+        !peer.got_all_loads ||
+        (m_heartbeat_round + StableHash(ip)) % kHeartbeatsPerAllLoads == 0;
+    // Servers without a data center belong to all.
+    const DataCenters data_centers =
+        all ? std::nullopt
+            : DataCenters({std::string(), peer.member.data_center});
+    const std::string* bytes = &encode(data_centers);
+    if (TryConsumeLinkBudget(now, m_load_budget, bytes->size()))
+      peer.got_all_loads |= all;
+    else
+      bytes = &encode(std::set<std::string>());
+    m_actions.emplace_back(
+        SendDatagram{ip, *bytes, PeerMessageType::kHeartbeat});
   }
-  const std::string& bytes = m_list_message;
-  // An instance that does not receive the list reads it from the store when its
-  // own is too old.
-  if (bytes.size() > detail::kMaxDatagramBytes ||
-      !TryConsumeLinkBudget(now, bytes.size()))
-    return;
-  peer.sent_list_version = m_list_version;
-  peer.list_sent_at = now;
-  m_actions.emplace_back(SendDatagram{ip, bytes});
 }
 
 void Coordination::HandleReport(TimePoint now,
@@ -189,10 +205,12 @@
   if (!m_is_coordinator)
     return;
   Peer& peer = m_peers[report.member.ip];
-  const bool list_outdated = report.list_version < m_list_version;
   const bool is_new = peer.last_report_at == TimePoint{};
   peer.member = report.member;
-  peer.list_version = report.list_version;
+  if (std::exchange(peer.list_version, report.list_version) !=
+      report.list_version)
+    peer.list_updates_sent = 0;
+  peer.config_version = report.config_version;
   peer.last_report_at = now;
   if (report.loads)
     peer.loads = *report.loads;
@@ -206,10 +224,10 @@
   HandleCrashes(now, report);
   HandleLimits(now, report);
   MergeLeaving(now, report.leaving);
-  if (is_new && list_outdated)
+  if (is_new) {
+    SendConfiguration(now, report.member.ip, peer);
     SendList(now, report.member.ip, peer);
-  if (is_new && report.config_version < m_config_version)
-    SendConfiguration(now, report.member.ip);
+  }
 }
 
 void Coordination::HandleHeartbeat(
@@ -229,8 +247,10 @@
     m_last_heartbeat_at = now;
   if (!heartbeat.members.empty())
     m_members = heartbeat.members;
-  if (heartbeat.loads && !heartbeat.sums_incomplete)
-    SetClusterLoads(now, *heartbeat.loads);
+  if (heartbeat.loads && !heartbeat.sums_incomplete &&
+      (!heartbeat.load_data_centers ||
+       heartbeat.load_data_centers->contains(m_data_center)))
+    SetClusterLoads(now, *heartbeat.loads, heartbeat.load_data_centers);
   m_cluster_demand = heartbeat.demand;
   m_cluster_demand_at = now;
   if (!heartbeat.sums_incomplete && !heartbeat.earlier_sends_unknown)
@@ -241,58 +261,81 @@
   if (std::exchange(m_suspects, heartbeat.suspects) != m_suspects)
     m_next_report = now;
   SetPlacementOrders(now, heartbeat.placement_orders);
+  std::map<std::string, LayerRange> previous_layers;
+  for (const auto& [server, reported] : m_reported_layers)
+    previous_layers[server] = reported.layers;
   m_reported_layers.clear();
   for (const auto& [server, layers] : heartbeat.reported_layers)
     m_reported_layers[server] = {layers, now + kReportedLayersTtl};
-  UpdateServers(now);
+  // Copies of the whole list with each heartbeat were most of the processor
+  // time of an instance with 3,000 servers.
+  if (previous_layers != heartbeat.reported_layers)
+    UpdateServers(now);
   UpdateMajorityUnreachable(now, heartbeat.unreachable_servers);
   // A list of the coordinator's version is also as fresh as the
   // coordinator's.
   if (m_list_version >= heartbeat.list_version && m_list_version > 0)
     m_list_fresh_at = std::max(m_list_fresh_at, now - heartbeat.list_age);
-  ReadConfigurationIfNewer(now, heartbeat.config_version);
+  if (m_list_version >= heartbeat.list_version)
+    m_list_behind_since.reset();
+  else if (!m_list_behind_since)
+    m_list_behind_since = now;
+  if (!heartbeat.sending_configuration)
+    ReadConfigurationIfNewer(now, heartbeat.config_version);
 }
 
 void Coordination::HandleServerList(TimePoint now,
                                     const detail::ServerListMessage& list) {
   if (list.version <= m_list_version)
     return;
-  m_list_version = list.version;
   m_list_fresh_at = std::max(m_list_fresh_at, now - list.age);
-  m_stored_servers = std::make_shared<const ServerMap>(list.servers);
+  SetStoredServers(list.version, list.servers);
   UpdateServers(now);
 }
 
-void Coordination::OnDatagram(TimePoint now, const std::string& bytes) {
+PeerMessageType Coordination::OnDatagram(TimePoint now,
+                                         const std::string& bytes) {
   const auto message = detail::DecodeClusterMessage(bytes, *m_server_ids);
   if (!message)
-    return;
-  std::visit(
+    return PeerMessageType::kInvalid;
+  return std::visit(
       Overloaded{
           [&](const detail::InstanceReport& report) {
             HandleReport(now, report);
+            return PeerMessageType::kReport;
           },
           [&](const detail::CoordinatorHeartbeat& heartbeat) {
             HandleHeartbeat(now, heartbeat);
+            return PeerMessageType::kHeartbeat;
           },
           [&](const detail::ServerListMessage& list) {
             HandleServerList(now, list);
+            return PeerMessageType::kServerList;
+          },
+          [&](const detail::ListPartMessage& part) {
+            HandleListPart(now, part);
+            return part.base > 0 ? PeerMessageType::kListChanges
+                                 : PeerMessageType::kServerList;
           },
           [&](const detail::RefusingServersMessage& refusing) {
             for (const std::string& server : refusing.servers)
               m_availability.cooldowns().RecordRefusal(server, now);
+            return PeerMessageType::kRefusingServers;
           },
           [&](const detail::SlowServersMessage& slow) {
             for (const auto& [server, slowdown] : slow.slowdowns)
               HandleSlowdownReport(now, server, slowdown);
+            return PeerMessageType::kSlowServers;
           },
           [&](const detail::ConfigurationMessage& configuration) {
             if (configuration.version > m_config_version)
               m_actions.emplace_back(ApplyConfiguration{configuration.row});
+            return PeerMessageType::kConfiguration;
           },
           [&](const detail::UnreachableServersMessage& unreachable) {
             for (const std::string& server : unreachable.servers)
               HandleUnreachableReport(now, server);
+            return PeerMessageType::kUnreachableServers;
           },
       },
       *message);
--- a/src/coordination_sends.cc
+++ b/src/coordination_sends.cc
@@ -138,7 +138,7 @@
   if (!HasCompleteSums())
     return;
   m_reported_loads = m_local_loads;
-  SetClusterLoads(now, Loads(now));
+  SetClusterLoads(now, Loads(now), std::nullopt);
   m_remote_sends = GetRemoteSends(now);
   m_unreported_sends = m_send_ledger.Unreported(now);
   m_sums_fencing_token = KnowsEarlierSends(now) ? m_fencing_token : 0;
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -224,8 +224,9 @@
         // Also when this step throws.
         const absl::Cleanup schedule_next = [this] { ReceiveDatagram(); };
         if (!error) {
-          m_coordination.OnDatagram(Now(),
-                                    std::string(m_peer_buffer.data(), count));
+          CountPeerMessage(m_coordination.OnDatagram(
+                               Now(), std::string(m_peer_buffer.data(), count)),
+                           "received", count);
           if (m_seen_servers != m_coordination.usable_servers())
             OnServersChanged();
           NotifyRequestsOfLostServers();
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -295,6 +295,14 @@
       });
 }
 
+void GatewayCore::CountPeerMessage(PeerMessageType type,
+                                   const char* direction,
+                                   size_t bytes) {
+  const Labels labels = {{"type", NameOf(type)}, {"direction", direction}};
+  m_metrics.GetCounter("trefoilwick_peer_bytes_total", labels).Add(bytes);
+  m_metrics.GetCounter("trefoilwick_peer_messages_total", labels).Add();
+}
+
 void GatewayCore::CountRejected(int status) {
   m_metrics
       .GetCounter("trefoilwick_rejected_total",
@@ -395,6 +403,7 @@
             [&](SendDatagram& send) {
               error_code error;
               const auto ip = asio::ip::make_address_v4(send.ip, error);
+              CountPeerMessage(send.type, "sent", send.bytes.size());
               if (!error)
                 m_peer_socket.send_to(asio::buffer(send.bytes),
                                       udp::endpoint(ip, m_settings.peer_port),
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -183,6 +183,9 @@
   std::string DirectoryResponse(const std::string& data_center);
   bool IsReady() const;
   void ReceiveDatagram();
+  void CountPeerMessage(PeerMessageType type,
+                        const char* direction,
+                        size_t bytes);
   void ScheduleTick();
   void Tick();
   void DetectSuspension(TimePoint now);
--- a/src/gen/cluster_types.cpp
+++ b/src/gen/cluster_types.cpp
@@ -2341,6 +2341,15 @@
 void Beat::__set_demand(const std::vector<Demand> & val) {
   this->demand = val;
 }
+
+void Beat::__set_load_data_centers(const std::vector<std::string> & val) {
+  this->load_data_centers = val;
+__isset.load_data_centers = true;
+}
+
+void Beat::__set_sending_configuration(const bool val) {
+  this->sending_configuration = val;
+}
 std::ostream& operator<<(std::ostream& out, const Beat& obj)
 {
   obj.printTo(out);
@@ -2693,6 +2702,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->load_data_centers.clear();
+            uint32_t _size157;
+            ::apache::thrift::protocol::TType _etype160;
+            xfer += iprot->readListBegin(_etype160, _size157);
+            this->load_data_centers.resize(_size157);
+            uint32_t _i161;
+            for (_i161 = 0; _i161 < _size157; ++_i161)
+            {
+              xfer += iprot->readString(this->load_data_centers[_i161]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.load_data_centers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 26:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->sending_configuration);
+          this->__isset.sending_configuration = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2733,10 +2770,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<DataCenterMembers> ::const_iterator _iter157;
-    for (_iter157 = this->members.begin(); _iter157 != this->members.end(); ++_iter157)
+    std::vector<DataCenterMembers> ::const_iterator _iter162;
+    for (_iter162 = this->members.begin(); _iter162 != this->members.end(); ++_iter162)
     {
-      xfer += (*_iter157).write(oprot);
+      xfer += (*_iter162).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2745,10 +2782,10 @@
   xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loads.size()));
-    std::vector<Load> ::const_iterator _iter158;
-    for (_iter158 = this->loads.begin(); _iter158 != this->loads.end(); ++_iter158)
+    std::vector<Load> ::const_iterator _iter163;
+    for (_iter163 = this->loads.begin(); _iter163 != this->loads.end(); ++_iter163)
     {
-      xfer += (*_iter158).write(oprot);
+      xfer += (*_iter163).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2757,10 +2794,10 @@
   xfer += oprot->writeFieldBegin("down", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->down.size()));
-    std::vector<std::string> ::const_iterator _iter159;
-    for (_iter159 = this->down.begin(); _iter159 != this->down.end(); ++_iter159)
+    std::vector<std::string> ::const_iterator _iter164;
+    for (_iter164 = this->down.begin(); _iter164 != this->down.end(); ++_iter164)
     {
-      xfer += oprot->writeString((*_iter159));
+      xfer += oprot->writeString((*_iter164));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2773,10 +2810,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<Order> ::const_iterator _iter160;
-    for (_iter160 = this->orders.begin(); _iter160 != this->orders.end(); ++_iter160)
+    std::vector<Order> ::const_iterator _iter165;
+    for (_iter165 = this->orders.begin(); _iter165 != this->orders.end(); ++_iter165)
     {
-      xfer += (*_iter160).write(oprot);
+      xfer += (*_iter165).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2793,10 +2830,10 @@
   xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->held.size()));
-    std::vector<Order> ::const_iterator _iter161;
-    for (_iter161 = this->held.begin(); _iter161 != this->held.end(); ++_iter161)
+    std::vector<Order> ::const_iterator _iter166;
+    for (_iter166 = this->held.begin(); _iter166 != this->held.end(); ++_iter166)
     {
-      xfer += (*_iter161).write(oprot);
+      xfer += (*_iter166).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2821,10 +2858,10 @@
   xfer += oprot->writeFieldBegin("sends", ::apache::thrift::protocol::T_LIST, 18);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sends.size()));
-    std::vector<ServiceSends> ::const_iterator _iter162;
-    for (_iter162 = this->sends.begin(); _iter162 != this->sends.end(); ++_iter162)
+    std::vector<ServiceSends> ::const_iterator _iter167;
+    for (_iter167 = this->sends.begin(); _iter167 != this->sends.end(); ++_iter167)
     {
-      xfer += (*_iter162).write(oprot);
+      xfer += (*_iter167).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2837,10 +2874,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 20);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<int64_t> ::const_iterator _iter163;
-    for (_iter163 = this->suspects.begin(); _iter163 != this->suspects.end(); ++_iter163)
+    std::vector<int64_t> ::const_iterator _iter168;
+    for (_iter168 = this->suspects.begin(); _iter168 != this->suspects.end(); ++_iter168)
     {
-      xfer += oprot->writeI64((*_iter163));
+      xfer += oprot->writeI64((*_iter168));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2849,10 +2886,10 @@
   xfer += oprot->writeFieldBegin("quarantine", ::apache::thrift::protocol::T_LIST, 21);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantine.size()));
-    std::vector<QuarantineEntry> ::const_iterator _iter164;
-    for (_iter164 = this->quarantine.begin(); _iter164 != this->quarantine.end(); ++_iter164)
+    std::vector<QuarantineEntry> ::const_iterator _iter169;
+    for (_iter169 = this->quarantine.begin(); _iter169 != this->quarantine.end(); ++_iter169)
     {
-      xfer += (*_iter164).write(oprot);
+      xfer += (*_iter169).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2861,10 +2898,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 22);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<ServerLimit> ::const_iterator _iter165;
-    for (_iter165 = this->limits.begin(); _iter165 != this->limits.end(); ++_iter165)
+    std::vector<ServerLimit> ::const_iterator _iter170;
+    for (_iter170 = this->limits.begin(); _iter170 != this->limits.end(); ++_iter170)
     {
-      xfer += (*_iter165).write(oprot);
+      xfer += (*_iter170).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2873,10 +2910,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 23);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<LeavingServer> ::const_iterator _iter166;
-    for (_iter166 = this->leaving.begin(); _iter166 != this->leaving.end(); ++_iter166)
+    std::vector<LeavingServer> ::const_iterator _iter171;
+    for (_iter171 = this->leaving.begin(); _iter171 != this->leaving.end(); ++_iter171)
     {
-      xfer += (*_iter166).write(oprot);
+      xfer += (*_iter171).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2885,15 +2922,32 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 24);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
-    std::vector<Demand> ::const_iterator _iter167;
-    for (_iter167 = this->demand.begin(); _iter167 != this->demand.end(); ++_iter167)
+    std::vector<Demand> ::const_iterator _iter172;
+    for (_iter172 = this->demand.begin(); _iter172 != this->demand.end(); ++_iter172)
     {
-      xfer += (*_iter167).write(oprot);
+      xfer += (*_iter172).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.load_data_centers) {
+    xfer += oprot->writeFieldBegin("load_data_centers", ::apache::thrift::protocol::T_LIST, 25);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->load_data_centers.size()));
+      std::vector<std::string> ::const_iterator _iter173;
+      for (_iter173 = this->load_data_centers.begin(); _iter173 != this->load_data_centers.end(); ++_iter173)
+      {
+        xfer += oprot->writeString((*_iter173));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("sending_configuration", ::apache::thrift::protocol::T_BOOL, 26);
+  xfer += oprot->writeBool(this->sending_configuration);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2925,62 +2979,68 @@
   swap(a.limits, b.limits);
   swap(a.leaving, b.leaving);
   swap(a.demand, b.demand);
+  swap(a.load_data_centers, b.load_data_centers);
+  swap(a.sending_configuration, b.sending_configuration);
   swap(a.__isset, b.__isset);
 }
 
-Beat::Beat(const Beat& other168) {
-  fence = other168.fence;
-  ip = other168.ip;
-  config_version = other168.config_version;
-  list_version = other168.list_version;
-  list_age_ms = other168.list_age_ms;
-  members = other168.members;
-  loads = other168.loads;
-  down = other168.down;
-  store_reachable = other168.store_reachable;
-  orders = other168.orders;
-  requests = other168.requests;
-  retries = other168.retries;
-  held = other168.held;
-  names_key = other168.names_key;
-  unreported_retries = other168.unreported_retries;
-  instances = other168.instances;
-  sums_incomplete = other168.sums_incomplete;
-  sends = other168.sends;
-  earlier_sends_unknown = other168.earlier_sends_unknown;
-  suspects = other168.suspects;
-  quarantine = other168.quarantine;
-  limits = other168.limits;
-  leaving = other168.leaving;
-  demand = other168.demand;
-  __isset = other168.__isset;
-}
-Beat& Beat::operator=(const Beat& other169) {
-  fence = other169.fence;
-  ip = other169.ip;
-  config_version = other169.config_version;
-  list_version = other169.list_version;
-  list_age_ms = other169.list_age_ms;
-  members = other169.members;
-  loads = other169.loads;
-  down = other169.down;
-  store_reachable = other169.store_reachable;
-  orders = other169.orders;
-  requests = other169.requests;
-  retries = other169.retries;
-  held = other169.held;
-  names_key = other169.names_key;
-  unreported_retries = other169.unreported_retries;
-  instances = other169.instances;
-  sums_incomplete = other169.sums_incomplete;
-  sends = other169.sends;
-  earlier_sends_unknown = other169.earlier_sends_unknown;
-  suspects = other169.suspects;
-  quarantine = other169.quarantine;
-  limits = other169.limits;
-  leaving = other169.leaving;
-  demand = other169.demand;
-  __isset = other169.__isset;
+Beat::Beat(const Beat& other174) {
+  fence = other174.fence;
+  ip = other174.ip;
+  config_version = other174.config_version;
+  list_version = other174.list_version;
+  list_age_ms = other174.list_age_ms;
+  members = other174.members;
+  loads = other174.loads;
+  down = other174.down;
+  store_reachable = other174.store_reachable;
+  orders = other174.orders;
+  requests = other174.requests;
+  retries = other174.retries;
+  held = other174.held;
+  names_key = other174.names_key;
+  unreported_retries = other174.unreported_retries;
+  instances = other174.instances;
+  sums_incomplete = other174.sums_incomplete;
+  sends = other174.sends;
+  earlier_sends_unknown = other174.earlier_sends_unknown;
+  suspects = other174.suspects;
+  quarantine = other174.quarantine;
+  limits = other174.limits;
+  leaving = other174.leaving;
+  demand = other174.demand;
+  load_data_centers = other174.load_data_centers;
+  sending_configuration = other174.sending_configuration;
+  __isset = other174.__isset;
+}
+Beat& Beat::operator=(const Beat& other175) {
+  fence = other175.fence;
+  ip = other175.ip;
+  config_version = other175.config_version;
+  list_version = other175.list_version;
+  list_age_ms = other175.list_age_ms;
+  members = other175.members;
+  loads = other175.loads;
+  down = other175.down;
+  store_reachable = other175.store_reachable;
+  orders = other175.orders;
+  requests = other175.requests;
+  retries = other175.retries;
+  held = other175.held;
+  names_key = other175.names_key;
+  unreported_retries = other175.unreported_retries;
+  instances = other175.instances;
+  sums_incomplete = other175.sums_incomplete;
+  sends = other175.sends;
+  earlier_sends_unknown = other175.earlier_sends_unknown;
+  suspects = other175.suspects;
+  quarantine = other175.quarantine;
+  limits = other175.limits;
+  leaving = other175.leaving;
+  demand = other175.demand;
+  load_data_centers = other175.load_data_centers;
+  sending_configuration = other175.sending_configuration;
+  __isset = other175.__isset;
   return *this;
 }
 void Beat::printTo(std::ostream& out) const {
@@ -3010,6 +3070,8 @@
   out << ", " << "limits=" << to_string(limits);
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "demand=" << to_string(demand);
+  out << ", " << "load_data_centers="; (__isset.load_data_centers ? (out << to_string(load_data_centers)) : (out << "<null>"));
+  out << ", " << "sending_configuration=" << to_string(sending_configuration);
   out << ")";
 }
 
@@ -3225,29 +3287,29 @@
   swap(a.__isset, b.__isset);
 }
 
-Server::Server(const Server& other170) {
-  id = other170.id;
-  service_name = other170.service_name;
-  address = other170.address;
-  data_center = other170.data_center;
-  draining = other170.draining;
-  kind = other170.kind;
-  layer_from = other170.layer_from;
-  layer_to = other170.layer_to;
-  born = other170.born;
-  __isset = other170.__isset;
-}
-Server& Server::operator=(const Server& other171) {
-  id = other171.id;
-  service_name = other171.service_name;
-  address = other171.address;
-  data_center = other171.data_center;
-  draining = other171.draining;
-  kind = other171.kind;
-  layer_from = other171.layer_from;
-  layer_to = other171.layer_to;
-  born = other171.born;
-  __isset = other171.__isset;
+Server::Server(const Server& other176) {
+  id = other176.id;
+  service_name = other176.service_name;
+  address = other176.address;
+  data_center = other176.data_center;
+  draining = other176.draining;
+  kind = other176.kind;
+  layer_from = other176.layer_from;
+  layer_to = other176.layer_to;
+  born = other176.born;
+  __isset = other176.__isset;
+}
+Server& Server::operator=(const Server& other177) {
+  id = other177.id;
+  service_name = other177.service_name;
+  address = other177.address;
+  data_center = other177.data_center;
+  draining = other177.draining;
+  kind = other177.kind;
+  layer_from = other177.layer_from;
+  layer_to = other177.layer_to;
+  born = other177.born;
+  __isset = other177.__isset;
   return *this;
 }
 void Server::printTo(std::ostream& out) const {
@@ -3341,14 +3403,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size172;
-            ::apache::thrift::protocol::TType _etype175;
-            xfer += iprot->readListBegin(_etype175, _size172);
-            this->servers.resize(_size172);
-            uint32_t _i176;
-            for (_i176 = 0; _i176 < _size172; ++_i176)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->servers.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              xfer += this->servers[_i176].read(iprot);
+              xfer += this->servers[_i182].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3389,10 +3451,10 @@
   xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-    std::vector<Server> ::const_iterator _iter177;
-    for (_iter177 = this->servers.begin(); _iter177 != this->servers.end(); ++_iter177)
+    std::vector<Server> ::const_iterator _iter183;
+    for (_iter183 = this->servers.begin(); _iter183 != this->servers.end(); ++_iter183)
     {
-      xfer += (*_iter177).write(oprot);
+      xfer += (*_iter183).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3412,19 +3474,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ServerList::ServerList(const ServerList& other178) {
-  fence = other178.fence;
-  version = other178.version;
-  age_ms = other178.age_ms;
-  servers = other178.servers;
-  __isset = other178.__isset;
+ServerList::ServerList(const ServerList& other184) {
+  fence = other184.fence;
+  version = other184.version;
+  age_ms = other184.age_ms;
+  servers = other184.servers;
+  __isset = other184.__isset;
 }
-ServerList& ServerList::operator=(const ServerList& other179) {
-  fence = other179.fence;
-  version = other179.version;
-  age_ms = other179.age_ms;
-  servers = other179.servers;
-  __isset = other179.__isset;
+ServerList& ServerList::operator=(const ServerList& other185) {
+  fence = other185.fence;
+  version = other185.version;
+  age_ms = other185.age_ms;
+  servers = other185.servers;
+  __isset = other185.__isset;
   return *this;
 }
 void ServerList::printTo(std::ostream& out) const {
@@ -3438,6 +3500,298 @@
 }
 
 
+ListPart::~ListPart() noexcept {
+}
+
+
+void ListPart::__set_fence(const int64_t val) {
+  this->fence = val;
+}
+
+void ListPart::__set_version(const int64_t val) {
+  this->version = val;
+}
+
+void ListPart::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+
+void ListPart::__set_base(const int64_t val) {
+  this->base = val;
+}
+
+void ListPart::__set_index(const int32_t val) {
+  this->index = val;
+}
+
+void ListPart::__set_count(const int32_t val) {
+  this->count = val;
+}
+
+void ListPart::__set_servers(const std::vector<Server> & val) {
+  this->servers = val;
+}
+
+void ListPart::__set_removed(const std::vector<std::string> & val) {
+  this->removed = val;
+}
+
+void ListPart::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+std::ostream& operator<<(std::ostream& out, const ListPart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ListPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fence);
+          this->__isset.fence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base);
+          this->__isset.base = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->count);
+          this->__isset.count = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->servers.clear();
+            uint32_t _size186;
+            ::apache::thrift::protocol::TType _etype189;
+            xfer += iprot->readListBegin(_etype189, _size186);
+            this->servers.resize(_size186);
+            uint32_t _i190;
+            for (_i190 = 0; _i190 < _size186; ++_i190)
+            {
+              xfer += this->servers[_i190].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->removed.clear();
+            uint32_t _size191;
+            ::apache::thrift::protocol::TType _etype194;
+            xfer += iprot->readListBegin(_etype194, _size191);
+            this->removed.resize(_size191);
+            uint32_t _i195;
+            for (_i195 = 0; _i195 < _size191; ++_i195)
+            {
+              xfer += iprot->readString(this->removed[_i195]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ListPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ListPart");
+
+  xfer += oprot->writeFieldBegin("fence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->fence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->base);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("count", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->count);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
+    std::vector<Server> ::const_iterator _iter196;
+    for (_iter196 = this->servers.begin(); _iter196 != this->servers.end(); ++_iter196)
+    {
+      xfer += (*_iter196).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
+    std::vector<std::string> ::const_iterator _iter197;
+    for (_iter197 = this->removed.begin(); _iter197 != this->removed.end(); ++_iter197)
+    {
+      xfer += oprot->writeString((*_iter197));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ListPart &a, ListPart &b) {
+  using ::std::swap;
+  swap(a.fence, b.fence);
+  swap(a.version, b.version);
+  swap(a.age_ms, b.age_ms);
+  swap(a.base, b.base);
+  swap(a.index, b.index);
+  swap(a.count, b.count);
+  swap(a.servers, b.servers);
+  swap(a.removed, b.removed);
+  swap(a.digest, b.digest);
+  swap(a.__isset, b.__isset);
+}
+
+ListPart::ListPart(const ListPart& other198) {
+  fence = other198.fence;
+  version = other198.version;
+  age_ms = other198.age_ms;
+  base = other198.base;
+  index = other198.index;
+  count = other198.count;
+  servers = other198.servers;
+  removed = other198.removed;
+  digest = other198.digest;
+  __isset = other198.__isset;
+}
+ListPart& ListPart::operator=(const ListPart& other199) {
+  fence = other199.fence;
+  version = other199.version;
+  age_ms = other199.age_ms;
+  base = other199.base;
+  index = other199.index;
+  count = other199.count;
+  servers = other199.servers;
+  removed = other199.removed;
+  digest = other199.digest;
+  __isset = other199.__isset;
+  return *this;
+}
+void ListPart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ListPart(";
+  out << "fence=" << to_string(fence);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "base=" << to_string(base);
+  out << ", " << "index=" << to_string(index);
+  out << ", " << "count=" << to_string(count);
+  out << ", " << "servers=" << to_string(servers);
+  out << ", " << "removed=" << to_string(removed);
+  out << ", " << "digest=" << to_string(digest);
+  out << ")";
+}
+
+
 Configuration::~Configuration() noexcept {
 }
 
@@ -3530,15 +3884,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Configuration::Configuration(const Configuration& other180) {
-  version = other180.version;
-  row = other180.row;
-  __isset = other180.__isset;
+Configuration::Configuration(const Configuration& other200) {
+  version = other200.version;
+  row = other200.row;
+  __isset = other200.__isset;
 }
-Configuration& Configuration::operator=(const Configuration& other181) {
-  version = other181.version;
-  row = other181.row;
-  __isset = other181.__isset;
+Configuration& Configuration::operator=(const Configuration& other201) {
+  version = other201.version;
+  row = other201.row;
+  __isset = other201.__isset;
   return *this;
 }
 void Configuration::printTo(std::ostream& out) const {
@@ -3642,15 +3996,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SlowServer::SlowServer(const SlowServer& other182) {
-  server = other182.server;
-  pace_percent = other182.pace_percent;
-  __isset = other182.__isset;
+SlowServer::SlowServer(const SlowServer& other202) {
+  server = other202.server;
+  pace_percent = other202.pace_percent;
+  __isset = other202.__isset;
 }
-SlowServer& SlowServer::operator=(const SlowServer& other183) {
-  server = other183.server;
-  pace_percent = other183.pace_percent;
-  __isset = other183.__isset;
+SlowServer& SlowServer::operator=(const SlowServer& other203) {
+  server = other203.server;
+  pace_percent = other203.pace_percent;
+  __isset = other203.__isset;
   return *this;
 }
 void SlowServer::printTo(std::ostream& out) const {
@@ -3705,6 +4059,11 @@
   this->slow = val;
 __isset.slow = true;
 }
+
+void Message::__set_list_part(const ListPart& val) {
+  this->list_part = val;
+__isset.list_part = true;
+}
 std::ostream& operator<<(std::ostream& out, const Message& obj)
 {
   obj.printTo(out);
@@ -3761,14 +4120,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lost.clear();
-            uint32_t _size184;
-            ::apache::thrift::protocol::TType _etype187;
-            xfer += iprot->readListBegin(_etype187, _size184);
-            this->lost.resize(_size184);
-            uint32_t _i188;
-            for (_i188 = 0; _i188 < _size184; ++_i188)
+            uint32_t _size204;
+            ::apache::thrift::protocol::TType _etype207;
+            xfer += iprot->readListBegin(_etype207, _size204);
+            this->lost.resize(_size204);
+            uint32_t _i208;
+            for (_i208 = 0; _i208 < _size204; ++_i208)
             {
-              xfer += iprot->readString(this->lost[_i188]);
+              xfer += iprot->readString(this->lost[_i208]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3781,14 +4140,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->refusing.clear();
-            uint32_t _size189;
-            ::apache::thrift::protocol::TType _etype192;
-            xfer += iprot->readListBegin(_etype192, _size189);
-            this->refusing.resize(_size189);
-            uint32_t _i193;
-            for (_i193 = 0; _i193 < _size189; ++_i193)
+            uint32_t _size209;
+            ::apache::thrift::protocol::TType _etype212;
+            xfer += iprot->readListBegin(_etype212, _size209);
+            this->refusing.resize(_size209);
+            uint32_t _i213;
+            for (_i213 = 0; _i213 < _size209; ++_i213)
             {
-              xfer += iprot->readString(this->refusing[_i193]);
+              xfer += iprot->readString(this->refusing[_i213]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3817,14 +4176,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->slow.clear();
-            uint32_t _size194;
-            ::apache::thrift::protocol::TType _etype197;
-            xfer += iprot->readListBegin(_etype197, _size194);
-            this->slow.resize(_size194);
-            uint32_t _i198;
-            for (_i198 = 0; _i198 < _size194; ++_i198)
+            uint32_t _size214;
+            ::apache::thrift::protocol::TType _etype217;
+            xfer += iprot->readListBegin(_etype217, _size214);
+            this->slow.resize(_size214);
+            uint32_t _i218;
+            for (_i218 = 0; _i218 < _size214; ++_i218)
             {
-              xfer += this->slow[_i198].read(iprot);
+              xfer += this->slow[_i218].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3833,6 +4192,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->list_part.read(iprot);
+          this->__isset.list_part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3869,10 +4236,10 @@
     xfer += oprot->writeFieldBegin("lost", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->lost.size()));
-      std::vector<std::string> ::const_iterator _iter199;
-      for (_iter199 = this->lost.begin(); _iter199 != this->lost.end(); ++_iter199)
+      std::vector<std::string> ::const_iterator _iter219;
+      for (_iter219 = this->lost.begin(); _iter219 != this->lost.end(); ++_iter219)
       {
-        xfer += oprot->writeString((*_iter199));
+        xfer += oprot->writeString((*_iter219));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3882,10 +4249,10 @@
     xfer += oprot->writeFieldBegin("refusing", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->refusing.size()));
-      std::vector<std::string> ::const_iterator _iter200;
-      for (_iter200 = this->refusing.begin(); _iter200 != this->refusing.end(); ++_iter200)
+      std::vector<std::string> ::const_iterator _iter220;
+      for (_iter220 = this->refusing.begin(); _iter220 != this->refusing.end(); ++_iter220)
       {
-        xfer += oprot->writeString((*_iter200));
+        xfer += oprot->writeString((*_iter220));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3905,15 +4272,20 @@
     xfer += oprot->writeFieldBegin("slow", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->slow.size()));
-      std::vector<SlowServer> ::const_iterator _iter201;
-      for (_iter201 = this->slow.begin(); _iter201 != this->slow.end(); ++_iter201)
+      std::vector<SlowServer> ::const_iterator _iter221;
+      for (_iter221 = this->slow.begin(); _iter221 != this->slow.end(); ++_iter221)
       {
-        xfer += (*_iter201).write(oprot);
+        xfer += (*_iter221).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.list_part) {
+    xfer += oprot->writeFieldBegin("list_part", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->list_part.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3929,30 +4301,33 @@
   swap(a.configuration, b.configuration);
   swap(a.packed, b.packed);
   swap(a.slow, b.slow);
+  swap(a.list_part, b.list_part);
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other202) {
-  report = other202.report;
-  beat = other202.beat;
-  servers = other202.servers;
-  lost = other202.lost;
-  refusing = other202.refusing;
-  configuration = other202.configuration;
-  packed = other202.packed;
-  slow = other202.slow;
-  __isset = other202.__isset;
-}
-Message& Message::operator=(const Message& other203) {
-  report = other203.report;
-  beat = other203.beat;
-  servers = other203.servers;
-  lost = other203.lost;
-  refusing = other203.refusing;
-  configuration = other203.configuration;
-  packed = other203.packed;
-  slow = other203.slow;
-  __isset = other203.__isset;
+Message::Message(const Message& other222) {
+  report = other222.report;
+  beat = other222.beat;
+  servers = other222.servers;
+  lost = other222.lost;
+  refusing = other222.refusing;
+  configuration = other222.configuration;
+  packed = other222.packed;
+  slow = other222.slow;
+  list_part = other222.list_part;
+  __isset = other222.__isset;
+}
+Message& Message::operator=(const Message& other223) {
+  report = other223.report;
+  beat = other223.beat;
+  servers = other223.servers;
+  lost = other223.lost;
+  refusing = other223.refusing;
+  configuration = other223.configuration;
+  packed = other223.packed;
+  slow = other223.slow;
+  list_part = other223.list_part;
+  __isset = other223.__isset;
   return *this;
 }
 void Message::printTo(std::ostream& out) const {
@@ -3966,6 +4341,7 @@
   out << ", " << "configuration="; (__isset.configuration ? (out << to_string(configuration)) : (out << "<null>"));
   out << ", " << "packed="; (__isset.packed ? (out << to_string(packed)) : (out << "<null>"));
   out << ", " << "slow="; (__isset.slow ? (out << to_string(slow)) : (out << "<null>"));
+  out << ", " << "list_part="; (__isset.list_part ? (out << to_string(list_part)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gen/cluster_types.h
+++ b/src/gen/cluster_types.h
@@ -51,6 +51,8 @@
 
 class ServerList;
 
+class ListPart;
+
 class Configuration;
 
 class SlowServer;
@@ -866,7 +868,7 @@
 std::ostream& operator<<(std::ostream& out, const Order& obj);
 
 typedef struct _Beat__isset {
-  _Beat__isset() : fence(false), ip(false), config_version(false), list_version(false), list_age_ms(false), members(false), loads(false), down(false), store_reachable(false), orders(false), requests(false), retries(false), held(false), names_key(false), unreported_retries(false), instances(false), sums_incomplete(false), sends(false), earlier_sends_unknown(false), suspects(false), quarantine(false), limits(false), leaving(false), demand(false) {}
+  _Beat__isset() : fence(false), ip(false), config_version(false), list_version(false), list_age_ms(false), members(false), loads(false), down(false), store_reachable(false), orders(false), requests(false), retries(false), held(false), names_key(false), unreported_retries(false), instances(false), sums_incomplete(false), sends(false), earlier_sends_unknown(false), suspects(false), quarantine(false), limits(false), leaving(false), demand(false), load_data_centers(false), sending_configuration(false) {}
   bool fence :1;
   bool ip :1;
   bool config_version :1;
@@ -891,6 +893,8 @@
   bool limits :1;
   bool leaving :1;
   bool demand :1;
+  bool load_data_centers :1;
+  bool sending_configuration :1;
 } _Beat__isset;
 
 class Beat : public virtual ::apache::thrift::TBase {
@@ -911,7 +915,8 @@
          unreported_retries(0),
          instances(0),
          sums_incomplete(0),
-         earlier_sends_unknown(0) {
+         earlier_sends_unknown(0),
+         sending_configuration(0) {
   }
 
   virtual ~Beat() noexcept;
@@ -939,6 +944,8 @@
   std::vector<ServerLimit>  limits;
   std::vector<LeavingServer>  leaving;
   std::vector<Demand>  demand;
+  std::vector<std::string>  load_data_centers;
+  bool sending_configuration;
 
   _Beat__isset __isset;
 
@@ -990,6 +997,10 @@
 
   void __set_demand(const std::vector<Demand> & val);
 
+  void __set_load_data_centers(const std::vector<std::string> & val);
+
+  void __set_sending_configuration(const bool val);
+
   bool operator == (const Beat & rhs) const
   {
     if (!(fence == rhs.fence))
@@ -1040,6 +1051,12 @@
       return false;
     if (!(demand == rhs.demand))
       return false;
+    if (__isset.load_data_centers != rhs.__isset.load_data_centers)
+      return false;
+    else if (__isset.load_data_centers && !(load_data_centers == rhs.load_data_centers))
+      return false;
+    if (!(sending_configuration == rhs.sending_configuration))
+      return false;
     return true;
   }
   bool operator != (const Beat &rhs) const {
@@ -1220,6 +1237,103 @@
 
 std::ostream& operator<<(std::ostream& out, const ServerList& obj);
 
+typedef struct _ListPart__isset {
+  _ListPart__isset() : fence(false), version(false), age_ms(false), base(false), index(false), count(false), servers(false), removed(false), digest(false) {}
+  bool fence :1;
+  bool version :1;
+  bool age_ms :1;
+  bool base :1;
+  bool index :1;
+  bool count :1;
+  bool servers :1;
+  bool removed :1;
+  bool digest :1;
+} _ListPart__isset;
+
+class ListPart : public virtual ::apache::thrift::TBase {
+ public:
+
+  ListPart(const ListPart&);
+  ListPart& operator=(const ListPart&);
+  ListPart() noexcept
+           : fence(0),
+             version(0),
+             age_ms(0),
+             base(0),
+             index(0),
+             count(0),
+             digest(0) {
+  }
+
+  virtual ~ListPart() noexcept;
+  int64_t fence;
+  int64_t version;
+  int32_t age_ms;
+  int64_t base;
+  int32_t index;
+  int32_t count;
+  std::vector<Server>  servers;
+  std::vector<std::string>  removed;
+  int64_t digest;
+
+  _ListPart__isset __isset;
+
+  void __set_fence(const int64_t val);
+
+  void __set_version(const int64_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  void __set_base(const int64_t val);
+
+  void __set_index(const int32_t val);
+
+  void __set_count(const int32_t val);
+
+  void __set_servers(const std::vector<Server> & val);
+
+  void __set_removed(const std::vector<std::string> & val);
+
+  void __set_digest(const int64_t val);
+
+  bool operator == (const ListPart & rhs) const
+  {
+    if (!(fence == rhs.fence))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(base == rhs.base))
+      return false;
+    if (!(index == rhs.index))
+      return false;
+    if (!(count == rhs.count))
+      return false;
+    if (!(servers == rhs.servers))
+      return false;
+    if (!(removed == rhs.removed))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
+    return true;
+  }
+  bool operator != (const ListPart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ListPart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ListPart &a, ListPart &b);
+
+std::ostream& operator<<(std::ostream& out, const ListPart& obj);
+
 typedef struct _Configuration__isset {
   _Configuration__isset() : version(false), row(false) {}
   bool version :1;
@@ -1321,7 +1435,7 @@
 std::ostream& operator<<(std::ostream& out, const SlowServer& obj);
 
 typedef struct _Message__isset {
-  _Message__isset() : report(false), beat(false), servers(false), lost(false), refusing(false), configuration(false), packed(false), slow(false) {}
+  _Message__isset() : report(false), beat(false), servers(false), lost(false), refusing(false), configuration(false), packed(false), slow(false), list_part(false) {}
   bool report :1;
   bool beat :1;
   bool servers :1;
@@ -1330,6 +1444,7 @@
   bool configuration :1;
   bool packed :1;
   bool slow :1;
+  bool list_part :1;
 } _Message__isset;
 
 class Message : public virtual ::apache::thrift::TBase {
@@ -1350,6 +1465,7 @@
   Configuration configuration;
   std::string packed;
   std::vector<SlowServer>  slow;
+  ListPart list_part;
 
   _Message__isset __isset;
 
@@ -1369,6 +1485,8 @@
 
   void __set_slow(const std::vector<SlowServer> & val);
 
+  void __set_list_part(const ListPart& val);
+
   bool operator == (const Message & rhs) const
   {
     if (__isset.report != rhs.__isset.report)
@@ -1403,6 +1521,10 @@
       return false;
     else if (__isset.slow && !(slow == rhs.slow))
       return false;
+    if (__isset.list_part != rhs.__isset.list_part)
+      return false;
+    else if (__isset.list_part && !(list_part == rhs.list_part))
+      return false;
     return true;
   }
   bool operator != (const Message &rhs) const {
--- a/test/coordination_harness.h
+++ b/test/coordination_harness.h
@@ -27,12 +27,14 @@
   int calls = 0;
   int config_reads = 0;
   int lease_reads = 0;
+  int list_reads = 0;
 };
 
 // Instances on one clock, with a store and with links that can go down.
 class Cluster {
  public:
-  explicit Cluster(int count) {
+  // `link_mbps` is 0 when the rate of the links is not known.
+  explicit Cluster(int count, double link_mbps = 0) : m_link_mbps(link_mbps) {
     for (int i = 0; i < count; ++i)
       StartNode(i);
   }
@@ -58,6 +60,7 @@
         Coordination::Builder()
             .SetAddress(NodeIp(index), index % 2 == 0 ? "regina" : "brandon")
             .SetProcessorShare(cpu_milli)
+            .SetLinkRate(m_link_mbps)
             .SetIncarnation(m_now.time_since_epoch().count())
             .Build(m_now));
   }
@@ -70,11 +73,21 @@
   FakeStore& store() { return m_store; }
   // Server lists sent to each instance.
   std::map<std::string, int> sent_list_counts;
+  // Bytes by instance and type of message; lost messages count as received.
+  std::map<std::string, std::map<PeerMessageType, size_t>> sent_bytes;
+  std::map<std::string, std::map<PeerMessageType, size_t>> received_bytes;
+  size_t max_datagram_bytes = 0;
+  // Messages that are lost, and that arrive after `late_delay`.
+  uint64_t loss_percent = 0;
+  uint64_t late_percent = 0;
+  Duration late_delay = std::chrono::milliseconds(400);
+  // Bytes that are added to the row of each configuration.
+  std::string config_padding;
   // In these tests the row of a configuration is its version.
   void InstallConfiguration(Node& node, int64_t version) {
     node.config_version = version;
     node.coordination->OnConfigurationApplied(m_now, version,
-                                              std::to_string(version));
+                                              std::to_string(version) + config_padding);
   }
   TimePoint now() const { return m_now; }
 
@@ -121,6 +134,7 @@
 
  private:
   static constexpr int kHostsPerNetwork = 256;
+  static constexpr uint64_t kPercent = 100;
 
   struct Event {
     TimePoint at;
@@ -155,17 +169,24 @@
       std::visit(
           Overloaded{
               [&](SendDatagram& send) {
-                const auto message =
-                    detail::DecodeClusterMessage(send.bytes, {});
-                if (message &&
-                    std::holds_alternative<detail::ServerListMessage>(*message))
+                if (send.type == PeerMessageType::kServerList ||
+                    send.type == PeerMessageType::kListChanges)
                   ++sent_list_counts[send.ip];
+                sent_bytes[ip][send.type] += send.bytes.size();
+                received_bytes[send.ip][send.type] += send.bytes.size();
+                max_datagram_bytes =
+                    std::max(max_datagram_bytes, send.bytes.size());
                 const auto to = m_nodes.find(send.ip);
                 if (to == m_nodes.end() || !node.links_up ||
                     !to->second.links_up ||
                     node.partition != to->second.partition)
                   return;
-                Schedule(kLinkDelay, send.ip,
+                if (m_random.UniformBelow(kPercent) < loss_percent)
+                  return;
+                const Duration delay =
+                    m_random.UniformBelow(kPercent) < late_percent ? late_delay
+                                                                   : kLinkDelay;
+                Schedule(delay, send.ip,
                          [this, bytes = send.bytes](Coordination& c) {
                            c.OnDatagram(m_now, bytes);
                          });
@@ -181,6 +202,7 @@
               },
               [&](WriteLease& write) { ExecuteLeaseWrite(ip, node, write); },
               [&](ReadServerList&) {
+                ++m_store.list_reads;
                 const bool ok = BeginStoreCall(node);
                 const TimePoint requested_at = m_now;
                 Schedule(kStoreDelay, ip,
@@ -200,7 +222,8 @@
               },
               [&](ApplyConfiguration& apply) {
                 // Random bytes are not a configuration.
-                if (apply.row == std::to_string(m_store.config_version))
+                if (apply.row ==
+                    std::to_string(m_store.config_version) + config_padding)
                   InstallConfiguration(node, m_store.config_version);
               },
           },
@@ -237,6 +260,8 @@
              });
   }
 
+  double m_link_mbps = 0;
+  Random m_random{1};
   TimePoint m_now{std::chrono::seconds(1000)};
   std::map<std::string, Node> m_nodes;
   std::deque<Event> m_events;
