--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -276,6 +276,7 @@
   Coordination() = default;
   struct ListUpdate {
     int64_t version = 0;
+    int64_t base = 0;
     PeerMessageType type = PeerMessageType::kServerList;
     std::vector<std::string> datagrams;
   };
@@ -322,6 +323,9 @@
     size_t next_list_part = 0;
     // Updates sent since the reported version last changed.
     int list_updates_sent = 0;
+    // Reported version to which the digest was sent because no change since it
+    // is known.
+    int64_t unknown_list_version = 0;
     int64_t config_version = 0;
     int64_t sent_config_version = 0;
     TimePoint config_sent_at;
@@ -345,7 +349,8 @@
   void SetStoredServers(int64_t version, ServerMap servers);
   // Update of the list for an instance with `version`, or the whole list.
   std::shared_ptr<const ListUpdate> ListUpdateFrom(TimePoint now,
-                                                   int64_t version);
+                                                   int64_t version,
+                                                   bool whole);
   void HandleListPart(TimePoint now, const detail::ListPartMessage& part);
   // Sends configurations and, after them, lists to the instances that report
   // older ones.
--- a/src/coordination_spread.cc
+++ b/src/coordination_spread.cc
@@ -23,6 +23,8 @@
 constexpr size_t kMaxListPartBytes = 30'000;
 // Of a server, without its texts.
 constexpr size_t kServerOverheadBytes = 40;
+// Base of an update that has no changes.
+constexpr int64_t kAnyListVersion = 1;
 constexpr int kMaxListParts = 4096;
 // Updates are encoded again when they are older than this, because they name
 // the age of the list.
@@ -84,16 +86,23 @@
 
 std::shared_ptr<const Coordination::ListUpdate> Coordination::ListUpdateFrom(
     TimePoint now,
-    int64_t version) {
+    int64_t version,
+    bool whole) {
   if (now - m_list_encoded_at > kMaxEncodedAge) {
     m_list_updates.clear();
     m_list_encoded_at = now;
   }
   const auto first = std::find_if(
       m_list_steps.begin(), m_list_steps.end(), [&](const ListStep& step) {
-        return step.from <= version && version <= step.to;
+        return !whole && step.from <= version && version <= step.to;
       });
-  const int64_t base = first == m_list_steps.end() ? 0 : first->from;
+  // An instance that read the list itself may have the same list under another
+  // version. It is sent the digest alone at first.
+  const bool digest_only =
+      !whole && version > 0 && first == m_list_steps.end();
+  const int64_t base = digest_only                    ? kAnyListVersion
+                       : first == m_list_steps.end() ? 0
+                                                     : first->from;
   auto& cached = m_list_updates[base];
   if (cached)
     return cached;
@@ -129,6 +138,7 @@
   }
   auto update = std::make_shared<ListUpdate>();
   update->version = m_list_version;
+  update->base = base;
   update->type = base > 0 ? PeerMessageType::kListChanges
                           : PeerMessageType::kServerList;
   for (size_t i = 0; i < parts.size(); ++i) {
@@ -183,8 +193,12 @@
         (peer.sent_list_version == m_list_version &&
          now - peer.list_sent_at < kResendInterval))
       return;
-    const bool whole = peer.list_updates_sent >= kMaxChangesSent;
-    peer.list_update = ListUpdateFrom(now, whole ? 0 : peer.list_version);
+    peer.list_update =
+        ListUpdateFrom(now, peer.list_version,
+                       (peer.list_version > 0 && peer.list_version == peer.unknown_list_version) ||
+                           peer.list_updates_sent >= kMaxChangesSent);
+    peer.unknown_list_version =
+        peer.list_update->base == kAnyListVersion ? peer.list_version : 0;
     peer.next_list_part = 0;
   }
   const ListUpdate& update = *peer.list_update;
