--- a/src/cluster.thrift
+++ b/src/cluster.thrift
@@ -215,7 +215,7 @@
   2: i64 version
   3: i32 age_ms
   // Oldest version that the changes apply to; 0 when the parts are the whole
-  // list.
+  // list, -1 when the receiver may have the same list under another version.
   4: i64 base
   5: i32 index
   6: i32 count
--- a/src/coordination_messages.cc
+++ b/src/coordination_messages.cc
@@ -314,7 +314,7 @@
           },
           [&](const detail::ListPartMessage& part) {
             HandleListPart(now, part);
-            return part.base > 0 ? PeerMessageType::kListChanges
+            return part.base != 0 ? PeerMessageType::kListChanges
                                  : PeerMessageType::kServerList;
           },
           [&](const detail::RefusingServersMessage& refusing) {
--- a/src/coordination_spread.cc
+++ b/src/coordination_spread.cc
@@ -24,7 +24,7 @@
 // Of a server, without its texts.
 constexpr size_t kServerOverheadBytes = 40;
 // Base of an update that has no changes.
-constexpr int64_t kAnyListVersion = 1;
+constexpr int64_t kAnyListVersion = -1;
 constexpr int kMaxListParts = 4096;
 // Updates are encoded again when they are older than this, because they name
 // the age of the list.
@@ -139,7 +139,7 @@
   auto update = std::make_shared<ListUpdate>();
   update->version = m_list_version;
   update->base = base;
-  update->type = base > 0 ? PeerMessageType::kListChanges
+  update->type = base != 0 ? PeerMessageType::kListChanges
                           : PeerMessageType::kServerList;
   for (size_t i = 0; i < parts.size(); ++i) {
     parts[i].index = static_cast<int>(i);
@@ -236,7 +236,7 @@
   if (static_cast<int>(incoming.parts.size()) < incoming.count)
     return;
   ServerMap servers = std::move(incoming.servers);
-  if (incoming.base > 0) {
+  if (incoming.base != 0) {
     for (const auto& [id, server] : *m_stored_servers)
       servers.insert({id, server});
     for (const std::string& id : incoming.removed)
