--- a/src/coordination_health.cc
+++ b/src/coordination_health.cc
@@ -69,12 +69,14 @@
   if (report != m_peer_reported_unreachable.end() &&
       now - report->second < kUnreachableMarkTtl)
     return;
-  Broadcast(now, PeerMessageType::kUnreachableServers, detail::EncodeUnreachableServers({server}));
+  Broadcast(now, PeerMessageType::kUnreachableServers,
+            detail::EncodeUnreachableServers({server}));
 }
 
 void Coordination::MarkRefusing(TimePoint now, const std::string& server) {
   if (m_availability.cooldowns().RecordRefusal(server, now))
-    Broadcast(now, PeerMessageType::kRefusingServers, detail::EncodeRefusingServers({server}));
+    Broadcast(now, PeerMessageType::kRefusingServers,
+              detail::EncodeRefusingServers({server}));
 }
 
 void Coordination::SetSlowdown(TimePoint now,
@@ -87,7 +89,8 @@
   else
     m_next_slowdown_check.erase(server);
   if (is_new || was_slow)
-    Broadcast(now, PeerMessageType::kSlowServers, detail::EncodeSlowServers({{server, slowdown}}));
+    Broadcast(now, PeerMessageType::kSlowServers,
+              detail::EncodeSlowServers({{server, slowdown}}));
 }
 
 void Coordination::HandleSlowdownReport(TimePoint now,
--- a/src/coordination_messages.cc
+++ b/src/coordination_messages.cc
@@ -46,10 +46,10 @@
   const auto elapsed_seconds =
       static_cast<double>((now - budget.refilled_at).count()) / 1e6;
   // A whole datagram must fit on a slow link as well.
-  const double max_bytes = std::max<double>(
-      detail::kMaxDatagramBytes,
-      m_link_bytes_per_second * static_cast<double>(kMaxRelayBurst.count()) /
-          1e6);
+  const double max_bytes =
+      std::max<double>(detail::kMaxDatagramBytes,
+                       m_link_bytes_per_second *
+                           static_cast<double>(kMaxRelayBurst.count()) / 1e6);
   budget.bytes =
       std::min(max_bytes, budget.bytes + m_link_bytes_per_second *
                                              budget.share * elapsed_seconds);
@@ -177,9 +177,9 @@
   ++m_heartbeat_round;
   if (!receivers.empty())
     std::rotate(receivers.begin(),
-                receivers.begin() + static_cast<std::ptrdiff_t>(
-                                        StableHash(m_ip, m_heartbeat_round) %
-                                        receivers.size()),
+                receivers.begin() +
+                    static_cast<std::ptrdiff_t>(
+                        StableHash(m_ip, m_heartbeat_round) % receivers.size()),
                 receivers.end());
   for (auto* entry : receivers) {
     auto& [ip, peer] = *entry;
@@ -315,7 +315,7 @@
           [&](const detail::ListPartMessage& part) {
             HandleListPart(now, part);
             return part.base != 0 ? PeerMessageType::kListChanges
-                                 : PeerMessageType::kServerList;
+                                  : PeerMessageType::kServerList;
           },
           [&](const detail::RefusingServersMessage& refusing) {
             for (const std::string& server : refusing.servers)
--- a/src/coordination_spread.cc
+++ b/src/coordination_spread.cc
@@ -46,16 +46,15 @@
 
 size_t EstimateBytes(const BackendServer& server) {
   return kServerOverheadBytes + server.id.size() + server.service.size() +
-         server.address.size() + server.data_center.size() +
-         server.kind.size();
+         server.address.size() + server.data_center.size() + server.kind.size();
 }
 
 }  // namespace
 
 const char* NameOf(PeerMessageType type) {
   static constexpr std::array kNames = {
-      "report",      "heartbeat",   "server_list", "list_changes", "unreachable",
-      "refusing",    "slow",        "configuration", "invalid"};
+      "report",   "heartbeat", "server_list",   "list_changes", "unreachable",
+      "refusing", "slow",      "configuration", "invalid"};
   return kNames.at(static_cast<size_t>(type));
 }
 
@@ -84,10 +83,8 @@
   m_server_ids->Update(*m_stored_servers);
 }
 
-std::shared_ptr<const Coordination::ListUpdate> Coordination::ListUpdateFrom(
-    TimePoint now,
-    int64_t version,
-    bool whole) {
+std::shared_ptr<const Coordination::ListUpdate>
+Coordination::ListUpdateFrom(TimePoint now, int64_t version, bool whole) {
   if (now - m_list_encoded_at > kMaxEncodedAge) {
     m_list_updates.clear();
     m_list_encoded_at = now;
@@ -98,9 +95,8 @@
       });
   // An instance that read the list itself may have the same list under another
   // version. It is sent the digest alone at first.
-  const bool digest_only =
-      !whole && version > 0 && first == m_list_steps.end();
-  const int64_t base = digest_only                    ? kAnyListVersion
+  const bool digest_only = !whole && version > 0 && first == m_list_steps.end();
+  const int64_t base = digest_only                   ? kAnyListVersion
                        : first == m_list_steps.end() ? 0
                                                      : first->from;
   auto& cached = m_list_updates[base];
@@ -139,8 +135,8 @@
   auto update = std::make_shared<ListUpdate>();
   update->version = m_list_version;
   update->base = base;
-  update->type = base != 0 ? PeerMessageType::kListChanges
-                          : PeerMessageType::kServerList;
+  update->type =
+      base != 0 ? PeerMessageType::kListChanges : PeerMessageType::kServerList;
   for (size_t i = 0; i < parts.size(); ++i) {
     parts[i].index = static_cast<int>(i);
     parts[i].count = static_cast<int>(parts.size());
@@ -195,7 +191,8 @@
       return;
     peer.list_update =
         ListUpdateFrom(now, peer.list_version,
-                       (peer.list_version > 0 && peer.list_version == peer.unknown_list_version) ||
+                       (peer.list_version > 0 &&
+                        peer.list_version == peer.unknown_list_version) ||
                            peer.list_updates_sent >= kMaxChangesSent);
     peer.unknown_list_version =
         peer.list_update->base == kAnyListVersion ? peer.list_version : 0;
@@ -227,8 +224,8 @@
   if (part.fencing_token != incoming.fencing_token ||
       part.version != incoming.version || part.base != incoming.base ||
       part.count != incoming.count)
-    incoming = {part.fencing_token, part.version, part.base, part.count,
-                {},                 {},           {}};
+    incoming = {
+        part.fencing_token, part.version, part.base, part.count, {}, {}, {}};
   incoming.parts.insert(part.index);
   incoming.servers.insert(part.servers.begin(), part.servers.end());
   incoming.removed.insert(incoming.removed.end(), part.removed.begin(),
--- a/test/coordination_harness.h
+++ b/test/coordination_harness.h
@@ -86,8 +86,8 @@
   // In these tests the row of a configuration is its version.
   void InstallConfiguration(Node& node, int64_t version) {
     node.config_version = version;
-    node.coordination->OnConfigurationApplied(m_now, version,
-                                              std::to_string(version) + config_padding);
+    node.coordination->OnConfigurationApplied(
+        m_now, version, std::to_string(version) + config_padding);
   }
   TimePoint now() const { return m_now; }
 
--- a/test/coordination_spread_test.cc
+++ b/test/coordination_spread_test.cc
@@ -22,8 +22,9 @@
     BackendServer server = Server("server-" + std::to_string(i));
     server.address = "10.2." + std::to_string(i / 250) + "." +
                      std::to_string(i % 250) + ":8080";
-    server.data_center =
-        i % 3 == 0 ? "regina" : i % 3 == 1 ? "brandon" : "sofia";
+    server.data_center = i % 3 == 0   ? "regina"
+                         : i % 3 == 1 ? "brandon"
+                                      : "sofia";
     server.kind = "fast";
     server.layers = LayerRange{i % 40, i % 40 + 40};
     server.start_unix_ms = 1'700'000'000'000 + i * 7919;
@@ -148,9 +149,8 @@
     cluster.received_bytes.clear();
     ChangeServer(cluster, "server-3");
     cluster.store().servers.erase("server-4");
-    const Duration time = TimeUntil(cluster, seconds(10), [&] {
-      return HaveList(cluster, kSmall);
-    });
+    const Duration time = TimeUntil(cluster, seconds(10),
+                                    [&] { return HaveList(cluster, kSmall); });
     CPPUNIT_ASSERT(time <= milliseconds(1000));
     for (auto& [ip, types] : cluster.received_bytes) {
       CPPUNIT_ASSERT(types[PeerMessageType::kListChanges] < 500);
@@ -166,13 +166,11 @@
     }
     cluster.NodeAt(away).links_up = true;
     cluster.received_bytes.clear();
-    const Duration whole_time = TimeUntil(cluster, seconds(10), [&] {
-      return HaveList(cluster, kSmall);
-    });
+    const Duration whole_time = TimeUntil(
+        cluster, seconds(10), [&] { return HaveList(cluster, kSmall); });
     CPPUNIT_ASSERT(whole_time <= seconds(3));
-    CPPUNIT_ASSERT(
-        cluster.received_bytes[Cluster::NodeIp(away)]
-                              [PeerMessageType::kServerList] > 10'000);
+    CPPUNIT_ASSERT(cluster.received_bytes[Cluster::NodeIp(
+                       away)][PeerMessageType::kServerList] > 10'000);
     std::cerr << "changes " << time.count() << " whole " << whole_time.count()
               << " "
               << cluster.received_bytes[Cluster::NodeIp(away)]
