Choose paths by the prefill due on a server for all instances

An instance knew only the prompts that it had sent itself, so the path of a short prompt led behind long prompts of other instances.

ServerLoad and Load get prefill_token_layers: prompt tokens times layers of streams without a first event, summed like the other loads. The line event=request gets prompt_tokens.

--- a/include/trefoilwick/layer_path.h
+++ b/include/trefoilwick/layer_path.h
@@ -59,6 +59,8 @@
   double token_layers = 0;
   // Requests whose path includes the server.
   int sequences = 0;
+  // Prompt tokens times layers of those without a first event.
+  double prefill_token_layers = 0;
 };
 using LoadMap = std::map<std::string, ServerLoad>;
 
@@ -119,6 +121,9 @@
   // Prefill backlog by server, in milliseconds; servers that are missing have
   // none.
   std::map<std::string, double> prefill_backlog_ms;
+  // Prefill due on a server for the requests of all instances, in milliseconds,
+  // from the sum of loads.
+  std::map<std::string, double> prefill_due_ms;
   // Factor by which a server is slower than its accelerator kind.
   std::map<std::string, double> slowdowns;
   // Seed that varies the choice among servers of about equal cost; 0 for no
--- a/src/cluster.thrift
+++ b/src/cluster.thrift
@@ -8,6 +8,8 @@
   1: i32 server
   2: i64 token_layers
   3: i32 sequences
+  // Prompt tokens times layers of requests without a first event.
+  4: i64 prefill_token_layers
 }
 
 // Sends to the servers of one service in the current window of its retry
--- a/src/cluster_codec.cc
+++ b/src/cluster_codec.cc
@@ -70,6 +70,7 @@
     item.server = static_cast<int32_t>(position - list.ids.begin());
     item.token_layers = std::llround(load.token_layers);
     item.sequences = load.sequences;
+    item.prefill_token_layers = std::llround(load.prefill_token_layers);
   }
   return out;
 }
@@ -85,7 +86,8 @@
     if (item.server < 0 || static_cast<size_t>(item.server) >= list->ids.size())
       return std::nullopt;
     out[list->ids[static_cast<size_t>(item.server)]] = {
-        static_cast<double>(item.token_layers), item.sequences};
+        static_cast<double>(item.token_layers), item.sequences,
+        static_cast<double>(item.prefill_token_layers)};
   }
   return out;
 }
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -57,6 +57,9 @@
         std::max(0.0, sum_load.token_layers + sign * load.token_layers);
     sum_load.sequences =
         std::max(0, sum_load.sequences + sign * load.sequences);
+    sum_load.prefill_token_layers =
+        std::max(0.0, sum_load.prefill_token_layers +
+                          sign * load.prefill_token_layers);
   }
 }
 
@@ -509,7 +512,10 @@
       out[server] = {
           std::max(0.0, load.token_layers - reported_load.token_layers) *
               static_cast<double>(peers),
-          static_cast<int>(peers) * (load.sequences - reported_load.sequences)};
+          static_cast<int>(peers) * (load.sequences - reported_load.sequences),
+          std::max(0.0, load.prefill_token_layers -
+                            reported_load.prefill_token_layers) *
+              static_cast<double>(peers)};
   }
   return out;
 }
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -179,6 +179,20 @@
   m_coordination.SetLocalLoads(m_local_loads);
 }
 
+void GatewayCore::AddPrefillLoad(const LayerPath& path,
+                                 const std::set<std::string>& kept,
+                                 double tokens,
+                                 int sign) {
+  for (const PathStage& stage : path) {
+    const auto load = m_local_loads.find(stage.server);
+    if (load == m_local_loads.end() || kept.contains(stage.server))
+      continue;
+    double& due = load->second.prefill_token_layers;
+    due = std::max(0.0, due + sign * tokens * stage.layers.size());
+  }
+  m_coordination.SetLocalLoads(m_local_loads);
+}
+
 std::string GatewayCore::OtherDataCenter(const std::string& server) {
   const auto from = servers().find(server);
   if (from == servers().end())
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -18,6 +18,7 @@
 #include "trefoilwick/gateway.h"
 #include "trefoilwick/liveness.h"
 #include "trefoilwick/overload.h"
+#include "trefoilwick/prompt_mix.h"
 #include "trefoilwick/retry_window.h"
 
 namespace trefoilwick::detail {
@@ -118,12 +119,20 @@
   }
   // Prefill backlog of the servers, as far as this instance knows.
   PrefillBacklog& prefill_backlog() { return m_prefill_backlog; }
+  // Lengths of the prompts that this instance sends.
+  PromptSizes& prompt_sizes() { return m_prompt_sizes; }
   // Ratio of the requests that all instances move off a server to those that
   // this instance moves. All instances detect its loss at the same time.
   double RecoveryMultiplier(const std::string& server, TimePoint now);
 
   void AddLoad(const LayerPath& path, double tokens, int sign);
   void AddLoad(const std::string& server, int sign);
+  // Prefill that the servers of `path`, except `kept`, owe to a request without
+  // a first event.
+  void AddPrefillLoad(const LayerPath& path,
+                      const std::set<std::string>& kept,
+                      double tokens,
+                      int sign);
 
   // The server closed the connection of a request before the response was
   // complete. The report counts when the server turns out to have crashed.
@@ -255,6 +264,7 @@
   RetryWindows m_retries;
   CrossDataCenterBudget m_cross_data_center_budget;
   PrefillBacklog m_prefill_backlog;
+  PromptSizes m_prompt_sizes;
   OverloadController m_overload;
   Duration m_mean_service_time{0};
   struct Recovery {
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/beast/http/write.hpp>
+#include <cmath>
 #include <sstream>
 
 #include "gateway_core.h"
@@ -341,7 +342,12 @@
   // Room near the limit is for those that may still use it.
   path_request.unreported.Scale(m_core.overload().AdmittedDemandShare(
       m_core.Now(), m_service, utilization_limit));
+  path_request.prefill_due_ms =
+      PrefillDueMs(engine, m_core.servers(), loads);
   const auto choose = [&] {
+    if (auto choice = ChoosePathForLongPrompt(engine, loads, path_request,
+                                              utilization_limit))
+      return choice;
     return ChoosePath(engine, m_core.servers(), loads, path_request,
                       utilization_limit);
   };
@@ -385,6 +391,22 @@
   return SendVerdict::kAllowed;
 }
 
+std::optional<PathChoice> Exchange::ChoosePathForLongPrompt(
+    const EngineModel& engine,
+    const LoadMap& loads,
+    PathRequest path_request,
+    double utilization_limit) const {
+  const std::set<std::string> full = ServersWithoutPrefillRoom(
+      engine, m_core.servers(), path_request.prefill_due_ms,
+      path_request.prompt_tokens, m_core.prompt_sizes().Mean(m_service));
+  if (full.empty())
+    return std::nullopt;
+  path_request.excluded.insert(full.begin(), full.end());
+  path_request.allow_cross_data_center = false;
+  return ChoosePath(engine, m_core.servers(), loads, path_request,
+                    utilization_limit);
+}
+
 bool Exchange::HasPathWhenIdle(const EngineModel& engine,
                                const PathRequest& path_request) const {
   return ChoosePath(engine, m_core.servers(), {}, path_request,
@@ -484,8 +506,10 @@
 void Exchange::StartUpstreamCall() {
   const TimePoint now = m_core.Now();
   const auto found = m_core.servers().find(m_server);
-  if (!std::exchange(m_counted_in_budget, true))
+  if (!std::exchange(m_counted_in_budget, true)) {
     m_core.CountRequest(m_service);
+    m_core.prompt_sizes().Add(m_service, m_request.prompt_tokens);
+  }
   SendPlan plan;
   plan.server = &found->second;
   m_server_process = found->second.process();
@@ -496,7 +520,7 @@
   plan.resume_after_event_id = m_events.has_events() ? m_events.last_id() : -1;
   const HttpRequest request =
       m_core.dialect().WriteRequest(m_request, plan, m_core.servers());
-  ReserveLoad();
+  ReserveLoad({});
   RecordPrefill(m_path, {});
   m_head = ResponseHead();
   m_optional_body_since.reset();
@@ -534,18 +558,32 @@
   return m_request.prompt_tokens + static_cast<double>(m_events.last_id() + 1);
 }
 
-void Exchange::ReserveLoad() {
+void Exchange::ReserveLoad(const std::set<std::string>& kept) {
   ReleaseLoad();
   m_load_reserved = true;
-  if (m_path.empty())
+  if (m_path.empty()) {
     m_core.AddLoad(m_server, 1);
-  else
-    m_core.AddLoad(m_path, KvTokensToReserve(), 1);
+    return;
+  }
+  m_core.AddLoad(m_path, KvTokensToReserve(), 1);
+  // Only a stream shows when its prompt has been read.
+  if (m_route->kind != RouteKind::kStream)
+    return;
+  m_prefill_tokens = TokensSoFar();
+  m_kept_servers = kept;
+  m_core.AddPrefillLoad(m_path, m_kept_servers, m_prefill_tokens, 1);
+}
+
+void Exchange::ReleasePrefillLoad() {
+  if (m_prefill_tokens > 0)
+    m_core.AddPrefillLoad(m_path, m_kept_servers,
+                          std::exchange(m_prefill_tokens, 0), -1);
 }
 
 void Exchange::ReleaseLoad() {
   if (!std::exchange(m_load_reserved, false))
     return;
+  ReleasePrefillLoad();
   if (m_path.empty())
     m_core.AddLoad(m_server, -1);
   else
@@ -688,6 +726,8 @@
                          {"status", std::to_string(status)},
                          {"outcome", outcome},
                          {"server", m_server},
+                         {"prompt_tokens", std::to_string(std::llround(
+                                               m_request.prompt_tokens))},
                          {"parts", std::to_string(m_path.size())},
                          {"sends", std::to_string(m_forward.sends())},
                          {"events", std::to_string(m_events.first_id()) + ":" +
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -169,7 +169,15 @@
   // False when the request has ended before: its client must get nothing more.
   bool Finish(const char* outcome, int status);
   void ReleaseLoad();
-  void ReserveLoad();
+  // Servers in `kept` have read the prompt already.
+  void ReserveLoad(const std::set<std::string>& kept);
+  void ReleasePrefillLoad();
+  // Excludes servers with much prefill due from the path of a long prompt.
+  std::optional<PathChoice> ChoosePathForLongPrompt(
+      const EngineModel& engine,
+      const LoadMap& loads,
+      PathRequest path_request,
+      double utilization_limit) const;
   // Tokens of KV memory to reserve.
   double KvTokensToReserve() const;
   // Adds the prefill of this request to the backlog of the servers of the path,
@@ -253,6 +261,9 @@
   std::optional<TimePoint> m_migrate_at;
   int m_repaths = 0;
   bool m_load_reserved = false;
+  // Prefill counted in the loads, and the servers for which it is not.
+  double m_prefill_tokens = 0;
+  std::set<std::string> m_kept_servers;
   bool m_counted_in_budget = false;
   bool m_ended = false;
   const char* m_refusal_reason = "no server has room";
--- a/src/gateway_exchange_recovery.cc
+++ b/src/gateway_exchange_recovery.cc
@@ -208,11 +208,14 @@
               {"result", std::to_string(static_cast<int>(result))}});
   if (result == OrderResult::kAccepted) {
     ++m_repaths;
+    // Before the first event the prompt has not been read by all servers.
+    const std::set<std::string> kept =
+        m_events.first_seen_id() ? ServersOfPath() : std::set<std::string>{};
     ReleaseLoad();
     m_path = choice.path;
     m_token_ms = choice.token_ms;
     m_migration_plan.Clear();
-    ReserveLoad();
+    ReserveLoad(kept);
     m_last_progress = m_core.Now();
     return;
   }
--- a/src/gateway_exchange_response.cc
+++ b/src/gateway_exchange_response.cc
@@ -132,6 +132,8 @@
   const std::string events = m_events.Feed(bytes, now);
   if (!had_begun && m_events.first_seen_id() && m_last_event_before_send < 0)
     m_core.OnStreamBegan(m_service, m_server, *m_events.first_seen_id());
+  if (m_events.first_seen_id())
+    ReleasePrefillLoad();
   if (!events.empty()) {
     CommitResponse();
     m_session->SendChunk(events);
--- a/src/gen/cluster_types.cpp
+++ b/src/gen/cluster_types.cpp
@@ -29,6 +29,10 @@
 void Load::__set_sequences(const int32_t val) {
   this->sequences = val;
 }
+
+void Load::__set_prefill_token_layers(const int64_t val) {
+  this->prefill_token_layers = val;
+}
 std::ostream& operator<<(std::ostream& out, const Load& obj)
 {
   obj.printTo(out);
@@ -81,6 +85,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prefill_token_layers);
+          this->__isset.prefill_token_layers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -110,6 +122,10 @@
   xfer += oprot->writeI32(this->sequences);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("prefill_token_layers", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->prefill_token_layers);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -120,6 +136,7 @@
   swap(a.server, b.server);
   swap(a.token_layers, b.token_layers);
   swap(a.sequences, b.sequences);
+  swap(a.prefill_token_layers, b.prefill_token_layers);
   swap(a.__isset, b.__isset);
 }
 
@@ -127,12 +144,14 @@
   server = other0.server;
   token_layers = other0.token_layers;
   sequences = other0.sequences;
+  prefill_token_layers = other0.prefill_token_layers;
   __isset = other0.__isset;
 }
 Load& Load::operator=(const Load& other1) noexcept {
   server = other1.server;
   token_layers = other1.token_layers;
   sequences = other1.sequences;
+  prefill_token_layers = other1.prefill_token_layers;
   __isset = other1.__isset;
   return *this;
 }
@@ -142,6 +161,7 @@
   out << "server=" << to_string(server);
   out << ", " << "token_layers=" << to_string(token_layers);
   out << ", " << "sequences=" << to_string(sequences);
+  out << ", " << "prefill_token_layers=" << to_string(prefill_token_layers);
   out << ")";
 }
 
--- a/src/gen/cluster_types.h
+++ b/src/gen/cluster_types.h
@@ -58,10 +58,11 @@
 class Message;
 
 typedef struct _Load__isset {
-  _Load__isset() : server(false), token_layers(false), sequences(false) {}
+  _Load__isset() : server(false), token_layers(false), sequences(false), prefill_token_layers(false) {}
   bool server :1;
   bool token_layers :1;
   bool sequences :1;
+  bool prefill_token_layers :1;
 } _Load__isset;
 
 class Load : public virtual ::apache::thrift::TBase {
@@ -72,13 +73,15 @@
   Load() noexcept
        : server(0),
          token_layers(0),
-         sequences(0) {
+         sequences(0),
+         prefill_token_layers(0) {
   }
 
   virtual ~Load() noexcept;
   int32_t server;
   int64_t token_layers;
   int32_t sequences;
+  int64_t prefill_token_layers;
 
   _Load__isset __isset;
 
@@ -88,6 +91,8 @@
 
   void __set_sequences(const int32_t val);
 
+  void __set_prefill_token_layers(const int64_t val);
+
   bool operator == (const Load & rhs) const
   {
     if (!(server == rhs.server))
@@ -96,6 +101,8 @@
       return false;
     if (!(sequences == rhs.sequences))
       return false;
+    if (!(prefill_token_layers == rhs.prefill_token_layers))
+      return false;
     return true;
   }
   bool operator != (const Load &rhs) const {
--- a/src/layer_path.cc
+++ b/src/layer_path.cc
@@ -51,6 +51,9 @@
 // Cost of a millisecond of prefill backlog. Two streams that were just sent to
 // a path outweigh a first stage in another data center.
 constexpr double kPrefillBacklogWeight = 5;
+// Cost of a millisecond of prefill due by the sum of loads. It waits as long as
+// a millisecond of the prefill of the request itself, which costs 1.
+constexpr double kPrefillDueWeight = 1;
 
 double KvBytesPerTokenLayer(const EngineModel& engine) {
   return engine.kv_bytes_per_token / engine.layers;
@@ -166,10 +169,15 @@
     candidate.layer_cost *= 1 + kMaxJitterShare * random.UniformDouble();
   candidate.pass_wait_cost = kMeanPassWait * candidate.step_ms_per_layer *
                              server.layers->size() * kWeightedResponseTokens;
+  // Both contain the prompts that this instance sent last.
+  double prefill_cost = 0;
   if (const auto backlog = request.prefill_backlog_ms.find(server.id);
       backlog != request.prefill_backlog_ms.end())
-    candidate.layer_cost +=
-        kPrefillBacklogWeight * backlog->second / server.layers->size();
+    prefill_cost = kPrefillBacklogWeight * backlog->second;
+  if (const auto due = request.prefill_due_ms.find(server.id);
+      due != request.prefill_due_ms.end())
+    prefill_cost = std::max(prefill_cost, kPrefillDueWeight * due->second);
+  candidate.layer_cost += prefill_cost / server.layers->size();
   return candidate;
 }
 
