--- a/include/trefoilwick/layer_path.h
+++ b/include/trefoilwick/layer_path.h
@@ -66,8 +66,9 @@
 
 // Work of other instances that a sum of loads does not contain.
 struct UnreportedWork {
-  // Other instances that may begin a request by the same sum: those of this data
-  // center, and all of them, which also use the servers of other data centers.
+  // Other instances that may begin a request by the same sum: those of this
+  // data center, and all of them, which also use the servers of other data
+  // centers.
   double local_peers = 0;
   double remote_peers = 0;
   // Age of the loads: requests in them have ended since.
