--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -14,6 +14,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -441,25 +442,26 @@
     and exits with 1 if there are any, with 2 if the case could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(pathlib.Path(case_folder) / "record.txt")
-    code = 2
 
-    async def run_quietly():
-        # Tasks of connections that are open at the end are cancelled.
+    async def run_and_exit():
+        # Tasks of connections that are open at the end are not waited for.
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-        return await asyncio.wait_for(run(record, trouble), 115)
+        code = 2
+        try:
+            findings = await asyncio.wait_for(run(record, trouble), 112)
+            for finding in findings:
+                record.add("BROKEN " + finding)
+                print("BROKEN", finding)
+            if not findings:
+                record.add("HELD")
+                print("HELD")
+            code = 1 if findings else 0
+        except Exception as error:  # The case could not run.
+            record.add(f"could not run: {error!r}")
+            print(f"could not run: {error!r}")
+        finally:
+            record.close()
+            sys.stdout.flush()
+            os._exit(code)
 
-    try:
-        findings = asyncio.run(run_quietly())
-        for finding in findings:
-            record.add("BROKEN " + finding)
-            print("BROKEN", finding)
-        if not findings:
-            record.add("HELD")
-            print("HELD")
-        code = 1 if findings else 0
-    except Exception as error:  # The case could not run.
-        record.add(f"could not run: {error!r}")
-        print(f"could not run: {error!r}")
-    finally:
-        record.close()
-    os._exit(code)
+    asyncio.run(run_and_exit())
