Refuse responses whose status no server can give

On serve the ledger recorded 000 as the result of a call that runs at most once, for every client that sends its key again. An order that may have been carried out counted as refused, and notices in such an answer were believed.

Cause: Boost.Beast takes any three digits for a status, and each of the three readers (requests to servers; calls to the store, reports and orders; serve) used its parser as it is. A number outside of 100 to 599 was neither a success nor a failure to the code behind them. 101 passed as well, although no request asks for another protocol.

Fix: response_parser.h holds the one parser that all three readers use. It reports bad_status for such a head, so that the response counts as broken before anything in it is read: a request that may be repeated goes to another server, any other gets 502, an order has an unknown result, and the connection closes.

--- a/include/trefoilwick/http_call.h
+++ b/include/trefoilwick/http_call.h
@@ -5,9 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <map>
@@ -17,13 +15,12 @@
 #include <vector>
 
 #include "trefoilwick/kernel.h"
+#include "trefoilwick/response_parser.h"
 
 namespace trefoilwick {
 
 using HttpRequest =
     boost::beast::http::request<boost::beast::http::string_body>;
-using HttpResponse =
-    boost::beast::http::response<boost::beast::http::string_body>;
 
 // Monotonic time that also counts while the machine is suspended.
 class BootClock final : public Clock {
--- /dev/null
+++ b/include/trefoilwick/response_parser.h
@@ -0,0 +1,96 @@
+// Parser of HTTP/1.1 responses that accepts only what the protocol allows,
+// since a faulty server may send anything, and a reader of whole responses.
+#pragma once
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/system/error_code.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <utility>
+
+namespace trefoilwick {
+
+using HttpResponse =
+    boost::beast::http::response<boost::beast::http::string_body>;
+
+// Parses one response from the bytes of a connection. All errors are those of
+// boost::beast::http::error; after one other than need_more the connection
+// cannot be used any more.
+class ResponseParser {
+ public:
+  ResponseParser();
+  ResponseParser& SetMaxHeadBytes(uint32_t bytes);
+  // Null: any number.
+  ResponseParser& SetMaxBodyBytes(std::optional<uint64_t> bytes);
+  // The response has no body, as one to a HEAD request.
+  ResponseParser& SkipBody(bool skip);
+
+  // Parses the front of `bytes` and returns the number of bytes parsed. The
+  // rest is passed again, together with more bytes when `error` is need_more.
+  size_t Put(boost::asio::const_buffer bytes, boost::system::error_code& error);
+  // Parses the bytes of `buffer` and removes them from it. The error is
+  // need_more while the response is not complete.
+  boost::system::error_code ParseBuffer(boost::beast::flat_buffer& buffer);
+  // The server closed the connection. Completes a response that has neither a
+  // length nor chunks; any other error is partial_message.
+  void PutEof(boost::system::error_code& error);
+
+  bool got_some() const { return m_parser.got_some(); }
+  // The whole head was parsed and accepted.
+  bool is_header_done() const { return m_head_accepted; }
+  bool is_done() const { return m_head_accepted && m_parser.is_done(); }
+  // True when the end of the connection ends the response.
+  bool need_eof() const { return m_parser.need_eof(); }
+  // The response so far; valid once is_header_done() is true.
+  HttpResponse& get() { return m_parser.get(); }
+  const HttpResponse& get() const { return m_parser.get(); }
+  HttpResponse Release() { return m_parser.release(); }
+
+ private:
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  // The error of a head that cannot be that of a response to a request.
+  boost::system::error_code CheckHead() const;
+
+  Parser m_parser;
+  bool m_head_accepted = false;
+};
+
+// Reads one response into `parser`. Bytes that follow it stay in `buffer`.
+// Calls `handler` once with the error, never from within the call. All
+// arguments by reference must live until then.
+template <typename Stream, typename Handler>
+void AsyncReadResponse(Stream& stream,
+                       boost::beast::flat_buffer& buffer,
+                       ResponseParser& parser,
+                       Handler handler) {
+  using boost::system::error_code;
+  constexpr size_t kMaxReadBytes = size_t{64} * 1024;
+  const size_t size = boost::beast::read_size(buffer, kMaxReadBytes);
+  stream.async_read_some(
+      buffer.prepare(size),
+      [&stream, &buffer, &parser, handler = std::move(handler)](
+          error_code error, size_t count) mutable {
+        buffer.commit(count);
+        if (!error)
+          error = parser.ParseBuffer(buffer);
+        else if (error == boost::asio::error::eof && parser.is_header_done())
+          parser.PutEof(error);
+        if (error != boost::beast::http::error::need_more)
+          return handler(error);
+        if (buffer.size() == buffer.max_size())
+          return handler(boost::beast::http::error::buffer_overflow);
+        AsyncReadResponse(stream, buffer, parser, std::move(handler));
+      });
+}
+
+}  // namespace trefoilwick
--- a/src/daemon_http_client.cc
+++ b/src/daemon_http_client.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "engine_client.h"
+#include "trefoilwick/response_parser.h"
 
 namespace trefoilwick::detail {
 
@@ -172,7 +173,7 @@
   void Write() {
     m_sent = true;
     m_parser.emplace();
-    m_parser->body_limit(kMaxResponseBytes);
+    m_parser->SetMaxBodyBytes(kMaxResponseBytes);
     m_stream->expires_after(kCallTimeout);
     http::async_write(
         *m_stream, m_request,
@@ -187,14 +188,13 @@
   void Read() {
     if (m_completed)
       return;
-    http::async_read(
-        *m_stream, m_buffer, *m_parser,
-        [self = shared_from_this()](error_code error, size_t /*bytes*/) {
-          if (error)
-            self->OnConnectionError();
-          else
-            self->OnResponse();
-        });
+    AsyncReadResponse(*m_stream, m_buffer, *m_parser,
+                      [self = shared_from_this()](error_code error) {
+                        if (error)
+                          self->OnConnectionError();
+                        else
+                          self->OnResponse();
+                      });
   }
 
   // The server may have closed a pooled connection while it was idle. Calls on
@@ -241,7 +241,7 @@
   http::request<http::string_body> m_request;
   std::unique_ptr<beast::tcp_stream> m_stream;
   beast::flat_buffer m_buffer;
-  std::optional<http::response_parser<http::string_body>> m_parser;
+  std::optional<ResponseParser> m_parser;
   uint64_t m_generation = 0;
   bool m_reused = false;
   bool m_sent = false;
--- a/src/gateway_upstream.cc
+++ b/src/gateway_upstream.cc
@@ -171,10 +171,9 @@
 
 void UpstreamCall::NewParser() {
   m_parser.emplace();
-  m_parser->eager(true);
-  m_parser->body_limit(boost::none);
-  m_parser->header_limit(kMaxResponseHeadBytes);
-  m_parser->skip(m_is_head);
+  m_parser->SetMaxHeadBytes(kMaxResponseHeadBytes)
+      .SetMaxBodyBytes(std::nullopt)
+      .SkipBody(m_is_head);
   m_head_received = false;
   m_discarding_response = false;
 }
@@ -221,7 +220,7 @@
 bool UpstreamCall::Parse() {
   while (!m_finished && m_buffer.size() > 0) {
     error_code error;
-    const size_t used = m_parser->put(m_buffer.data(), error);
+    const size_t used = m_parser->Put(m_buffer.data(), error);
     m_buffer.consume(used);
     if (m_parser->is_header_done() && !m_head_received)
       OnHeadParsed();
@@ -294,7 +293,7 @@
   if (error == asio::error::eof && m_head_received && !m_discarding_response) {
     // A response without a length ends with its connection.
     error_code end_error;
-    m_parser->put_eof(end_error);
+    m_parser->PutEof(end_error);
     if (!end_error && m_parser->is_done()) {
       DeliverBody();
       if (!m_finished)
--- a/src/gateway_upstream.h
+++ b/src/gateway_upstream.h
@@ -104,8 +104,6 @@
   template <typename Step>
   void RunStep(Step step);
 
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
   boost::asio::io_context& m_io;
   const WireDialect& m_dialect;
   ConnectionPool& m_pool;
@@ -130,7 +128,7 @@
   std::unique_ptr<boost::asio::ip::tcp::socket> m_socket;
   boost::asio::steady_timer m_connect_timer;
   boost::beast::flat_buffer m_buffer;
-  std::optional<Parser> m_parser;
+  std::optional<ResponseParser> m_parser;
 };
 
 }  // namespace trefoilwick::detail
--- a/src/http_call.cc
+++ b/src/http_call.cc
@@ -6,7 +6,6 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cctype>
 #include <charconv>
@@ -132,7 +131,7 @@
         m_handler(std::move(handler)),
         m_timer(client.m_io),
         m_connect_timer(client.m_io) {
-    m_parser.body_limit(client.m_max_response_bytes);
+    m_parser.SetMaxBodyBytes(client.m_max_response_bytes);
   }
 
   void Start() {
@@ -212,21 +211,21 @@
   }
 
   void Receive() {
-    http::async_read(*m_socket, m_buffer, m_parser,
-                     [self = shared_from_this()](error_code error, size_t) {
-                       if (self->m_done)
-                         return;
-                       if (error)
-                         return self->OnConnectionLost();
-                       self->Succeed();
-                     });
+    AsyncReadResponse(*m_socket, m_buffer, m_parser,
+                      [self = shared_from_this()](error_code error) {
+                        if (self->m_done)
+                          return;
+                        if (error)
+                          return self->OnConnectionLost();
+                        self->Succeed();
+                      });
   }
 
   void Succeed() {
     m_done = true;
     m_timer.cancel();
     CallResult result;
-    result.response = m_parser.release();
+    result.response = m_parser.Release();
     if (result.response.keep_alive() && m_buffer.size() == 0) {
       auto& idle = m_client.m_idle_connections[m_address];
       if (idle.size() < kMaxIdleConnectionsPerAddress)
@@ -259,7 +258,7 @@
   asio::steady_timer m_connect_timer;
   std::unique_ptr<tcp::socket> m_socket;
   boost::beast::flat_buffer m_buffer{kMaxReadAheadBytes};
-  http::response_parser<http::string_body> m_parser;
+  ResponseParser m_parser;
   // The request was sent on a connection of an earlier call.
   bool m_is_reused = false;
   bool m_connected = false;
--- /dev/null
+++ b/src/response_parser.cc
@@ -0,0 +1,79 @@
+#include "trefoilwick/response_parser.h"
+
+namespace trefoilwick {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr unsigned kSwitchingProtocols = 101;
+
+// RFC 9110, section 15: a status is from 100 to 599. No request asks for
+// another protocol, so that none can be switched to.
+bool IsPossibleStatus(unsigned status) {
+  return status >= 100 && status <= 599 && status != kSwitchingProtocols;
+}
+
+}  // namespace
+
+ResponseParser::ResponseParser() {
+  m_parser.eager(true);
+}
+
+ResponseParser& ResponseParser::SetMaxHeadBytes(uint32_t bytes) {
+  m_parser.header_limit(bytes);
+  return *this;
+}
+
+ResponseParser& ResponseParser::SetMaxBodyBytes(std::optional<uint64_t> bytes) {
+  if (bytes)
+    m_parser.body_limit(*bytes);
+  else
+    m_parser.body_limit(boost::none);
+  return *this;
+}
+
+ResponseParser& ResponseParser::SkipBody(bool skip) {
+  m_parser.skip(skip);
+  return *this;
+}
+
+size_t ResponseParser::Put(boost::asio::const_buffer bytes, error_code& error) {
+  const size_t used = m_parser.put(bytes, error);
+  if (m_parser.is_header_done() && !m_head_accepted) {
+    if (const error_code head_error = CheckHead())
+      error = head_error;
+    else
+      m_head_accepted = true;
+  }
+  return used;
+}
+
+error_code ResponseParser::ParseBuffer(boost::beast::flat_buffer& buffer) {
+  while (buffer.size() > 0 && !is_done()) {
+    error_code error;
+    const size_t used = Put(buffer.data(), error);
+    buffer.consume(used);
+    if (error)
+      return error;
+    if (used == 0)
+      return http::error::need_more;
+  }
+  return is_done() ? error_code() : http::error::need_more;
+}
+
+void ResponseParser::PutEof(error_code& error) {
+  if (m_head_accepted)
+    m_parser.put_eof(error);
+  else
+    error = http::error::partial_message;
+}
+
+error_code ResponseParser::CheckHead() const {
+  if (!IsPossibleStatus(m_parser.get().result_int()))
+    return http::error::bad_status;
+  return {};
+}
+
+}  // namespace trefoilwick
--- a/test/adapter_call_test.cc
+++ b/test/adapter_call_test.cc
@@ -1,6 +1,7 @@
 // Calls of the gateway to the store and to servers over sockets.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "broken_responses.h"
 #include "gateway_harness.h"
 #include "rows.h"
 #include "store.h"
@@ -29,6 +30,8 @@
   CPPUNIT_TEST(TryConnectReportsAcceptedAndRefused);
   CPPUNIT_TEST(OnlyClosedPortCountsAsRefused);
   CPPUNIT_TEST(EndlessResponseFailsCall);
+  CPPUNIT_TEST(BadStatusFailsCall);
+  CPPUNIT_TEST(BrokenAnswerToOrderLeavesItsResultUnknown);
   CPPUNIT_TEST(ServerListSkipsUndecodableRows);
   CPPUNIT_TEST(UndecodableLastRowDoesNotEndServerList);
   CPPUNIT_TEST(PageWithoutNextKeyYieldsNoServerList);
@@ -180,6 +183,31 @@
     }
   }
 
+  static void CheckCallsFail(const std::vector<BrokenResponse>& responses) {
+    for (const BrokenResponse& broken : responses) {
+      ScriptedServer server(
+          [&](const std::string&) { return ScriptedResponse{broken.bytes}; });
+      CPPUNIT_ASSERT_MESSAGE(
+          broken.name, Call(server.address()).error == CallError::kUnknown);
+    }
+  }
+
+  // The store, a report or an order was taken to have answered.
+  void BadStatusFailsCall() { CheckCallsFail(ResponsesWithBadStatus("")); }
+
+  // An order that was carried out, but whose answer was broken, counted as
+  // refused.
+  void BrokenAnswerToOrderLeavesItsResultUnknown() {
+    const platform::PlatformDialect dialect;
+    for (const BrokenResponse& broken : ResponsesWithBadStatus("")) {
+      ScriptedServer server(
+          [&](const std::string&) { return ScriptedResponse{broken.bytes}; });
+      CPPUNIT_ASSERT_MESSAGE(broken.name,
+                             dialect.ReadOrderResult(Call(server.address())) ==
+                                 OrderResult::kUnknown);
+    }
+  }
+
   void TryConnectReportsAcceptedAndRefused() {
     ScriptedServer server(
         [](const std::string&) { return ScriptedResponse{}; });
--- /dev/null
+++ b/test/adapter_head_test.cc
@@ -0,0 +1,50 @@
+// Tests of the gateway with servers that send heads which are not allowed by
+// the protocol: the response is broken and no client gets it.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "broken_responses.h"
+#include "gateway_fixtures.h"
+
+namespace trefoilwick {
+namespace {
+
+constexpr char kSealedFields[] = "Attempt-Id: a1\r\nServer-Seal: s\r\n";
+
+class AdapterHeadTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AdapterHeadTest);
+  CPPUNIT_TEST(BadStatusIsNotForwarded);
+  CPPUNIT_TEST_SUITE_END();
+
+  // Checks that a request that may be repeated is completed by another server,
+  // that one that may not fails after one send, and that a client of a stream
+  // gets nothing of it.
+  static void CheckNotForwarded(const std::vector<BrokenResponse>& responses) {
+    std::string forwarded;
+    for (const BrokenResponse& broken : responses) {
+      const Answer once = CallWithFirstAnswer("POST /post/x", broken.bytes);
+      const Answer repeated = CallWithFirstAnswer("GET /get/x", broken.bytes);
+      const Answer stream = CallWithFirstAnswer("POST /single/x", broken.bytes);
+      if (!once.response.starts_with("HTTP/1.1 502") || once.sends != 1 ||
+          Contains(once.response, "broken"))
+        forwarded += broken.name + ": " + once.response + "\n";
+      if (!repeated.response.ends_with("\r\n\r\ndone"))
+        forwarded += broken.name + ": " + repeated.response + "\n";
+      if (!stream.response.starts_with("HTTP/1.1 502") ||
+          Contains(stream.response, "broken"))
+        forwarded += broken.name + ": " + stream.response + "\n";
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), forwarded);
+  }
+
+ public:
+  // A server in trouble answered with status 000, which reached the client.
+  void BadStatusIsNotForwarded() {
+    CheckNotForwarded(ResponsesWithBadStatus(kSealedFields));
+    CheckNotForwarded(ResponsesWithBadStatus("Attempt-Id: a1\r\n"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdapterHeadTest);
+
+}  // namespace
+}  // namespace trefoilwick
--- a/test/adapter_response_test.cc
+++ b/test/adapter_response_test.cc
@@ -7,28 +7,6 @@
 namespace trefoilwick {
 namespace {
 
-// Response of a gateway with two servers; both send `first` to their first
-// request and "done" to others.
-struct Answer {
-  std::string response;
-  size_t sends = 0;
-};
-
-Answer CallWithFirstAnswer(const std::string& line, const std::string& first) {
-  std::atomic<int> calls{0};
-  const auto serve = [&](const std::string&) {
-    return ScriptedResponse{++calls == 1 ? first : MakeSealedResponse("done")};
-  };
-  ScriptedServer one(serve);
-  ScriptedServer two(serve);
-  GatewayHarness harness;
-  StartGateway(harness, {&one, &two});
-  Answer answer;
-  answer.response = harness.CallAsClient(Request(line, "", "b"));
-  answer.sends = one.requests().size() + two.requests().size();
-  return answer;
-}
-
 // Refuses the first request of all with a short pause and sends that refusal
 // once more, late, where the next answer on that connection is due. Serves many
 // connections at a time.
--- a/test/daemon_http_client_test.cc
+++ b/test/daemon_http_client_test.cc
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include "../src/engine_client.h"
+#include "broken_responses.h"
 
 namespace trefoilwick::detail {
 namespace {
@@ -13,12 +14,17 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
+constexpr char kOkResponse[] =
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+    "Content-Type: application/json\r\n\r\n{}";
+
 // Reads one request per connection, responds to the first `max_responses`
 // requests, and closes the connection.
 class ClosingServer {
  public:
-  explicit ClosingServer(int max_responses)
+  explicit ClosingServer(int max_responses, std::string response = kOkResponse)
       : m_max_responses(max_responses),
+        m_response(std::move(response)),
         m_acceptor(m_io, {asio::ip::make_address("127.0.0.1"), 0}),
         m_thread([this] { Serve(); }) {}
   ~ClosingServer() {
@@ -49,13 +55,12 @@
       tcp::socket socket = m_acceptor.accept();
       if (m_stop || !Read(socket) || m_requests > m_max_responses)
         continue;
-      asio::write(socket, asio::buffer(std::string(
-                              "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
-                              "Content-Type: application/json\r\n\r\n{}")));
+      asio::write(socket, asio::buffer(m_response));
     }
   }
 
   int m_max_responses;
+  std::string m_response;
   std::atomic<bool> m_stop{false};
   std::atomic<int> m_requests{0};
   asio::io_context m_io;
@@ -80,6 +85,7 @@
   CPPUNIT_TEST(SendsCallsWithIdempotencyKeyOnce);
   CPPUNIT_TEST(ReportsRefusedConnection);
   CPPUNIT_TEST(CancelledCallReportsNoReply);
+  CPPUNIT_TEST(BadStatusIsNoReply);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -149,6 +155,25 @@
     cancel();
     CPPUNIT_ASSERT(future.get().failure == CallFailure::kNoReply);
   }
+
+  static void CheckNoReply(const std::vector<BrokenResponse>& responses) {
+    for (const BrokenResponse& broken : responses) {
+      ClosingServer server(1, broken.bytes);
+      BackendHttpClient client;
+      HttpCall call;
+      call.address = server.address();
+      call.path = "/ballot";
+      call.idempotency_key = "k1";
+      const HttpResult result = CallAndWait(client, call);
+      CPPUNIT_ASSERT_MESSAGE(broken.name,
+                             result.failure == CallFailure::kNoReply);
+      CPPUNIT_ASSERT_MESSAGE(broken.name, !result.certainly_not_sent);
+    }
+  }
+
+  // The ledger recorded status 000 as the result of a call, and every client
+  // that sent the call got it.
+  void BadStatusIsNoReply() { CheckNoReply(ResponsesWithBadStatus("")); }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DaemonHttpClientTest);
--- /dev/null
+++ b/test/response_parser_test.cc
@@ -0,0 +1,96 @@
+// Tests of the parser of responses, with the bytes in pieces of every size.
+#include "trefoilwick/response_parser.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+#include "broken_responses.h"
+
+namespace trefoilwick {
+namespace {
+
+using boost::system::error_code;
+
+// Result of a response whose bytes arrive in pieces of `piece_size` on a
+// connection that closes behind them.
+struct Parsed {
+  error_code error;
+  HttpResponse response;
+  size_t bytes_left = 0;
+};
+
+Parsed ParseInPieces(const std::string& bytes, size_t piece_size) {
+  ResponseParser parser;
+  boost::beast::flat_buffer buffer;
+  Parsed out;
+  for (size_t at = 0; at < bytes.size(); at += piece_size) {
+    const std::string piece = bytes.substr(at, piece_size);
+    buffer.commit(boost::asio::buffer_copy(buffer.prepare(piece.size()),
+                                           boost::asio::buffer(piece)));
+    out.error = parser.ParseBuffer(buffer);
+    if (out.error != boost::beast::http::error::need_more)
+      break;
+  }
+  if (out.error == boost::beast::http::error::need_more)
+    parser.PutEof(out.error);
+  out.bytes_left = buffer.size();
+  if (!out.error)
+    out.response = parser.Release();
+  return out;
+}
+
+class ResponseParserTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ResponseParserTest);
+  CPPUNIT_TEST(PossibleResponsesAreAccepted);
+  CPPUNIT_TEST(ImpossibleStatusIsRejected);
+  CPPUNIT_TEST_SUITE_END();
+
+  static void CheckRejected(const std::vector<BrokenResponse>& responses) {
+    std::string accepted;
+    for (const BrokenResponse& broken : responses)
+      for (size_t size = 1; size <= broken.bytes.size(); ++size)
+        if (!ParseInPieces(broken.bytes, size).error)
+          accepted += broken.name + " in pieces of " + std::to_string(size) +
+                      " bytes\n";
+    CPPUNIT_ASSERT_EQUAL(std::string(), accepted);
+  }
+
+ public:
+  // Guards against rejecting what sound servers send.
+  void PossibleResponsesAreAccepted() {
+    const std::pair<std::string, std::string> cases[] = {
+        {"Content-Length: 5\r\n\r\nhello", "hello"},
+        {"Content-Length: 0\r\n\r\n", ""},
+        {"\r\nhello", "hello"},
+        {"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", "hello"},
+        {"transfer-encoding:\t Chunked \r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+         "hello"},
+        {"X-F: a b\tc \r\nContent-Length: 6\r\n\r\n hello", " hello"},
+        {"X-F:\r\nContent-Length: 3\r\n\r\n\r\n ", "\r\n "},
+        {"X-F: \xe2\x82\xac\r\nContent-Length: 1\r\n\r\n\t", "\t"},
+    };
+    for (const char* line : {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 \r\n",
+                             "HTTP/1.1 404 No\r\n", "HTTP/1.1 599 Last\r\n"})
+      for (const auto& [rest, body] : cases) {
+        const std::string bytes = line + rest;
+        for (size_t size = 1; size <= bytes.size(); ++size) {
+          const Parsed parsed = ParseInPieces(bytes, size);
+          CPPUNIT_ASSERT_MESSAGE(bytes + parsed.error.message(), !parsed.error);
+          CPPUNIT_ASSERT_EQUAL(body, parsed.response.body());
+          CPPUNIT_ASSERT_EQUAL(size_t{0}, parsed.bytes_left);
+        }
+      }
+  }
+
+  // Guards against a status that callers compare with a range of their own:
+  // 000 counted as neither a success nor a failure.
+  void ImpossibleStatusIsRejected() {
+    CheckRejected(ResponsesWithBadStatus(""));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ResponseParserTest);
+
+}  // namespace
+}  // namespace trefoilwick
