--- a/test/adapter_call_test.cc
+++ b/test/adapter_call_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(OnlyClosedPortCountsAsRefused);
   CPPUNIT_TEST(EndlessResponseFailsCall);
   CPPUNIT_TEST(BadStatusFailsCall);
+  CPPUNIT_TEST(BadFieldNameFailsCall);
   CPPUNIT_TEST(BrokenAnswerToOrderLeavesItsResultUnknown);
   CPPUNIT_TEST(ServerListSkipsUndecodableRows);
   CPPUNIT_TEST(UndecodableLastRowDoesNotEndServerList);
@@ -195,6 +196,10 @@
   // The store, a report or an order was taken to have answered.
   void BadStatusFailsCall() { CheckCallsFail(ResponsesWithBadStatus("")); }
 
+  void BadFieldNameFailsCall() {
+    CheckCallsFail(ResponsesWithBadFieldName("X-E: e\r\n", kBadNameBytes));
+  }
+
   // An order that was carried out, but whose answer was broken, counted as
   // refused.
   void BrokenAnswerToOrderLeavesItsResultUnknown() {
--- a/test/adapter_head_test.cc
+++ b/test/adapter_head_test.cc
@@ -13,6 +13,7 @@
 class AdapterHeadTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AdapterHeadTest);
   CPPUNIT_TEST(BadStatusIsNotForwarded);
+  CPPUNIT_TEST(BadFieldNameIsNotForwarded);
   CPPUNIT_TEST_SUITE_END();
 
   // Checks that a request that may be repeated is completed by another server,
@@ -42,6 +43,11 @@
     CheckNotForwarded(ResponsesWithBadStatus(kSealedFields));
     CheckNotForwarded(ResponsesWithBadStatus("Attempt-Id: a1\r\n"));
   }
+
+  // Guards against forwarding such a name, or a body whose length it hides.
+  void BadFieldNameIsNotForwarded() {
+    CheckNotForwarded(ResponsesWithBadFieldName(kSealedFields, kBadNameBytes));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AdapterHeadTest);
--- a/test/broken_responses.h
+++ b/test/broken_responses.h
@@ -22,4 +22,39 @@
   return out;
 }
 
+inline BrokenResponse ResponseWithLine(const std::string& name,
+                                       const std::string& fields,
+                                       const std::string& line) {
+  return {name, "HTTP/1.1 200 OK\r\n" + fields + line +
+                    "\r\nContent-Length: 6\r\n\r\nbroken"};
+}
+
+// Bytes for ResponsesWithBadFieldName.
+inline const std::string kBadNameBytes("\0\t\x1f \x7f", 5);
+
+// The name of a field is empty or holds one of `bytes`, which are blanks and
+// control bytes. No blank begins a line.
+inline std::vector<BrokenResponse> ResponsesWithBadFieldName(
+    const std::string& fields,
+    const std::string& bytes) {
+  std::vector<BrokenResponse> out;
+  for (const std::string line : {":", ": x", "X-F", "X-F\r: x", "X-F\n: x"})
+    out.push_back(ResponseWithLine("line " + line, fields, line));
+  for (const char byte : bytes) {
+    const std::string bad(1, byte);
+    const std::string name = "byte " + std::to_string(int{byte}) + " ";
+    out.push_back(
+        ResponseWithLine(name + "within", fields, "X" + bad + "F: x"));
+    out.push_back(
+        ResponseWithLine(name + "at end", fields, "X-F" + bad + ": x"));
+    out.push_back({name + "in length", "HTTP/1.1 200 OK\r\n" + fields +
+                                           "Content-Length" + bad +
+                                           ": 3\r\n\r\nbroken"});
+    if (byte != ' ' && byte != '\t')
+      out.push_back(
+          ResponseWithLine(name + "at begin", fields, bad + "X-F: x"));
+  }
+  return out;
+}
+
 }  // namespace trefoilwick
--- a/test/daemon_http_client_test.cc
+++ b/test/daemon_http_client_test.cc
@@ -86,6 +86,7 @@
   CPPUNIT_TEST(ReportsRefusedConnection);
   CPPUNIT_TEST(CancelledCallReportsNoReply);
   CPPUNIT_TEST(BadStatusIsNoReply);
+  CPPUNIT_TEST(BadFieldNameIsNoReply);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -174,6 +175,10 @@
   // The ledger recorded status 000 as the result of a call, and every client
   // that sent the call got it.
   void BadStatusIsNoReply() { CheckNoReply(ResponsesWithBadStatus("")); }
+
+  void BadFieldNameIsNoReply() {
+    CheckNoReply(ResponsesWithBadFieldName("X-E: e\r\n", kBadNameBytes));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DaemonHttpClientTest);
--- a/test/response_parser_test.cc
+++ b/test/response_parser_test.cc
@@ -44,6 +44,7 @@
   CPPUNIT_TEST_SUITE(ResponseParserTest);
   CPPUNIT_TEST(PossibleResponsesAreAccepted);
   CPPUNIT_TEST(ImpossibleStatusIsRejected);
+  CPPUNIT_TEST(BadFieldNameIsRejected);
   CPPUNIT_TEST_SUITE_END();
 
   static void CheckRejected(const std::vector<BrokenResponse>& responses) {
@@ -88,6 +89,14 @@
   void ImpossibleStatusIsRejected() {
     CheckRejected(ResponsesWithBadStatus(""));
   }
+
+  // Guards against a name that is not that of the field which it looks like.
+  void BadFieldNameIsRejected() {
+    std::string bytes("\x7f\x80\xff");
+    for (char byte = 0; byte <= ' '; ++byte)
+      bytes += byte;
+    CheckRejected(ResponsesWithBadFieldName("X-F: x\r\n", bytes));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ResponseParserTest);
