Refuse responses with a folded line in their head

The client got "X-E: e Content-Length: 3" and, as no length was known, all that the server sent until it closed the connection. With any other name the line was passed on as part of the value before it. Reports, the store, orders and serve read such bodies as well.

Cause: Boost.Beast joins a line that begins with a blank or a tab to the value before it, as old servers meant it. No field of such a line is seen by the code that judges the head. RFC 9112, section 5.2, has gateways discard the response or replace the fold; the line of a faulty server says nothing about which is right, so the response is discarded.

Fix: ResponseParser scans the head as it arrives and reports bad_field for a line that begins with a blank, before the line is parsed.

--- a/include/trefoilwick/response_parser.h
+++ b/include/trefoilwick/response_parser.h
@@ -14,6 +14,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 namespace trefoilwick {
@@ -58,10 +59,17 @@
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+  // Scans the bytes of the head that were not scanned yet. True when one of its
+  // lines begins with a blank.
+  bool FindFoldedLine(std::string_view bytes);
   // The error of a head that cannot be that of a response to a request.
   boost::system::error_code CheckHead() const;
 
   Parser m_parser;
+  // Number of bytes of the head that were scanned, but not parsed.
+  size_t m_scanned_bytes = 0;
+  bool m_scanned_line_is_empty = true;
+  bool m_head_scanned = false;
   bool m_head_accepted = false;
 };
 
--- a/src/response_parser.cc
+++ b/src/response_parser.cc
@@ -1,5 +1,7 @@
 #include "trefoilwick/response_parser.h"
 
+#include <algorithm>
+
 namespace trefoilwick {
 
 namespace http = boost::beast::http;
@@ -40,7 +42,12 @@
 }
 
 size_t ResponseParser::Put(boost::asio::const_buffer bytes, error_code& error) {
+  if (FindFoldedLine({static_cast<const char*>(bytes.data()), bytes.size()})) {
+    error = http::error::bad_field;
+    return 0;
+  }
   const size_t used = m_parser.put(bytes, error);
+  m_scanned_bytes -= std::min(m_scanned_bytes, used);
   if (m_parser.is_header_done() && !m_head_accepted) {
     if (const error_code head_error = CheckHead())
       error = head_error;
@@ -70,6 +77,22 @@
     error = http::error::partial_message;
 }
 
+// The parser takes a line that begins with a blank for the rest of the value
+// before it, so that a field in it is not seen (RFC 9112, section 5.2).
+bool ResponseParser::FindFoldedLine(std::string_view bytes) {
+  while (!m_head_scanned && m_scanned_bytes < bytes.size()) {
+    const char byte = bytes[m_scanned_bytes++];
+    if (byte == '\n') {
+      m_head_scanned = std::exchange(m_scanned_line_is_empty, true);
+    } else if (byte != '\r') {
+      const bool begins_line = std::exchange(m_scanned_line_is_empty, false);
+      if (begins_line && (byte == ' ' || byte == '\t'))
+        return true;
+    }
+  }
+  return false;
+}
+
 error_code ResponseParser::CheckHead() const {
   if (!IsPossibleStatus(m_parser.get().result_int()))
     return http::error::bad_status;
--- a/test/adapter_call_test.cc
+++ b/test/adapter_call_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(EndlessResponseFailsCall);
   CPPUNIT_TEST(BadStatusFailsCall);
   CPPUNIT_TEST(BadFieldNameFailsCall);
+  CPPUNIT_TEST(FoldedLineFailsCall);
   CPPUNIT_TEST(BrokenAnswerToOrderLeavesItsResultUnknown);
   CPPUNIT_TEST(ServerListSkipsUndecodableRows);
   CPPUNIT_TEST(UndecodableLastRowDoesNotEndServerList);
@@ -200,6 +201,11 @@
     CheckCallsFail(ResponsesWithBadFieldName("X-E: e\r\n", kBadNameBytes));
   }
 
+  // A row of the store, or a report, was read with the size of another body.
+  void FoldedLineFailsCall() {
+    CheckCallsFail(ResponsesWithFoldedLine("X-E: e\r\n"));
+  }
+
   // An order that was carried out, but whose answer was broken, counted as
   // refused.
   void BrokenAnswerToOrderLeavesItsResultUnknown() {
--- a/test/adapter_head_test.cc
+++ b/test/adapter_head_test.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST_SUITE(AdapterHeadTest);
   CPPUNIT_TEST(BadStatusIsNotForwarded);
   CPPUNIT_TEST(BadFieldNameIsNotForwarded);
+  CPPUNIT_TEST(FoldedLineIsNotForwarded);
   CPPUNIT_TEST_SUITE_END();
 
   // Checks that a request that may be repeated is completed by another server,
@@ -48,6 +49,12 @@
   void BadFieldNameIsNotForwarded() {
     CheckNotForwarded(ResponsesWithBadFieldName(kSealedFields, kBadNameBytes));
   }
+
+  // A field whose name began with a blank became part of the value before it.
+  // A length in it was not read, so that the client got a body of another size.
+  void FoldedLineIsNotForwarded() {
+    CheckNotForwarded(ResponsesWithFoldedLine(kSealedFields));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AdapterHeadTest);
--- a/test/broken_responses.h
+++ b/test/broken_responses.h
@@ -57,4 +57,20 @@
   return out;
 }
 
+// A line that begins with a blank continues the value of the line before.
+inline std::vector<BrokenResponse> ResponsesWithFoldedLine(
+    const std::string& fields) {
+  std::vector<BrokenResponse> out;
+  for (const std::string blank : {" ", "\t"}) {
+    out.push_back(ResponseWithLine("first line", "", blank + "X-F: x"));
+    out.push_back(ResponseWithLine("later line", fields + "X-E: e\r\n",
+                                   blank + "X-F: x"));
+    out.push_back(
+        ResponseWithLine("only blanks", fields + "X-E: e\r\n", blank));
+    out.push_back({"length", "HTTP/1.1 200 OK\r\n" + fields + "X-E: e\r\n" +
+                                 blank + "Content-Length: 3\r\n\r\nbroken"});
+  }
+  return out;
+}
+
 }  // namespace trefoilwick
--- a/test/daemon_http_client_test.cc
+++ b/test/daemon_http_client_test.cc
@@ -87,6 +87,7 @@
   CPPUNIT_TEST(CancelledCallReportsNoReply);
   CPPUNIT_TEST(BadStatusIsNoReply);
   CPPUNIT_TEST(BadFieldNameIsNoReply);
+  CPPUNIT_TEST(FoldedLineIsNoReply);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -179,6 +180,10 @@
   void BadFieldNameIsNoReply() {
     CheckNoReply(ResponsesWithBadFieldName("X-E: e\r\n", kBadNameBytes));
   }
+
+  void FoldedLineIsNoReply() {
+    CheckNoReply(ResponsesWithFoldedLine("X-E: e\r\n"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DaemonHttpClientTest);
--- a/test/response_parser_test.cc
+++ b/test/response_parser_test.cc
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(PossibleResponsesAreAccepted);
   CPPUNIT_TEST(ImpossibleStatusIsRejected);
   CPPUNIT_TEST(BadFieldNameIsRejected);
+  CPPUNIT_TEST(FoldedLineIsRejected);
   CPPUNIT_TEST_SUITE_END();
 
   static void CheckRejected(const std::vector<BrokenResponse>& responses) {
@@ -97,6 +98,11 @@
       bytes += byte;
     CheckRejected(ResponsesWithBadFieldName("X-F: x\r\n", bytes));
   }
+
+  // Guards against a field that is taken for a part of the one before it.
+  void FoldedLineIsRejected() {
+    CheckRejected(ResponsesWithFoldedLine("X-F: x\r\n"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ResponseParserTest);
