Refuse responses with a transfer coding that no request allows

What callers saw: with "Transfer-Encoding: gzip" or any other coding than chunked as the last one, the client got the chunk sizes within the body as a complete success; with "gzip, chunked" it got the compressed bytes with no encoding named. Calls to the store, reports, orders and serve read the same.

Cause: Boost.Beast takes a response whose last coding is not chunked for one that ends with its connection, and ignores codings before chunked. The field is dropped on the way to the client, as it concerns one connection only.

Fix: a head with a Transfer-Encoding is accepted only if it is one field, chunked, in HTTP/1.1. No request has a TE field, so that servers may send no other (RFC 9112, section 6.1).

--- a/src/response_parser.cc
+++ b/src/response_parser.cc
@@ -1,6 +1,7 @@
 #include "trefoilwick/response_parser.h"
 
 #include <algorithm>
+#include <boost/beast/core/string.hpp>
 
 namespace trefoilwick {
 
@@ -10,6 +11,7 @@
 namespace {
 
 constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kHttp11 = 11;
 
 // RFC 9110, section 15: a status is from 100 to 599. No request asks for
 // another protocol, so that none can be switched to.
@@ -17,6 +19,17 @@
   return status >= 100 && status <= 599 && status != kSwitchingProtocols;
 }
 
+// Chunks are the only coding that requests allow, and HTTP/1.0 has none. The
+// parser would take any other coding for a part of the body.
+bool HasBadTransferCoding(const http::response_header<>& head) {
+  const size_t fields = head.count(http::field::transfer_encoding);
+  if (fields == 0)
+    return false;
+  return fields > 1 || head.version() < kHttp11 ||
+         !boost::beast::iequals(head[http::field::transfer_encoding],
+                                "chunked");
+}
+
 }  // namespace
 
 ResponseParser::ResponseParser() {
@@ -94,8 +107,11 @@
 }
 
 error_code ResponseParser::CheckHead() const {
-  if (!IsPossibleStatus(m_parser.get().result_int()))
+  const http::response_header<>& head = m_parser.get().base();
+  if (!IsPossibleStatus(head.result_int()))
     return http::error::bad_status;
+  if (HasBadTransferCoding(head))
+    return http::error::bad_transfer_encoding;
   return {};
 }
 
--- a/test/adapter_call_test.cc
+++ b/test/adapter_call_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(BadStatusFailsCall);
   CPPUNIT_TEST(BadFieldNameFailsCall);
   CPPUNIT_TEST(FoldedLineFailsCall);
+  CPPUNIT_TEST(BadTransferCodingFailsCall);
   CPPUNIT_TEST(BrokenAnswerToOrderLeavesItsResultUnknown);
   CPPUNIT_TEST(ServerListSkipsUndecodableRows);
   CPPUNIT_TEST(UndecodableLastRowDoesNotEndServerList);
@@ -206,6 +207,10 @@
     CheckCallsFail(ResponsesWithFoldedLine("X-E: e\r\n"));
   }
 
+  void BadTransferCodingFailsCall() {
+    CheckCallsFail(ResponsesWithBadTransferCoding("X-E: e\r\n"));
+  }
+
   // An order that was carried out, but whose answer was broken, counted as
   // refused.
   void BrokenAnswerToOrderLeavesItsResultUnknown() {
--- a/test/adapter_head_test.cc
+++ b/test/adapter_head_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(BadStatusIsNotForwarded);
   CPPUNIT_TEST(BadFieldNameIsNotForwarded);
   CPPUNIT_TEST(FoldedLineIsNotForwarded);
+  CPPUNIT_TEST(BadTransferCodingIsNotForwarded);
   CPPUNIT_TEST_SUITE_END();
 
   // Checks that a request that may be repeated is completed by another server,
@@ -55,6 +56,11 @@
   void FoldedLineIsNotForwarded() {
     CheckNotForwarded(ResponsesWithFoldedLine(kSealedFields));
   }
+
+  // The client got the coded body, or the sizes of chunks within the body.
+  void BadTransferCodingIsNotForwarded() {
+    CheckNotForwarded(ResponsesWithBadTransferCoding(kSealedFields));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AdapterHeadTest);
--- a/test/broken_responses.h
+++ b/test/broken_responses.h
@@ -73,4 +73,26 @@
   return out;
 }
 
+// The body is coded in a way that no request asks for, so that its end or its
+// bytes are not known.
+inline std::vector<BrokenResponse> ResponsesWithBadTransferCoding(
+    const std::string& fields) {
+  const std::string chunks = "6\r\nbroken\r\n0\r\n\r\n";
+  std::vector<BrokenResponse> out;
+  for (const char* coding :
+       {"", "identity", "gzip", "gzip, chunked", "chunked, gzip", "xchunked",
+        "chunked, chunked", "\"chunked\"", "chunked;q=1"})
+    out.push_back({std::string("coding ") + coding,
+                   "HTTP/1.1 200 OK\r\n" + fields +
+                       "Transfer-Encoding: " + coding + "\r\n\r\n" + chunks});
+  out.push_back({"two codings", "HTTP/1.1 200 OK\r\n" + fields +
+                                    "Transfer-Encoding: gzip\r\n"
+                                    "Transfer-Encoding: chunked\r\n\r\n" +
+                                    chunks});
+  out.push_back({"chunks of HTTP/1.0",
+                 "HTTP/1.0 200 OK\r\n" + fields +
+                     "Transfer-Encoding: chunked\r\n\r\n" + chunks});
+  return out;
+}
+
 }  // namespace trefoilwick
--- a/test/daemon_http_client_test.cc
+++ b/test/daemon_http_client_test.cc
@@ -88,6 +88,7 @@
   CPPUNIT_TEST(BadStatusIsNoReply);
   CPPUNIT_TEST(BadFieldNameIsNoReply);
   CPPUNIT_TEST(FoldedLineIsNoReply);
+  CPPUNIT_TEST(BadTransferCodingIsNoReply);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -184,6 +185,10 @@
   void FoldedLineIsNoReply() {
     CheckNoReply(ResponsesWithFoldedLine("X-E: e\r\n"));
   }
+
+  void BadTransferCodingIsNoReply() {
+    CheckNoReply(ResponsesWithBadTransferCoding("X-E: e\r\n"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DaemonHttpClientTest);
--- a/test/response_parser_test.cc
+++ b/test/response_parser_test.cc
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(ImpossibleStatusIsRejected);
   CPPUNIT_TEST(BadFieldNameIsRejected);
   CPPUNIT_TEST(FoldedLineIsRejected);
+  CPPUNIT_TEST(BadTransferCodingIsRejected);
   CPPUNIT_TEST_SUITE_END();
 
   static void CheckRejected(const std::vector<BrokenResponse>& responses) {
@@ -103,6 +104,11 @@
   void FoldedLineIsRejected() {
     CheckRejected(ResponsesWithFoldedLine("X-F: x\r\n"));
   }
+
+  // Guards against a body whose end is not where it seems to be.
+  void BadTransferCodingIsRejected() {
+    CheckRejected(ResponsesWithBadTransferCoding("X-F: x\r\n"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ResponseParserTest);
