Read no fields of a trailer as fields of the head

What callers saw: a success without the mark of its server reached the client when the mark stood behind the chunked body, and the client of a request that a server had run and failed was told "not_run" because of a Not-Run there. Both only when head and trailer arrived in one read, so that the same bytes were read in two ways. A notice behind the body of a report or of the answer to an order was believed in any case.

Cause: Boost.Beast adds the fields of a trailer to those of the head, and the parser ran to the end of the bytes at hand before the head was read.

Fix: ResponseParser stops behind the head and keeps it apart; fields that follow are checked for their form and dropped, as RFC 9110, section 6.5.1, has it.

--- a/include/trefoilwick/response_parser.h
+++ b/include/trefoilwick/response_parser.h
@@ -14,6 +14,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -27,7 +28,6 @@
 // cannot be used any more.
 class ResponseParser {
  public:
-  ResponseParser();
   ResponseParser& SetMaxHeadBytes(uint32_t bytes);
   // Null: any number.
   ResponseParser& SetMaxBodyBytes(std::optional<uint64_t> bytes);
@@ -50,10 +50,15 @@
   bool is_done() const { return m_head_accepted && m_parser.is_done(); }
   // True when the end of the connection ends the response.
   bool need_eof() const { return m_parser.need_eof(); }
-  // The response so far; valid once is_header_done() is true.
-  HttpResponse& get() { return m_parser.get(); }
-  const HttpResponse& get() const { return m_parser.get(); }
-  HttpResponse Release() { return m_parser.release(); }
+  // True when the connection can be used again after the response.
+  bool keep_alive() const { return m_parser.keep_alive(); }
+  // Valid once is_header_done() is true. Holds no fields of a trailer, which
+  // would count only when they arrive early enough.
+  const HttpResponse::header_type& head() const { return m_head; }
+  // Bytes of the body that the caller did not take out yet.
+  std::string& body() { return m_parser.get().body(); }
+  // The response, once is_done() is true.
+  HttpResponse Release();
 
  private:
   using Parser =
@@ -64,8 +69,11 @@
   bool FindFoldedLine(std::string_view bytes);
   // The error of a head that cannot be that of a response to a request.
   boost::system::error_code CheckHead() const;
+  void AcceptHead();
 
+  // Its message has the body; the head is moved to `m_head`.
   Parser m_parser;
+  HttpResponse::header_type m_head;
   // Number of bytes of the head that were scanned, but not parsed.
   size_t m_scanned_bytes = 0;
   bool m_scanned_line_is_empty = true;
--- a/src/daemon_http_client.cc
+++ b/src/daemon_http_client.cc
@@ -215,7 +215,7 @@
   void OnResponse() {
     if (m_completed)
       return;
-    auto& response = m_parser->get();
+    HttpResponse response = m_parser->Release();
     HttpResult result;
     result.status = static_cast<int>(response.result_int());
     result.content_type = std::string(response[http::field::content_type]);
--- a/src/gateway_upstream.cc
+++ b/src/gateway_upstream.cc
@@ -260,7 +260,7 @@
 
 void UpstreamCall::OnHeadParsed() {
   m_head_received = true;
-  const ResponseHead head = m_dialect.ReadResponse(m_parser->get().base());
+  const ResponseHead head = m_dialect.ReadResponse(m_parser->head());
   const bool is_interim = head.status / 100 == 1;
   const bool is_for_other_request =
       !head.attempt_id.empty() && head.attempt_id != m_attempt_id;
@@ -279,7 +279,7 @@
 }
 
 void UpstreamCall::DeliverBody() {
-  std::string& body = m_parser->get().body();
+  std::string& body = m_parser->body();
   if (body.empty())
     return;
   if (m_discarding_response || !m_head_received) {
@@ -306,7 +306,7 @@
 
 void UpstreamCall::Complete() {
   if (m_discarding_response) {
-    if (!m_parser->get().keep_alive()) {
+    if (!m_parser->keep_alive()) {
       ReportBroken();
       return;
     }
@@ -314,9 +314,8 @@
     return;
   }
   m_finished = true;
-  const bool keep = m_parser->get().keep_alive() && m_request_written &&
-                    !m_server_is_leaving && m_buffer.size() == 0 &&
-                    !m_parser->get().need_eof();
+  const bool keep = m_parser->keep_alive() && m_request_written &&
+                    !m_server_is_leaving && m_buffer.size() == 0;
   if (keep)
     m_pool.Put(m_server, std::move(m_socket), BootClock().Now(), m_keep_alive);
   m_listener->OnUpstreamComplete(m_parser->need_eof());
--- a/src/response_parser.cc
+++ b/src/response_parser.cc
@@ -32,10 +32,6 @@
 
 }  // namespace
 
-ResponseParser::ResponseParser() {
-  m_parser.eager(true);
-}
-
 ResponseParser& ResponseParser::SetMaxHeadBytes(uint32_t bytes) {
   m_parser.header_limit(bytes);
   return *this;
@@ -62,14 +58,26 @@
   const size_t used = m_parser.put(bytes, error);
   m_scanned_bytes -= std::min(m_scanned_bytes, used);
   if (m_parser.is_header_done() && !m_head_accepted) {
-    if (const error_code head_error = CheckHead())
-      error = head_error;
-    else
-      m_head_accepted = true;
+    error = CheckHead();
+    if (!error)
+      AcceptHead();
   }
   return used;
 }
 
+void ResponseParser::AcceptHead() {
+  m_head_accepted = true;
+  m_head = std::move(m_parser.get().base());
+  // Until now the parser stopped behind the head.
+  m_parser.eager(true);
+}
+
+HttpResponse ResponseParser::Release() {
+  HttpResponse response = m_parser.release();
+  response.base() = std::move(m_head);
+  return response;
+}
+
 error_code ResponseParser::ParseBuffer(boost::beast::flat_buffer& buffer) {
   while (buffer.size() > 0 && !is_done()) {
     error_code error;
--- a/test/adapter_call_test.cc
+++ b/test/adapter_call_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(BadFieldNameFailsCall);
   CPPUNIT_TEST(FoldedLineFailsCall);
   CPPUNIT_TEST(BadTransferCodingFailsCall);
+  CPPUNIT_TEST(TrailerIsNotReadAsHead);
   CPPUNIT_TEST(BrokenAnswerToOrderLeavesItsResultUnknown);
   CPPUNIT_TEST(ServerListSkipsUndecodableRows);
   CPPUNIT_TEST(UndecodableLastRowDoesNotEndServerList);
@@ -211,6 +212,20 @@
     CheckCallsFail(ResponsesWithBadTransferCoding("X-E: e\r\n"));
   }
 
+  // A server was taken for leaving because of a field behind the body of its
+  // report.
+  void TrailerIsNotReadAsHead() {
+    ScriptedServer server([](const std::string&) {
+      return ScriptedResponse{
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "2\r\n{}\r\n0\r\nServer-Leaving: 1\r\n\r\n"};
+    });
+    const CallResult result = Call(server.address());
+    CPPUNIT_ASSERT(result.error == CallError::kNone);
+    CPPUNIT_ASSERT_EQUAL(std::string("{}"), result.response.body());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, result.response.count("Server-Leaving"));
+  }
+
   // An order that was carried out, but whose answer was broken, counted as
   // refused.
   void BrokenAnswerToOrderLeavesItsResultUnknown() {
--- a/test/adapter_head_test.cc
+++ b/test/adapter_head_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(BadFieldNameIsNotForwarded);
   CPPUNIT_TEST(FoldedLineIsNotForwarded);
   CPPUNIT_TEST(BadTransferCodingIsNotForwarded);
+  CPPUNIT_TEST(TrailerIsNotReadAsHead);
   CPPUNIT_TEST_SUITE_END();
 
   // Checks that a request that may be repeated is completed by another server,
@@ -61,6 +62,27 @@
   void BadTransferCodingIsNotForwarded() {
     CheckNotForwarded(ResponsesWithBadTransferCoding(kSealedFields));
   }
+
+  // A field behind the body took effect when it arrived together with the head:
+  // a success counted as sealed, and the client of a request that a server had
+  // run and failed was told that it had not run.
+  void TrailerIsNotReadAsHead() {
+    const auto respond = [](const std::string& status,
+                            const std::string& trailer) {
+      return "HTTP/1.1 " + status +
+             "\r\nAttempt-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n"
+             "6\r\nbroken\r\n0\r\n" +
+             trailer + "\r\n";
+    };
+    const Answer unsealed = CallWithFirstAnswer(
+        "POST /post/x", respond("200 OK", "Server-Seal: s\r\n"));
+    CPPUNIT_ASSERT_MESSAGE(unsealed.response,
+                           unsealed.response.starts_with("HTTP/1.1 502"));
+    const Answer failed = CallWithFirstAnswer(
+        "POST /post/x", respond("503 Full", "Not-Run: 1\r\n"));
+    CPPUNIT_ASSERT_MESSAGE(failed.response,
+                           !Contains(failed.response, "not_run"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AdapterHeadTest);
--- a/test/response_parser_test.cc
+++ b/test/response_parser_test.cc
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(BadFieldNameIsRejected);
   CPPUNIT_TEST(FoldedLineIsRejected);
   CPPUNIT_TEST(BadTransferCodingIsRejected);
+  CPPUNIT_TEST(TrailerIsDropped);
   CPPUNIT_TEST_SUITE_END();
 
   static void CheckRejected(const std::vector<BrokenResponse>& responses) {
@@ -65,6 +66,7 @@
     const std::pair<std::string, std::string> cases[] = {
         {"Content-Length: 5\r\n\r\nhello", "hello"},
         {"Content-Length: 0\r\n\r\n", ""},
+        {"\r\n", ""},
         {"\r\nhello", "hello"},
         {"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", "hello"},
         {"transfer-encoding:\t Chunked \r\n\r\n5\r\nhello\r\n0\r\n\r\n",
@@ -109,6 +111,21 @@
   void BadTransferCodingIsRejected() {
     CheckRejected(ResponsesWithBadTransferCoding("X-F: x\r\n"));
   }
+
+  // Guards against fields that are believed only when they arrive in one piece
+  // with the head.
+  void TrailerIsDropped() {
+    const std::string bytes =
+        "HTTP/1.1 200 OK\r\nX-F: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "5\r\nhello\r\n0\r\nX-F: y\r\nX-G: z\r\n\r\n";
+    for (size_t size = 1; size <= bytes.size(); ++size) {
+      const Parsed parsed = ParseInPieces(bytes, size);
+      CPPUNIT_ASSERT(!parsed.error);
+      CPPUNIT_ASSERT_EQUAL(std::string("hello"), parsed.response.body());
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, parsed.response.count("X-F"));
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, parsed.response.count("X-G"));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ResponseParserTest);
