Skip interim responses to calls, orders and on serve

What callers saw: on serve a server that sent 100 or 103 before its answer made that status the recorded result of a call that runs at most once. An order that was accepted after an interim response counted as refused, a read of the store as failed, and a report as missing. The gateway's own requests were read right already (adapter_endless_test).

Cause: the parser ends with the head of an interim response, and only the reader of the gateway's requests continued behind it.

Fix: ParseBuffer starts over behind an interim response, 32 times at most, so that a server that sends them without end fails the call before its timeout. The limits of a response are now a struct, since they are set again each time.

--- a/include/trefoilwick/response_parser.h
+++ b/include/trefoilwick/response_parser.h
@@ -23,40 +23,47 @@
 using HttpResponse =
     boost::beast::http::response<boost::beast::http::string_body>;
 
+struct ResponseLimits {
+  uint32_t max_head_bytes = 8 * 1024;
+  // Null: any number.
+  std::optional<uint64_t> max_body_bytes = std::nullopt;
+  // False for the response to a HEAD request.
+  bool has_body = true;
+};
+
 // Parses one response from the bytes of a connection. All errors are those of
 // boost::beast::http::error; after one other than need_more the connection
 // cannot be used any more.
 class ResponseParser {
  public:
-  ResponseParser& SetMaxHeadBytes(uint32_t bytes);
-  // Null: any number.
-  ResponseParser& SetMaxBodyBytes(std::optional<uint64_t> bytes);
-  // The response has no body, as one to a HEAD request.
-  ResponseParser& SkipBody(bool skip);
+  explicit ResponseParser(const ResponseLimits& limits);
 
   // Parses the front of `bytes` and returns the number of bytes parsed. The
   // rest is passed again, together with more bytes when `error` is need_more.
   size_t Put(boost::asio::const_buffer bytes, boost::system::error_code& error);
-  // Parses the bytes of `buffer` and removes them from it. The error is
-  // need_more while the response is not complete.
+  // Parses the bytes of `buffer` and removes them from it. Skips interim
+  // responses. The error is need_more while the response is not complete.
   boost::system::error_code ParseBuffer(boost::beast::flat_buffer& buffer);
   // The server closed the connection. Completes a response that has neither a
   // length nor chunks; any other error is partial_message.
   void PutEof(boost::system::error_code& error);
 
-  bool got_some() const { return m_parser.got_some(); }
+  // True when any byte was parsed, also of an interim response.
+  bool got_some() const {
+    return m_interim_responses > 0 || m_parser->got_some();
+  }
   // The whole head was parsed and accepted.
   bool is_header_done() const { return m_head_accepted; }
-  bool is_done() const { return m_head_accepted && m_parser.is_done(); }
+  bool is_done() const { return m_head_accepted && m_parser->is_done(); }
   // True when the end of the connection ends the response.
-  bool need_eof() const { return m_parser.need_eof(); }
+  bool need_eof() const { return m_parser->need_eof(); }
   // True when the connection can be used again after the response.
-  bool keep_alive() const { return m_parser.keep_alive(); }
+  bool keep_alive() const { return m_parser->keep_alive(); }
   // Valid once is_header_done() is true. Holds no fields of a trailer, which
   // would count only when they arrive early enough.
   const HttpResponse::header_type& head() const { return m_head; }
   // Bytes of the body that the caller did not take out yet.
-  std::string& body() { return m_parser.get().body(); }
+  std::string& body() { return m_parser->get().body(); }
   // The response, once is_done() is true.
   HttpResponse Release();
 
@@ -70,9 +77,12 @@
   // The error of a head that cannot be that of a response to a request.
   boost::system::error_code CheckHead() const;
   void AcceptHead();
+  void Reset();
 
+  ResponseLimits m_limits;
+  int m_interim_responses = 0;
   // Its message has the body; the head is moved to `m_head`.
-  Parser m_parser;
+  std::optional<Parser> m_parser;
   HttpResponse::header_type m_head;
   // Number of bytes of the head that were scanned, but not parsed.
   size_t m_scanned_bytes = 0;
--- a/src/http_call.cc
+++ b/src/http_call.cc
@@ -130,9 +130,8 @@
         m_timeout(timeout),
         m_handler(std::move(handler)),
         m_timer(client.m_io),
-        m_connect_timer(client.m_io) {
-    m_parser.SetMaxBodyBytes(client.m_max_response_bytes);
-  }
+        m_connect_timer(client.m_io),
+        m_parser({.max_body_bytes = client.m_max_response_bytes}) {}
 
   void Start() {
     m_timer.expires_after(m_timeout);
--- a/src/response_parser.cc
+++ b/src/response_parser.cc
@@ -12,6 +12,8 @@
 
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kHttp11 = 11;
+// A faulty server may send them without end.
+constexpr int kMaxInterimResponses = 32;
 
 // RFC 9110, section 15: a status is from 100 to 599. No request asks for
 // another protocol, so that none can be switched to.
@@ -19,6 +21,10 @@
   return status >= 100 && status <= 599 && status != kSwitchingProtocols;
 }
 
+bool IsInterimStatus(unsigned status) {
+  return status / 100 == 1;
+}
+
 // Chunks are the only coding that requests allow, and HTTP/1.0 has none. The
 // parser would take any other coding for a part of the body.
 bool HasBadTransferCoding(const http::response_header<>& head) {
@@ -32,22 +38,23 @@
 
 }  // namespace
 
-ResponseParser& ResponseParser::SetMaxHeadBytes(uint32_t bytes) {
-  m_parser.header_limit(bytes);
-  return *this;
+ResponseParser::ResponseParser(const ResponseLimits& limits)
+    : m_limits(limits) {
+  Reset();
 }
 
-ResponseParser& ResponseParser::SetMaxBodyBytes(std::optional<uint64_t> bytes) {
-  if (bytes)
-    m_parser.body_limit(*bytes);
+void ResponseParser::Reset() {
+  m_parser.emplace();
+  m_parser->header_limit(m_limits.max_head_bytes);
+  if (m_limits.max_body_bytes)
+    m_parser->body_limit(*m_limits.max_body_bytes);
   else
-    m_parser.body_limit(boost::none);
-  return *this;
-}
-
-ResponseParser& ResponseParser::SkipBody(bool skip) {
-  m_parser.skip(skip);
-  return *this;
+    m_parser->body_limit(boost::none);
+  m_parser->skip(!m_limits.has_body);
+  m_scanned_bytes = 0;
+  m_scanned_line_is_empty = true;
+  m_head_scanned = false;
+  m_head_accepted = false;
 }
 
 size_t ResponseParser::Put(boost::asio::const_buffer bytes, error_code& error) {
@@ -55,9 +62,9 @@
     error = http::error::bad_field;
     return 0;
   }
-  const size_t used = m_parser.put(bytes, error);
+  const size_t used = m_parser->put(bytes, error);
   m_scanned_bytes -= std::min(m_scanned_bytes, used);
-  if (m_parser.is_header_done() && !m_head_accepted) {
+  if (m_parser->is_header_done() && !m_head_accepted) {
     error = CheckHead();
     if (!error)
       AcceptHead();
@@ -67,13 +74,13 @@
 
 void ResponseParser::AcceptHead() {
   m_head_accepted = true;
-  m_head = std::move(m_parser.get().base());
+  m_head = std::move(m_parser->get().base());
   // Until now the parser stopped behind the head.
-  m_parser.eager(true);
+  m_parser->eager(true);
 }
 
 HttpResponse ResponseParser::Release() {
-  HttpResponse response = m_parser.release();
+  HttpResponse response = m_parser->release();
   response.base() = std::move(m_head);
   return response;
 }
@@ -87,13 +94,18 @@
       return error;
     if (used == 0)
       return http::error::need_more;
+    if (is_done() && IsInterimStatus(m_head.result_int())) {
+      if (++m_interim_responses > kMaxInterimResponses)
+        return http::error::header_limit;
+      Reset();
+    }
   }
   return is_done() ? error_code() : http::error::need_more;
 }
 
 void ResponseParser::PutEof(error_code& error) {
   if (m_head_accepted)
-    m_parser.put_eof(error);
+    m_parser->put_eof(error);
   else
     error = http::error::partial_message;
 }
@@ -115,7 +127,7 @@
 }
 
 error_code ResponseParser::CheckHead() const {
-  const http::response_header<>& head = m_parser.get().base();
+  const http::response_header<>& head = m_parser->get().base();
   if (!IsPossibleStatus(head.result_int()))
     return http::error::bad_status;
   if (HasBadTransferCoding(head))
--- a/test/adapter_call_test.cc
+++ b/test/adapter_call_test.cc
@@ -35,6 +35,8 @@
   CPPUNIT_TEST(FoldedLineFailsCall);
   CPPUNIT_TEST(BadTransferCodingFailsCall);
   CPPUNIT_TEST(TrailerIsNotReadAsHead);
+  CPPUNIT_TEST(InterimResponseIsNotTheAnswer);
+  CPPUNIT_TEST(EndlessInterimResponsesFailCall);
   CPPUNIT_TEST(BrokenAnswerToOrderLeavesItsResultUnknown);
   CPPUNIT_TEST(ServerListSkipsUndecodableRows);
   CPPUNIT_TEST(UndecodableLastRowDoesNotEndServerList);
@@ -226,6 +228,42 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, result.response.count("Server-Leaving"));
   }
 
+  // The interim response was taken for the answer: an order that was accepted
+  // counted as refused, and the store as failing.
+  void InterimResponseIsNotTheAnswer() {
+    const std::string interim =
+        "HTTP/1.1 100 Continue\r\n\r\n"
+        "HTTP/1.1 103 Early Hints\r\nX-F: x\r\n\r\n";
+    for (const bool is_late : {false, true}) {
+      ScriptedServer server([&](const std::string&) {
+        ScriptedResponse response{interim};
+        if (is_late) {
+          response.parts = {Ok("hello")};
+          response.parts_pause = milliseconds(20);
+        } else {
+          response.bytes += Ok("hello");
+        }
+        return response;
+      });
+      const CallResult result = Call(server.address());
+      CPPUNIT_ASSERT(result.error == CallError::kNone);
+      CPPUNIT_ASSERT_EQUAL(200U, result.response.result_int());
+      CPPUNIT_ASSERT_EQUAL(std::string("hello"), result.response.body());
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, result.response.count("X-F"));
+    }
+  }
+
+  // Guards against reading them until the timeout of the call.
+  void EndlessInterimResponsesFailCall() {
+    ScriptedServer server([](const std::string&) {
+      return ScriptedResponse{"", true, false, milliseconds(0),
+                              "HTTP/1.1 100 Continue\r\n\r\n"};
+    });
+    const auto start = std::chrono::steady_clock::now();
+    CPPUNIT_ASSERT(Call(server.address()).error == CallError::kUnknown);
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start < kTimeout);
+  }
+
   // An order that was carried out, but whose answer was broken, counted as
   // refused.
   void BrokenAnswerToOrderLeavesItsResultUnknown() {
--- a/test/daemon_http_client_test.cc
+++ b/test/daemon_http_client_test.cc
@@ -89,6 +89,7 @@
   CPPUNIT_TEST(BadFieldNameIsNoReply);
   CPPUNIT_TEST(FoldedLineIsNoReply);
   CPPUNIT_TEST(BadTransferCodingIsNoReply);
+  CPPUNIT_TEST(InterimResponseIsNotTheReply);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -189,6 +190,20 @@
   void BadTransferCodingIsNoReply() {
     CheckNoReply(ResponsesWithBadTransferCoding("X-E: e\r\n"));
   }
+
+  // The ledger recorded status 100 as the result of a call.
+  void InterimResponseIsNotTheReply() {
+    ClosingServer server(
+        1, std::string("HTTP/1.1 100 Continue\r\n\r\n") + kOkResponse);
+    BackendHttpClient client;
+    HttpCall call;
+    call.address = server.address();
+    call.path = "/ballot";
+    call.idempotency_key = "k1";
+    const HttpResult result = CallAndWait(client, call);
+    CPPUNIT_ASSERT_EQUAL(200, result.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("{}"), result.body);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DaemonHttpClientTest);
--- a/test/response_parser_test.cc
+++ b/test/response_parser_test.cc
@@ -21,7 +21,7 @@
 };
 
 Parsed ParseInPieces(const std::string& bytes, size_t piece_size) {
-  ResponseParser parser;
+  ResponseParser parser({});
   boost::beast::flat_buffer buffer;
   Parsed out;
   for (size_t at = 0; at < bytes.size(); at += piece_size) {
