Reuse no connection of serve that holds bytes of an earlier answer

What callers saw: a server of serve that sent an answer twice had the second copy read as the answer to the next call on that connection, which was another client's. Bytes behind an answer that arrived with it were dropped, and the rest of them was read as the next answer.

Cause: the pool of serve took any open connection, and kept one whose buffer was not empty.

Fix: a connection is kept only with an empty buffer, and taken only if it has nothing to read (IsReusableConnection, as the other readers do).

--- a/src/daemon_http_client.cc
+++ b/src/daemon_http_client.cc
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "engine_client.h"
-#include "trefoilwick/response_parser.h"
+#include "trefoilwick/http_call.h"
 
 namespace trefoilwick::detail {
 
@@ -100,14 +100,11 @@
     m_generation = pool.generation;
     // A call that may run only once must not use a connection that its server
     // has closed, since nothing would tell whether the call arrived.
-    if (pool.idle.empty() || !m_call.idempotency_key.empty()) {
+    m_reused = m_call.idempotency_key.empty() && TakeIdleConnection(pool);
+    if (m_reused)
+      Write();
+    else
       Connect();
-      return;
-    }
-    m_stream = std::move(pool.idle.back());
-    pool.idle.pop_back();
-    m_reused = true;
-    Write();
   }
 
   void Cancel() {
@@ -120,6 +117,18 @@
   }
 
  private:
+  // Drops connections with bytes to read: these belong to an earlier call, and
+  // would be read as the response to this one.
+  bool TakeIdleConnection(Pool& pool) {
+    while (!pool.idle.empty()) {
+      m_stream = std::move(pool.idle.back());
+      pool.idle.pop_back();
+      if (IsReusableConnection(m_stream->socket()))
+        return true;
+    }
+    return false;
+  }
+
   void Connect() {
     m_stream = std::make_unique<beast::tcp_stream>(m_impl.io);
     const auto [host, port] = SplitAddress(m_call.address);
@@ -220,7 +229,8 @@
     result.content_type = std::string(response[http::field::content_type]);
     result.body = std::move(response.body());
     Pool& pool = m_impl.pools[m_call.address];
-    if (response.keep_alive() && m_generation == pool.generation &&
+    if (response.keep_alive() && m_buffer.size() == 0 &&
+        m_generation == pool.generation &&
         pool.idle.size() < kMaxIdleConnections) {
       m_stream->expires_never();
       pool.idle.push_back(std::move(m_stream));
--- a/test/daemon_http_client_test.cc
+++ b/test/daemon_http_client_test.cc
@@ -90,6 +90,7 @@
   CPPUNIT_TEST(FoldedLineIsNoReply);
   CPPUNIT_TEST(BadTransferCodingIsNoReply);
   CPPUNIT_TEST(InterimResponseIsNotTheReply);
+  CPPUNIT_TEST(LateResponseIsNotTheReplyToTheNextCall);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -204,6 +205,48 @@
     CPPUNIT_ASSERT_EQUAL(200, result.status);
     CPPUNIT_ASSERT_EQUAL(std::string("{}"), result.body);
   }
+
+  // A response that a server sent twice was read as the reply to the next call
+  // on its connection.
+  void LateResponseIsNotTheReplyToTheNextCall() {
+    asio::io_context io;
+    tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+    std::thread server([&] {
+      for (int connection = 0; connection < 2; ++connection) {
+        tcp::socket socket = acceptor.accept();
+        std::string text;
+        boost::system::error_code ignored;
+        asio::read_until(socket, asio::dynamic_buffer(text), "\r\n\r\n",
+                         ignored);
+        const std::string response =
+            "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" +
+            std::to_string(connection);
+        asio::write(socket, asio::buffer(response), ignored);
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        asio::write(socket, asio::buffer(response), ignored);
+        // Until the client closes the connection or sends the next call.
+        socket.wait(tcp::socket::wait_read, ignored);
+      }
+    });
+    std::string replies;
+    {
+      BackendHttpClient client;
+      HttpCall call;
+      call.method = "GET";
+      call.address =
+          "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+      call.path = "/";
+      replies += CallAndWait(client, call).body;
+      std::this_thread::sleep_for(std::chrono::milliseconds(150));
+      replies += CallAndWait(client, call).body;
+    }
+    // Unblocks the server when there was no second connection.
+    tcp::socket wake(io);
+    wake.connect(acceptor.local_endpoint());
+    wake.close();
+    server.join();
+    CPPUNIT_ASSERT_EQUAL(std::string("01"), replies);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DaemonHttpClientTest);
