Soak: servers send heads that the protocol does not allow

The soak's faulty servers sent garbage as bodies and marks, but no broken heads. They now also answer with status 000, with a blank in the name of a field, and with a line that hides the length behind a blank, sealed, as an answer of a record server and in place of a stream.

--- a/soak/servers.py
+++ b/soak/servers.py
@@ -19,9 +19,11 @@
     b"id: x\ndata: x\n\n", b"\x01\xff\r\n\r\n")
 GARBAGE_PREFIXES = (b"garbage", b"\n\r\n", b"id: 3\n", b"\r", b"\n")
 GARBAGE_OUTSIDE = (b"garbage\r\n", b"HTTP/1.1 200 OK\r\n\r\n")
+# Faults of a head that no answer can have.
+BROKEN_HEADS = ("status", "name", "folded")
 # Kinds of garbage in place of a stream; None for garbage within it.
 GARBAGE_ANSWERS = ("plain", "no type", "behind", "before", "no seal",
-                   None, None, None, None, None)
+                   *BROKEN_HEADS, None, None, None, None, None)
 # Garbage within a stream comes before one of its first events.
 GARBAGE_EVENTS = range(3, 15)
 LAYER_LOAD_S = 0.25
@@ -213,6 +215,20 @@
                 "Server-Seal": f"{self.ident}.{run.attempt}", **leaving}
 
 
+def broken_head_answer(kind, headers):
+    """A success, or status 000, that no client may get: `kind` is one of
+    BROKEN_HEADS."""
+    headers = {**headers, "X-Own": "x"}
+    if kind == "folded":
+        headers["X-Own"] += "\r\n Content-Length: 3"
+    else:
+        headers["Content-Length"] = len(b"garbage")
+    if kind == "name":
+        headers["X Own"] = "x"
+    status = "000 Status" if kind == "status" else "200 OK"
+    return http_lite.head_bytes(f"HTTP/1.1 {status}", headers) + b"garbage"
+
+
 class RecordsServer(Server):
     async def work(self, head, run, writer):
         self.world.journal.runs.append(run)
@@ -238,7 +254,10 @@
 
     def garbage_answer(self, run):
         headers = self.answer_headers(run)
-        kind = pick(("unsealed", "other request", "not run"), run.attempt)
+        kind = pick(("unsealed", "other request", "not run", *BROKEN_HEADS),
+                    run.attempt)
+        if kind in BROKEN_HEADS:
+            return broken_head_answer(kind, headers)
         if kind == "unsealed":
             del headers["Server-Seal"]
             return http_lite.response_bytes(200, b"garbage", headers)
@@ -396,6 +415,10 @@
             if answer in ("plain", "no type"):
                 writer.write(self.garbage_success(answer, headers))
                 return False
+            if answer in BROKEN_HEADS:
+                del headers["Transfer-Encoding"]
+                writer.write(broken_head_answer(answer, headers))
+                return False
             if answer == "no seal":
                 del headers["Server-Seal"]
             elif answer == "behind":
