--- a/test/adapter_call_test.cc
+++ b/test/adapter_call_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(BadFieldNameFailsCall);
   CPPUNIT_TEST(FoldedLineFailsCall);
   CPPUNIT_TEST(BadTransferCodingFailsCall);
+  CPPUNIT_TEST(MalformedResponseFailsCall);
   CPPUNIT_TEST(TrailerIsNotReadAsHead);
   CPPUNIT_TEST(InterimResponseIsNotTheAnswer);
   CPPUNIT_TEST(EndlessInterimResponsesFailCall);
@@ -214,6 +215,8 @@
     CheckCallsFail(ResponsesWithBadTransferCoding("X-E: e\r\n"));
   }
 
+  void MalformedResponseFailsCall() { CheckCallsFail(MalformedResponses()); }
+
   // A server was taken for leaving because of a field behind the body of its
   // report.
   void TrailerIsNotReadAsHead() {
--- a/test/broken_responses.h
+++ b/test/broken_responses.h
@@ -95,4 +95,36 @@
   return out;
 }
 
+// The status line, a value or the length of the body is malformed.
+inline std::vector<BrokenResponse> MalformedResponses() {
+  const std::string end = "Content-Length: 6\r\n\r\nbroken";
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::vector<BrokenResponse> out;
+  for (const std::string line :
+       {"", "garbage", "HTTP/1.1", "HTTP/1.1 200", "HTTP/1.1 20 OK",
+        "HTTP/1.1 2000 OK", "HTTP/1.1 -20 OK", "HTTP/1.1  200 OK",
+        "HTTP/1.1\t200 OK", "HTTP/1.1 200 O\x01K", "HTTP/2.0 200 OK",
+        "HTTP/0.9 200 OK", "http/1.1 200 OK", "200 OK"})
+    out.push_back({"line " + line, line + "\r\n" + end});
+  out.push_back(
+      {"bare line feeds", "HTTP/1.1 200 OK\nContent-Length: 6\n\nbroken"});
+  for (const char byte : {'\0', '\x01', '\n', '\r', '\x7f'})
+    out.push_back(
+        {"value with byte " + std::to_string(int{byte}),
+         "HTTP/1.1 200 OK\r\nX-F: a" + std::string(1, byte) + "b\r\n" + end});
+  for (const std::string length :
+       {"", "x", "-6", "+6", "6.0", "0x6", "7", "18446744073709551622",
+        "6\r\nContent-Length: 7", "6\r\nTransfer-Encoding: chunked"})
+    out.push_back({"length " + length, "HTTP/1.1 200 OK\r\nContent-Length: " +
+                                           length + "\r\n\r\nbroken"});
+  for (const std::string chunks :
+       {"", "6\r\nbroken\r\n", "6\r\nbroken\r\n0\r\n", "6\r\nbrokenXX0\r\n\r\n",
+        "-6\r\nbroken\r\n0\r\n\r\n", "0x6\r\nbroken\r\n0\r\n\r\n",
+        "6\nbroken\n0\n\n", "10000000000000006\r\nbroken\r\n0\r\n\r\n",
+        "6\r\nbroken\r\n0\r\nX F: x\r\n\r\n"})
+    out.push_back({"chunks " + chunks, chunked + chunks});
+  return out;
+}
+
 }  // namespace trefoilwick
--- a/test/daemon_http_client_test.cc
+++ b/test/daemon_http_client_test.cc
@@ -89,6 +89,7 @@
   CPPUNIT_TEST(BadFieldNameIsNoReply);
   CPPUNIT_TEST(FoldedLineIsNoReply);
   CPPUNIT_TEST(BadTransferCodingIsNoReply);
+  CPPUNIT_TEST(MalformedResponseIsNoReply);
   CPPUNIT_TEST(InterimResponseIsNotTheReply);
   CPPUNIT_TEST(LateResponseIsNotTheReplyToTheNextCall);
   CPPUNIT_TEST_SUITE_END();
@@ -192,6 +193,8 @@
     CheckNoReply(ResponsesWithBadTransferCoding("X-E: e\r\n"));
   }
 
+  void MalformedResponseIsNoReply() { CheckNoReply(MalformedResponses()); }
+
   // The ledger recorded status 100 as the result of a call.
   void InterimResponseIsNotTheReply() {
     ClosingServer server(
--- a/test/response_parser_test.cc
+++ b/test/response_parser_test.cc
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(BadFieldNameIsRejected);
   CPPUNIT_TEST(FoldedLineIsRejected);
   CPPUNIT_TEST(BadTransferCodingIsRejected);
+  CPPUNIT_TEST(MalformedResponseIsRejected);
   CPPUNIT_TEST(TrailerIsDropped);
   CPPUNIT_TEST_SUITE_END();
 
@@ -112,6 +113,9 @@
     CheckRejected(ResponsesWithBadTransferCoding("X-F: x\r\n"));
   }
 
+  // Guards against guessing what a server meant.
+  void MalformedResponseIsRejected() { CheckRejected(MalformedResponses()); }
+
   // Guards against fields that are believed only when they arrive in one piece
   // with the head.
   void TrailerIsDropped() {
