--- /dev/null
+++ b/src/http_call_client.cc
@@ -0,0 +1,185 @@
+// HttpClient: calls with one connection each, kept for the next call.
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "trefoilwick/http_call.h"
+
+namespace trefoilwick {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+// An idle connection that is older is not reused.
+constexpr Duration kMaxIdleTime = std::chrono::seconds(3);
+constexpr size_t kMaxIdleConnectionsPerAddress = 2;
+// Bytes read ahead of the parser: a head, chunk header or trailer must fit.
+constexpr size_t kMaxReadAheadBytes = size_t{256} * 1024;
+
+}  // namespace
+
+// One call, from connecting to the complete response.
+class HttpClient::Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(HttpClient& client,
+           std::string address,
+           HttpRequest request,
+           Duration timeout,
+           CallHandler handler)
+      : m_client(client),
+        m_address(std::move(address)),
+        m_request(std::move(request)),
+        m_timeout(timeout),
+        m_handler(std::move(handler)),
+        m_timer(client.m_io),
+        m_connect_timer(client.m_io),
+        m_parser({.max_body_bytes = client.m_max_response_bytes}) {}
+
+  void Start() {
+    m_timer.expires_after(m_timeout);
+    m_timer.async_wait([self = shared_from_this()](error_code error) {
+      if (!error)
+        self->Fail();
+    });
+    if (TakeIdleConnection()) {
+      m_is_reused = true;
+      Send();
+      return;
+    }
+    Connect();
+  }
+
+ private:
+  bool TakeIdleConnection() {
+    auto& idle = m_client.m_idle_connections[m_address];
+    while (!idle.empty()) {
+      IdleConnection last = std::move(idle.back());
+      idle.pop_back();
+      const bool is_recent = BootClock().Now() - last.idle_since < kMaxIdleTime;
+      if (is_recent && IsReusableConnection(*last.socket)) {
+        m_socket = std::move(last.socket);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void Connect() {
+    const auto endpoint = ParseEndpoint(m_address);
+    if (!endpoint) {
+      asio::post(m_client.m_io, [self = shared_from_this()] { self->Fail(); });
+      return;
+    }
+    m_socket = std::make_unique<tcp::socket>(m_client.m_io);
+    m_connect_timer.expires_after(m_client.m_connect_timeout);
+    m_connect_timer.async_wait([self = shared_from_this()](error_code error) {
+      if (!error && !self->m_connected)
+        self->Fail();
+    });
+    m_socket->async_connect(
+        *endpoint, [self = shared_from_this()](error_code error) {
+          self->m_connect_timer.cancel();
+          if (self->m_done)
+            return;
+          if (error)
+            return self->Fail();
+          self->m_connected = true;
+          SetSocketOptions(*self->m_socket, std::chrono::seconds(2));
+          self->Send();
+        });
+  }
+
+  void Send() {
+    m_sent = true;
+    http::async_write(*m_socket, m_request,
+                      [self = shared_from_this()](error_code error, size_t) {
+                        if (self->m_done)
+                          return;
+                        if (error)
+                          return self->OnConnectionLost();
+                        self->Receive();
+                      });
+  }
+
+  // The server may close an idle connection while a request is sent on it. One
+  // that changes nothing is sent again on a new connection.
+  void OnConnectionLost() {
+    const bool is_safe = m_request.method() == http::verb::get;
+    const bool has_response = m_parser.got_some() || m_buffer.size() > 0;
+    if (!std::exchange(m_is_reused, false) || !is_safe || has_response)
+      return Fail();
+    Connect();
+  }
+
+  void Receive() {
+    AsyncReadResponse(*m_socket, m_buffer, m_parser,
+                      [self = shared_from_this()](error_code error) {
+                        if (self->m_done)
+                          return;
+                        if (error)
+                          return self->OnConnectionLost();
+                        self->Succeed();
+                      });
+  }
+
+  void Succeed() {
+    m_done = true;
+    m_timer.cancel();
+    CallResult result;
+    result.response = m_parser.Release();
+    if (result.response.keep_alive() && m_buffer.size() == 0) {
+      auto& idle = m_client.m_idle_connections[m_address];
+      if (idle.size() < kMaxIdleConnectionsPerAddress)
+        idle.push_back({std::move(m_socket), BootClock().Now()});
+    }
+    m_handler(std::move(result));
+  }
+
+  void Fail() {
+    if (m_done)
+      return;
+    m_done = true;
+    m_timer.cancel();
+    m_connect_timer.cancel();
+    if (m_socket) {
+      error_code ignored;
+      m_socket->close(ignored);
+    }
+    CallResult result;
+    result.error = m_sent ? CallError::kUnknown : CallError::kNotSent;
+    m_handler(std::move(result));
+  }
+
+  HttpClient& m_client;
+  std::string m_address;
+  HttpRequest m_request;
+  Duration m_timeout;
+  CallHandler m_handler;
+  asio::steady_timer m_timer;
+  asio::steady_timer m_connect_timer;
+  std::unique_ptr<tcp::socket> m_socket;
+  boost::beast::flat_buffer m_buffer{kMaxReadAheadBytes};
+  ResponseParser m_parser;
+  // The request was sent on a connection of an earlier call.
+  bool m_is_reused = false;
+  bool m_connected = false;
+  bool m_sent = false;
+  bool m_done = false;
+};
+
+void HttpClient::Call(const std::string& address,
+                      HttpRequest request,
+                      Duration timeout,
+                      CallHandler handler) {
+  request.set(http::field::host, address);
+  request.prepare_payload();
+  std::make_shared<Exchange>(*this, address, std::move(request), timeout,
+                             std::move(handler))
+      ->Start();
+}
+
+}  // namespace trefoilwick
