--- a/include/trefoilwick/response_parser.h
+++ b/include/trefoilwick/response_parser.h
@@ -23,7 +23,8 @@
 using HttpResponse =
     boost::beast::http::response<boost::beast::http::string_body>;
 
-struct ResponseLimits {
+// What is known of a response before its first byte.
+struct ResponseOptions {
   uint32_t max_head_bytes = 8 * 1024;
   // Null: any number.
   std::optional<uint64_t> max_body_bytes = std::nullopt;
@@ -36,7 +37,7 @@
 // cannot be used any more.
 class ResponseParser {
  public:
-  explicit ResponseParser(const ResponseLimits& limits);
+  explicit ResponseParser(const ResponseOptions& options);
 
   // Parses the front of `bytes` and returns the number of bytes parsed. The
   // rest is passed again, together with more bytes when `error` is need_more.
@@ -79,7 +80,7 @@
   void AcceptHead();
   void Reset();
 
-  ResponseLimits m_limits;
+  ResponseOptions m_options;
   int m_interim_responses = 0;
   // Its message has the body; the head is moved to `m_head`.
   std::optional<Parser> m_parser;
--- a/src/daemon_http_client.cc
+++ b/src/daemon_http_client.cc
@@ -181,7 +181,7 @@
 
   void Write() {
     m_sent = true;
-    m_parser.emplace(ResponseLimits{.max_body_bytes = kMaxResponseBytes});
+    m_parser.emplace(ResponseOptions{.max_body_bytes = kMaxResponseBytes});
     m_stream->expires_after(kCallTimeout);
     http::async_write(
         *m_stream, m_request,
--- a/src/gateway_upstream.cc
+++ b/src/gateway_upstream.cc
@@ -170,8 +170,8 @@
 }
 
 void UpstreamCall::NewParser() {
-  m_parser.emplace(ResponseLimits{.max_head_bytes = kMaxResponseHeadBytes,
-                                  .has_body = !m_is_head});
+  m_parser.emplace(ResponseOptions{.max_head_bytes = kMaxResponseHeadBytes,
+                                   .has_body = !m_is_head});
   m_head_received = false;
   m_discarding_response = false;
 }
--- a/src/response_parser.cc
+++ b/src/response_parser.cc
@@ -38,19 +38,19 @@
 
 }  // namespace
 
-ResponseParser::ResponseParser(const ResponseLimits& limits)
-    : m_limits(limits) {
+ResponseParser::ResponseParser(const ResponseOptions& options)
+    : m_options(options) {
   Reset();
 }
 
 void ResponseParser::Reset() {
   m_parser.emplace();
-  m_parser->header_limit(m_limits.max_head_bytes);
-  if (m_limits.max_body_bytes)
-    m_parser->body_limit(*m_limits.max_body_bytes);
+  m_parser->header_limit(m_options.max_head_bytes);
+  if (m_options.max_body_bytes)
+    m_parser->body_limit(*m_options.max_body_bytes);
   else
     m_parser->body_limit(boost::none);
-  m_parser->skip(!m_limits.has_body);
+  m_parser->skip(!m_options.has_body);
   m_scanned_bytes = 0;
   m_scanned_line_is_empty = true;
   m_head_scanned = false;
