--- a/test/adapter_call_test.cc
+++ b/test/adapter_call_test.cc
@@ -190,6 +190,7 @@
     }
   }
 
+  // Checks that calls to servers with such a response have an unknown result.
   static void CheckCallsFail(const std::vector<BrokenResponse>& responses) {
     for (const BrokenResponse& broken : responses) {
       ScriptedServer server(
@@ -202,6 +203,7 @@
   // The store, a report or an order was taken to have answered.
   void BadStatusFailsCall() { CheckCallsFail(ResponsesWithBadStatus("")); }
 
+  // Guards against an answer whose fields are not those which they look like.
   void BadFieldNameFailsCall() {
     CheckCallsFail(ResponsesWithBadFieldName("X-E: e\r\n", kBadNameBytes));
   }
@@ -211,10 +213,12 @@
     CheckCallsFail(ResponsesWithFoldedLine("X-E: e\r\n"));
   }
 
+  // The sizes of chunks, or coded bytes, were read as the body.
   void BadTransferCodingFailsCall() {
     CheckCallsFail(ResponsesWithBadTransferCoding("X-E: e\r\n"));
   }
 
+  // Guards against an answer that was cut or is none.
   void MalformedResponseFailsCall() { CheckCallsFail(MalformedResponses()); }
 
   // A server was taken for leaving because of a field behind the body of its
--- a/test/daemon_http_client_test.cc
+++ b/test/daemon_http_client_test.cc
@@ -162,15 +162,20 @@
     CPPUNIT_ASSERT(future.get().failure == CallFailure::kNoReply);
   }
 
+  // Result of a call that runs at most once.
+  static HttpResult CallOnce(const std::string& address) {
+    BackendHttpClient client;
+    HttpCall call;
+    call.address = address;
+    call.path = "/ballot";
+    call.idempotency_key = "k1";
+    return CallAndWait(client, call);
+  }
+
   static void CheckNoReply(const std::vector<BrokenResponse>& responses) {
     for (const BrokenResponse& broken : responses) {
       ClosingServer server(1, broken.bytes);
-      BackendHttpClient client;
-      HttpCall call;
-      call.address = server.address();
-      call.path = "/ballot";
-      call.idempotency_key = "k1";
-      const HttpResult result = CallAndWait(client, call);
+      const HttpResult result = CallOnce(server.address());
       CPPUNIT_ASSERT_MESSAGE(broken.name,
                              result.failure == CallFailure::kNoReply);
       CPPUNIT_ASSERT_MESSAGE(broken.name, !result.certainly_not_sent);
@@ -181,30 +186,29 @@
   // that sent the call got it.
   void BadStatusIsNoReply() { CheckNoReply(ResponsesWithBadStatus("")); }
 
+  // Guards against a body whose length such a name hides.
   void BadFieldNameIsNoReply() {
     CheckNoReply(ResponsesWithBadFieldName("X-E: e\r\n", kBadNameBytes));
   }
 
+  // A body of another size was recorded as the result of a call.
   void FoldedLineIsNoReply() {
     CheckNoReply(ResponsesWithFoldedLine("X-E: e\r\n"));
   }
 
+  // The sizes of chunks, or coded bytes, were recorded as the result.
   void BadTransferCodingIsNoReply() {
     CheckNoReply(ResponsesWithBadTransferCoding("X-E: e\r\n"));
   }
 
+  // Guards against a result that was cut or is none.
   void MalformedResponseIsNoReply() { CheckNoReply(MalformedResponses()); }
 
   // The ledger recorded status 100 as the result of a call.
   void InterimResponseIsNotTheReply() {
     ClosingServer server(
         1, std::string("HTTP/1.1 100 Continue\r\n\r\n") + kOkResponse);
-    BackendHttpClient client;
-    HttpCall call;
-    call.address = server.address();
-    call.path = "/ballot";
-    call.idempotency_key = "k1";
-    const HttpResult result = CallAndWait(client, call);
+    const HttpResult result = CallOnce(server.address());
     CPPUNIT_ASSERT_EQUAL(200, result.status);
     CPPUNIT_ASSERT_EQUAL(std::string("{}"), result.body);
   }
