Tests of broken heads take one gateway for all responses of a kind

FreePort gives each test program 257 ports; this one started some 150 gateways of five ports each, and so reached into those of the programs beside it.

--- a/test/adapter_head_test.cc
+++ b/test/adapter_head_test.cc
@@ -19,23 +19,79 @@
   CPPUNIT_TEST(TrailerIsNotReadAsHead);
   CPPUNIT_TEST_SUITE_END();
 
+  // A route with two servers of its own, which send `first` to their first
+  // request and "done" to others.
+  struct BrokenRoute {
+    std::string path;
+    std::vector<std::unique_ptr<ScriptedServer>> servers;
+
+    size_t sends() const {
+      size_t count = 0;
+      for (const auto& server : servers)
+        count += server->requests().size();
+      return count;
+    }
+  };
+
+  static BrokenRoute AddRoute(GatewayHarness& harness,
+                              std::vector<Route>& routes,
+                              Route route,
+                              const std::string& first) {
+    route.services = {{route.prefix, 1}};
+    BrokenRoute out{route.prefix + "x", {}};
+    const auto calls = std::make_shared<std::atomic<int>>(0);
+    for (int i = 0; i < 2; ++i) {
+      out.servers.push_back(
+          std::make_unique<ScriptedServer>([calls, first](const std::string&) {
+            return ScriptedResponse{++*calls == 1 ? first
+                                                  : MakeSealedResponse("done")};
+          }));
+      harness.AddServer(route.prefix + std::to_string(i), route.prefix,
+                        out.servers.back()->address());
+    }
+    routes.push_back(std::move(route));
+    return out;
+  }
+
   // Checks that a request that may be repeated is completed by another server,
   // that one that may not fails after one send, and that a client of a stream
-  // gets nothing of it.
+  // gets nothing of it. One gateway serves all requests, since each takes ports
+  // of which a test program has few (FreePort).
   static void CheckNotForwarded(const std::vector<BrokenResponse>& responses) {
+    std::vector<BrokenRoute> once;
+    std::vector<BrokenRoute> repeated;
+    std::vector<BrokenRoute> streams;
+    std::vector<Route> routes;
+    GatewayHarness harness;
+    for (size_t i = 0; i < responses.size(); ++i) {
+      const std::string end = std::to_string(i) + "/";
+      const auto add = [&](const std::string& prefix, RouteKind kind,
+                           int attempts) {
+        return AddRoute(harness, routes,
+                        MakeRoute(prefix + end, kind, attempts),
+                        responses[i].bytes);
+      };
+      once.push_back(add("/post", RouteKind::kNonIdempotent, 1));
+      repeated.push_back(add("/get", RouteKind::kIdempotent, 2));
+      streams.push_back(add("/single", RouteKind::kStream, 1));
+    }
+    harness.store().table = MakeTable(routes);
+    harness.Start();
+    const auto call = [&](const BrokenRoute& route) {
+      return harness.CallAsClient(Request("POST " + route.path, "", "b"));
+    };
     std::string forwarded;
-    for (const BrokenResponse& broken : responses) {
-      const Answer once = CallWithFirstAnswer("POST /post/x", broken.bytes);
-      const Answer repeated = CallWithFirstAnswer("GET /get/x", broken.bytes);
-      const Answer stream = CallWithFirstAnswer("POST /single/x", broken.bytes);
-      if (!once.response.starts_with("HTTP/1.1 502") || once.sends != 1 ||
-          Contains(once.response, "broken"))
-        forwarded += broken.name + ": " + once.response + "\n";
-      if (!repeated.response.ends_with("\r\n\r\ndone"))
-        forwarded += broken.name + ": " + repeated.response + "\n";
-      if (!stream.response.starts_with("HTTP/1.1 502") ||
-          Contains(stream.response, "broken"))
-        forwarded += broken.name + ": " + stream.response + "\n";
+    for (size_t i = 0; i < responses.size(); ++i) {
+      const std::string first = call(once[i]);
+      if (!first.starts_with("HTTP/1.1 502") || Contains(first, "broken") ||
+          once[i].sends() != 1)
+        forwarded.append(responses[i].name).append(": ").append(first);
+      const std::string second = call(repeated[i]);
+      if (!second.ends_with("\r\n\r\ndone"))
+        forwarded.append(responses[i].name).append(": ").append(second);
+      const std::string third = call(streams[i]);
+      if (!third.starts_with("HTTP/1.1 502") || Contains(third, "broken"))
+        forwarded.append(responses[i].name).append(": ").append(third);
     }
     CPPUNIT_ASSERT_EQUAL(std::string(), forwarded);
   }
