Log why an answer is broken, and test streams with broken heads

What operators saw: answer_broken said that a response was not valid, not what was wrong with it, so that status 000 and a closed connection looked alike.

Cause: the error of the parser or of the connection was dropped where the response was reported as broken. UpstreamCall now keeps it, and the log line has it as reason ("bad status", "bad field"); "-" stands for a limit or a body that the gateway refused.

Tests: BrokenHeadIsLoggedAndItsConnectionClosed also checks that the connection is closed; StreamWithBrokenHeadRunsElsewhere checks a stream on a route that may repeat it, which no test did.

--- a/src/gateway_exchange_response.cc
+++ b/src/gateway_exchange_response.cc
@@ -239,6 +239,8 @@
   const bool was_idle_close = closed_by_server && m_call &&
                               m_call->is_connection_reused() &&
                               m_head.status == 0;
+  const boost::system::error_code error =
+      m_call ? m_call->error() : boost::system::error_code();
   if (m_call)
     m_call->Cancel();
   m_call = nullptr;
@@ -246,6 +248,7 @@
              {{"id", m_request.attempt_id},
               {"server", m_server},
               {"closed", closed_by_server ? "1" : "0"},
+              {"reason", error ? error.message() : "-"},
               {"last_event", std::to_string(m_events.last_id())}});
   if (m_head.not_run) {
     RecordRefusal();
--- a/src/gateway_upstream.cc
+++ b/src/gateway_upstream.cc
@@ -238,6 +238,7 @@
     if (error == http::error::need_more)
       return IsWithinLimits();
     if (error) {
+      m_error = error;
       ReportBroken();
       return false;
     }
@@ -299,6 +300,7 @@
       return;
     }
   }
+  m_error = error;
   ReportBroken(IsClosedByPeer(error));
 }
 
--- a/src/gateway_upstream.h
+++ b/src/gateway_upstream.h
@@ -82,6 +82,9 @@
   bool send_started() const { return m_send_started; }
   // True when the request was sent on a connection of an earlier one.
   bool is_connection_reused() const { return m_connection_reused; }
+  // What broke the response: an error of the parser or of the connection. None
+  // when the listener or a limit did.
+  boost::system::error_code error() const { return m_error; }
 
  private:
   void Connect(const boost::asio::ip::tcp::endpoint& endpoint);
@@ -122,6 +125,7 @@
   // The response being read is an interim one or belongs to an earlier request.
   bool m_discarding_response = false;
   size_t m_discarded_bytes = 0;
+  boost::system::error_code m_error;
   EndlessElementDetector m_endless_element;
   std::optional<Duration> m_keep_alive;
   bool m_server_is_leaving = false;
--- a/test/adapter_head_test.cc
+++ b/test/adapter_head_test.cc
@@ -1,6 +1,9 @@
 // Tests of the gateway with servers that send heads which are not allowed by
 // the protocol: the response is broken and no client gets it.
 #include <cppunit/extensions/HelperMacros.h>
+#include <log4cplus/appender.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
 
 #include "broken_responses.h"
 #include "gateway_fixtures.h"
@@ -10,12 +13,35 @@
 
 constexpr char kSealedFields[] = "Attempt-Id: a1\r\nServer-Seal: s\r\n";
 
+// Keeps the lines of the log.
+class LogRecorder final : public log4cplus::Appender {
+ public:
+  ~LogRecorder() override { destructorImpl(); }
+  void close() override {}
+  std::string lines() {
+    std::lock_guard lock(m_mutex);
+    return m_lines;
+  }
+
+ protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    std::lock_guard lock(m_mutex);
+    m_lines.append(event.getMessage()).append("\n");
+  }
+
+ private:
+  std::mutex m_mutex;
+  std::string m_lines;
+};
+
 class AdapterHeadTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AdapterHeadTest);
   CPPUNIT_TEST(BadStatusIsNotForwarded);
   CPPUNIT_TEST(BadFieldNameIsNotForwarded);
   CPPUNIT_TEST(FoldedLineIsNotForwarded);
   CPPUNIT_TEST(BadTransferCodingIsNotForwarded);
+  CPPUNIT_TEST(StreamWithBrokenHeadRunsElsewhere);
+  CPPUNIT_TEST(BrokenHeadIsLoggedAndItsConnectionClosed);
   CPPUNIT_TEST(TrailerIsNotReadAsHead);
   CPPUNIT_TEST_SUITE_END();
 
@@ -119,6 +145,69 @@
     CheckNotForwarded(ResponsesWithBadTransferCoding(kSealedFields));
   }
 
+  // The client of a stream got status 000, or a line of the head that was
+  // joined to another, in place of the stream that a sound server sends.
+  void StreamWithBrokenHeadRunsElsewhere() {
+    const std::string rest = std::string(kStreamHead).substr(17);
+    const std::string events =
+        MakeChunk(MakeEvent(0)) + MakeChunk(MakeEvent(1)) + MakeChunk("");
+    const std::string broken_heads[] = {
+        "HTTP/1.1 000 None\r\n" + rest,
+        "HTTP/1.1 200 OK\r\nX F: broken\r\n" + rest,
+        "HTTP/1.1 200 OK\r\nX\x01: broken\r\n" + rest,
+        "HTTP/1.1 200 OK\r\nX-F: x\r\n Y-F: broken\r\n" + rest,
+        "HTTP/1.1 200 OK\r\nX-F: x\r\n\tY-F: broken\r\n" + rest};
+    for (const std::string& head : broken_heads) {
+      std::atomic<int> calls{0};
+      const auto serve = [&](const std::string&) {
+        return ScriptedResponse{(++calls == 1 ? head : kStreamHead) + events};
+      };
+      ScriptedServer one(serve);
+      ScriptedServer two(serve);
+      GatewayHarness harness;
+      StartGateway(harness, {&one, &two});
+      const std::string response =
+          harness.CallAsClient(Request("POST /stream/x", "", "b"));
+      CPPUNIT_ASSERT_MESSAGE(response,
+                             response.starts_with("HTTP/1.1 200 OK\r\n"));
+      CPPUNIT_ASSERT_MESSAGE(response, !Contains(response, "broken"));
+      CPPUNIT_ASSERT_EQUAL(std::string("01"), EventIds(response));
+      CPPUNIT_ASSERT(response.ends_with("0\r\n\r\n"));
+      CPPUNIT_ASSERT_EQUAL(2, calls.load());
+    }
+  }
+
+  // The log said that an answer was broken and not why. Guards also against
+  // using the connection again.
+  void BrokenHeadIsLoggedAndItsConnectionClosed() {
+    const std::pair<BrokenResponse, std::string> cases[] = {
+        {ResponsesWithBadStatus(kSealedFields)[0], "bad status"},
+        {ResponsesWithBadFieldName(kSealedFields, " ").back(), "bad field"},
+        {ResponsesWithFoldedLine(kSealedFields).back(), "bad field"},
+        {ResponsesWithBadTransferCoding(kSealedFields)[0],
+         "bad Transfer-Encoding"}};
+    auto* recorder = new LogRecorder;
+    const log4cplus::SharedAppenderPtr appender(recorder);
+    log4cplus::Logger::getRoot().addAppender(appender);
+    std::string wrong;
+    for (const auto& [broken, reason] : cases) {
+      ScriptedServer server([&, bytes = broken.bytes](const std::string&) {
+        return ScriptedResponse{bytes, true, false, seconds(2)};
+      });
+      GatewayHarness harness;
+      StartGateway(harness, {&server});
+      harness.CallAsClient(Request("POST /post/x", "", "b"));
+      for (int i = 0; i < 100 && !server.peer_closed(); ++i)
+        std::this_thread::sleep_for(milliseconds(10));
+      if (!server.peer_closed())
+        wrong += broken.name + ": open; ";
+      if (!Contains(recorder->lines(), "reason=\"" + reason + "\""))
+        wrong += broken.name + ": not logged; ";
+    }
+    log4cplus::Logger::getRoot().removeAppender(appender);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(recorder->lines(), std::string(), wrong);
+  }
+
   // A field behind the body took effect when it arrived together with the head:
   // a success counted as sealed, and the client of a request that a server had
   // run and failed was told that it had not run.
