Tests: one handler for servers whose first answer is broken

CallWithFirstAnswer and the routes of adapter_head_test each had the handler that sends one answer first and "done" to all others; AnswerFirstWith is that handler. InterimResponseIsSkipped guards the gateway's reading behind 100 and 103, which only a test of endless ones covered.

--- a/test/adapter_head_test.cc
+++ b/test/adapter_head_test.cc
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(BadTransferCodingIsNotForwarded);
   CPPUNIT_TEST(StreamWithBrokenHeadRunsElsewhere);
   CPPUNIT_TEST(BrokenHeadIsLoggedAndItsConnectionClosed);
+  CPPUNIT_TEST(InterimResponseIsSkipped);
   CPPUNIT_TEST(TrailerIsNotReadAsHead);
   CPPUNIT_TEST_SUITE_END();
 
@@ -65,13 +66,9 @@
                               const std::string& first) {
     route.services = {{route.prefix, 1}};
     BrokenRoute out{route.prefix + "x", {}};
-    const auto calls = std::make_shared<std::atomic<int>>(0);
+    const ScriptedServer::Handler handler = AnswerFirstWith(first);
     for (int i = 0; i < 2; ++i) {
-      out.servers.push_back(
-          std::make_unique<ScriptedServer>([calls, first](const std::string&) {
-            return ScriptedResponse{++*calls == 1 ? first
-                                                  : MakeSealedResponse("done")};
-          }));
+      out.servers.push_back(std::make_unique<ScriptedServer>(handler));
       harness.AddServer(route.prefix + std::to_string(i), route.prefix,
                         out.servers.back()->address());
     }
@@ -208,6 +205,19 @@
     CPPUNIT_ASSERT_EQUAL_MESSAGE(recorder->lines(), std::string(), wrong);
   }
 
+  // Guards against an interim response that is taken for the answer.
+  void InterimResponseIsSkipped() {
+    const Answer answer = CallWithFirstAnswer(
+        "POST /post/x",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n"
+        "X-Own: x\r\n\r\n" +
+            MakeSealedResponse("first"));
+    CPPUNIT_ASSERT_MESSAGE(answer.response, answer.response.ends_with("first"));
+    CPPUNIT_ASSERT_MESSAGE(answer.response,
+                           !Contains(answer.response, "X-Own"));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, answer.sends);
+  }
+
   // A field behind the body took effect when it arrived together with the head:
   // a success counted as sealed, and the client of a request that a server had
   // run and failed was told that it had not run.
--- a/test/gateway_fixtures.h
+++ b/test/gateway_fixtures.h
@@ -159,6 +159,15 @@
   harness.Start();
 }
 
+// Sends `first` to the first request of all servers that have a copy of the
+// handler, and "done" to others.
+inline ScriptedServer::Handler AnswerFirstWith(const std::string& first) {
+  const auto calls = std::make_shared<std::atomic<int>>(0);
+  return [calls, first](const std::string&) {
+    return ScriptedResponse{++*calls == 1 ? first : MakeSealedResponse("done")};
+  };
+}
+
 // Response of a gateway with two servers; both send `first` to their first
 // request and "done" to others.
 struct Answer {
@@ -168,12 +177,9 @@
 
 inline Answer CallWithFirstAnswer(const std::string& line,
                                   const std::string& first) {
-  std::atomic<int> calls{0};
-  const auto serve = [&](const std::string&) {
-    return ScriptedResponse{++calls == 1 ? first : MakeSealedResponse("done")};
-  };
-  ScriptedServer one(serve);
-  ScriptedServer two(serve);
+  const ScriptedServer::Handler handler = AnswerFirstWith(first);
+  ScriptedServer one(handler);
+  ScriptedServer two(handler);
   GatewayHarness harness;
   StartGateway(harness, {&one, &two});
   Answer answer;
