Skip interim responses in one place

The gateway skipped interim responses beside late ones of other requests, and ResponseParser did so again for the other readers. The parser now skips them in Put, for all readers; the gateway skips only what belongs to another request.

What changes: the gateway takes 32 interim responses before an answer, as the other readers do, where it read 1 MiB of them, and one with "Connection: close" no longer ends the call.

Tests: adapter_{head,call,endless,response,stream,gateway}_test, daemon_http_client_test and response_parser_test pass (one run each).

--- a/include/trefoilwick/response_parser.h
+++ b/include/trefoilwick/response_parser.h
@@ -32,7 +32,8 @@
   bool has_body = true;
 };
 
-// Parses one response from the bytes of a connection. All errors are those of
+// Parses one response from the bytes of a connection, and skips the interim
+// responses before it. All errors are those of
 // boost::beast::http::error; after one other than need_more the connection
 // cannot be used any more.
 class ResponseParser {
@@ -42,17 +43,15 @@
   // Parses the front of `bytes` and returns the number of bytes parsed. The
   // rest is passed again, together with more bytes when `error` is need_more.
   size_t Put(boost::asio::const_buffer bytes, boost::system::error_code& error);
-  // Parses the bytes of `buffer` and removes them from it. Skips interim
-  // responses. The error is need_more while the response is not complete.
+  // Parses the bytes of `buffer` and removes them from it. The error is
+  // need_more while the response is not complete.
   boost::system::error_code ParseBuffer(boost::beast::flat_buffer& buffer);
   // The server closed the connection. Completes a response that has neither a
   // length nor chunks; any other error is partial_message.
   void PutEof(boost::system::error_code& error);
 
-  // True when any byte was parsed, also of an interim response.
-  bool got_some() const {
-    return m_interim_responses > 0 || m_parser->got_some();
-  }
+  // A byte of the response was parsed, or of an interim one that is not whole.
+  bool got_some() const { return m_parser->got_some(); }
   // The whole head was parsed and accepted.
   bool is_header_done() const { return m_head_accepted; }
   bool is_done() const { return m_head_accepted && m_parser->is_done(); }
@@ -77,7 +76,8 @@
   bool FindFoldedLine(std::string_view bytes);
   // The error of a head that cannot be that of a response to a request.
   boost::system::error_code CheckHead() const;
-  void AcceptHead();
+  // Accepts the head, or starts over behind that of an interim response.
+  boost::system::error_code JudgeHead();
   void Reset();
 
   ResponseOptions m_options;
--- a/src/gateway_upstream.cc
+++ b/src/gateway_upstream.cc
@@ -29,8 +29,8 @@
 constexpr size_t kMaxUnparsedBytes = size_t{64} * 1024;
 // The end of a chunk is parsed together with the header of the next one.
 constexpr size_t kChunkEndBytes = 2;
-// Bytes of interim responses and of late responses to other requests that are
-// skipped before the response.
+// Bytes of late responses to other requests that are skipped before the
+// response.
 constexpr size_t kMaxDiscardedBytes = size_t{1} << 20;
 
 }  // namespace
@@ -260,10 +260,8 @@
 void UpstreamCall::OnHeadParsed() {
   m_head_received = true;
   const ResponseHead head = m_dialect.ReadResponse(m_parser->head());
-  const bool is_interim = head.status / 100 == 1;
-  const bool is_for_other_request =
+  m_discarding_response =
       !head.attempt_id.empty() && head.attempt_id != m_attempt_id;
-  m_discarding_response = is_interim || is_for_other_request;
   if (m_discarding_response)
     return;
   // Servers echo the id. Without it this may be a late copy of the answer to an
--- a/src/gateway_upstream.h
+++ b/src/gateway_upstream.h
@@ -122,7 +122,7 @@
   bool m_reading = false;
   bool m_head_received = false;
   bool m_request_written = false;
-  // The response being read is an interim one or belongs to an earlier request.
+  // The response being read belongs to an earlier request.
   bool m_discarding_response = false;
   size_t m_discarded_bytes = 0;
   boost::system::error_code m_error;
--- a/src/response_parser.cc
+++ b/src/response_parser.cc
@@ -64,19 +64,25 @@
   }
   const size_t used = m_parser->put(bytes, error);
   m_scanned_bytes -= std::min(m_scanned_bytes, used);
-  if (m_parser->is_header_done() && !m_head_accepted) {
-    error = CheckHead();
-    if (!error)
-      AcceptHead();
-  }
+  if (m_parser->is_header_done() && !m_head_accepted)
+    error = JudgeHead();
   return used;
 }
 
-void ResponseParser::AcceptHead() {
+error_code ResponseParser::JudgeHead() {
+  if (const error_code error = CheckHead())
+    return error;
+  if (IsInterimStatus(m_parser->get().result_int())) {
+    if (++m_interim_responses > kMaxInterimResponses)
+      return http::error::header_limit;
+    Reset();
+    return {};
+  }
   m_head_accepted = true;
   m_head = std::move(m_parser->get().base());
   // Until now the parser stopped behind the head.
   m_parser->eager(true);
+  return {};
 }
 
 HttpResponse ResponseParser::Release() {
@@ -94,11 +100,6 @@
       return error;
     if (used == 0)
       return http::error::need_more;
-    if (is_done() && IsInterimStatus(m_head.result_int())) {
-      if (++m_interim_responses > kMaxInterimResponses)
-        return http::error::header_limit;
-      Reset();
-    }
   }
   return is_done() ? error_code() : http::error::need_more;
 }
