Log orders without a valid answer apart from refused ones

What operators saw: an order whose answer was broken, lost or late was logged as order_refused with status=200, the default of a response that never came, and with nothing about what failed. The coordinator itself treated it right, as unknown.

Cause: a failed call had no reason, and the line read the status in any case. CallResult now has the error of the connection or of the parser, and the line for such an order is order_unanswered with that reason.

--- a/include/trefoilwick/http_call.h
+++ b/include/trefoilwick/http_call.h
@@ -60,6 +60,10 @@
 
 struct CallResult {
   CallError error = CallError::kNone;
+  // An error of the connection, or of the parser for a broken response; not set
+  // without an error.
+  boost::system::error_code reason;
+  // Valid without an error.
   HttpResponse response;
 };
 using CallHandler = std::function<void(CallResult)>;
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -287,8 +287,10 @@
       [this, handler, server,
        process = found->second.process()](const CallResult& result) {
         OnControlAnswer(process, result);
-        if (result.error != CallError::kNone ||
-            result.response.result_int() >= 300)
+        if (result.error != CallError::kNone)
+          Log("order_unanswered",
+              {{"server", server}, {"reason", result.reason.message()}});
+        else if (result.response.result_int() >= 300)
           Log("order_refused",
               {{"server", server},
                {"status", std::to_string(result.response.result_int())},
--- a/src/http_call_client.cc
+++ b/src/http_call_client.cc
@@ -43,7 +43,7 @@
     m_timer.expires_after(m_timeout);
     m_timer.async_wait([self = shared_from_this()](error_code error) {
       if (!error)
-        self->Fail();
+        self->Fail(asio::error::timed_out);
     });
     if (TakeIdleConnection()) {
       m_is_reused = true;
@@ -71,14 +71,16 @@
   void Connect() {
     const auto endpoint = ParseEndpoint(m_address);
     if (!endpoint) {
-      asio::post(m_client.m_io, [self = shared_from_this()] { self->Fail(); });
+      asio::post(m_client.m_io, [self = shared_from_this()] {
+        self->Fail(asio::error::invalid_argument);
+      });
       return;
     }
     m_socket = std::make_unique<tcp::socket>(m_client.m_io);
     m_connect_timer.expires_after(m_client.m_connect_timeout);
     m_connect_timer.async_wait([self = shared_from_this()](error_code error) {
       if (!error && !self->m_connected)
-        self->Fail();
+        self->Fail(asio::error::timed_out);
     });
     m_socket->async_connect(
         *endpoint, [self = shared_from_this()](error_code error) {
@@ -86,7 +88,7 @@
           if (self->m_done)
             return;
           if (error)
-            return self->Fail();
+            return self->Fail(error);
           self->m_connected = true;
           SetSocketOptions(*self->m_socket, std::chrono::seconds(2));
           self->Send();
@@ -100,18 +102,18 @@
                         if (self->m_done)
                           return;
                         if (error)
-                          return self->OnConnectionLost();
+                          return self->OnConnectionLost(error);
                         self->Receive();
                       });
   }
 
   // The server may close an idle connection while a request is sent on it. One
   // that changes nothing is sent again on a new connection.
-  void OnConnectionLost() {
+  void OnConnectionLost(error_code error) {
     const bool is_safe = m_request.method() == http::verb::get;
     const bool has_response = m_parser.got_some() || m_buffer.size() > 0;
     if (!std::exchange(m_is_reused, false) || !is_safe || has_response)
-      return Fail();
+      return Fail(error);
     Connect();
   }
 
@@ -121,7 +123,7 @@
                         if (self->m_done)
                           return;
                         if (error)
-                          return self->OnConnectionLost();
+                          return self->OnConnectionLost(error);
                         self->Succeed();
                       });
   }
@@ -139,7 +141,7 @@
     m_handler(std::move(result));
   }
 
-  void Fail() {
+  void Fail(error_code reason) {
     if (m_done)
       return;
     m_done = true;
@@ -151,6 +153,7 @@
     }
     CallResult result;
     result.error = m_sent ? CallError::kUnknown : CallError::kNotSent;
+    result.reason = reason;
     m_handler(std::move(result));
   }
 
--- a/test/adapter_call_test.cc
+++ b/test/adapter_call_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(TryConnectReportsAcceptedAndRefused);
   CPPUNIT_TEST(OnlyClosedPortCountsAsRefused);
   CPPUNIT_TEST(EndlessResponseFailsCall);
+  CPPUNIT_TEST(FailedCallNamesReason);
   CPPUNIT_TEST(BadStatusFailsCall);
   CPPUNIT_TEST(BadFieldNameFailsCall);
   CPPUNIT_TEST(FoldedLineFailsCall);
@@ -200,6 +201,32 @@
     }
   }
 
+  // A log line of a failed call named status 200, and not what failed.
+  void FailedCallNamesReason() {
+    namespace http = boost::beast::http;
+    const std::string closed_address =
+        "127.0.0.1:" + std::to_string(FreePort());
+    CPPUNIT_ASSERT(Call(closed_address).reason ==
+                   asio::error::connection_refused);
+    const std::pair<std::string, boost::system::error_code> cases[] = {
+        {ResponsesWithBadStatus("")[0].bytes, http::error::bad_status},
+        {ResponsesWithFoldedLine("")[0].bytes, http::error::bad_field},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nbroken",
+         http::error::partial_message},
+        {"", asio::error::eof}};
+    for (const auto& [bytes, reason] : cases) {
+      ScriptedServer server([&, bytes = bytes](const std::string&) {
+        return ScriptedResponse{bytes};
+      });
+      const CallResult result = Call(server.address());
+      CPPUNIT_ASSERT_MESSAGE(result.reason.message(), result.reason == reason);
+    }
+    ScriptedServer silent([](const std::string&) {
+      return ScriptedResponse{"", true, false, seconds(2)};
+    });
+    CPPUNIT_ASSERT(Call(silent.address()).reason == asio::error::timed_out);
+  }
+
   // The store, a report or an order was taken to have answered.
   void BadStatusFailsCall() { CheckCallsFail(ResponsesWithBadStatus("")); }
 
