Take no request in a planned stop that arrives after the notice time

Cause: whether a request was taken depended on a tick of 50 ms that closed the port and the idle connections. Until it ran, kept and new connections were served as before, and a request whose head or body was half read at that tick was taken whenever it was complete. The time was also measured from the handling of the signal, and was the whole of the three seconds that the callers have.

Why this works: PlannedStop decides, and it is asked when a request is complete, when its head is known and at each tick, so no way into the process passes it by. 2.5 s leave half a second for a signal that is handled late; clients keep the directory's answer for 2 s. A refused request gets 503, not run, Retry-After 0.

Two new log lines, refusing and refused_at_stop, say when an instance begins to refuse and whom.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -29,10 +29,6 @@
 constexpr int kListenBacklog = 512;
 constexpr size_t kMaxAuxiliaryBodyBytes = 8192;
 constexpr Duration kAuxiliaryTimeout = seconds(10);
-// Clients know of the draining after this time. Requests that arrive later
-// might not end within the termination grace period.
-constexpr Duration kDrainNoticeTime = seconds(3);
-constexpr Duration kTerminationMargin = milliseconds(400);
 
 }  // namespace
 
@@ -289,28 +285,33 @@
 }
 
 void GatewayCore::StartDraining() {
-  if (std::exchange(m_draining, true))
+  if (draining())
     return;
-  m_drain_start_time = Now();
+  m_planned_stop.Begin(Now(), m_settings.termination_grace_period);
   m_coordination.SetAccepting(false);
   Log("leave", {{"requests", std::to_string(m_exchanges.size())}});
 }
 
 void GatewayCore::ContinueDraining(TimePoint now) {
-  const Duration elapsed = now - m_drain_start_time;
-  if (elapsed < kDrainNoticeTime)
+  if (m_planned_stop.TakesRequests(now))
     return;
-  error_code ignored;
-  m_client_acceptor.close(ignored);
+  if (m_client_acceptor.is_open())
+    StopAcceptingClients();
   for (const auto& [raw, session] : m_sessions)
-    session->CloseWhenIdle();
-  if (m_sessions.empty() ||
-      elapsed > m_settings.termination_grace_period - kTerminationMargin) {
+    session->FinishForStop();
+  if (m_sessions.empty() || m_planned_stop.MustEndRequests(now)) {
     Log("stop", {{"requests", std::to_string(m_exchanges.size())}});
     m_io.stop();
   }
 }
 
+void GatewayCore::StopAcceptingClients() {
+  error_code ignored;
+  m_client_acceptor.close(ignored);
+  Log("refusing", {{"connections", std::to_string(m_sessions.size())},
+                   {"requests", std::to_string(m_exchanges.size())}});
+}
+
 }  // namespace detail
 
 Gateway::Gateway(std::unique_ptr<detail::GatewayCore> core)
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -91,7 +91,7 @@
 }
 
 bool GatewayCore::IsReady() const {
-  return m_table && m_coordination.has_server_list() && !m_draining;
+  return m_table && m_coordination.has_server_list() && !draining();
 }
 
 void GatewayCore::AddWaitingRequest(Exchange* exchange) {
@@ -454,7 +454,7 @@
     std::erase_if(m_recoveries,
                   [&](const auto& entry) { return entry.second.until <= now; });
   }
-  if (m_draining)
+  if (draining())
     ContinueDraining(now);
 }
 
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "gateway_upstream.h"
+#include "planned_stop.h"
 #include "trefoilwick/client_budget.h"
 #include "trefoilwick/coordination.h"
 #include "trefoilwick/event_stream.h"
@@ -71,7 +72,9 @@
                 bool allowed);
   Random& random() { return m_random; }
   Metrics& metrics() { return m_metrics; }
-  bool draining() const { return m_draining; }
+  bool draining() const { return m_planned_stop.has_begun(); }
+  // False when a request that arrives now would be cut off by a planned stop.
+  bool TakesRequests() const { return m_planned_stop.TakesRequests(Now()); }
   // True when the current server list may be used to send requests.
   bool IsServerListUsable(TimePoint now) const;
 
@@ -228,6 +231,7 @@
   void OnServerNotices(const ServerProcess& process, const ResponseHead& head);
   void LogInvalidHeaders(const std::string& server, const ResponseHead& head);
   void ContinueDraining(TimePoint now);
+  void StopAcceptingClients();
   void ScheduleStallCheck();
   void CheckStalledStreams();
   // Polls the slowdown of servers on the paths of slow streams.
@@ -331,8 +335,7 @@
   TimePoint m_servers_changed_at;
   TimePoint m_next_sweep;
   TimePoint m_suspended_at;
-  bool m_draining = false;
-  TimePoint m_drain_start_time;
+  PlannedStop m_planned_stop;
   int m_log_lines = 0;
   uint64_t m_log_omitted = 0;
   TimePoint m_log_window_start;
--- a/src/gateway_session.cc
+++ b/src/gateway_session.cc
@@ -25,8 +25,8 @@
 // Time for a client to read the last response before the connection is closed.
 constexpr Duration kLingerTimeout = seconds(1);
 constexpr Duration kMaxUnacknowledgedTime = seconds(10);
-// Stalled bodies are given up within this time.
-constexpr char kRetryAfterSeconds[] = "1";
+// Value of a Retry-After header: other instances take the request now.
+constexpr char kRetryAtOnce[] = "0";
 
 // Bytes of later requests that a connection may buffer: less when most of the
 // memory for clients is in use.
@@ -205,6 +205,8 @@
     if (m_parser->is_header_done() && !m_head_checked) {
       m_head_checked = true;
       SetTimer(kBodyTimeout);
+      if (!m_parser->is_done() && !m_core.TakesRequests())
+        return RefuseForStop();
       if (!m_parser->is_done() && RejectByHead())
         return;
       if (m_parser->get()[http::field::expect] == "100-continue" &&
@@ -227,6 +229,8 @@
 void ClientSession::OnRequest() {
   m_timer.cancel();
   m_paused = false;
+  if (!m_core.TakesRequests())
+    return RefuseForStop();
   auto request = m_parser->release();
   m_parser.reset();
   m_core.client_budget().SetPhase(m_core.Now(), m_id,
@@ -245,9 +249,19 @@
   RunStep(*exchange, [&](Exchange& begun) { begun.Begin(std::move(request)); });
 }
 
+void ClientSession::RefuseForStop() {
+  const auto request = m_core.dialect().ReadRequest(m_parser->get().base());
+  const std::string id = request.ok() ? request->attempt_id : "";
+  m_is_head_request = m_parser->get().method() == http::verb::head;
+  m_core.Log("refused_at_stop",
+             {{"id", id}, {"whole", m_parser->is_done() ? "1" : "0"}});
+  Reject(503, "the instance is shutting down", id, kRetryAtOnce);
+}
+
 void ClientSession::Reject(int status,
                            const char* reason,
-                           const std::string& attempt_id) {
+                           const std::string& attempt_id,
+                           const char* retry_after) {
   m_keep_alive = false;
   m_core.CountRejected(status);
   m_parser.reset();
@@ -256,7 +270,7 @@
                                   ConnectionPhase::kInProgress);
   FullResponse response;
   if (status == 503)
-    response.headers.set(http::field::retry_after, kRetryAfterSeconds);
+    response.headers.set(http::field::retry_after, retry_after);
   if (!attempt_id.empty())
     m_core.dialect().AddLocalReplyHeaders(attempt_id, response.headers);
   response.status = status;
@@ -371,10 +385,14 @@
   Read();
 }
 
-void ClientSession::CloseWhenIdle() {
+void ClientSession::FinishForStop() {
   m_close_when_idle = true;
-  if (idle() && !m_request_started && !m_closed)
+  if (m_closed || m_lingering || !idle())
+    return;
+  if (!m_request_started)
     StartLingeringClose();
+  else if (m_head_checked)
+    RefuseForStop();
 }
 
 void ClientSession::StartLingeringClose() {
--- a/src/gateway_session.h
+++ b/src/gateway_session.h
@@ -41,8 +41,9 @@
   // Bytes that wait to be sent to the client.
   size_t PendingBytes() const { return m_pending_bytes; }
   bool idle() const { return !m_exchange && m_write_queue.empty(); }
-  // Closes after the response in progress, or now when there is none.
-  void CloseWhenIdle();
+  // Called every tick while the instance takes no requests: refuses a request
+  // whose body is being read, and closes the connection when it is idle.
+  void FinishForStop();
   void Close();
   // Reads on after a pause, when the budget for clients allows it.
   void ResumeReading();
@@ -52,6 +53,9 @@
  private:
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
+  // Value of a Retry-After header, in seconds: stalled bodies are given up
+  // within this time.
+  static constexpr char kDefaultRetryAfter[] = "1";
   // Prepares to read the next request.
   void BeginRequest();
   void Read();
@@ -60,7 +64,8 @@
   void OnRequest();
   void Reject(int status,
               const char* reason,
-              const std::string& attempt_id = "");
+              const std::string& attempt_id = "",
+              const char* retry_after = kDefaultRetryAfter);
   // Releases the body of the request whose response is complete.
   void ReleaseBody();
   void Write(std::string bytes);
@@ -71,6 +76,9 @@
   bool IsReadingPaused();
   // Answers a request that its head alone decides; false when there is none.
   bool RejectByHead();
+  // Refuses the request being read, whose head is known, because the instance
+  // stops.
+  void RefuseForStop();
   // Sets what a buffer holds in the budget for clients.
   void Hold(BufferUse use, size_t bytes);
   void HoldBuffers();
--- /dev/null
+++ b/test/adapter_draining_test.cc
@@ -0,0 +1,129 @@
+// Planned stops: which requests an instance still takes, and how the others
+// end, over real sockets.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "gateway_fixtures.h"
+#include "planned_stop.h"
+
+namespace trefoilwick {
+namespace {
+
+constexpr Duration kGracePeriod = seconds(4);
+// Until when an instance with that grace period takes requests.
+constexpr milliseconds kNoticeTime(1333);
+
+// A server that never ends its responses, and a gateway that begins to stop.
+struct StoppingGateway {
+  explicit StoppingGateway(ScriptedServer& server) {
+    harness.settings().termination_grace_period = kGracePeriod;
+    StartGateway(harness, {&server});
+  }
+  void BeginStop() {
+    harness.StartDraining();
+    began = std::chrono::steady_clock::now();
+  }
+  void SleepUntil(milliseconds after_begin) const {
+    std::this_thread::sleep_until(began + after_begin);
+  }
+
+  GatewayHarness harness;
+  std::chrono::steady_clock::time_point began;
+};
+
+ScriptedResponse WaitForClose() {
+  return ScriptedResponse{"", true, false, seconds(8)};
+}
+
+bool IsRefusal(const std::string& response) {
+  return response.starts_with("HTTP/1.1 503") && Contains(response, "not_run");
+}
+
+class AdapterDrainingTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AdapterDrainingTest);
+  CPPUNIT_TEST(TimesFitIntoTheGracePeriod);
+  CPPUNIT_TEST(RequestOnKeptConnectionIsRefusedAfterNoticeTime);
+  CPPUNIT_TEST(BodyCompletedAfterNoticeTimeIsRefused);
+  CPPUNIT_TEST(HeadCompletedAfterNoticeTimeIsRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a process that is killed while it still takes requests, or
+  // before it has reported those that it cannot finish.
+  void TimesFitIntoTheGracePeriod() {
+    for (const Duration grace : {Duration(seconds(1)), Duration(seconds(2)),
+                                 Duration(seconds(8)), Duration(seconds(60))}) {
+      const TimePoint begin(seconds(1000));
+      detail::PlannedStop stop;
+      CPPUNIT_ASSERT(stop.TakesRequests(begin));
+      stop.Begin(begin, grace);
+      CPPUNIT_ASSERT(stop.TakesRequests(begin));
+      CPPUNIT_ASSERT(!stop.TakesRequests(begin + grace / 3));
+      CPPUNIT_ASSERT(!stop.TakesRequests(begin + milliseconds(2500)));
+      CPPUNIT_ASSERT(!stop.MustEndRequests(begin + grace / 2));
+      CPPUNIT_ASSERT(stop.MustEndRequests(begin + grace - milliseconds(200)));
+    }
+  }
+
+  // Guards against a request on a kept connection that is taken until the next
+  // tick closes the connection, and cut off by the end of the process
+  // (review/8).
+  void RequestOnKeptConnectionIsRefusedAfterNoticeTime() {
+    ScriptedServer server([](const std::string& request) {
+      return Contains(request, "Attempt-Id: a1\r\n")
+                 ? ScriptedResponse{MakeSealedResponse("one")}
+                 : WaitForClose();
+    });
+    StoppingGateway stopping(server);
+    ClientConnection client(stopping.harness.settings().client_address);
+    client.Send("GET /get/x", "a1");
+    CPPUNIT_ASSERT(client.ReadFor(milliseconds(200)).ends_with("one"));
+    stopping.BeginStop();
+    stopping.SleepUntil(kNoticeTime - milliseconds(30));
+    // No tick falls between the end of the notice time and the request.
+    stopping.harness.BlockFor(milliseconds(60));
+    stopping.SleepUntil(kNoticeTime + milliseconds(5));
+    client.Send("GET /get/x", "a2");
+    const std::string response = client.ReadFor(milliseconds(500));
+    CPPUNIT_ASSERT_MESSAGE(response, IsRefusal(response));
+    CPPUNIT_ASSERT(Contains(response, "Attempt-Id: a2\r\n"));
+    CPPUNIT_ASSERT(Contains(response, "Connection: close"));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, server.requests().size());
+  }
+
+  // Guards against a request that is taken although its body was complete only
+  // after the connection should have been closed.
+  void BodyCompletedAfterNoticeTimeIsRefused() {
+    ScriptedServer server([](const std::string&) { return WaitForClose(); });
+    StoppingGateway stopping(server);
+    ClientConnection client(stopping.harness.settings().client_address);
+    const std::string request = Request("POST /post/x", "", "the body");
+    stopping.BeginStop();
+    stopping.SleepUntil(kNoticeTime - milliseconds(300));
+    client.SendBytes(request.substr(0, request.size() - 4));
+    stopping.SleepUntil(kNoticeTime + milliseconds(600));
+    client.SendBytes(request.substr(request.size() - 4));
+    const std::string response = client.ReadFor(milliseconds(500));
+    CPPUNIT_ASSERT_MESSAGE(response, IsRefusal(response));
+    CPPUNIT_ASSERT(server.requests().empty());
+  }
+
+  void HeadCompletedAfterNoticeTimeIsRefused() {
+    ScriptedServer server([](const std::string&) { return WaitForClose(); });
+    StoppingGateway stopping(server);
+    ClientConnection client(stopping.harness.settings().client_address);
+    const std::string request = Request("GET /get/x");
+    stopping.BeginStop();
+    stopping.SleepUntil(kNoticeTime - milliseconds(300));
+    client.SendBytes(request.substr(0, 40));
+    stopping.SleepUntil(kNoticeTime + milliseconds(600));
+    client.SendBytes(request.substr(40));
+    const std::string response = client.ReadFor(milliseconds(500));
+    CPPUNIT_ASSERT_MESSAGE(response, IsRefusal(response));
+    CPPUNIT_ASSERT(server.requests().empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdapterDrainingTest);
+
+}  // namespace
+}  // namespace trefoilwick
--- a/test/gateway_fixtures.h
+++ b/test/gateway_fixtures.h
@@ -123,6 +123,10 @@
                              std::to_string(body.size()) + "\r\n\r\n" + body));
   }
 
+  void SendBytes(const std::string& bytes) {
+    asio::write(m_socket, asio::buffer(bytes));
+  }
+
   // Reads what arrives within `time`.
   std::string ReadFor(std::chrono::milliseconds time) {
     std::string out;
--- a/test/gateway_harness.h
+++ b/test/gateway_harness.h
@@ -306,6 +306,11 @@
     asio::post(m_io, [this] { m_gateway->StartDraining(); });
   }
 
+  // Keeps the gateway from handling anything for `time`, as a busy instance.
+  void BlockFor(std::chrono::milliseconds time) {
+    asio::post(m_io, [time] { std::this_thread::sleep_for(time); });
+  }
+
   // Sends bytes on a new connection and reads until the other side closes.
   static std::string Call(const std::string& address,
                           const std::string& request) {
