Answer requests that have arrived when a planned stop closes a connection

Cause: a connection without a request in progress was closed at the first tick after the notice time, whatever had arrived on it. Bytes in the receive buffer, read but not yet handled, or buffered behind a request were discarded, and connections that waited to be accepted were reset.

Evidence: RequestThatWaitsUnreadAtTheCloseIsAnswered (a new and a kept connection, instance busy for 0.3 s across the close) and PipelinedRequestIsAnsweredAfterNoticeTime fail on the old code with the notice time of the tests (a trial): the clients get the end of the connection.

Why this works: a connection is closed once it has been quiet for 0.2 s with nothing to read, so what arrived is parsed first and refused as not run. Connections that wait are accepted before the port is closed.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -158,18 +158,23 @@
   m_client_acceptor.async_accept([this](error_code error, tcp::socket socket) {
     if (error == asio::error::operation_aborted)
       return;
-    if (!error && MakeRoomForConnection()) {
-      auto session = std::make_shared<ClientSession>(*this, std::move(socket),
-                                                     ++m_last_connection_id);
-      m_client_budget.Add(Now(), session->id());
-      m_sessions_by_id[session->id()] = session.get();
-      m_sessions[session.get()] = session;
-      session->Start();
-    }
+    if (!error)
+      AddClient(std::move(socket));
     AcceptClients();
   });
 }
 
+void GatewayCore::AddClient(tcp::socket socket) {
+  if (!MakeRoomForConnection())
+    return;
+  auto session = std::make_shared<ClientSession>(*this, std::move(socket),
+                                                 ++m_last_connection_id);
+  m_client_budget.Add(Now(), session->id());
+  m_sessions_by_id[session->id()] = session.get();
+  m_sessions[session.get()] = session;
+  session->Start();
+}
+
 bool GatewayCore::MakeRoomForConnection() {
   const ClientVerdict verdict = m_client_budget.MayAccept(Now());
   if (std::holds_alternative<Proceed>(verdict))
@@ -298,16 +303,25 @@
   if (m_client_acceptor.is_open())
     StopAcceptingClients();
   for (const auto& [raw, session] : m_sessions)
-    session->FinishForStop();
+    session->FinishForStop(now);
   if (m_sessions.empty() || m_planned_stop.MustEndRequests(now)) {
     Log("stop", {{"requests", std::to_string(m_exchanges.size())}});
     m_io.stop();
   }
 }
 
+// The clients of these connections may have sent a request already. They are
+// told that it has not run, which a reset would not tell them.
 void GatewayCore::StopAcceptingClients() {
-  error_code ignored;
-  m_client_acceptor.close(ignored);
+  error_code error;
+  m_client_acceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(m_io);
+    m_client_acceptor.accept(socket, error);
+    if (!error)
+      AddClient(std::move(socket));
+  }
+  m_client_acceptor.close(error);
   Log("refusing", {{"connections", std::to_string(m_sessions.size())},
                    {"requests", std::to_string(m_exchanges.size())}});
 }
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -180,6 +180,7 @@
   absl::Status Listen(const std::string& address,
                       boost::asio::ip::tcp::acceptor& acceptor);
   void AcceptClients();
+  void AddClient(boost::asio::ip::tcp::socket socket);
   // Closes connections that have no request in progress for a new one; false
   // when there is none.
   bool MakeRoomForConnection();
@@ -231,6 +232,7 @@
   void OnServerNotices(const ServerProcess& process, const ResponseHead& head);
   void LogInvalidHeaders(const std::string& server, const ResponseHead& head);
   void ContinueDraining(TimePoint now);
+  // Takes the connections that wait to be accepted, and closes the port.
   void StopAcceptingClients();
   void ScheduleStallCheck();
   void CheckStalledStreams();
--- a/src/gateway_session.cc
+++ b/src/gateway_session.cc
@@ -27,6 +27,9 @@
 constexpr Duration kMaxUnacknowledgedTime = seconds(10);
 // Value of a Retry-After header: other instances take the request now.
 constexpr char kRetryAtOnce[] = "0";
+// A connection that has been quiet for this time is closed when the instance
+// stops. A request that arrived before has been read by then.
+constexpr Duration kQuietTime = std::chrono::milliseconds(200);
 
 // Bytes of later requests that a connection may buffer: less when most of the
 // memory for clients is in use.
@@ -46,6 +49,7 @@
 
 void ClientSession::Start() {
   SetSocketOptions(m_socket, kMaxUnacknowledgedTime);
+  m_quiet_since = m_core.Now();
   SetTimer(m_core.limits().idle_timeout);
   Read();
 }
@@ -374,10 +378,11 @@
 
 void ClientSession::OnResponseWritten() {
   m_response_ended = false;
-  if (!m_keep_alive || m_close_when_idle) {
+  if (!m_keep_alive) {
     StartLingeringClose();
     return;
   }
+  m_quiet_since = m_core.Now();
   m_core.client_budget().SetPhase(m_core.Now(), m_id, ConnectionPhase::kIdle);
   SetTimer(m_core.limits().idle_timeout);
   Parse();
@@ -385,14 +390,18 @@
   Read();
 }
 
-void ClientSession::FinishForStop() {
-  m_close_when_idle = true;
+void ClientSession::FinishForStop(TimePoint now) {
   if (m_closed || m_lingering || !idle())
     return;
-  if (!m_request_started)
+  if (m_request_started) {
+    if (m_head_checked)
+      RefuseForStop();
+    return;
+  }
+  error_code error;
+  const bool has_unread_bytes = m_socket.available(error) > 0 && !error;
+  if (now - m_quiet_since >= kQuietTime && !has_unread_bytes)
     StartLingeringClose();
-  else if (m_head_checked)
-    RefuseForStop();
 }
 
 void ClientSession::StartLingeringClose() {
--- a/src/gateway_session.h
+++ b/src/gateway_session.h
@@ -42,8 +42,8 @@
   size_t PendingBytes() const { return m_pending_bytes; }
   bool idle() const { return !m_exchange && m_write_queue.empty(); }
   // Called every tick while the instance takes no requests: refuses a request
-  // whose body is being read, and closes the connection when it is idle.
-  void FinishForStop();
+  // whose body is being read, and closes the connection when it is quiet.
+  void FinishForStop(TimePoint now);
   void Close();
   // Reads on after a pause, when the budget for clients allows it.
   void ResumeReading();
@@ -94,6 +94,8 @@
   std::optional<Parser> m_parser;
   std::shared_ptr<Exchange> m_exchange;
   TimePoint m_request_start_time;
+  // When the connection was opened, or the last response was written.
+  TimePoint m_quiet_since;
   std::deque<std::string> m_write_queue;
   size_t m_pending_bytes = 0;
   ConnectionId m_id;
@@ -106,7 +108,6 @@
   bool m_response_ended = false;
   bool m_lingering = false;
   bool m_closed = false;
-  bool m_close_when_idle = false;
   bool m_is_head_request = false;
 };
 
--- a/test/adapter_draining_test.cc
+++ b/test/adapter_draining_test.cc
@@ -44,6 +44,8 @@
   CPPUNIT_TEST(RequestOnKeptConnectionIsRefusedAfterNoticeTime);
   CPPUNIT_TEST(BodyCompletedAfterNoticeTimeIsRefused);
   CPPUNIT_TEST(HeadCompletedAfterNoticeTimeIsRefused);
+  CPPUNIT_TEST(RequestThatWaitsUnreadAtTheCloseIsAnswered);
+  CPPUNIT_TEST(PipelinedRequestIsAnsweredAfterNoticeTime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -121,6 +123,54 @@
     CPPUNIT_ASSERT_MESSAGE(response, IsRefusal(response));
     CPPUNIT_ASSERT(server.requests().empty());
   }
+
+  // Guards against closing a connection on which a request has arrived that the
+  // process, too busy, has not read yet: its client got no answer.
+  void RequestThatWaitsUnreadAtTheCloseIsAnswered() {
+    ScriptedServer server([](const std::string& request) {
+      return Contains(request, "Attempt-Id: a1\r\n")
+                 ? ScriptedResponse{MakeSealedResponse("one")}
+                 : WaitForClose();
+    });
+    StoppingGateway stopping(server);
+    ClientConnection kept(stopping.harness.settings().client_address);
+    kept.Send("GET /get/x", "a1");
+    CPPUNIT_ASSERT(kept.ReadFor(milliseconds(200)).ends_with("one"));
+    stopping.BeginStop();
+    stopping.SleepUntil(kNoticeTime - milliseconds(150));
+    stopping.harness.BlockFor(milliseconds(300));
+    stopping.SleepUntil(kNoticeTime - milliseconds(50));
+    ClientConnection fresh(stopping.harness.settings().client_address);
+    fresh.Send("GET /get/x", "a2");
+    kept.Send("GET /get/x", "a3");
+    for (ClientConnection* client : {&fresh, &kept}) {
+      const std::string response = client->ReadFor(milliseconds(500));
+      CPPUNIT_ASSERT_MESSAGE(response, IsRefusal(response));
+    }
+  }
+
+  // Guards against dropping a request that had arrived behind one in progress:
+  // nothing had told its client that the connection would close.
+  void PipelinedRequestIsAnsweredAfterNoticeTime() {
+    ScriptedServer server([](const std::string&) {
+      ScriptedResponse response{kStreamHead};
+      response.parts_pause = milliseconds(180);
+      for (int id = 0; id < 10; ++id)
+        response.parts.push_back(MakeChunk(MakeEvent(id)));
+      response.parts.push_back(MakeChunk(""));
+      return response;
+    });
+    StoppingGateway stopping(server);
+    ClientConnection client(stopping.harness.settings().client_address);
+    client.Send("POST /stream/x", "a1");
+    std::this_thread::sleep_for(milliseconds(300));
+    stopping.BeginStop();
+    client.Send("POST /stream/x", "a2");
+    const std::string response = client.ReadFor(milliseconds(2500));
+    const size_t end = response.find("\r\n0\r\n\r\n");
+    CPPUNIT_ASSERT_MESSAGE(response, end != std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(response, IsRefusal(response.substr(end + 7)));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AdapterDrainingTest);
