Report the requests that a planned stop cannot finish

What callers saw: 0.4 s before the grace period ended, every request still in progress lost its connection without an answer, also one that had never been sent to a server and could have been called not run.

Cause: the process stopped its event loop with the requests in it. Requests and their connections hold each other, so that these sockets even stayed open until the process was gone.

Evidence: RequestsInProgressAreReportedAtTheEnd fails on the old code with the notice time of the tests (a trial): the client of a request at a server gets no byte.

Why this works: each request in progress is cancelled by the same decision as any other request that must not go on: 503, not run, when no server has it; 502, unknown, when one may; an aborted response when it has begun. The process exits 0.1 s later, when these have been written.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -304,8 +304,10 @@
     StopAcceptingClients();
   for (const auto& [raw, session] : m_sessions)
     session->FinishForStop(now);
-  if (m_sessions.empty() || m_planned_stop.MustEndRequests(now)) {
-    Log("stop", {{"requests", std::to_string(m_exchanges.size())}});
+  if (m_planned_stop.MustEndRequests(now))
+    EndRequestsForStop();
+  if (m_sessions.empty() || m_planned_stop.MustExit(now)) {
+    Log("stop", {{"connections", std::to_string(m_sessions.size())}});
     m_io.stop();
   }
 }
@@ -326,6 +328,14 @@
                    {"requests", std::to_string(m_exchanges.size())}});
 }
 
+void GatewayCore::EndRequestsForStop() {
+  std::vector<std::shared_ptr<Exchange>> active;
+  for (Exchange* exchange : m_exchanges)
+    active.push_back(exchange->shared_from_this());
+  for (const auto& exchange : active)
+    RunStep(*exchange, [](Exchange& request) { request.EndForStop(); });
+}
+
 }  // namespace detail
 
 Gateway::Gateway(std::unique_ptr<detail::GatewayCore> core)
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -234,6 +234,8 @@
   void ContinueDraining(TimePoint now);
   // Takes the connections that wait to be accepted, and closes the port.
   void StopAcceptingClients();
+  // Ends the requests that cannot be finished before the process exits.
+  void EndRequestsForStop();
   void ScheduleStallCheck();
   void CheckStalledStreams();
   // Polls the slowdown of servers on the paths of slow streams.
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -371,15 +371,26 @@
   TryDispatch();
 }
 
-void Exchange::OnException(const std::string& what) {
-  const auto self = shared_from_this();
-  m_core.Log("request_exception",
-             {{"id", m_request.attempt_id}, {"what", what}});
+void Exchange::Cancel(const char* reason) {
   if (m_call)
     m_call->Cancel();
   m_call = nullptr;
-  m_refusal_reason = "the request could not be handled";
+  m_refusal_reason = reason;
   ExecuteDecision(m_forward.OnCancelled());
+}
+
+void Exchange::EndForStop() {
+  if (m_ended)
+    return;
+  const auto self = shared_from_this();
+  Cancel("the instance is shutting down");
+}
+
+void Exchange::OnException(const std::string& what) {
+  const auto self = shared_from_this();
+  m_core.Log("request_exception",
+             {{"id", m_request.attempt_id}, {"what", what}});
+  Cancel("the request could not be handled");
   // The response may have been decided on, but not written.
   if (Finish("exception", 0))
     m_session->Abort();
--- a/src/gateway_exchange_crashes.cc
+++ b/src/gateway_exchange_crashes.cc
@@ -37,11 +37,7 @@
     return;
   const auto self = shared_from_this();
   m_core.CountQuarantined(m_route->name);
-  if (m_call)
-    m_call->Cancel();
-  m_call = nullptr;
-  m_refusal_reason = "such requests crash servers";
-  ExecuteDecision(m_forward.OnCancelled());
+  Cancel("such requests crash servers");
 }
 
 void Exchange::RecordBegun() {
--- a/src/planned_stop.h
+++ b/src/planned_stop.h
@@ -9,7 +9,8 @@
 
 // An instance that is asked to stop first takes requests as before, while
 // clients learn that it leaves. Then it refuses new ones and finishes those
-// that it took. What is left is cut off before the process is killed.
+// that it took. What is left is ended and reported before the process is
+// killed.
 class PlannedStop {
  public:
   // Longest time for which an instance that stops takes requests. Longer than
@@ -17,6 +18,8 @@
   // three seconds from the signal in which they may expect to be served: the
   // signal is handled late on a busy instance.
   static constexpr Duration kMaxNoticeTime = std::chrono::milliseconds(2500);
+  // Time for the last responses to reach their clients.
+  static constexpr Duration kFinalWriteTime = std::chrono::milliseconds(100);
 
   // Begins the stop; the process is killed `grace_period` later.
   void Begin(TimePoint now, Duration grace_period) {
@@ -35,6 +38,10 @@
   bool MustEndRequests(TimePoint now) const {
     return m_began && now >= m_ends_at;
   }
+  // True when the process must exit.
+  bool MustExit(TimePoint now) const {
+    return m_began && now >= m_ends_at + kFinalWriteTime;
+  }
 
  private:
   // Time from the end of the requests to that of the grace period.
--- a/test/adapter_draining_test.cc
+++ b/test/adapter_draining_test.cc
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(HeadCompletedAfterNoticeTimeIsRefused);
   CPPUNIT_TEST(RequestThatWaitsUnreadAtTheCloseIsAnswered);
   CPPUNIT_TEST(PipelinedRequestIsAnsweredAfterNoticeTime);
+  CPPUNIT_TEST(RequestsInProgressAreReportedAtTheEnd);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -56,13 +57,14 @@
                                  Duration(seconds(8)), Duration(seconds(60))}) {
       const TimePoint begin(seconds(1000));
       detail::PlannedStop stop;
-      CPPUNIT_ASSERT(stop.TakesRequests(begin));
+      CPPUNIT_ASSERT(stop.TakesRequests(begin) && !stop.MustExit(begin));
       stop.Begin(begin, grace);
       CPPUNIT_ASSERT(stop.TakesRequests(begin));
       CPPUNIT_ASSERT(!stop.TakesRequests(begin + grace / 3));
       CPPUNIT_ASSERT(!stop.TakesRequests(begin + milliseconds(2500)));
       CPPUNIT_ASSERT(!stop.MustEndRequests(begin + grace / 2));
       CPPUNIT_ASSERT(stop.MustEndRequests(begin + grace - milliseconds(200)));
+      CPPUNIT_ASSERT(stop.MustExit(begin + grace - milliseconds(100)));
     }
   }
 
@@ -171,6 +173,26 @@
     CPPUNIT_ASSERT_MESSAGE(response, end != std::string::npos);
     CPPUNIT_ASSERT_MESSAGE(response, IsRefusal(response.substr(end + 7)));
   }
+
+  // Guards against a request that a planned stop cuts off without an answer: it
+  // may have run, which its client is told.
+  void RequestsInProgressAreReportedAtTheEnd() {
+    ScriptedServer server([](const std::string&) { return WaitForClose(); });
+    GatewayHarness harness;
+    harness.settings().termination_grace_period = seconds(2);
+    Route route = MakeRoute("/get/", RouteKind::kIdempotent, 1);
+    route.timeout = seconds(20);
+    StartGateway(harness, {&server}, MakeTable({route}));
+    ClientConnection client(harness.settings().client_address);
+    client.SendBytes(
+        "GET /get/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a1\r\n"
+        "Credential: k1\r\nDeadline-Ms: 20000\r\n\r\n");
+    std::this_thread::sleep_for(milliseconds(200));
+    harness.StartDraining();
+    const std::string response = client.ReadFor(seconds(3));
+    CPPUNIT_ASSERT_MESSAGE(response, response.starts_with("HTTP/1.1 502"));
+    CPPUNIT_ASSERT_MESSAGE(response, Contains(response, "unknown"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AdapterDrainingTest);
