Try requests that ran before again instead of refusing them for ten minutes

What callers saw: the servers of a service crashed one after the other and came back after seconds.

Cause: three crashes one after the other, with no request of a trait begun since, counted as proof against the trait. For a trait that nearly all requests have they are no proof: every server has such requests when it crashes, whatever the reason, and without servers none can begin. Nothing could clear a trait once it was refused, and the lease row kept it.

CommonPartIsServedAfterATrial and TrialOfCommonPartOutlivesAllInstances need the new interface.

Why this works: what tells such a trait from one that crashes servers is that it ran before. Its requests are put on trial: the coordinator lets one at a time through, the first that runs lifts the entry on all instances, the second that crashes a server ends the trial. A trait that never ran while others did is refused as before, after three crashes and without a trial. When nothing at all is known to have run, as after a loss of all processes, the trial begins after 5 s. Entries on trial end 5 s after the last word of a coordinator, and decisions are numbered, so that neither a lease row nor an instance that was cut off brings one back.

--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -187,10 +187,21 @@
     return m_quarantine.RemainingFor(now, traits);
   }
   bool HasQuarantine() const { return !m_quarantine.empty(); }
-  // Requests that are refused now.
-  std::vector<QuarantineEntry> Quarantine(TimePoint now) const {
+  // Traits of the requests that are refused now.
+  std::vector<QuarantineEntry> Quarantine(TimePoint now) const;
+  // The same, and the entries that were lifted.
+  std::vector<QuarantineEntry> QuarantineDecisions(TimePoint now) const {
     return m_quarantine.List(now);
   }
+  // True when this instance may send a request with `traits`, although they are
+  // quarantined, to learn whether it runs. Only the coordinator may. Every
+  // trial ends with EndTrial().
+  bool TryBeginTrial(TimePoint now, const TraitSet& traits);
+  // A trial ran far enough to show that `traits` do not crash servers.
+  void OnTrialRan(TimePoint now, const TraitSet& traits);
+  void EndTrial(TimePoint now, const TraitSet& traits, bool was_sent) {
+    m_quarantine.EndTrial(now, traits, was_sent);
+  }
 
   // A server answered a request that was sent at `sent_at`, and named the
   // requests a second that it takes from all instances, or none.
--- a/include/trefoilwick/crash_suspects.h
+++ b/include/trefoilwick/crash_suspects.h
@@ -55,15 +55,56 @@
   uint64_t server = 0;
   TraitSet traits;
   TimePoint crashed_at;
+  // The request was let through as a trial of its traits.
+  bool was_trial = false;
 };
 
-// Requests with all of `traits` are refused for `remaining`.
+// What the crashes under requests with some traits show.
+enum class CrashEvidence : uint8_t {
+  // No such request is known to have run, while others did.
+  kNeverRan,
+  // Such requests ran before: the crashes may be a coincidence, as of a service
+  // that is lost while nearly all requests have the traits.
+  kRanBefore,
+  // No request at all is known to have run, so nothing can be compared.
+  kNothingRan,
+};
+
+enum class QuarantineState : uint8_t {
+  kRefused,
+  // Refused but for one request at a time, which the coordinator lets through.
+  kOnTrial,
+  // A request ran, so that all of them are served again.
+  kLifted,
+};
+inline constexpr auto kQuarantineStateNames = MakeEnumTable<QuarantineState>({
+    {QuarantineState::kRefused, "refused"},
+    {QuarantineState::kOnTrial, "on_trial"},
+    {QuarantineState::kLifted, "lifted"},
+});
+
+// Orders the decisions of all coordinators.
+struct DecisionNumber {
+  int64_t fencing_token = 0;
+  int64_t number = 0;
+  auto operator<=>(const DecisionNumber&) const = default;
+};
+
+// What happens to requests with all of `traits`, for `remaining`.
 struct QuarantineEntry {
   TraitSet traits;
+  // Zero when the entry is lifted.
   Duration remaining{0};
+  QuarantineState state = QuarantineState::kRefused;
+  // Of the last decision on the entry.
+  DecisionNumber decision = {};
   bool operator==(const QuarantineEntry&) const = default;
 };
 
+// True when both lists hold the same decisions, whatever time remains.
+bool HaveSameDecisions(const std::vector<QuarantineEntry>& a,
+                       const std::vector<QuarantineEntry>& b);
+
 // Attributes crashes to traits. A server that crashes drops sound requests as
 // well, so a trait is a culprit only when servers crashed under requests with
 // it again and again, and none of these requests began in between. Load
@@ -87,6 +128,7 @@
     // Several traits when only requests with all of them crashed servers.
     TraitSet traits;
     TimePoint last_crash_at;
+    CrashEvidence evidence = CrashEvidence::kNeverRan;
   };
   std::vector<Culprit> FindCulprits(TimePoint now) const;
   void RemoveExpired(TimePoint now);
@@ -107,6 +149,7 @@
   // Crashes in sequence, then servers that crashed. A sound request is
   // interrupted by some of the crashes that a culprit explains.
   static std::pair<size_t, size_t> StrengthOf(const Crashes& crashes);
+  CrashEvidence EvidenceAgainst(const TraitSet& traits) const;
   // Null when there are no crashes.
   static const Crashes* StrongestEvidence(
       const std::map<Trait, Crashes>& by_trait);
@@ -131,28 +174,76 @@
   std::unordered_map<Trait, TimePoint> m_last_starts;
 };
 
-// Traits of requests that are refused, with expiry. Holds at most kMaxEntries.
+// Traits of requests that are refused, with expiry. The coordinator decides;
+// other instances merge its decisions. Holds at most kMaxEntries.
 class TraitQuarantine {
  public:
   // Requests are let through again after this time. When one of them crashes a
   // server, the entry is renewed at once.
   static constexpr Duration kDuration = std::chrono::minutes(10);
+  // Requests on trial are let through this long after the last word of a
+  // coordinator, which alone can clear them.
+  static constexpr Duration kTrialTtl = std::chrono::seconds(5);
+  // Time from one trial to the next, and from the crashes to the first trial
+  // when nothing is known to have run.
+  static constexpr Duration kTrialInterval = std::chrono::seconds(2);
+  static constexpr Duration kUncertainTrialDelay = std::chrono::seconds(5);
+  // Trials that crash a server before the entry is no longer on trial.
+  static constexpr int kMaxCrashedTrials = 2;
   static constexpr size_t kMaxEntries = 64;
 
   // Quarantines requests with all of `traits` because of a crash at
   // `crashed_at`. False when that crash is covered by an earlier entry.
-  bool Add(TimePoint now, const TraitSet& traits, TimePoint crashed_at);
-  // Adds an entry of another instance, or extends the known one.
+  bool Add(TimePoint now,
+           const TraitSet& traits,
+           TimePoint crashed_at,
+           CrashEvidence evidence = CrashEvidence::kNeverRan,
+           int64_t fencing_token = 0);
+  // Adds an entry of another instance, or applies it when it is the newer
+  // decision.
   void Merge(TimePoint now, const QuarantineEntry& entry);
-  // Time until requests with `traits` are let through; zero when they are now.
+  // Time until requests with `traits` are let through, or may be tried again;
+  // zero when they are now.
   Duration RemainingFor(TimePoint now, const TraitSet& traits) const;
+
+  // True when a request with `traits` may be sent although they are
+  // quarantined: all their entries are on trial, and no other trial of them is
+  // in progress or was a moment ago.
+  bool TryBeginTrial(TimePoint now, const TraitSet& traits);
+  // Ends a trial that TryBeginTrial() allowed, after its result was recorded.
+  void EndTrial(TimePoint now, const TraitSet& traits, bool was_sent);
+  // A trial ran, which lifts the entries whose traits are among `traits`. True
+  // when there are any.
+  bool OnTrialRan(TimePoint now, const TraitSet& traits, int64_t fencing_token);
+  // A server crashed under a trial. True when there are entries that it
+  // concerns.
+  bool OnTrialCrashed(TimePoint now,
+                      const TraitSet& traits,
+                      int64_t fencing_token);
+
+  // Entries by which requests are refused, and those that were lifted a while
+  // ago.
   std::vector<QuarantineEntry> List(TimePoint now) const;
-  bool empty() const { return m_until.empty(); }
+  bool empty() const { return m_records.empty(); }
   void RemoveExpired(TimePoint now);
 
  private:
-  // Ends of the entries, by traits. An ended entry is kept for a while.
-  std::map<TraitSet, TimePoint> m_until;
+  struct Record {
+    QuarantineState state = QuarantineState::kRefused;
+    DecisionNumber decision;
+    // End of the entry. An ended entry is kept for a while.
+    TimePoint until;
+    TimePoint next_trial;
+    bool trial_in_progress = false;
+    int crashed_trials = 0;
+  };
+  // Entries on trial whose traits are among `traits`.
+  std::vector<Record*> FindOnTrial(TimePoint now, const TraitSet& traits);
+  DecisionNumber NextDecision(int64_t fencing_token) const;
+  // Drops the entry that ends first when there are too many.
+  void Trim();
+
+  std::map<TraitSet, Record> m_records;
 };
 
 }  // namespace trefoilwick
--- a/src/cluster.thrift
+++ b/src/cluster.thrift
@@ -39,10 +39,17 @@
   2: i32 age_ms
 }
 
-// Requests with all of these traits are refused.
+// What happens to requests with all of these traits: they are refused, unless the
+// entry is on trial or lifted.
 struct QuarantineEntry {
   1: list<i64> traits
+  // Zero for an entry that is lifted.
   2: i32 remaining_ms
+  3: bool on_trial
+  4: bool lifted
+  // Of the coordinator that decided last, and the number of its decision.
+  5: i64 fencing_token
+  6: i64 decision
 }
 
 // What a backend server said of the requests that it takes from all instances.
--- a/src/cluster_codec_servers.cc
+++ b/src/cluster_codec_servers.cc
@@ -79,6 +79,10 @@
     wire::QuarantineEntry& item = out.emplace_back();
     item.traits = ToWire(entry.traits);
     item.remaining_ms = ToWireMilliseconds(entry.remaining);
+    item.on_trial = entry.state == QuarantineState::kOnTrial;
+    item.lifted = entry.state == QuarantineState::kLifted;
+    item.fencing_token = entry.decision.fencing_token;
+    item.decision = entry.decision.number;
   }
   return out;
 }
@@ -89,7 +93,11 @@
   out.reserve(entries.size());
   for (const wire::QuarantineEntry& item : entries)
     out.push_back({TraitsFromWire(item.traits),
-                   std::chrono::milliseconds(item.remaining_ms)});
+                   std::chrono::milliseconds(item.remaining_ms),
+                   item.lifted     ? QuarantineState::kLifted
+                   : item.on_trial ? QuarantineState::kOnTrial
+                                   : QuarantineState::kRefused,
+                   {item.fencing_token, item.decision}});
   return out;
 }
 
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -189,7 +189,7 @@
   }
   row.quarantine = m_quarantine.List(now);
   const bool is_outdated =
-      row.quarantine.size() != m_lease.quarantine.size() ||
+      !HaveSameDecisions(row.quarantine, m_lease.quarantine) ||
       row.retries.value_or(0) - m_lease.retries.value_or(0) >=
           kRetriesPerLeaseWrite ||
       row.instances >= 2 * std::max(1, m_lease.instances);
--- a/src/coordination_quarantine.cc
+++ b/src/coordination_quarantine.cc
@@ -29,6 +29,26 @@
     m_own_crashes.erase(m_own_crashes.begin());
   m_crash_tracker.AddCrash(now, report);
   m_next_report = now;
+  if (report.was_trial && m_is_coordinator &&
+      m_quarantine.OnTrialCrashed(now, report.traits, m_fencing_token))
+    m_next_heartbeat = now;
+}
+
+std::vector<QuarantineEntry> Coordination::Quarantine(TimePoint now) const {
+  std::vector<QuarantineEntry> out = m_quarantine.List(now);
+  std::erase_if(out, [](const QuarantineEntry& entry) {
+    return entry.state == QuarantineState::kLifted;
+  });
+  return out;
+}
+
+bool Coordination::TryBeginTrial(TimePoint now, const TraitSet& traits) {
+  return m_is_coordinator && m_quarantine.TryBeginTrial(now, traits);
+}
+
+void Coordination::OnTrialRan(TimePoint now, const TraitSet& traits) {
+  if (m_is_coordinator && m_quarantine.OnTrialRan(now, traits, m_fencing_token))
+    m_next_heartbeat = now;
 }
 
 void Coordination::OnRequestRan(const TraitSet& traits, TimePoint sent_at) {
@@ -78,7 +98,8 @@
   if (now - m_coordinating_since < kMinCoordinatingTime)
     return;
   for (const CrashTracker::Culprit& culprit : m_crash_tracker.FindCulprits(now))
-    if (m_quarantine.Add(now, culprit.traits, culprit.last_crash_at))
+    if (m_quarantine.Add(now, culprit.traits, culprit.last_crash_at,
+                         culprit.evidence, m_fencing_token))
       m_next_heartbeat = now;
 }
 
--- a/src/crash_suspects.cc
+++ b/src/crash_suspects.cc
@@ -201,6 +201,18 @@
   });
 }
 
+// A run of crashes says little of traits that most requests have: each server
+// has some of these requests when it crashes, for whatever reason. Their
+// earlier runs show that they are such, or that they did no harm so far.
+CrashEvidence CrashTracker::EvidenceAgainst(const TraitSet& traits) const {
+  if (m_last_starts.empty())
+    return CrashEvidence::kNothingRan;
+  const bool all_ran = std::all_of(
+      traits.begin(), traits.end(),
+      [&](const Trait trait) { return LastStart(trait).has_value(); });
+  return all_ran ? CrashEvidence::kRanBefore : CrashEvidence::kNeverRan;
+}
+
 const CrashTracker::Crashes* CrashTracker::StrongestEvidence(
     const std::map<Trait, Crashes>& by_trait) {
   const Crashes* out = nullptr;
@@ -241,7 +253,8 @@
       if (starts_known && (sequence.size() >= kUndeniableCrashes ||
                            !IsAmbiguous(explanation, by_trait)))
         out.push_back({explanation.traits,
-                       explanation.crashes.back()->report.crashed_at});
+                       explanation.crashes.back()->report.crashed_at,
+                       EvidenceAgainst(explanation.traits)});
       explained_servers.merge(ServersOf(explanation.crashes));
     }
   };
@@ -262,52 +275,4 @@
   });
 }
 
-bool TraitQuarantine::Add(TimePoint now,
-                          const TraitSet& traits,
-                          TimePoint crashed_at) {
-  const auto found = m_until.find(traits);
-  if (found != m_until.end() && crashed_at <= found->second)
-    return false;
-  Merge(now, {traits, kDuration});
-  return true;
-}
-
-void TraitQuarantine::Merge(TimePoint now, const QuarantineEntry& entry) {
-  // No traits would match every request.
-  if (entry.traits.empty())
-    return;
-  const auto [known, is_new] =
-      m_until.try_emplace(entry.traits, now + entry.remaining);
-  known->second = std::max(known->second, now + entry.remaining);
-  if (m_until.size() <= kMaxEntries)
-    return;
-  m_until.erase(std::min_element(
-      m_until.begin(), m_until.end(),
-      [](const auto& a, const auto& b) { return a.second < b.second; }));
-}
-
-Duration TraitQuarantine::RemainingFor(TimePoint now,
-                                       const TraitSet& traits) const {
-  Duration remaining(0);
-  for (const auto& [quarantined, until] : m_until)
-    if (std::includes(traits.begin(), traits.end(), quarantined.begin(),
-                      quarantined.end()))
-      remaining = std::max(remaining, until - now);
-  return remaining;
-}
-
-std::vector<QuarantineEntry> TraitQuarantine::List(TimePoint now) const {
-  std::vector<QuarantineEntry> out;
-  for (const auto& [traits, until] : m_until)
-    if (until > now)
-      out.push_back({traits, until - now});
-  return out;
-}
-
-void TraitQuarantine::RemoveExpired(TimePoint now) {
-  std::erase_if(m_until, [&](const auto& entry) {
-    return now - entry.second > kCrashMemory;
-  });
-}
-
 }  // namespace trefoilwick
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -321,8 +321,8 @@
     CrashReport report;
   };
   std::vector<UnconfirmedCrash> m_unconfirmed_crashes;
-  // Quarantined traits that requests were notified of.
-  std::set<TraitSet> m_seen_quarantine;
+  // Decisions on quarantined traits that requests were notified of.
+  std::map<TraitSet, QuarantineState> m_seen_quarantine;
   // Placement orders that requests were notified of; their servers wait for
   // requests to move off.
   std::map<std::string, LayerRange> m_seen_orders;
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -64,6 +64,7 @@
   if (m_call)
     m_call->Cancel();
   ReleaseLoad();
+  EndTrial();
   m_core.RemoveExchange(this);
 }
 
@@ -159,7 +160,8 @@
     OnDeadline();
     return true;
   }
-  if (QuarantineTime() > Duration(0)) {
+  if (QuarantineTime() > Duration(0) && m_trial_traits.empty() &&
+      !TryBeginTrial()) {
     EndIfQuarantined();
     return true;
   }
@@ -465,6 +467,7 @@
     m_core.RemoveWaitingRequest(this);
   m_waiting = false;
   ReleaseLoad();
+  EndTrial();
   ReportHeldCrash();
   if (m_events.has_events() && !m_path.empty() &&
       m_send_started_at != TimePoint{})
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -96,6 +96,10 @@
   // Time for which the request is refused at the servers of all services of its
   // route; zero when it may be sent to those of one.
   Duration QuarantineTime() const;
+  // Lets the request through as a trial of its quarantined traits; false when
+  // that is not possible now.
+  bool TryBeginTrial();
+  void EndTrial();
   // Traits that may be the reason when the request crashes a server: of one
   // that has begun only the content, as the parts of its prompt were read.
   TraitSet SuspectTraits(const std::string& service) const;
@@ -242,6 +246,8 @@
   // The first such interruption. A crash interrupts many sound requests, so it
   // counts only when another one follows or the request does not end well.
   std::optional<SuspectedCrash> m_held_crash;
+  // Traits that the request is a trial of; empty when it is none.
+  TraitSet m_trial_traits;
   // Last event before the present send.
   int64_t m_last_event_before_send = -1;
   // In [0, 1): decides whether the request is among those that begin when only
--- a/src/gateway_exchange_crashes.cc
+++ b/src/gateway_exchange_crashes.cc
@@ -32,8 +32,29 @@
                        m_request.shared_prompt_parts);
 }
 
+bool Exchange::TryBeginTrial() {
+  const TimePoint now = m_core.Now();
+  for (const WeightedService& service : m_route->services) {
+    const TraitSet traits = SuspectTraits(service.service);
+    if (!m_core.coordination().TryBeginTrial(now, traits))
+      continue;
+    m_trial_traits = traits;
+    m_core.Log("trial",
+               {{"id", m_request.attempt_id}, {"service", service.service}});
+    return true;
+  }
+  return false;
+}
+
+void Exchange::EndTrial() {
+  if (!m_trial_traits.empty())
+    m_core.coordination().EndTrial(
+        m_core.Now(), std::exchange(m_trial_traits, {}), m_forward.sends() > 0);
+}
+
 void Exchange::EndIfQuarantined() {
-  if (m_ended || m_route == nullptr || QuarantineTime() == Duration(0))
+  if (m_ended || m_route == nullptr || !m_trial_traits.empty() ||
+      QuarantineTime() == Duration(0))
     return;
   const auto self = shared_from_this();
   m_core.CountQuarantined(m_route->name);
@@ -43,9 +64,11 @@
 void Exchange::RecordBegun() {
   if (std::exchange(m_begun, true))
     return;
-  m_core.coordination().OnRequestRan(
-      PromptTraits(m_service, m_request.shared_prompt_parts),
-      m_send_started_at);
+  const TraitSet traits =
+      PromptTraits(m_service, m_request.shared_prompt_parts);
+  m_core.coordination().OnRequestRan(traits, m_send_started_at);
+  if (!m_trial_traits.empty())
+    m_core.coordination().OnTrialRan(m_core.Now(), traits);
 }
 
 void Exchange::RecordCompleted() {
@@ -54,6 +77,11 @@
   // A request that crashes its servers never ends well, so its end clears its
   // content of all crashes so far, also of those since it was sent.
   m_core.coordination().OnRequestRan(SuspectTraits(m_service), m_core.Now());
+  if (!m_trial_traits.empty())
+    m_core.coordination().OnTrialRan(
+        m_core.Now(),
+        RequestTraits(m_service, m_account, m_request.target, m_request.body,
+                      m_request.shared_prompt_parts));
 }
 
 bool Exchange::RecordClosedByServer() {
@@ -63,6 +91,8 @@
                                static_cast<uint64_t>(m_forward.sends()));
   crash.report.traits = SuspectTraits(m_service);
   crash.report.crashed_at = m_core.Now();
+  crash.report.was_trial = !m_trial_traits.empty();
+  EndTrial();
   if (!m_begun) {
     ReportClosed(crash);
     return ++m_closed_before_begin < kMaxClosedBeforeBegin;
--- a/src/gateway_quarantine.cc
+++ b/src/gateway_quarantine.cc
@@ -70,19 +70,23 @@
 }
 
 void GatewayCore::ApplyQuarantine(TimePoint now) {
-  std::set<TraitSet> quarantined;
+  std::map<TraitSet, QuarantineState> seen;
   bool has_new = false;
-  for (const QuarantineEntry& entry : m_coordination.Quarantine(now)) {
-    quarantined.insert(entry.traits);
-    if (m_seen_quarantine.contains(entry.traits))
+  for (const QuarantineEntry& entry : m_coordination.QuarantineDecisions(now)) {
+    seen[entry.traits] = entry.state;
+    const auto known = m_seen_quarantine.find(entry.traits);
+    const bool is_known = known != m_seen_quarantine.end();
+    if (is_known && known->second == entry.state)
       continue;
-    has_new = true;
+    has_new |= entry.state != QuarantineState::kLifted &&
+               (!is_known || known->second == QuarantineState::kLifted);
     Log("quarantine",
         {{"traits", FormatTraits(entry.traits)},
+         {"state", std::string(kQuarantineStateNames.Name(entry.state))},
          {"remaining_ms", std::to_string(entry.remaining.count() / 1000)},
          {"fence", std::to_string(m_coordination.fencing_token())}});
   }
-  m_seen_quarantine = std::move(quarantined);
+  m_seen_quarantine = std::move(seen);
   if (!has_new)
     return;
   std::vector<std::shared_ptr<Exchange>> active;
--- a/src/gen/cluster_types.cpp
+++ b/src/gen/cluster_types.cpp
@@ -593,6 +593,22 @@
 void QuarantineEntry::__set_remaining_ms(const int32_t val) {
   this->remaining_ms = val;
 }
+
+void QuarantineEntry::__set_on_trial(const bool val) {
+  this->on_trial = val;
+}
+
+void QuarantineEntry::__set_lifted(const bool val) {
+  this->lifted = val;
+}
+
+void QuarantineEntry::__set_fencing_token(const int64_t val) {
+  this->fencing_token = val;
+}
+
+void QuarantineEntry::__set_decision(const int64_t val) {
+  this->decision = val;
+}
 std::ostream& operator<<(std::ostream& out, const QuarantineEntry& obj)
 {
   obj.printTo(out);
@@ -649,6 +665,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->on_trial);
+          this->__isset.on_trial = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->lifted);
+          this->__isset.lifted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fencing_token);
+          this->__isset.fencing_token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->decision);
+          this->__isset.decision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -682,6 +730,22 @@
   xfer += oprot->writeI32(this->remaining_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("on_trial", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->on_trial);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lifted", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->lifted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fencing_token", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->fencing_token);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("decision", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->decision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -691,17 +755,29 @@
   using ::std::swap;
   swap(a.traits, b.traits);
   swap(a.remaining_ms, b.remaining_ms);
+  swap(a.on_trial, b.on_trial);
+  swap(a.lifted, b.lifted);
+  swap(a.fencing_token, b.fencing_token);
+  swap(a.decision, b.decision);
   swap(a.__isset, b.__isset);
 }
 
 QuarantineEntry::QuarantineEntry(const QuarantineEntry& other20) {
   traits = other20.traits;
   remaining_ms = other20.remaining_ms;
+  on_trial = other20.on_trial;
+  lifted = other20.lifted;
+  fencing_token = other20.fencing_token;
+  decision = other20.decision;
   __isset = other20.__isset;
 }
 QuarantineEntry& QuarantineEntry::operator=(const QuarantineEntry& other21) {
   traits = other21.traits;
   remaining_ms = other21.remaining_ms;
+  on_trial = other21.on_trial;
+  lifted = other21.lifted;
+  fencing_token = other21.fencing_token;
+  decision = other21.decision;
   __isset = other21.__isset;
   return *this;
 }
@@ -710,6 +786,10 @@
   out << "QuarantineEntry(";
   out << "traits=" << to_string(traits);
   out << ", " << "remaining_ms=" << to_string(remaining_ms);
+  out << ", " << "on_trial=" << to_string(on_trial);
+  out << ", " << "lifted=" << to_string(lifted);
+  out << ", " << "fencing_token=" << to_string(fencing_token);
+  out << ", " << "decision=" << to_string(decision);
   out << ")";
 }
 
--- a/src/gen/cluster_types.h
+++ b/src/gen/cluster_types.h
@@ -292,9 +292,13 @@
 std::ostream& operator<<(std::ostream& out, const TraitStart& obj);
 
 typedef struct _QuarantineEntry__isset {
-  _QuarantineEntry__isset() : traits(false), remaining_ms(false) {}
+  _QuarantineEntry__isset() : traits(false), remaining_ms(false), on_trial(false), lifted(false), fencing_token(false), decision(false) {}
   bool traits :1;
   bool remaining_ms :1;
+  bool on_trial :1;
+  bool lifted :1;
+  bool fencing_token :1;
+  bool decision :1;
 } _QuarantineEntry__isset;
 
 class QuarantineEntry : public virtual ::apache::thrift::TBase {
@@ -303,12 +307,20 @@
   QuarantineEntry(const QuarantineEntry&);
   QuarantineEntry& operator=(const QuarantineEntry&);
   QuarantineEntry() noexcept
-                  : remaining_ms(0) {
+                  : remaining_ms(0),
+                    on_trial(0),
+                    lifted(0),
+                    fencing_token(0),
+                    decision(0) {
   }
 
   virtual ~QuarantineEntry() noexcept;
   std::vector<int64_t>  traits;
   int32_t remaining_ms;
+  bool on_trial;
+  bool lifted;
+  int64_t fencing_token;
+  int64_t decision;
 
   _QuarantineEntry__isset __isset;
 
@@ -316,12 +328,28 @@
 
   void __set_remaining_ms(const int32_t val);
 
+  void __set_on_trial(const bool val);
+
+  void __set_lifted(const bool val);
+
+  void __set_fencing_token(const int64_t val);
+
+  void __set_decision(const int64_t val);
+
   bool operator == (const QuarantineEntry & rhs) const
   {
     if (!(traits == rhs.traits))
       return false;
     if (!(remaining_ms == rhs.remaining_ms))
       return false;
+    if (!(on_trial == rhs.on_trial))
+      return false;
+    if (!(lifted == rhs.lifted))
+      return false;
+    if (!(fencing_token == rhs.fencing_token))
+      return false;
+    if (!(decision == rhs.decision))
+      return false;
     return true;
   }
   bool operator != (const QuarantineEntry &rhs) const {
--- a/test/adapter_crash_test.cc
+++ b/test/adapter_crash_test.cc
@@ -64,6 +64,7 @@
   CPPUNIT_TEST(RequestThatCrashesServersInMidStreamIsRefused);
   CPPUNIT_TEST(StreamsInterruptedByCrashesAreServedAgain);
   CPPUNIT_TEST(RequestsThatAreAlikeClearEachOther);
+  CPPUNIT_TEST(CommonPartIsServedAgainAfterTheLossOfAllServers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -163,6 +164,59 @@
     CPPUNIT_ASSERT_MESSAGE(response, response.ends_with("\r\n0\r\n\r\n"));
     CPPUNIT_ASSERT(call("later").ends_with("\r\n0\r\n\r\n"));
   }
+
+  // Guards against refusing all requests for ten minutes because they have a
+  // part in common and all servers of their service crashed one after the other
+  // (review/7).
+  void CommonPartIsServedAgainAfterTheLossOfAllServers() {
+    std::atomic<bool> crash{false};
+    const auto serve = [&](const std::string&) {
+      ScriptedResponse response{kStreamHead};
+      if (crash) {
+        std::this_thread::sleep_for(milliseconds(60));
+        response.bytes.clear();
+        response.stop_listening = true;
+        return response;
+      }
+      for (int id = 0; id < kEvents; ++id)
+        response.parts.push_back(MakeChunk(MakeEvent(id)));
+      response.parts.push_back(MakeChunk(""));
+      return response;
+    };
+    std::deque<ScriptedServer> servers;
+    constexpr size_t kServers = 3;
+    std::vector<ScriptedServer*> pointers;
+    pointers.reserve(kServers);
+    for (size_t i = 0; i < kServers; ++i)
+      pointers.push_back(&servers.emplace_back(serve));
+    GatewayHarness harness;
+    StartGateway(harness, pointers);
+    std::this_thread::sleep_for(seconds(1));
+    int calls = 0;
+    const auto call = [&] {
+      const std::string number = std::to_string(++calls);
+      return harness.CallAsClient(
+          Request("POST /stream/x",
+                  "Prompt-Prefix: common:40,own" + number + ":9\r\n", number));
+    };
+    for (int i = 0; i < 3; ++i)
+      CPPUNIT_ASSERT(call().ends_with("0\r\n\r\n"));
+    crash = true;
+    call();
+    call();
+    std::this_thread::sleep_for(seconds(1));
+    const std::string refusal = call();
+    CPPUNIT_ASSERT_MESSAGE(refusal, refusal.starts_with("HTTP/1.1 503"));
+    crash = false;
+    harness.ListServer("i-new", "desk", servers.emplace_back(serve).address());
+    std::string response;
+    for (int i = 0; i < 15 && !response.ends_with("0\r\n\r\n"); ++i) {
+      std::this_thread::sleep_for(milliseconds(200));
+      response = call();
+    }
+    CPPUNIT_ASSERT_MESSAGE(response, response.ends_with("0\r\n\r\n"));
+    CPPUNIT_ASSERT(call().ends_with("0\r\n\r\n"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AdapterCrashTest);
--- a/test/adapter_test.cc
+++ b/test/adapter_test.cc
@@ -288,7 +288,10 @@
     CPPUNIT_ASSERT_EQUAL(
         0, *DecodeLease(R"({"fence":3,"ip":"h","incarnation":1})")->retries);
     CPPUNIT_ASSERT(!DecodeLease("{}").has_value());
-    row.quarantine = {{{3, UINT64_MAX}, std::chrono::minutes(9)}};
+    row.quarantine = {
+        {{3, UINT64_MAX}, std::chrono::minutes(9)},
+        {{4}, std::chrono::seconds(5), QuarantineState::kOnTrial, {7, 2}},
+        {{5}, {}, QuarantineState::kLifted, {7, 3}}};
     CPPUNIT_ASSERT(DecodeLease(EncodeLease(row))->quarantine == row.quarantine);
   }
 
--- a/test/coordination_quarantine_test.cc
+++ b/test/coordination_quarantine_test.cc
@@ -275,6 +275,8 @@
   CPPUNIT_TEST(CutOffInstanceLearnsOfDeadlyPart);
   CPPUNIT_TEST(RareDeadlyRequestsAreFound);
   CPPUNIT_TEST(LostServersQuarantineNothing);
+  CPPUNIT_TEST(CommonPartIsServedAfterATrial);
+  CPPUNIT_TEST(TrialOfCommonPartOutlivesAllInstances);
   CPPUNIT_TEST(HandoverOfCoordinatorQuarantinesNoSoundPart);
   CPPUNIT_TEST(RandomFaultsDoNotFreeDeadlyPart);
   CPPUNIT_TEST_SUITE_END();
@@ -399,6 +401,89 @@
           cluster.NodeAt(i).coordination->Quarantine(cluster.now()).empty());
   }
 
+  // Three servers crash 0.15 s after each other under requests that all have
+  // one part, as many did that ran before. True when all instances refuse it
+  // then.
+  static bool CrashUnderCommonPart(Cluster& cluster, const TraitSet& common) {
+    cluster.RunFor(seconds(3));
+    for (int i = 0; i < 13; ++i)
+      cluster.NodeAt(i).coordination->OnRequestRan(common, cluster.now());
+    for (uint64_t server = 1; server <= 3; ++server) {
+      cluster.RunFor(milliseconds(150));
+      for (int i = 0; i < 13; ++i)
+        cluster.NodeAt(i).coordination->OnServerCrash(
+            cluster.now(),
+            {server * 100 + static_cast<uint64_t>(i), server,
+             RequestTraits("pool", "club", "/",
+                           std::to_string(server) + "/" + std::to_string(i),
+                           {"common"}),
+             cluster.now()});
+    }
+    cluster.RunFor(seconds(2));
+    return CountRefusing(cluster, common) == 13;
+  }
+  static int CountRefusing(Cluster& cluster, const TraitSet& traits) {
+    int count = 0;
+    for (int i = 0; i < 13; ++i)
+      count += cluster.NodeAt(i).coordination->QuarantineTime(
+                   cluster.now(), traits) > Duration(0)
+                   ? 1
+                   : 0;
+    return count;
+  }
+  // Number of instances that let a request through as a trial; it runs.
+  static int RunTrials(Cluster& cluster, const TraitSet& traits) {
+    int trials = 0;
+    for (int i = 0; i < 13; ++i) {
+      Coordination& coordination = *cluster.NodeAt(i).coordination;
+      if (!coordination.TryBeginTrial(cluster.now(), traits))
+        continue;
+      ++trials;
+      coordination.OnRequestRan(traits, cluster.now());
+      coordination.OnTrialRan(cluster.now(), traits);
+      coordination.EndTrial(cluster.now(), traits, true);
+    }
+    return trials;
+  }
+
+  // Guards against refusing nearly all requests for ten minutes on the evidence
+  // of servers that were lost together (review/7).
+  void CommonPartIsServedAfterATrial() {
+    const TraitSet common = PromptTraits("pool", {"common"});
+    Cluster cluster(13);
+    CPPUNIT_ASSERT(CrashUnderCommonPart(cluster, common));
+    CPPUNIT_ASSERT_EQUAL(1, RunTrials(cluster, common));
+    cluster.RunFor(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(0, CountRefusing(cluster, common));
+    // Neither the next coordinator nor the lease row brings it back.
+    cluster.NodeAt(cluster.IndexOf(cluster.Coordinator())).alive = false;
+    cluster.RunFor(seconds(5));
+    for (int i = 0; i < 13; ++i)
+      cluster.NodeAt(i).alive = false;
+    cluster.RunFor(seconds(1));
+    for (int i = 0; i < 13; ++i)
+      cluster.StartNode(i);
+    cluster.RunFor(seconds(5));
+    CPPUNIT_ASSERT_EQUAL(0, CountRefusing(cluster, common));
+  }
+
+  // Guards against an entry in the lease row that no instance can clear after
+  // the loss of all processes, whose knowledge of earlier runs is gone.
+  void TrialOfCommonPartOutlivesAllInstances() {
+    const TraitSet common = PromptTraits("pool", {"common"});
+    Cluster cluster(13);
+    CPPUNIT_ASSERT(CrashUnderCommonPart(cluster, common));
+    for (int i = 0; i < 13; ++i)
+      cluster.NodeAt(i).alive = false;
+    cluster.RunFor(seconds(1));
+    for (int i = 0; i < 13; ++i)
+      cluster.StartNode(i);
+    cluster.RunFor(seconds(3));
+    RunTrials(cluster, common);
+    cluster.RunFor(seconds(5));
+    CPPUNIT_ASSERT_EQUAL(0, CountRefusing(cluster, common));
+  }
+
   // Instances that saw the crashes, but not the starts on the others,
   // quarantined sound parts while there was no coordinator.
   void HandoverOfCoordinatorQuarantinesNoSoundPart() {
--- a/test/crash_suspects_test.cc
+++ b/test/crash_suspects_test.cc
@@ -77,6 +77,11 @@
   CPPUNIT_TEST(QuarantineIgnoresEmptyTraits);
   CPPUNIT_TEST(MemoryIsBounded);
   CPPUNIT_TEST(InterruptedStreamsDoNotHideCulprit);
+  CPPUNIT_TEST(EvidenceTellsPartsThatRanFromOthers);
+  CPPUNIT_TEST(OneTrialAtATimeLiftsAnEntry);
+  CPPUNIT_TEST(CrashedTrialsEndTheTrial);
+  CPPUNIT_TEST(PartThatNeverRanIsNotTried);
+  CPPUNIT_TEST(NewestDecisionHolds);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -239,6 +244,110 @@
     CPPUNIT_ASSERT(!scenario.IsBlamed(
         {ContentTrait("pool", "club", "/draft/", "interrupted")}));
   }
+
+  // Guards against taking a run of crashes for the fault of a part that nearly
+  // all requests have.
+  void EvidenceTellsPartsThatRanFromOthers() {
+    const auto evidence = [](const std::vector<std::string>& ran) {
+      Scenario scenario;
+      for (const std::string& part : ran)
+        scenario.Start(Traits({part}, part));
+      for (int i = 0; i < 3; ++i)
+        scenario.Crash({Traits({"part"}, std::to_string(i))});
+      scenario.Wait(kSettled);
+      const auto culprits = scenario.tracker().FindCulprits(scenario.now());
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, culprits.size());
+      return culprits.front().evidence;
+    };
+    CPPUNIT_ASSERT(evidence({}) == CrashEvidence::kNothingRan);
+    CPPUNIT_ASSERT(evidence({"other"}) == CrashEvidence::kNeverRan);
+    CPPUNIT_ASSERT(evidence({"other", "part"}) == CrashEvidence::kRanBefore);
+  }
+
+  // Guards against letting all waiting requests through at once, and against
+  // refusing them after one of them ran.
+  void OneTrialAtATimeLiftsAnEntry() {
+    TraitQuarantine quarantine;
+    const TraitSet common = {5};
+    const TraitSet request = {3, 5, 7};
+    quarantine.Add(kStart, common, kStart, CrashEvidence::kRanBefore, 9);
+    CPPUNIT_ASSERT(quarantine.RemainingFor(kStart, request) > Duration(0));
+    CPPUNIT_ASSERT(quarantine.RemainingFor(kStart, request) <= seconds(1));
+    CPPUNIT_ASSERT(quarantine.TryBeginTrial(kStart, request));
+    CPPUNIT_ASSERT(!quarantine.TryBeginTrial(kStart, {5, 6}));
+    // It found no server: the next one may try at once.
+    quarantine.EndTrial(kStart, request, false);
+    CPPUNIT_ASSERT(quarantine.TryBeginTrial(kStart, {5, 6}));
+    quarantine.EndTrial(kStart, {5, 6}, true);
+    CPPUNIT_ASSERT(!quarantine.TryBeginTrial(kStart, request));
+    const TimePoint later = kStart + TraitQuarantine::kTrialInterval;
+    CPPUNIT_ASSERT(quarantine.TryBeginTrial(later, request));
+    CPPUNIT_ASSERT(!quarantine.OnTrialRan(later, {3, 7}, 9));
+    CPPUNIT_ASSERT(quarantine.OnTrialRan(later, request, 9));
+    CPPUNIT_ASSERT(quarantine.RemainingFor(later, request) == Duration(0));
+    // The crashes before do not count again, later ones do.
+    CPPUNIT_ASSERT(!quarantine.Add(later, common, kStart + milliseconds(1)));
+    CPPUNIT_ASSERT(quarantine.Add(later, common, later + milliseconds(1)));
+  }
+
+  // Guards against trials without end of a part that crashes servers.
+  void CrashedTrialsEndTheTrial() {
+    TraitQuarantine quarantine;
+    const TraitSet bad = {5};
+    quarantine.Add(kStart, bad, kStart, CrashEvidence::kRanBefore);
+    TimePoint now = kStart;
+    int trials = 0;
+    for (; now < kStart + minutes(9); now += milliseconds(500)) {
+      if (!quarantine.TryBeginTrial(now, bad))
+        continue;
+      ++trials;
+      quarantine.EndTrial(now, bad, true);
+      quarantine.OnTrialCrashed(now, bad, 1);
+    }
+    CPPUNIT_ASSERT_EQUAL(TraitQuarantine::kMaxCrashedTrials, trials);
+    CPPUNIT_ASSERT(quarantine.RemainingFor(now, bad) > Duration(0));
+  }
+
+  // Guards against a server more for each trial of a part that the crashes
+  // alone convict, and for an early trial when nothing is known.
+  void PartThatNeverRanIsNotTried() {
+    TraitQuarantine quarantine;
+    quarantine.Add(kStart, {5}, kStart, CrashEvidence::kNeverRan);
+    quarantine.Add(kStart, {6}, kStart, CrashEvidence::kNothingRan);
+    CPPUNIT_ASSERT(!quarantine.TryBeginTrial(kStart + minutes(9), {5}));
+    CPPUNIT_ASSERT(!quarantine.TryBeginTrial(kStart + minutes(9), {5, 6}));
+    CPPUNIT_ASSERT(!quarantine.TryBeginTrial(kStart + seconds(4), {6}));
+    CPPUNIT_ASSERT(quarantine.TryBeginTrial(kStart + seconds(5), {6}));
+  }
+
+  // Guards against an entry that was lifted and comes back from the lease row
+  // or from an instance that was cut off.
+  void NewestDecisionHolds() {
+    const TraitSet common = {5};
+    TraitQuarantine coordinator;
+    coordinator.Add(kStart, common, kStart, CrashEvidence::kRanBefore, 3);
+    const QuarantineEntry on_trial = coordinator.List(kStart).front();
+    CPPUNIT_ASSERT(on_trial.state == QuarantineState::kOnTrial);
+    // Without word of a coordinator it ends soon.
+    CPPUNIT_ASSERT(on_trial.remaining <= TraitQuarantine::kTrialTtl);
+    coordinator.OnTrialRan(kStart, common, 3);
+    const QuarantineEntry lifted = coordinator.List(kStart).front();
+    CPPUNIT_ASSERT(lifted.state == QuarantineState::kLifted);
+    TraitQuarantine other;
+    other.Merge(kStart, on_trial);
+    CPPUNIT_ASSERT(other.RemainingFor(kStart, common) > Duration(0));
+    other.Merge(kStart, lifted);
+    other.Merge(kStart, on_trial);
+    CPPUNIT_ASSERT(other.RemainingFor(kStart, common) == Duration(0));
+    // A later decision of another coordinator.
+    const TimePoint later = kStart + seconds(30);
+    coordinator.Add(later, common, later, CrashEvidence::kNeverRan, 4);
+    other.Merge(later, coordinator.List(later).front());
+    CPPUNIT_ASSERT(other.RemainingFor(later, common) > minutes(9));
+    CPPUNIT_ASSERT(
+        HaveSameDecisions(coordinator.List(later), other.List(later)));
+    CPPUNIT_ASSERT(!HaveSameDecisions({lifted}, other.List(later)));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashSuspectsTest);
--- a/test/gateway_harness.h
+++ b/test/gateway_harness.h
@@ -295,6 +295,16 @@
     asio::post(m_io, [this, table] { m_store.table = table; });
   }
 
+  // Lists a server while the gateway runs.
+  void ListServer(const std::string& id,
+                  const std::string& service,
+                  const std::string& address) {
+    asio::post(m_io, [this, id, service, address] {
+      AddServer(id, service, address);
+      ++m_store.list_version;
+    });
+  }
+
   void RemoveServer(const std::string& id) {
     asio::post(m_io, [this, id] {
       m_store.servers.erase(id);
