--- a/test/coordination_quarantine_test.cc
+++ b/test/coordination_quarantine_test.cc
@@ -422,6 +422,14 @@
     cluster.RunFor(seconds(2));
     return CountRefusing(cluster, common) == 13;
   }
+  // All instances are lost, and start again a second later.
+  static void RestartAll(Cluster& cluster) {
+    for (int i = 0; i < 13; ++i)
+      cluster.NodeAt(i).alive = false;
+    cluster.RunFor(seconds(1));
+    for (int i = 0; i < 13; ++i)
+      cluster.StartNode(i);
+  }
   static int CountRefusing(Cluster& cluster, const TraitSet& traits) {
     int count = 0;
     for (int i = 0; i < 13; ++i)
@@ -458,11 +466,7 @@
     // Neither the next coordinator nor the lease row brings it back.
     cluster.NodeAt(cluster.IndexOf(cluster.Coordinator())).alive = false;
     cluster.RunFor(seconds(5));
-    for (int i = 0; i < 13; ++i)
-      cluster.NodeAt(i).alive = false;
-    cluster.RunFor(seconds(1));
-    for (int i = 0; i < 13; ++i)
-      cluster.StartNode(i);
+    RestartAll(cluster);
     cluster.RunFor(seconds(5));
     CPPUNIT_ASSERT_EQUAL(0, CountRefusing(cluster, common));
   }
@@ -473,11 +477,7 @@
     const TraitSet common = PromptTraits("pool", {"common"});
     Cluster cluster(13);
     CPPUNIT_ASSERT(CrashUnderCommonPart(cluster, common));
-    for (int i = 0; i < 13; ++i)
-      cluster.NodeAt(i).alive = false;
-    cluster.RunFor(seconds(1));
-    for (int i = 0; i < 13; ++i)
-      cluster.StartNode(i);
+    RestartAll(cluster);
     cluster.RunFor(seconds(3));
     RunTrials(cluster, common);
     cluster.RunFor(seconds(5));
