--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -154,45 +154,6 @@
   return absl::OkStatus();
 }
 
-void GatewayCore::AcceptClients() {
-  m_client_acceptor.async_accept([this](error_code error, tcp::socket socket) {
-    if (error == asio::error::operation_aborted)
-      return;
-    if (!error)
-      AddClient(std::move(socket));
-    AcceptClients();
-  });
-}
-
-void GatewayCore::AddClient(tcp::socket socket) {
-  if (!MakeRoomForConnection())
-    return;
-  auto session = std::make_shared<ClientSession>(*this, std::move(socket),
-                                                 ++m_last_connection_id);
-  m_client_budget.Add(Now(), session->id());
-  m_sessions_by_id[session->id()] = session.get();
-  m_sessions[session.get()] = session;
-  session->Start();
-}
-
-bool GatewayCore::MakeRoomForConnection() {
-  const ClientVerdict verdict = m_client_budget.MayAccept(Now());
-  if (std::holds_alternative<Proceed>(verdict))
-    return true;
-  const auto* close = std::get_if<CloseConnections>(&verdict);
-  if (close == nullptr) {
-    CountClientRefusal("connection_refused");
-    return false;
-  }
-  for (const ConnectionId id : close->ids)
-    if (const auto found = m_sessions_by_id.find(id);
-        found != m_sessions_by_id.end()) {
-      CountClientRefusal("connection_closed");
-      found->second->Close();
-    }
-  return true;
-}
-
 void GatewayCore::AcceptAuxiliaryConnections(tcp::acceptor& acceptor) {
   acceptor.async_accept([this, &acceptor](error_code error,
                                           tcp::socket socket) {
@@ -289,53 +250,6 @@
   m_retries.SetLimits(settings.retry_ratio, settings.retry_slack);
 }
 
-void GatewayCore::StartDraining() {
-  if (draining())
-    return;
-  m_planned_stop.Begin(Now(), m_settings.termination_grace_period);
-  m_coordination.SetAccepting(false);
-  Log("leave", {{"requests", std::to_string(m_exchanges.size())}});
-}
-
-void GatewayCore::ContinueDraining(TimePoint now) {
-  if (m_planned_stop.TakesRequests(now))
-    return;
-  if (m_client_acceptor.is_open())
-    StopAcceptingClients();
-  for (const auto& [raw, session] : m_sessions)
-    session->FinishForStop(now);
-  if (m_planned_stop.MustEndRequests(now))
-    EndRequestsForStop();
-  if (m_sessions.empty() || m_planned_stop.MustExit(now)) {
-    Log("stop", {{"connections", std::to_string(m_sessions.size())}});
-    m_io.stop();
-  }
-}
-
-// The clients of these connections may have sent a request already. They are
-// told that it has not run, which a reset would not tell them.
-void GatewayCore::StopAcceptingClients() {
-  error_code error;
-  m_client_acceptor.non_blocking(true, error);
-  while (!error) {
-    tcp::socket socket(m_io);
-    m_client_acceptor.accept(socket, error);
-    if (!error)
-      AddClient(std::move(socket));
-  }
-  m_client_acceptor.close(error);
-  Log("refusing", {{"connections", std::to_string(m_sessions.size())},
-                   {"requests", std::to_string(m_exchanges.size())}});
-}
-
-void GatewayCore::EndRequestsForStop() {
-  std::vector<std::shared_ptr<Exchange>> active;
-  for (Exchange* exchange : m_exchanges)
-    active.push_back(exchange->shared_from_this());
-  for (const auto& exchange : active)
-    RunStep(*exchange, [](Exchange& request) { request.EndForStop(); });
-}
-
 }  // namespace detail
 
 Gateway::Gateway(std::unique_ptr<detail::GatewayCore> core)
