Accept no connection on a port that a planned stop has closed

A connection that was accepted just before a planned stop closed the port had the next one awaited on the closed port, which failed at once, again and again, until the process ended. Found by reading; no run has shown it, and no test forces the order of these two events.

--- a/src/gateway_clients.cc
+++ b/src/gateway_clients.cc
@@ -15,7 +15,9 @@
       return;
     if (!error)
       AddClient(std::move(socket));
-    AcceptClients();
+    // The port may have been closed since the connection was accepted.
+    if (m_client_acceptor.is_open())
+      AcceptClients();
   });
 }
 
