Run a step of every request, and cancel a request, in one place

Three loops copied the requests of an instance before they ran a step of each: at a tick, when a quarantine begins, and since at the end of a planned stop. They are one now. Cancel() keeps its request alive by itself, so that the end of a stop needs no function of its own.

--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -106,6 +106,14 @@
   RemoveWaitingRequest(exchange);
 }
 
+void GatewayCore::ForEachRequest(const std::function<void(Exchange&)>& step) {
+  std::vector<std::shared_ptr<Exchange>> active;
+  for (Exchange* exchange : m_exchanges)
+    active.push_back(exchange->shared_from_this());
+  for (const auto& exchange : active)
+    RunStep(*exchange, step);
+}
+
 void GatewayCore::DispatchWaitingRequests() {
   if (m_waiting_requests.empty())
     return;
@@ -373,11 +381,7 @@
     SendDueOrders(now);
   else
     m_orders.Clear();
-  std::vector<std::shared_ptr<Exchange>> active;
-  for (Exchange* exchange : m_exchanges)
-    active.push_back(exchange->shared_from_this());
-  for (const auto& exchange : active)
-    RunStep(*exchange, [&](Exchange& request) { request.OnTick(now); });
+  ForEachRequest([&](Exchange& request) { request.OnTick(now); });
   DispatchWaitingRequests();
   if (now >= m_next_sweep) {
     m_next_sweep = now + kSweepInterval;
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -92,6 +92,8 @@
   // Requests that wait for a server with free capacity.
   void AddWaitingRequest(Exchange* exchange);
   void RemoveWaitingRequest(Exchange* exchange);
+  // Runs a step of every request. Requests may end meanwhile.
+  void ForEachRequest(const std::function<void(Exchange&)>& step);
   void AddExchange(Exchange* exchange) { m_exchanges.insert(exchange); }
   void RemoveExchange(Exchange* exchange);
   // Tries to send the waiting requests; called when capacity may have become
@@ -234,8 +236,6 @@
   void ContinueDraining(TimePoint now);
   // Takes the connections that wait to be accepted, and closes the port.
   void StopAcceptingClients();
-  // Ends the requests that cannot be finished before the process exits.
-  void EndRequestsForStop();
   void ScheduleStallCheck();
   void CheckStalledStreams();
   // Polls the slowdown of servers on the paths of slow streams.
--- a/src/gateway_exchange.cc
+++ b/src/gateway_exchange.cc
@@ -374,6 +374,7 @@
 }
 
 void Exchange::Cancel(const char* reason) {
+  const auto self = shared_from_this();
   if (m_call)
     m_call->Cancel();
   m_call = nullptr;
@@ -381,13 +382,6 @@
   ExecuteDecision(m_forward.OnCancelled());
 }
 
-void Exchange::EndForStop() {
-  if (m_ended)
-    return;
-  const auto self = shared_from_this();
-  Cancel("the instance is shutting down");
-}
-
 void Exchange::OnException(const std::string& what) {
   const auto self = shared_from_this();
   m_core.Log("request_exception",
--- a/src/gateway_exchange.h
+++ b/src/gateway_exchange.h
@@ -36,9 +36,10 @@
   void OnException(const std::string& what);
   // Called when the client's connection took all bytes written so far.
   void OnClientWritesFlushed();
-  // Ends the request because the process exits: as not run when no server may
-  // have run it, otherwise with an unknown outcome or an incomplete response.
-  void EndForStop();
+  // Ends the request, at whatever point it is: as not run, for `reason`, when
+  // no server may have run it, otherwise with an unknown outcome or an
+  // incomplete response.
+  void Cancel(const char* reason);
   // Ends the request when requests of its kind crash servers. One that has
   // begun is ended only when it crashes them itself.
   void EndIfQuarantined();
@@ -136,8 +137,6 @@
   Duration PlainPauseTime(const std::string& service) const;
   void ExecuteDecision(const ForwardDecision& decision);
   void SendAgain();
-  // Ends the request, at whatever point it is.
-  void Cancel(const char* reason);
   // Cancels the call and continues on another server; false when that is not
   // allowed.
   bool TryMigrate();
--- a/src/gateway_exchange_crashes.cc
+++ b/src/gateway_exchange_crashes.cc
@@ -56,7 +56,6 @@
   if (m_ended || m_route == nullptr || !m_trial_traits.empty() ||
       QuarantineTime() == Duration(0))
     return;
-  const auto self = shared_from_this();
   m_core.CountQuarantined(m_route->name);
   Cancel("such requests crash servers");
 }
--- a/src/gateway_quarantine.cc
+++ b/src/gateway_quarantine.cc
@@ -89,11 +89,7 @@
   m_seen_quarantine = std::move(seen);
   if (!has_new)
     return;
-  std::vector<std::shared_ptr<Exchange>> active;
-  for (Exchange* exchange : m_exchanges)
-    active.push_back(exchange->shared_from_this());
-  for (const auto& exchange : active)
-    RunStep(*exchange, [](Exchange& request) { request.EndIfQuarantined(); });
+  ForEachRequest([](Exchange& request) { request.EndIfQuarantined(); });
 }
 
 }  // namespace trefoilwick::detail
--- a/src/gateway_stop.cc
+++ b/src/gateway_stop.cc
@@ -24,7 +24,9 @@
   for (const auto& [raw, session] : m_sessions)
     session->FinishForStop(now);
   if (m_planned_stop.MustEndRequests(now))
-    EndRequestsForStop();
+    ForEachRequest([](Exchange& request) {
+      request.Cancel("the instance is shutting down");
+    });
   if (m_sessions.empty() || m_planned_stop.MustExit(now)) {
     Log("stop", {{"connections", std::to_string(m_sessions.size())}});
     m_io.stop();
@@ -47,12 +49,4 @@
                    {"requests", std::to_string(m_exchanges.size())}});
 }
 
-void GatewayCore::EndRequestsForStop() {
-  std::vector<std::shared_ptr<Exchange>> active;
-  for (Exchange* exchange : m_exchanges)
-    active.push_back(exchange->shared_from_this());
-  for (const auto& exchange : active)
-    RunStep(*exchange, [](Exchange& request) { request.EndForStop(); });
-}
-
 }  // namespace trefoilwick::detail
