--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -187,10 +187,8 @@
     return m_quarantine.RemainingFor(now, traits);
   }
   bool HasQuarantine() const { return !m_quarantine.empty(); }
-  // Traits of the requests that are refused now.
-  std::vector<QuarantineEntry> Quarantine(TimePoint now) const;
-  // The same, and the entries that were lifted.
-  std::vector<QuarantineEntry> QuarantineDecisions(TimePoint now) const {
+  // Entries by which requests are refused now, and those that were lifted.
+  std::vector<QuarantineEntry> Quarantine(TimePoint now) const {
     return m_quarantine.List(now);
   }
   // True when this instance may send a request with `traits`, although they are
--- a/include/trefoilwick/crash_suspects.h
+++ b/include/trefoilwick/crash_suspects.h
@@ -46,6 +46,10 @@
                        std::string_view body,
                        const std::vector<std::string>& prompt_parts);
 
+// How long crashes and ended quarantine entries are kept: longer than a
+// quarantine, so that one crash after it is enough to renew it.
+inline constexpr Duration kCrashMemory = std::chrono::minutes(30);
+
 // A request whose server crashed before the response was complete.
 struct CrashReport {
   // Of this send of the request.
--- a/src/coordination_quarantine.cc
+++ b/src/coordination_quarantine.cc
@@ -34,14 +34,6 @@
     m_next_heartbeat = now;
 }
 
-std::vector<QuarantineEntry> Coordination::Quarantine(TimePoint now) const {
-  std::vector<QuarantineEntry> out = m_quarantine.List(now);
-  std::erase_if(out, [](const QuarantineEntry& entry) {
-    return entry.state == QuarantineState::kLifted;
-  });
-  return out;
-}
-
 bool Coordination::TryBeginTrial(TimePoint now, const TraitSet& traits) {
   return m_is_coordinator && m_quarantine.TryBeginTrial(now, traits);
 }
--- a/src/crash_suspects.cc
+++ b/src/crash_suspects.cc
@@ -8,7 +8,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::minutes;
 
 // Sound requests that a crash interrupted are often sent to the next server
 // together with the one that caused it, and are interrupted there again, so two
@@ -23,8 +22,6 @@
 // Servers that crash closer together may have one cause, such as the loss of a
 // rack. Instances notice a crash within 25 ms of each other.
 constexpr Duration kMinCrashInterval = milliseconds(40);
-// Longer than a quarantine, so that one crash after it is enough to renew it.
-constexpr Duration kCrashMemory = minutes(30);
 constexpr size_t kMaxCrashes = 256;
 constexpr size_t kMaxStarts = 4096;
 
--- a/src/crash_suspects_quarantine.cc
+++ b/src/crash_suspects_quarantine.cc
@@ -8,8 +8,6 @@
 
 namespace {
 
-// Longer than a quarantine, so that one crash after it is enough to renew it.
-constexpr Duration kEndedEntryMemory = std::chrono::minutes(30);
 // When clients may retry requests that are on trial.
 constexpr Duration kTrialRetryTime = std::chrono::milliseconds(500);
 
@@ -155,7 +153,7 @@
 
 void TraitQuarantine::RemoveExpired(TimePoint now) {
   std::erase_if(m_records, [&](const auto& entry) {
-    return now - entry.second.until > kEndedEntryMemory;
+    return now - entry.second.until > kCrashMemory;
   });
 }
 
--- a/src/gateway_quarantine.cc
+++ b/src/gateway_quarantine.cc
@@ -72,7 +72,7 @@
 void GatewayCore::ApplyQuarantine(TimePoint now) {
   std::map<TraitSet, QuarantineState> seen;
   bool has_new = false;
-  for (const QuarantineEntry& entry : m_coordination.QuarantineDecisions(now)) {
+  for (const QuarantineEntry& entry : m_coordination.Quarantine(now)) {
     seen[entry.traits] = entry.state;
     const auto known = m_seen_quarantine.find(entry.traits);
     const bool is_known = known != m_seen_quarantine.end();
--- a/test/adapter_draining_test.cc
+++ b/test/adapter_draining_test.cc
@@ -94,36 +94,33 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, server.requests().size());
   }
 
-  // Guards against a request that is taken although its body was complete only
-  // after the connection should have been closed.
-  void BodyCompletedAfterNoticeTimeIsRefused() {
+  // Sends the first `early_bytes` of a request before the end of the notice
+  // time and the rest after it.
+  static void CheckRefusedWhenCompletedLate(const std::string& request,
+                                            size_t early_bytes) {
     ScriptedServer server([](const std::string&) { return WaitForClose(); });
     StoppingGateway stopping(server);
     ClientConnection client(stopping.harness.settings().client_address);
-    const std::string request = Request("POST /post/x", "", "the body");
     stopping.BeginStop();
     stopping.SleepUntil(kNoticeTime - milliseconds(300));
-    client.SendBytes(request.substr(0, request.size() - 4));
+    client.SendBytes(request.substr(0, early_bytes));
     stopping.SleepUntil(kNoticeTime + milliseconds(600));
-    client.SendBytes(request.substr(request.size() - 4));
+    client.SendBytes(request.substr(early_bytes));
     const std::string response = client.ReadFor(milliseconds(500));
     CPPUNIT_ASSERT_MESSAGE(response, IsRefusal(response));
     CPPUNIT_ASSERT(server.requests().empty());
   }
 
+  // Guards against a request that is taken although its body was complete only
+  // after the connection should have been closed.
+  void BodyCompletedAfterNoticeTimeIsRefused() {
+    const std::string request = Request("POST /post/x", "", "the body");
+    CheckRefusedWhenCompletedLate(request, request.size() - 4);
+  }
+
+  // Guards against the same for a request whose head was complete only then.
   void HeadCompletedAfterNoticeTimeIsRefused() {
-    ScriptedServer server([](const std::string&) { return WaitForClose(); });
-    StoppingGateway stopping(server);
-    ClientConnection client(stopping.harness.settings().client_address);
-    const std::string request = Request("GET /get/x");
-    stopping.BeginStop();
-    stopping.SleepUntil(kNoticeTime - milliseconds(300));
-    client.SendBytes(request.substr(0, 40));
-    stopping.SleepUntil(kNoticeTime + milliseconds(600));
-    client.SendBytes(request.substr(40));
-    const std::string response = client.ReadFor(milliseconds(500));
-    CPPUNIT_ASSERT_MESSAGE(response, IsRefusal(response));
-    CPPUNIT_ASSERT(server.requests().empty());
+    CheckRefusedWhenCompletedLate(Request("GET /get/x"), 40);
   }
 
   // Guards against closing a connection on which a request has arrived that the
