Tests: planned stops and crashes of servers stand with the others of their kind

Moved as they are: two tests of planned stops and one of a part that crashes servers leave adapter_gateway_test.cc, which goes from 675 to 588 lines.

--- a/test/adapter_crash_test.cc
+++ b/test/adapter_crash_test.cc
@@ -61,6 +61,7 @@
 
 class AdapterCrashTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AdapterCrashTest);
+  CPPUNIT_TEST(PromptPartThatCrashesServersIsRefused);
   CPPUNIT_TEST(RequestThatCrashesServersInMidStreamIsRefused);
   CPPUNIT_TEST(StreamsInterruptedByCrashesAreServedAgain);
   CPPUNIT_TEST(RequestsThatAreAlikeClearEachOther);
@@ -69,6 +70,44 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Requests with one part in their prompts crashed all servers, one after the
+  // other.
+  void PromptPartThatCrashesServersIsRefused() {
+    constexpr size_t kServers = 8;
+    const auto serve = [](const std::string& request) {
+      if (!Contains(request, "bad:"))
+        return ScriptedResponse{std::string(kStreamHead) +
+                                MakeChunk(MakeEvent(0)) + MakeChunk("")};
+      std::this_thread::sleep_for(milliseconds(50));
+      ScriptedResponse crash;
+      crash.stop_listening = true;
+      return crash;
+    };
+    std::deque<ScriptedServer> servers;
+    std::vector<ScriptedServer*> pointers;
+    for (size_t i = 0; i < kServers; ++i)
+      pointers.push_back(&servers.emplace_back(serve));
+    GatewayHarness harness;
+    StartGateway(harness, pointers);
+    const auto call = [&](const std::string& parts) {
+      return harness.CallAsClient(
+          Request("POST /stream/x", "Prompt-Prefix: " + parts + "\r\n", "b"));
+    };
+    std::string last;
+    for (int i = 0; i < 6; ++i) {
+      last = call("first:40,bad:300,own" + std::to_string(i) + ":9");
+      std::this_thread::sleep_for(milliseconds(600));
+    }
+    CPPUNIT_ASSERT_MESSAGE(
+        last, last.starts_with("HTTP/1.1 503") && Contains(last, "not_run"));
+    size_t crashes = 0;
+    for (const ScriptedServer& server : servers)
+      for (const std::string& request : server.requests())
+        crashes += Contains(request, "bad:") ? 1 : 0;
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(crashes), crashes <= 4);
+    CPPUNIT_ASSERT(call("first:40,own:9").starts_with("HTTP/1.1 200"));
+  }
+
   // A request that crashed its servers after its first events counted as sound:
   // each attempt of its client crashed five more servers.
   void RequestThatCrashesServersInMidStreamIsRefused() {
--- a/test/adapter_draining_test.cc
+++ b/test/adapter_draining_test.cc
@@ -41,6 +41,8 @@
 class AdapterDrainingTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AdapterDrainingTest);
   CPPUNIT_TEST(TimesFitIntoTheGracePeriod);
+  CPPUNIT_TEST(DrainingFinishesRequestsInProgress);
+  CPPUNIT_TEST(DrainingAcceptsNoConnectionAfterNoticeTime);
   CPPUNIT_TEST(RequestOnKeptConnectionIsRefusedAfterNoticeTime);
   CPPUNIT_TEST(BodyCompletedAfterNoticeTimeIsRefused);
   CPPUNIT_TEST(HeadCompletedAfterNoticeTimeIsRefused);
@@ -68,6 +70,52 @@
     }
   }
 
+  // Guards against requests cut off by a planned stop, and against an instance
+  // that still reports ready while it drains.
+  void DrainingFinishesRequestsInProgress() {
+    ScriptedServer server([](const std::string&) {
+      std::this_thread::sleep_for(milliseconds(600));
+      return ScriptedResponse{MakeSealedResponse("done")};
+    });
+    GatewayHarness harness;
+    StartGateway(harness, {&server});
+    std::string response;
+    std::jthread client(
+        [&] { response = harness.CallAsClient(Request("GET /get/x")); });
+    std::this_thread::sleep_for(milliseconds(200));
+    harness.StartDraining();
+    std::this_thread::sleep_for(milliseconds(200));
+    const std::string ready = GatewayHarness::Call(
+        harness.settings().ready_address,
+        "GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    client.join();
+    CPPUNIT_ASSERT(ready.starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT(response.ends_with("done"));
+    CPPUNIT_ASSERT(Contains(response, "Connection: close"));
+  }
+
+  // A request accepted 4.8 s after SIGTERM was cut off at the end of the grace
+  // period (motionhall mix, seed 141298386369). Clients know of the draining
+  // after 3 s.
+  void DrainingAcceptsNoConnectionAfterNoticeTime() {
+    ScriptedServer server([](const std::string&) {
+      return ScriptedResponse{"", true, false, seconds(8)};
+    });
+    GatewayHarness harness;
+    harness.settings().termination_grace_period = seconds(8);
+    StartGateway(harness, {&server});
+    std::jthread client([&] { harness.CallAsClient(Request("GET /get/x")); });
+    std::this_thread::sleep_for(milliseconds(200));
+    harness.StartDraining();
+    std::this_thread::sleep_for(milliseconds(1000));
+    CPPUNIT_ASSERT(harness.CallAsClient(Request("GET /none/x"))
+                       .starts_with("HTTP/1.1 404"));
+    std::this_thread::sleep_for(milliseconds(2300));
+    CPPUNIT_ASSERT_EQUAL(std::string("no connection"),
+                         harness.CallAsClient(Request("GET /none/x")));
+    client.join();
+  }
+
   // Guards against a request on a kept connection that is taken until the next
   // tick closes the connection, and cut off by the end of the process
   // (review/8).
--- a/test/adapter_gateway_test.cc
+++ b/test/adapter_gateway_test.cc
@@ -32,15 +32,12 @@
   CPPUNIT_TEST(MissingConfigurationReturns503);
   CPPUNIT_TEST(RequestWaitsForFirstConfiguration);
   CPPUNIT_TEST(DirectoryAndMetricsRespond);
-  CPPUNIT_TEST(DrainingFinishesRequestsInProgress);
-  CPPUNIT_TEST(DrainingAcceptsNoConnectionAfterNoticeTime);
   CPPUNIT_TEST(RequestCountsOnceTowardsRetryBudget);
   CPPUNIT_TEST(ServerThatOnlyStopsListeningCountsAsAttempted);
   CPPUNIT_TEST(UnlistedServerThatServesOnCountsAsAttempted);
   CPPUNIT_TEST(UnlistedServerThatEndedDoesNotCountAsAttempted);
   CPPUNIT_TEST(EndedServerDoesNotCountAsAttempted);
   CPPUNIT_TEST(StreamWithMissingEventResumesBeforeIt);
-  CPPUNIT_TEST(PromptPartThatCrashesServersIsRefused);
   CPPUNIT_TEST(ServerGetsNoMoreThanItsLimit);
   CPPUNIT_TEST(UnframedStreamThatEndsInsideAnEventIsResumed);
   CPPUNIT_TEST(UnframedStreamEndsAfterAnEvent);
@@ -109,44 +106,6 @@
     CPPUNIT_ASSERT_MESSAGE(response, response.ends_with("0\r\n\r\n"));
   }
 
-  // Requests with one part in their prompts crashed all servers, one after the
-  // other.
-  void PromptPartThatCrashesServersIsRefused() {
-    constexpr size_t kServers = 8;
-    const auto serve = [](const std::string& request) {
-      if (!Contains(request, "bad:"))
-        return ScriptedResponse{std::string(kStreamHead) +
-                                MakeChunk(MakeEvent(0)) + MakeChunk("")};
-      std::this_thread::sleep_for(milliseconds(50));
-      ScriptedResponse crash;
-      crash.stop_listening = true;
-      return crash;
-    };
-    std::deque<ScriptedServer> servers;
-    std::vector<ScriptedServer*> pointers;
-    for (size_t i = 0; i < kServers; ++i)
-      pointers.push_back(&servers.emplace_back(serve));
-    GatewayHarness harness;
-    StartGateway(harness, pointers);
-    const auto call = [&](const std::string& parts) {
-      return harness.CallAsClient(
-          Request("POST /stream/x", "Prompt-Prefix: " + parts + "\r\n", "b"));
-    };
-    std::string last;
-    for (int i = 0; i < 6; ++i) {
-      last = call("first:40,bad:300,own" + std::to_string(i) + ":9");
-      std::this_thread::sleep_for(milliseconds(600));
-    }
-    CPPUNIT_ASSERT_MESSAGE(
-        last, last.starts_with("HTTP/1.1 503") && Contains(last, "not_run"));
-    size_t crashes = 0;
-    for (const ScriptedServer& server : servers)
-      for (const std::string& request : server.requests())
-        crashes += Contains(request, "bad:") ? 1 : 0;
-    CPPUNIT_ASSERT_MESSAGE(std::to_string(crashes), crashes <= 4);
-    CPPUNIT_ASSERT(call("first:40,own:9").starts_with("HTTP/1.1 200"));
-  }
-
   void RequestAndResponseAreForwarded() {
     ScriptedServer server([](const std::string&) {
       return ScriptedResponse{MakeSealedResponse("hello")};
@@ -512,52 +471,6 @@
         Contains(metrics, "trefoilwick_requests_total{status=\"200\"} 1"));
   }
 
-  // Guards against requests cut off by a planned stop, and against an instance
-  // that still reports ready while it drains.
-  void DrainingFinishesRequestsInProgress() {
-    ScriptedServer server([](const std::string&) {
-      std::this_thread::sleep_for(milliseconds(600));
-      return ScriptedResponse{MakeSealedResponse("done")};
-    });
-    GatewayHarness harness;
-    StartGateway(harness, {&server});
-    std::string response;
-    std::jthread client(
-        [&] { response = harness.CallAsClient(Request("GET /get/x")); });
-    std::this_thread::sleep_for(milliseconds(200));
-    harness.StartDraining();
-    std::this_thread::sleep_for(milliseconds(200));
-    const std::string ready = GatewayHarness::Call(
-        harness.settings().ready_address,
-        "GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-    client.join();
-    CPPUNIT_ASSERT(ready.starts_with("HTTP/1.1 503"));
-    CPPUNIT_ASSERT(response.ends_with("done"));
-    CPPUNIT_ASSERT(Contains(response, "Connection: close"));
-  }
-
-  // A request accepted 4.8 s after SIGTERM was cut off at the end of the grace
-  // period (motionhall mix, seed 141298386369). Clients know of the draining
-  // after 3 s.
-  void DrainingAcceptsNoConnectionAfterNoticeTime() {
-    ScriptedServer server([](const std::string&) {
-      return ScriptedResponse{"", true, false, seconds(8)};
-    });
-    GatewayHarness harness;
-    harness.settings().termination_grace_period = seconds(8);
-    StartGateway(harness, {&server});
-    std::jthread client([&] { harness.CallAsClient(Request("GET /get/x")); });
-    std::this_thread::sleep_for(milliseconds(200));
-    harness.StartDraining();
-    std::this_thread::sleep_for(milliseconds(1000));
-    CPPUNIT_ASSERT(harness.CallAsClient(Request("GET /none/x"))
-                       .starts_with("HTTP/1.1 404"));
-    std::this_thread::sleep_for(milliseconds(2300));
-    CPPUNIT_ASSERT_EQUAL(std::string("no connection"),
-                         harness.CallAsClient(Request("GET /none/x")));
-    client.join();
-  }
-
   // Events that arrived together with one that was out of order counted as
   // delivered, but were dropped, and no later event was recognized.
   void StreamWithMissingEventResumesBeforeIt() {
