Hash the content of requests only while an entry is in force

Until then every request had its body hashed for nothing: ended entries did so before, and since lifted ones as well, which come after a common part and so concern nearly all requests. One test of whether an entry is in force serves all who ask. Behaviour is as before; adapter_crash_test, crash_suspects_test and coordination_quarantine_test pass. The time saved was not measured.

--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -186,7 +186,10 @@
   Duration QuarantineTime(TimePoint now, const TraitSet& traits) const {
     return m_quarantine.RemainingFor(now, traits);
   }
-  bool HasQuarantine() const { return !m_quarantine.empty(); }
+  // False when no request is refused now, whatever its traits.
+  bool HasQuarantine(TimePoint now) const {
+    return m_quarantine.HasActive(now);
+  }
   // Entries by which requests are refused now, and those that were lifted.
   std::vector<QuarantineEntry> Quarantine(TimePoint now) const {
     return m_quarantine.List(now);
--- a/include/trefoilwick/crash_suspects.h
+++ b/include/trefoilwick/crash_suspects.h
@@ -228,11 +228,16 @@
   // Entries by which requests are refused, and those that were lifted a while
   // ago.
   std::vector<QuarantineEntry> List(TimePoint now) const;
-  bool empty() const { return m_records.empty(); }
+  // True when there are entries by which requests are refused.
+  bool HasActive(TimePoint now) const;
   void RemoveExpired(TimePoint now);
 
  private:
   struct Record {
+    bool IsActive(TimePoint now) const {
+      return state != QuarantineState::kLifted && until > now;
+    }
+
     QuarantineState state = QuarantineState::kRefused;
     DecisionNumber decision;
     // End of the entry. An ended entry is kept for a while.
--- a/src/crash_suspects_quarantine.cc
+++ b/src/crash_suspects_quarantine.cc
@@ -70,7 +70,7 @@
                                        const TraitSet& traits) const {
   Duration remaining(0);
   for (const auto& [entry, record] : m_records) {
-    if (record.state == QuarantineState::kLifted || !IsIncluded(entry, traits))
+    if (!record.IsActive(now) || !IsIncluded(entry, traits))
       continue;
     const Duration time = record.until - now;
     remaining = std::max(remaining, record.state == QuarantineState::kOnTrial
@@ -80,11 +80,16 @@
   return remaining;
 }
 
+bool TraitQuarantine::HasActive(TimePoint now) const {
+  return std::any_of(
+      m_records.begin(), m_records.end(),
+      [&](const auto& entry) { return entry.second.IsActive(now); });
+}
+
 bool TraitQuarantine::TryBeginTrial(TimePoint now, const TraitSet& traits) {
   std::vector<Record*> on_trial;
   for (auto& [entry, record] : m_records) {
-    if (record.state == QuarantineState::kLifted || record.until <= now ||
-        !IsIncluded(entry, traits))
+    if (!record.IsActive(now) || !IsIncluded(entry, traits))
       continue;
     if (record.state != QuarantineState::kOnTrial || record.trial_in_progress ||
         now < record.next_trial)
@@ -162,7 +167,7 @@
     const TraitSet& traits) {
   std::vector<Record*> out;
   for (auto& [entry, record] : m_records)
-    if (record.state == QuarantineState::kOnTrial && record.until > now &&
+    if (record.state == QuarantineState::kOnTrial && record.IsActive(now) &&
         IsIncluded(entry, traits))
       out.push_back(&record);
   return out;
--- a/src/gateway_exchange_crashes.cc
+++ b/src/gateway_exchange_crashes.cc
@@ -16,7 +16,7 @@
 
 Duration Exchange::QuarantineTime() const {
   const TimePoint now = m_core.Now();
-  if (!m_core.coordination().HasQuarantine())
+  if (!m_core.coordination().HasQuarantine(now))
     return Duration(0);
   Duration shortest = Duration::max();
   for (const WeightedService& service : m_route->services)
