--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -458,7 +458,7 @@
 cores = 1
 memoryMb = 182
 maxFds = 2940
-linkMbps = 700.0
+linkMbps = {link_mbps}
 diskMb = 0
 [tolerate]
 machines = 1
@@ -521,6 +521,8 @@
         self.zone = ZONES[number % len(ZONES)]
         self.process = None
         self.grace_s = 8
+        self.link_mbps = 700.0
+        self.store_address = f"{lab.store.host}:{lab.store.port}"
 
     @property
     def settings_path(self):
@@ -532,7 +534,7 @@
             zone=self.zone, number=self.number, ip=self.ip,
             peer=lab.peer_port, peer_end=lab.peer_port + 15, front=lab.port,
             ready=lab.port + 1, directory=lab.port + 2, grace_s=self.grace_s,
-            store=f"{lab.store.host}:{lab.store.port}"))
+            link_mbps=self.link_mbps, store=self.store_address))
 
     async def start(self):
         lab = self.lab
