--- a/review/standins-3/drafts.py
+++ b/review/standins-3/drafts.py
@@ -39,14 +39,16 @@
     the addresses that the directory names."""
 
     DIRECTORY_KEPT_S = 2.0
+    CLIENTS_PER_ZONE = 30
 
     def __init__(self, lab, zone=None):
         self.lab, self.zone = lab, zone
         self.sent = []  # (time, kind, status)
-        self.known = {}  # zone -> (time, addresses)
+        self.known = {}  # client -> (time, addresses)
 
     async def resolve(self, zone):
-        kept = self.known.get(zone)
+        client = (zone, random.randrange(self.CLIENTS_PER_ZONE))
+        kept = self.known.get(client)
         if kept and now() - kept[0] < self.DIRECTORY_KEPT_S:
             return kept[1]
         nearest_first = sorted(self.lab.routers,
@@ -62,7 +64,7 @@
                     asyncio.IncompleteReadError, AttributeError):
                 continue
             if addresses:
-                self.known[zone] = (now(), addresses)
+                self.known[client] = (now(), addresses)
                 return addresses
         return kept[1] if kept else []
 
