--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -538,6 +538,8 @@
 
     async def start(self):
         lab = self.lab
+        if lab.is_stopping:
+            return
         self.write_settings()
         self.log_path = lab.folder / f"router-{self.number}.log"
         with open(self.log_path, "ab") as out:
@@ -595,6 +597,7 @@
         self.port = self.find_port(20000, 28000)
         self.peer_port = self.find_port(28000, 32000)
         self.servers, self.routers = [], []
+        self.is_stopping = False
         self.store = Store(self.record)
 
     def record(self, text):
@@ -639,6 +642,7 @@
             await asyncio.sleep(0.1)
 
     async def stop(self):
+        self.is_stopping = True
         for router in self.routers:
             if router.process and router.process.returncode is None:
                 try:
