--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -14,14 +14,18 @@
 import shutil
 import signal
 import socket
+import sys
 import tempfile
+import threading
 import time
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-MAX_HEAD_BYTES = 64 * 1024
+# A case that has not ended by then is ended by force.
+HARD_LIMIT_S = 117
+CANNOT_RUN_EXIT_CODE = 2
 
 
 class CannotRun(Exception):
@@ -549,6 +553,7 @@
                 env={"PATH": os.environ.get("PATH", ""),
                      "HOME": str(lab.folder), "LANG": "C",
                      "TREFOILWICK_BOOT": str(self.settings_path)})
+        lab.processes.append(self.process)
         lab.record(f"router {self.number} started at {self.ip}")
 
     async def kill(self):
@@ -598,9 +603,12 @@
         self.peer_port = self.find_port(28000, 32000)
         self.servers, self.routers = [], []
         self.is_stopping = False
+        self.processes = []  # all that were started
         self.store = Store(self.record)
 
     def record(self, text):
+        if self.out.closed:
+            return
         self.out.write(f"{now() - self.started:9.3f} {text}\n")
         self.out.flush()
 
@@ -641,16 +649,20 @@
                 raise CannotRun("the routers are not ready")
             await asyncio.sleep(0.1)
 
-    async def stop(self):
+    def kill_processes(self):
+        """Ends the processes that this case started, by their ids."""
         self.is_stopping = True
-        for router in self.routers:
-            if router.process and router.process.returncode is None:
+        for process in self.processes:
+            if process.returncode is None:
                 try:
-                    router.process.send_signal(signal.SIGCONT)
-                    router.process.kill()
+                    os.kill(process.pid, signal.SIGKILL)
                 except ProcessLookupError:
                     pass
-                await router.process.wait()
+
+    async def stop(self):
+        self.kill_processes()
+        for process in self.processes:
+            await process.wait()
         if os.environ.get("KEEP"):
             print(self.folder)
         else:
@@ -658,22 +670,34 @@
         self.out.close()
 
 
-def run_case(case_folder, main, limit_s=115):
-    """Runs `main(lab)`, which returns a list of violations."""
+def end_by_force(lab):
+    lab.kill_processes()
+    print("cannot run: the case did not end")
+    sys.stdout.flush()
+    os._exit(CANNOT_RUN_EXIT_CODE)
+
+
+def run_case(case_folder, main, limit_s=110):
+    """Runs `main(lab)`, which returns a list of violations. Returns 1 when
+    there are any, 0 when there are none, and 2 after any other end."""
     async def run():
         lab = Lab(case_folder)
+        watchdog = threading.Timer(HARD_LIMIT_S, end_by_force, [lab])
+        watchdog.daemon = True
+        watchdog.start()
+        loop = asyncio.get_running_loop()
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         try:
-            return await asyncio.wait_for(main(lab), limit_s), lab
-        except CannotRun as error:
-            lab.record(f"cannot run: {error}")
-            raise
+            return await asyncio.wait_for(main(lab), limit_s)
         finally:
             await lab.stop()
     try:
-        violations, _ = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+        violations = asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as error:
         print(f"cannot run: {error!r}")
-        return 2
+        return CANNOT_RUN_EXIT_CODE
     for line in violations:
         print(line)
     print("rule broken" if violations else "rule held")
