A response that is reset during the upload is not taken for a whole one

Seen: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The client got that part as a complete answer with the server's marks. So with 404 and 500, with bodies of 0 bytes to 800 kB, and with a server that closes without reading the rest. A stream ended as complete before its last event.

Cause: the system reports a reset to one operation on the socket only. Traced with a full send buffer: after a reset the write gets ECONNRESET, and each read behind the buffered bytes gets 0, as after an orderly end; without a write the read gets ECONNRESET itself. The call wrote the upload and read the response at the same time, dropped the error of the write, and took the 0 for the end of a response without a length. A peek that looks whether the server is gone takes the error in the same way. An orderly end is told apart: a reset behind it gives writes EPIPE.

Change: ConnectionFailure keeps what a write or a peek reports, other than EPIPE, and puts it in place of a later end of the stream. A call whose connection failed is broken, as with a reset that the read sees: sent again where that is allowed, else 502 or a response that is cut short. The log names the reset.

--- a/src/gateway_upstream.cc
+++ b/src/gateway_upstream.cc
@@ -159,9 +159,9 @@
                     [self = shared_from_this()](error_code error, size_t) {
                       if (self->m_finished)
                         return;
-                      // A failed write also fails the read, which may still
-                      // find an early response.
+                      // The read may still find an early response.
                       self->m_request_written = !error;
+                      self->m_failure.Record(error);
                       // A body may be large, and its response may take long.
                       std::string().swap(self->m_request_bytes);
                     });
@@ -286,7 +286,10 @@
   m_listener->OnUpstreamBody(std::exchange(body, {}));
 }
 
-void UpstreamCall::OnReadError(error_code error) {
+// A write that failed before the read has been handled before it: handlers run
+// in the order in which their operations ended.
+void UpstreamCall::OnReadError(error_code read_error) {
+  const error_code error = m_failure.Explain(read_error);
   if (error == asio::error::eof && m_head_received && !m_discarding_response) {
     // A response without a length ends with its connection.
     error_code end_error;
@@ -327,7 +330,7 @@
 }
 
 bool UpstreamCall::IsClosedByServer() {
-  return m_socket && IsClosedByPeer(*m_socket);
+  return m_socket && IsClosedByPeer(*m_socket, m_failure);
 }
 
 void UpstreamCall::Cancel() {
--- a/src/gateway_upstream.h
+++ b/src/gateway_upstream.h
@@ -99,7 +99,7 @@
   bool IsElementPending() const;
   void DeliverBody();
   void OnHeadParsed();
-  void OnReadError(boost::system::error_code error);
+  void OnReadError(boost::system::error_code read_error);
   void Complete();
   void ReportBroken(bool closed_by_server = false);
   void NewParser();
@@ -126,6 +126,7 @@
   bool m_discarding_response = false;
   size_t m_discarded_bytes = 0;
   boost::system::error_code m_error;
+  ConnectionFailure m_failure;
   EndlessElementDetector m_endless_element;
   std::optional<Duration> m_keep_alive;
   bool m_server_is_leaving = false;
--- a/test/gateway_harness.h
+++ b/test/gateway_harness.h
@@ -256,6 +256,9 @@
 
   MemoryClusterStore& store() { return m_store; }
   GatewaySettings& settings() { return m_settings; }
+  const std::string& client_address() const {
+    return m_settings.client_address;
+  }
   // Takes the place of the platform's dialect.
   void SetDialect(const WireDialect* dialect) { m_dialect = dialect; }
 
