--- a/test/adapter_upload_test.cc
+++ b/test/adapter_upload_test.cc
@@ -2,6 +2,7 @@
 // is still being sent to them.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "broken_responses.h"
 #include "early_answer_server.h"
 #include "gateway_fixtures.h"
 
@@ -65,6 +66,7 @@
   CPPUNIT_TEST(ResponseThatEndsInOrderIsAnswer);
   CPPUNIT_TEST(EndSeenTogetherWithLaterResetIsAnswer);
   CPPUNIT_TEST(FramedResponseIsAnswerWhenItsBodyIsWhole);
+  CPPUNIT_TEST(BrokenHeadIsNotAnswer);
   CPPUNIT_TEST_SUITE_END();
 
   static std::shared_ptr<const RouteTable> MakeUploadTable() {
@@ -287,6 +289,18 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::string(), wrong);
   }
+
+  // Such heads were mended for requests that have been sent completely.
+  void BrokenHeadIsNotAnswer() {
+    const std::string fields = "Attempt-Id: a1\r\nServer-Seal: s\r\n";
+    std::string wrong;
+    for (const auto& responses : {ResponsesWithBadStatus(fields),
+                                  ResponsesWithBadFieldName(fields, " \x01")})
+      for (const BrokenResponse& broken : responses)
+        wrong +=
+            CheckNotAnswer(broken.name, broken.bytes, AnswerEnd::kShutdown);
+    CPPUNIT_ASSERT_EQUAL(std::string(), wrong);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AdapterUploadTest);
