A response that ends early looks complete to no HTTP/1.0 client

Seen: a client that speaks HTTP/1.0 got streams and long responses in chunks, which it does not know: the sizes of the chunks were part of its body. When such a response was cut short, its connection ended in order, which is all that tells this client that a response is complete.

Cause: the session wrote chunks whatever the version of the request was, and closed the connection alike for a response that is complete and one that is not.

Change: without chunks the body is sent as it is and ends with its connection. From its first byte on the socket is set to be reset when it is closed, by whichever step or by the end of the process; only a complete response takes that back and ends in order. Clients of HTTP/1.1 are served as before. The methods of the session are named for parts of a body, since not all are chunks.

--- a/src/gateway_exchange_response.cc
+++ b/src/gateway_exchange_response.cc
@@ -103,7 +103,7 @@
     return;
   }
   if (m_passthrough) {
-    m_session->SendChunk(bytes);
+    m_session->SendBodyPart(bytes);
     if (m_session->PendingBytes() > kMaxPendingClientBytes && m_call)
       m_call->Pause();
     return;
@@ -113,7 +113,7 @@
       m_head.authentic) {
     m_passthrough = true;
     CommitResponse();
-    m_session->SendChunk(std::exchange(m_body, {}));
+    m_session->SendBodyPart(std::exchange(m_body, {}));
   }
   if (m_body.size() > kMaxBufferedResponseBytes)
     OnUpstreamBroken(false);
@@ -124,7 +124,7 @@
     return;
   m_forward.OnServerEvent(ServerEvent::kAnswerBegun);
   m_first_event_at = m_core.Now();
-  m_session->BeginChunkedResponse(m_head.status, m_head.forwarded_headers);
+  m_session->BeginResponse(m_head.status, m_head.forwarded_headers);
 }
 
 void Exchange::ForwardEvents(std::string_view bytes, TimePoint now) {
@@ -134,7 +134,7 @@
     m_core.OnStreamBegan(m_service, m_server, *m_events.first_seen_id());
   if (!events.empty()) {
     CommitResponse();
-    m_session->SendChunk(events);
+    m_session->SendBodyPart(events);
   }
   if (m_events.last_id() - m_last_event_before_send >= kMinEventsOfBegun)
     RecordBegun();
@@ -184,7 +184,7 @@
         m_events.last_id() >= kMinEventsForBaseline)
       m_core.RecordStreamBaseline(m_event_interval, m_token_ms);
     Finish("finished", m_head.status);
-    m_session->EndChunkedResponse();
+    m_session->EndResponse();
     return;
   }
   if (m_head.not_run) {
--- a/src/gateway_session.cc
+++ b/src/gateway_session.cc
@@ -18,6 +18,7 @@
 
 using std::chrono::seconds;
 
+constexpr unsigned kHttp11 = 11;
 constexpr size_t kReadBufferBytes = 4096;
 // Bytes of later requests that are buffered while one is in progress.
 constexpr size_t kMaxPipelinedBytes = size_t{64} * 1024;
@@ -243,6 +244,7 @@
   Hold(BufferUse::kBodyHeld, request.body().size() * ClientBudget::kBodyCopies);
   m_keep_alive = request.keep_alive();
   m_is_head_request = request.method() == http::verb::head;
+  m_client_knows_chunks = request.version() >= kHttp11;
   m_response_ended = false;
   m_request_started = false;
   if (request.count(http::field::host) != 1)
@@ -288,11 +290,11 @@
                                      HeaderFields headers,
                                      std::optional<size_t> length) const {
   http::response_header<> head(std::move(headers));
-  head.version(11);
+  head.version(kHttp11);
   head.result(static_cast<unsigned>(status));
   if (length)
     head.set(http::field::content_length, std::to_string(*length));
-  else
+  else if (m_client_knows_chunks)
     head.set(http::field::transfer_encoding, "chunked");
   if (!m_keep_alive)
     head.set(http::field::connection, "close");
@@ -314,16 +316,27 @@
   Write(std::move(bytes));
 }
 
-void ClientSession::BeginChunkedResponse(int status,
-                                         const HeaderFields& headers) {
-  if (m_core.draining())
+void ClientSession::ResetOnClose(bool reset) {
+  error_code ignored;
+  m_socket.set_option(asio::socket_base::linger(reset, 0), ignored);
+}
+
+void ClientSession::BeginResponse(int status, const HeaderFields& headers) {
+  if (m_core.draining() || !m_client_knows_chunks)
     m_keep_alive = false;
+  // The client takes an orderly end for that of the response.
+  if (!m_client_knows_chunks)
+    ResetOnClose(true);
   Write(HeadBytes(status, headers, std::nullopt));
 }
 
-void ClientSession::SendChunk(const std::string& bytes) {
+void ClientSession::SendBodyPart(const std::string& bytes) {
   if (bytes.empty())
     return;
+  if (!m_client_knows_chunks) {
+    Write(bytes);
+    return;
+  }
   char size[24];
   const int length = snprintf(size, sizeof size, "%zx\r\n", bytes.size());
   std::string chunk;
@@ -338,11 +351,11 @@
   m_core.OnClientMemoryReleased();
 }
 
-void ClientSession::EndChunkedResponse() {
+void ClientSession::EndResponse() {
   ReleaseBody();
   m_exchange = nullptr;
   m_response_ended = true;
-  Write("0\r\n\r\n");
+  Write(m_client_knows_chunks ? "0\r\n\r\n" : "");
 }
 
 void ClientSession::Write(std::string bytes) {
@@ -408,6 +421,7 @@
   m_lingering = true;
   m_core.client_budget().SetPhase(m_core.Now(), m_id,
                                   ConnectionPhase::kClosing);
+  ResetOnClose(false);
   error_code ignored;
   m_socket.shutdown(tcp::socket::shutdown_send, ignored);
   m_buffer.consume(m_buffer.size());
--- a/src/gateway_session.h
+++ b/src/gateway_session.h
@@ -31,10 +31,11 @@
   ConnectionId id() const { return m_id; }
   void Start();
   void SendFullResponse(const FullResponse& response);
-  // Begins a response whose body follows in chunks.
-  void BeginChunkedResponse(int status, const HeaderFields& headers);
-  void SendChunk(const std::string& bytes);
-  void EndChunkedResponse();
+  // Begins a response whose body follows in parts: in chunks, or up to the end
+  // of the connection for a client that knows no chunks.
+  void BeginResponse(int status, const HeaderFields& headers);
+  void SendBodyPart(const std::string& bytes);
+  void EndResponse();
   // Closes the connection within a response, which shows the client that it is
   // incomplete.
   void Abort();
@@ -83,9 +84,13 @@
   void Hold(BufferUse use, size_t bytes);
   void HoldBuffers();
   void SetTimer(Duration after);
+  // `length` is that of the body, null when its parts follow.
   std::string HeadBytes(int status,
                         HeaderFields headers,
                         std::optional<size_t> length) const;
+  // Chooses whether the connection is reset or ended in order when it closes,
+  // also when the process ends.
+  void ResetOnClose(bool reset);
 
   GatewayCore& m_core;
   boost::asio::ip::tcp::socket m_socket;
@@ -109,6 +114,8 @@
   bool m_lingering = false;
   bool m_closed = false;
   bool m_is_head_request = false;
+  // False for HTTP/1.0.
+  bool m_client_knows_chunks = true;
 };
 
 }  // namespace trefoilwick::detail
