Tests: responses of the store and of services that are reset are no answers

The clients of the store, of reports and orders, and of `serve` write a request before they read its response, so that the read itself learns of a reset: a response without a length that is reset failed the call on as well, with a short request and with one that is still being sent. One that ends in order is the answer. The tests keep it so.

--- a/test/adapter_call_test.cc
+++ b/test/adapter_call_test.cc
@@ -2,6 +2,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "broken_responses.h"
+#include "early_answer_server.h"
 #include "gateway_harness.h"
 #include "rows.h"
 #include "store.h"
@@ -36,6 +37,7 @@
   CPPUNIT_TEST(FoldedLineFailsCall);
   CPPUNIT_TEST(BadTransferCodingFailsCall);
   CPPUNIT_TEST(MalformedResponseFailsCall);
+  CPPUNIT_TEST(UnframedResponseThatIsResetFailsCall);
   CPPUNIT_TEST(TrailerIsNotReadAsHead);
   CPPUNIT_TEST(InterimResponseIsNotTheAnswer);
   CPPUNIT_TEST(EndlessInterimResponsesFailCall);
@@ -49,11 +51,14 @@
   CPPUNIT_TEST_SUITE_END();
 
   static CallResult Call(const std::string& address) {
+    return Call(address, HttpRequest{boost::beast::http::verb::get, "/x", 11});
+  }
+  static CallResult Call(const std::string& address, HttpRequest request) {
     asio::io_context io;
     HttpClient client(io, milliseconds(200), kMaxResponseBytes);
     CallResult out;
-    client.Call(address, HttpRequest{boost::beast::http::verb::get, "/x", 11},
-                kTimeout, [&](CallResult result) { out = std::move(result); });
+    client.Call(address, std::move(request), kTimeout,
+                [&](CallResult result) { out = std::move(result); });
     io.run();
     return out;
   }
@@ -248,6 +253,24 @@
   // Guards against an answer that was cut or is none.
   void MalformedResponseFailsCall() { CheckCallsFail(MalformedResponses()); }
 
+  // Guards against taking the part that arrived for the answer of the store, a
+  // report or the result of an order, with a short request and with one that is
+  // still being sent.
+  void UnframedResponseThatIsResetFailsCall() {
+    const std::string part = "HTTP/1.1 200 OK\r\n\r\npart";
+    for (const size_t body_bytes : {size_t{10}, kLongUploadBytes})
+      for (const AnswerEnd end : {AnswerEnd::kReset, AnswerEnd::kShutdown}) {
+        EarlyAnswerServer server({.bytes = part, .end = end}, "",
+                                 std::make_shared<std::atomic<int>>(0));
+        HttpRequest request{boost::beast::http::verb::post, "/x", 11};
+        request.body() = std::string(body_bytes, 'u');
+        const CallResult result = Call(server.address(), std::move(request));
+        const bool is_answer = end == AnswerEnd::kShutdown;
+        CPPUNIT_ASSERT(result.error ==
+                       (is_answer ? CallError::kNone : CallError::kUnknown));
+      }
+  }
+
   // A server was taken for leaving because of a field behind the body of its
   // report.
   void TrailerIsNotReadAsHead() {
--- a/test/daemon_http_client_test.cc
+++ b/test/daemon_http_client_test.cc
@@ -7,6 +7,7 @@
 
 #include "../src/engine_client.h"
 #include "broken_responses.h"
+#include "early_answer_server.h"
 
 namespace trefoilwick::detail {
 namespace {
@@ -90,6 +91,7 @@
   CPPUNIT_TEST(FoldedLineIsNoReply);
   CPPUNIT_TEST(BadTransferCodingIsNoReply);
   CPPUNIT_TEST(MalformedResponseIsNoReply);
+  CPPUNIT_TEST(UnframedResponseThatIsResetIsNoReply);
   CPPUNIT_TEST(InterimResponseIsNotTheReply);
   CPPUNIT_TEST(LateResponseIsNotTheReplyToTheNextCall);
   CPPUNIT_TEST_SUITE_END();
@@ -163,10 +165,12 @@
   }
 
   // Result of a call that runs at most once.
-  static HttpResult CallOnce(const std::string& address) {
+  static HttpResult CallOnce(const std::string& address,
+                             std::string body = "") {
     BackendHttpClient client;
     HttpCall call;
     call.address = address;
+    call.body = std::move(body);
     call.path = "/ballot";
     call.idempotency_key = "k1";
     return CallAndWait(client, call);
@@ -204,6 +208,22 @@
   // Guards against a result that was cut or is none.
   void MalformedResponseIsNoReply() { CheckNoReply(MalformedResponses()); }
 
+  // Guards against recording the part that arrived as the result of a call,
+  // with a short request and with one that is still being sent.
+  void UnframedResponseThatIsResetIsNoReply() {
+    const std::string part = "HTTP/1.1 200 OK\r\n\r\npart";
+    for (const size_t body_bytes : {size_t{10}, kLongUploadBytes})
+      for (const AnswerEnd end : {AnswerEnd::kReset, AnswerEnd::kShutdown}) {
+        EarlyAnswerServer server({.bytes = part, .end = end}, "",
+                                 std::make_shared<std::atomic<int>>(0));
+        const HttpResult result =
+            CallOnce(server.address(), std::string(body_bytes, 'u'));
+        const bool is_reply = end == AnswerEnd::kShutdown;
+        CPPUNIT_ASSERT_EQUAL(is_reply ? 200 : 0, result.status);
+        CPPUNIT_ASSERT((result.failure == CallFailure::kNoReply) != is_reply);
+      }
+  }
+
   // The ledger recorded status 100 as the result of a call.
   void InterimResponseIsNotTheReply() {
     ClosingServer server(
