Tests: a reset on a kept connection during an upload

The second request on a connection was answered with a part of a response without a length and a reset: the client got the part as a whole answer on, and gets 502 since the write of the upload is asked for the reset.

--- a/test/adapter_upload_test.cc
+++ b/test/adapter_upload_test.cc
@@ -62,6 +62,7 @@
   CPPUNIT_TEST(UnframedResponseThatIsResetIsNotAnswer);
   CPPUNIT_TEST(ResetSeenTogetherWithResponseIsNotAnswer);
   CPPUNIT_TEST(ResetDuringPausedReadsCutsResponse);
+  CPPUNIT_TEST(ResetOnKeptConnectionIsNotAnswer);
   CPPUNIT_TEST(UnframedStreamThatIsResetIsResumed);
   CPPUNIT_TEST(ResponseThatEndsInOrderIsAnswer);
   CPPUNIT_TEST(EndSeenTogetherWithLaterResetIsAnswer);
@@ -222,6 +223,23 @@
                            !IsComplete(answer.response));
   }
 
+  // Guards against judging the connection by the request before.
+  void ResetOnKeptConnectionIsNotAnswer() {
+    EarlyAnswerServer server(
+        {.bytes = UnframedResponse("200 OK", 1000), .sound_requests = 1},
+        MakeSealedResponse("done"), std::make_shared<std::atomic<int>>(0));
+    GatewayHarness harness;
+    harness.store().table = MakeUploadTable();
+    harness.AddServer("i-0", "desk", server.address());
+    harness.Start();
+    CPPUNIT_ASSERT(harness.CallAsClient(Request("POST /get/x", "", "b"))
+                       .ends_with("done"));
+    const std::string response = harness.CallAsClient(
+        Request("POST /get/x", "", std::string(kLongUploadBytes, 'u')));
+    CPPUNIT_ASSERT_MESSAGE(Summary(response), IsLocalFailure(response));
+    CPPUNIT_ASSERT_EQUAL(2, server.requests());
+  }
+
   // The stream ended as complete before its last event.
   void UnframedStreamThatIsResetIsResumed() {
     const std::string begin =
--- a/test/early_answer_server.h
+++ b/test/early_answer_server.h
@@ -36,6 +36,8 @@
   // Written as far as the other side takes it.
   std::string bytes;
   AnswerEnd end = AnswerEnd::kReset;
+  // Requests on the same connection that are read to their end before it.
+  int sound_requests = 0;
   // Called before the answer is written.
   std::function<void()> before = [] {};
 };
@@ -48,7 +50,8 @@
 inline constexpr size_t kLongUploadBytes = size_t{8} << 20;
 
 // Serves one connection at a time. The first request of all servers that share
-// `calls` gets the early answer; others are read to their end and get `later`.
+// `calls`, sound ones aside, gets the early answer; others are read to their
+// end and get `later`.
 class EarlyAnswerServer {
  public:
   EarlyAnswerServer(EarlyAnswer early,
@@ -96,17 +99,26 @@
   }
 
   void Serve(tcp::socket& socket) {
-    std::string bytes;
+    int sound_requests = m_early.sound_requests;
+    do {
+      std::string bytes;
+      error_code error;
+      const size_t head = asio::read_until(socket, asio::dynamic_buffer(bytes),
+                                           "\r\n\r\n", error);
+      if (error)
+        return;
+      ++m_requests;
+      if (sound_requests == 0 && ++*m_calls == 1) {
+        SendEarlyAnswer(socket);
+        return;
+      }
+      Answer(socket, head, std::move(bytes));
+    } while (sound_requests-- > 0);
+  }
+
+  // Reads the rest of a request, of which `bytes` with its head have arrived.
+  void Answer(tcp::socket& socket, size_t head, std::string bytes) {
     error_code error;
-    const size_t head = asio::read_until(socket, asio::dynamic_buffer(bytes),
-                                         "\r\n\r\n", error);
-    if (error)
-      return;
-    ++m_requests;
-    if (++*m_calls == 1) {
-      SendEarlyAnswer(socket);
-      return;
-    }
     constexpr std::string_view kLength = "Content-Length: ";
     const size_t at = bytes.find(kLength);
     const size_t length =
