--- a/test/adapter_upload_test.cc
+++ b/test/adapter_upload_test.cc
@@ -116,7 +116,7 @@
       harness.Start();
       Answer answer;
       answer.response = Call(harness, path);
-      answer.sends = static_cast<size_t>(one.requests() + two.requests());
+      answer.sends = one.requests() + two.requests();
       return answer;
     }
 
@@ -237,7 +237,7 @@
     const std::string response = harness.CallAsClient(
         Request("POST /get/x", "", std::string(kLongUploadBytes, 'u')));
     CPPUNIT_ASSERT_MESSAGE(Summary(response), IsLocalFailure(response));
-    CPPUNIT_ASSERT_EQUAL(2, server.requests());
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, server.requests());
   }
 
   // The stream ended as complete before its last event.
--- a/test/early_answer_server.h
+++ b/test/early_answer_server.h
@@ -82,7 +82,7 @@
     return "127.0.0.1:" + std::to_string(m_endpoint.port());
   }
   // Requests whose head arrived.
-  int requests() const { return m_requests; }
+  size_t requests() const { return m_requests; }
 
  private:
   using error_code = boost::system::error_code;
@@ -192,7 +192,7 @@
   tcp::acceptor m_acceptor;
   tcp::endpoint m_endpoint;
   std::atomic<bool> m_stop{false};
-  std::atomic<int> m_requests{0};
+  std::atomic<size_t> m_requests{0};
   std::thread m_thread;
 };
 
