An early answer of the store or of a service is not lost

Cause: the clients of the store, of reports and orders, and of `serve` gave the call up when the write of its request failed.

Change: they read on after such a write. What it reported explains a later end of the stream, as in the calls for clients, so that a response without a length still has to end in order. A connection whose request was not sent completely is not kept. ConnectionFailure moves to the reader of responses, which asks it.

Evidence: EarlyResponseIsTheAnswer (adapter_call_test) and EarlyResponseIsTheReply (daemon_http_client_test) failed before and pass now; UnframedResponseThatIsReset* of both hold before and after.

--- a/include/trefoilwick/http_call.h
+++ b/include/trefoilwick/http_call.h
@@ -48,22 +48,6 @@
 // True when an error of a socket says that the peer closed the connection.
 bool IsClosedByPeer(boost::system::error_code error);
 
-// Tells a failed connection from one that its peer ended in order. The system
-// reports the failure of a connection, such as a reset, to one operation only:
-// once a write or a peek has got it, reads report the end of the stream, as
-// they do after an orderly end.
-class ConnectionFailure {
- public:
-  // Records the result of any operation on the socket but a read.
-  void Record(boost::system::error_code result);
-  // Returns `read_error`, or the recorded failure when that is what the end of
-  // the stream stands for.
-  boost::system::error_code Explain(boost::system::error_code read_error) const;
-
- private:
-  boost::system::error_code m_failure;
-};
-
 // True when the peer closed the connection and all its bytes were read. Records
 // in `failure` what the system reports once.
 bool IsClosedByPeer(boost::asio::ip::tcp::socket& socket,
--- a/include/trefoilwick/response_parser.h
+++ b/include/trefoilwick/response_parser.h
@@ -92,22 +92,41 @@
   bool m_head_accepted = false;
 };
 
+// Tells a failed connection from one that its peer ended in order. The system
+// reports the failure of a connection, such as a reset, to one operation only:
+// once a write or a peek has got it, reads report the end of the stream, as
+// they do after an orderly end.
+class ConnectionFailure {
+ public:
+  // Records the result of any operation on the socket but a read.
+  void Record(boost::system::error_code result);
+  // Returns `read_error`, or the recorded failure when that is what the end of
+  // the stream stands for.
+  boost::system::error_code Explain(boost::system::error_code read_error) const;
+
+ private:
+  boost::system::error_code m_failure;
+};
+
 // Reads one response into `parser`. Bytes that follow it stay in `buffer`.
-// Calls `handler` once with the error, never from within the call. All
-// arguments by reference must live until then.
+// `failure` has the results of the other operations on the connection. Calls
+// `handler` once with the error, never from within the call. All arguments by
+// reference must live until then.
 template <typename Stream, typename Handler>
 void AsyncReadResponse(Stream& stream,
                        boost::beast::flat_buffer& buffer,
                        ResponseParser& parser,
+                       const ConnectionFailure& failure,
                        Handler handler) {
   using boost::system::error_code;
   constexpr size_t kMaxReadBytes = size_t{64} * 1024;
   const size_t size = boost::beast::read_size(buffer, kMaxReadBytes);
   stream.async_read_some(
       buffer.prepare(size),
-      [&stream, &buffer, &parser, handler = std::move(handler)](
+      [&stream, &buffer, &parser, &failure, handler = std::move(handler)](
           error_code error, size_t count) mutable {
         buffer.commit(count);
+        error = failure.Explain(error);
         if (!error)
           error = parser.ParseBuffer(buffer);
         else if (error == boost::asio::error::eof && parser.is_header_done())
@@ -116,7 +135,7 @@
           return handler(error);
         if (buffer.size() == buffer.max_size())
           return handler(boost::beast::http::error::buffer_overflow);
-        AsyncReadResponse(stream, buffer, parser, std::move(handler));
+        AsyncReadResponse(stream, buffer, parser, failure, std::move(handler));
       });
 }
 
--- a/src/daemon_http_client.cc
+++ b/src/daemon_http_client.cc
@@ -131,6 +131,7 @@
 
   void Connect() {
     m_stream = std::make_unique<beast::tcp_stream>(m_impl.io);
+    m_failure = ConnectionFailure();
     const auto [host, port] = SplitAddress(m_call.address);
     error_code error;
     const auto address = asio::ip::make_address(host, error);
@@ -186,17 +187,17 @@
     http::async_write(
         *m_stream, m_request,
         [self = shared_from_this()](error_code error, size_t /*bytes*/) {
-          if (error)
-            self->OnConnectionError();
-          else
-            self->Read();
+          // The response may have arrived all the same.
+          self->m_failure.Record(error);
+          self->m_written = !error;
+          self->Read();
         });
   }
 
   void Read() {
     if (m_completed)
       return;
-    AsyncReadResponse(*m_stream, m_buffer, *m_parser,
+    AsyncReadResponse(*m_stream, m_buffer, *m_parser, m_failure,
                       [self = shared_from_this()](error_code error) {
                         if (error)
                           self->OnConnectionError();
@@ -229,7 +230,7 @@
     result.content_type = std::string(response[http::field::content_type]);
     result.body = std::move(response.body());
     Pool& pool = m_impl.pools[m_call.address];
-    if (response.keep_alive() && m_buffer.size() == 0 &&
+    if (response.keep_alive() && m_written && m_buffer.size() == 0 &&
         m_generation == pool.generation &&
         pool.idle.size() < kMaxIdleConnections) {
       m_stream->expires_never();
@@ -250,10 +251,13 @@
   http::request<http::string_body> m_request;
   std::unique_ptr<beast::tcp_stream> m_stream;
   beast::flat_buffer m_buffer;
+  ConnectionFailure m_failure;
   std::optional<ResponseParser> m_parser;
   uint64_t m_generation = 0;
   bool m_reused = false;
   bool m_sent = false;
+  // All bytes of the request were sent.
+  bool m_written = false;
   bool m_completed = false;
 };
 
--- a/src/http_call_client.cc
+++ b/src/http_call_client.cc
@@ -77,6 +77,7 @@
       return;
     }
     m_socket = std::make_unique<tcp::socket>(m_client.m_io);
+    m_failure = ConnectionFailure();
     m_connect_timer.expires_after(m_client.m_connect_timeout);
     m_connect_timer.async_wait([self = shared_from_this()](error_code error) {
       if (!error && !self->m_connected)
@@ -101,8 +102,9 @@
                       [self = shared_from_this()](error_code error, size_t) {
                         if (self->m_done)
                           return;
-                        if (error)
-                          return self->OnConnectionLost(error);
+                        // The response may have arrived all the same.
+                        self->m_failure.Record(error);
+                        self->m_written = !error;
                         self->Receive();
                       });
   }
@@ -118,7 +120,7 @@
   }
 
   void Receive() {
-    AsyncReadResponse(*m_socket, m_buffer, m_parser,
+    AsyncReadResponse(*m_socket, m_buffer, m_parser, m_failure,
                       [self = shared_from_this()](error_code error) {
                         if (self->m_done)
                           return;
@@ -133,7 +135,7 @@
     m_timer.cancel();
     CallResult result;
     result.response = m_parser.Release();
-    if (result.response.keep_alive() && m_buffer.size() == 0) {
+    if (result.response.keep_alive() && m_written && m_buffer.size() == 0) {
       auto& idle = m_client.m_idle_connections[m_address];
       if (idle.size() < kMaxIdleConnectionsPerAddress)
         idle.push_back({std::move(m_socket), BootClock().Now()});
@@ -166,11 +168,14 @@
   asio::steady_timer m_connect_timer;
   std::unique_ptr<tcp::socket> m_socket;
   boost::beast::flat_buffer m_buffer{kMaxReadAheadBytes};
+  ConnectionFailure m_failure;
   ResponseParser m_parser;
   // The request was sent on a connection of an earlier call.
   bool m_is_reused = false;
   bool m_connected = false;
   bool m_sent = false;
+  // All bytes of the request were sent.
+  bool m_written = false;
   bool m_done = false;
 };
 
--- a/src/response_parser.cc
+++ b/src/response_parser.cc
@@ -5,6 +5,7 @@
 
 namespace trefoilwick {
 
+namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
@@ -136,4 +137,20 @@
   return {};
 }
 
+void ConnectionFailure::Record(error_code result) {
+  // After an orderly end a peek reports it, and writes find a broken pipe.
+  // Neither that nor an operation which can go on or was cancelled is a failure
+  // of the connection.
+  const bool is_failure = result && result != asio::error::eof &&
+                          result != asio::error::broken_pipe &&
+                          result != asio::error::would_block &&
+                          result != asio::error::operation_aborted;
+  if (is_failure && !m_failure)
+    m_failure = result;
+}
+
+error_code ConnectionFailure::Explain(error_code read_error) const {
+  return read_error == asio::error::eof && m_failure ? m_failure : read_error;
+}
+
 }  // namespace trefoilwick
--- a/test/adapter_call_test.cc
+++ b/test/adapter_call_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(BadTransferCodingFailsCall);
   CPPUNIT_TEST(MalformedResponseFailsCall);
   CPPUNIT_TEST(UnframedResponseThatIsResetFailsCall);
+  CPPUNIT_TEST(EarlyResponseIsTheAnswer);
   CPPUNIT_TEST(TrailerIsNotReadAsHead);
   CPPUNIT_TEST(InterimResponseIsNotTheAnswer);
   CPPUNIT_TEST(EndlessInterimResponsesFailCall);
@@ -271,6 +272,26 @@
       }
   }
 
+  // The answer was lost when its server ended the connection before it had read
+  // the whole request.
+  void EarlyResponseIsTheAnswer() {
+    const std::string unframed = "HTTP/1.1 200 OK\r\n\r\nhello";
+    for (const EarlyAnswer& early :
+         {EarlyAnswer{.bytes = Ok("hello"), .end = AnswerEnd::kReset},
+          EarlyAnswer{.bytes = Ok("hello"), .end = AnswerEnd::kCloseUnread},
+          EarlyAnswer{.bytes = unframed,
+          .end = AnswerEnd::kShutdownThenReset}}) {
+      EarlyAnswerServer server(early, "",
+                               std::make_shared<std::atomic<int>>(0));
+      HttpRequest request{boost::beast::http::verb::post, "/x", 11};
+      request.body() = std::string(kLongUploadBytes, 'u');
+      const CallResult result = Call(server.address(), std::move(request));
+      CPPUNIT_ASSERT_MESSAGE(result.reason.message(),
+                             result.error == CallError::kNone);
+      CPPUNIT_ASSERT_EQUAL(std::string("hello"), result.response.body());
+    }
+  }
+
   // A server was taken for leaving because of a field behind the body of its
   // report.
   void TrailerIsNotReadAsHead() {
--- a/test/daemon_http_client_test.cc
+++ b/test/daemon_http_client_test.cc
@@ -92,6 +92,7 @@
   CPPUNIT_TEST(BadTransferCodingIsNoReply);
   CPPUNIT_TEST(MalformedResponseIsNoReply);
   CPPUNIT_TEST(UnframedResponseThatIsResetIsNoReply);
+  CPPUNIT_TEST(EarlyResponseIsTheReply);
   CPPUNIT_TEST(InterimResponseIsNotTheReply);
   CPPUNIT_TEST(LateResponseIsNotTheReplyToTheNextCall);
   CPPUNIT_TEST_SUITE_END();
@@ -224,6 +225,22 @@
       }
   }
 
+  // The reply was lost when its server ended the connection before it had read
+  // the whole request.
+  void EarlyResponseIsTheReply() {
+    for (const EarlyAnswer& early :
+         {EarlyAnswer{.bytes = kOkResponse, .end = AnswerEnd::kReset},
+          EarlyAnswer{.bytes = "HTTP/1.1 200 OK\r\n\r\n{}",
+          .end = AnswerEnd::kShutdownThenReset}}) {
+      EarlyAnswerServer server(early, "",
+                               std::make_shared<std::atomic<int>>(0));
+      const HttpResult result =
+          CallOnce(server.address(), std::string(kLongUploadBytes, 'u'));
+      CPPUNIT_ASSERT_EQUAL(200, result.status);
+      CPPUNIT_ASSERT_EQUAL(std::string("{}"), result.body);
+    }
+  }
+
   // The ledger recorded status 100 as the result of a call.
   void InterimResponseIsNotTheReply() {
     ClosingServer server(
