Soak: long bodies, servers that answer them early, and HTTP/1.0 clients

The soak had no request that is still being sent when its answer comes, and no client that takes an orderly end for that of a response. A small share of the requests has 6 MiB now; while faults are injected its first server answers without a length before it has read the body, and resets the connection or ends it in order. One client in 16 speaks HTTP/1.0. The proxies ended a connection in order where they were to reset it and nothing was unread; they reset it now, and their small buffers make the sender wait. What a server broke off is no request that a planned stop has cut.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -163,10 +163,13 @@
             and undisturbed(a.sent - UNDISTURBED_LEAD_S, a.ended, a.instance)]
 
 
-def lost_around_stop(attempts, stops, undisturbed_except_stops):
-    """A planned stop cuts a request in progress."""
+def lost_around_stop(attempts, stops, undisturbed_except_stops, broken_off):
+    """A planned stop cuts a request in progress. Those in `broken_off` may be
+    cut because a server broke off its answer."""
     found = []
     for a in attempts:
+        if a.ident in broken_off:
+            continue
         if (not a.sent or a.complete or a.client_left or a.never_sent
                 or a.silenced or a.ended >= a.deadline):
             continue
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -8,6 +8,7 @@
 import time
 
 import http_lite
+import servers
 
 ATTEMPT_TIMEOUT_S = 8.0
 CONNECT_TIMEOUT_S = 1.0
@@ -15,6 +16,7 @@
 SILENCE_CHECK_INTERVAL_S = 1.0
 # Time after its deadline for which a client still waits for the answer.
 ANSWER_MARGIN_S = 0.5
+LONG_BODIES_OF_256 = 24
 
 
 @dataclasses.dataclass
@@ -43,6 +45,17 @@
     # The soak silenced its connection, so that no answer can come.
     silenced: bool = False
 
+    @property
+    def is_http10(self):
+        """Such a client takes an orderly end for that of an answer."""
+        return self.ident[2] == "0"
+
+
+def request_body(ident):
+    """A long body for a small share of the requests."""
+    is_long = int(ident[:2], 16) < LONG_BODIES_OF_256
+    return servers.LONG_BODY if is_long else ident.encode() * 4
+
 
 class Client:
     def __init__(self, world, index, seed):
@@ -67,7 +80,7 @@
             self._addresses + list(self._connections))
         kind, target, method = self.random.choice(self.world.calls)
         ident = f"{self.random.getrandbits(64):016x}"
-        body = b"" if method == "GET" else ident.encode() * 4
+        body = b"" if method == "GET" else request_body(ident)
         attempt = Attempt(ident, kind, f"{method} {target}", body,
                           self.world.key, instance)
         self.world.attempts.append(attempt)
@@ -165,7 +178,8 @@
 
     async def _exchange(self, attempt, reader, writer):
         method, target = attempt.request.split(" ")
-        writer.write(http_lite.head_bytes(f"{method} {target} HTTP/1.1", {
+        version = "HTTP/1.0" if attempt.is_http10 else "HTTP/1.1"
+        writer.write(http_lite.head_bytes(f"{method} {target} {version}", {
             "Host": "soak.example", "Attempt-Id": attempt.ident,
             "Credential": attempt.key, "Token-Counts": "60,160",
             "Deadline-Ms": int(ATTEMPT_TIMEOUT_S * 1000),
@@ -177,7 +191,10 @@
         attempt.sealed = bool(head.get("server-seal"))
         attempt.answered_id = head.get("attempt-id")
         attempt.wants_close = head.get("connection").lower() == "close"
-        if head.get("transfer-encoding") == "chunked":
+        if attempt.is_http10 and not head.get("content-length"):
+            attempt.wants_close = True
+            attempt.answer = await reader.read()
+        elif head.get("transfer-encoding") == "chunked":
             while chunk := await http_lite.read_chunk(reader):
                 attempt.answer += chunk
         else:
--- a/soak/http_lite.py
+++ b/soak/http_lite.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import socket
+import struct
 
 MAX_HEAD_BYTES = 65536
 
@@ -63,20 +65,32 @@
 
 
 def abort(writer):
-    """Resets the connection."""
-    if writer.transport:
-        writer.transport.abort()
+    """Resets the connection. Without a linger time of 0 it would end in order
+    when all bytes of the other side have been read."""
+    if not writer.transport or writer.transport.is_closing():
+        return
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
 
 
-async def serve(handler, host, port):
+async def never_early(head, reader, writer):
+    return False
+
+
+async def serve(handler, host, port, answer_early=never_early):
     """Calls `handler(head, body, reader, writer)` for each request.
 
     The handler writes the answer; a false result closes the connection.
+    `answer_early(head, reader, writer)` may do so before the body is read: a
+    true result closes the connection.
     """
 
     async def connection(reader, writer):
         try:
             while head := await read_head(reader):
+                if await answer_early(head, reader, writer):
+                    break
                 body = await read_body(reader, head)
                 if not await handler(head, body, reader, writer):
                     break
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -3,6 +3,11 @@
 import asyncio
 import socket
 
+import http_lite
+
+# Small buffers on the way make the sender of a long body wait for room.
+BUFFER_BYTES = 200_000
+
 
 class Proxy:
     """Forwards `listen` (IP, port) to `target`.
@@ -47,8 +52,7 @@
 
     def reset(self):
         for writer in list(self._writers):
-            if writer.transport:
-                writer.transport.abort()
+            http_lite.abort(writer)
 
     def silence(self):
         self._silenced |= self._writers
@@ -64,11 +68,13 @@
             target_reader, target_writer = await asyncio.open_connection(
                 *self.target)
         except OSError:
-            writer.transport.abort()
+            http_lite.abort(writer)
             return
         for side in (writer, target_writer):
-            side.get_extra_info("socket").setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock = side.get_extra_info("socket")
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            for buffer in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+                sock.setsockopt(socket.SOL_SOCKET, buffer, BUFFER_BYTES)
         self._writers |= {writer, target_writer}
         await asyncio.gather(self._forward(reader, target_writer, True),
                              self._forward(target_reader, writer, False))
@@ -90,5 +96,4 @@
             if writer not in self._silenced:
                 writer.write_eof()
         except (ConnectionError, OSError, RuntimeError):
-            if writer.transport:
-                writer.transport.abort()
+            http_lite.abort(writer)
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -12,6 +12,7 @@
 LAYERS = 8
 EVENT_INTERVAL_S = 0.02
 MAX_STALL_S = 1.0
+MAX_READ_BYTES = 65536
 # What a faulty model server sends between two events: in a chunk of its own,
 # in front of the next event, and outside of any chunk.
 GARBAGE_CHUNKS = (
@@ -27,6 +28,13 @@
 # Garbage within a stream comes before one of its first events.
 GARBAGE_EVENTS = range(3, 15)
 LAYER_LOAD_S = 0.25
+# Larger than what the buffers between an instance and a server take.
+LONG_BODY = b"u" * (6 << 20)
+# How a connection ends after an answer without a length that comes before the
+# body of the request was read. Only in order the answer is whole.
+EARLY_ENDS = ("reset", "order")
+# Time in which the upload fills all buffers.
+EARLY_ANSWER_S = 0.1
 
 
 @dataclasses.dataclass
@@ -53,6 +61,16 @@
         self.announcements = []
         # (time, server, attempt, seconds) of refusals that asked for a pause.
         self.pauses = []
+        # Whether long bodies are answered early.
+        self.answers_early = False
+        # How the connections of attempts ended that were; further sends of
+        # these are served soundly.
+        self.early_ends = {}
+
+    def broken_off(self):
+        """Attempts of which a server broke off an early answer."""
+        return {attempt for attempt, end in self.early_ends.items()
+                if end != "order"}
 
 
 def pick(choices, text):
@@ -119,7 +137,8 @@
         self.fault = None
         self.start_unix_ms = int(time.time() * 1000)
         self.reset_state()
-        self._server = await http_lite.serve(self._handle, *self.listen)
+        self._server = await http_lite.serve(self._handle, *self.listen,
+                                             self._answer_early)
         await self.proxy.start()
         self._heartbeat = asyncio.create_task(self._register())
 
@@ -195,6 +214,8 @@
             writer.write(http_lite.response_bytes(
                 503, b"", self.refusal_headers(attempt)))
             return True
+        # One copy of a long body is kept for all runs.
+        body = LONG_BODY if body == LONG_BODY else body
         run = Run(attempt, self.ident, self.service, f"{method} {target}", body,
                   head.get("tenant"), time.monotonic())
         try:
@@ -202,6 +223,33 @@
         finally:
             run.ended = time.monotonic()
 
+    async def _answer_early(self, head, reader, writer):
+        """Answers a long body before reading it; False when it does not."""
+        journal, attempt = self.world.journal, head.get("attempt-id")
+        if (not journal.answers_early or attempt in journal.early_ends
+                or int(head.get("content-length", "0")) < len(LONG_BODY)
+                or head.get("expect-instance") not in ("", self.ident)
+                or self.fault or self.draining or self.leaving_unlisted):
+            return False
+        end = journal.early_ends[attempt] = pick(EARLY_ENDS, attempt)
+        journal.arrivals.append((time.monotonic(), self.ident, attempt))
+        method, target, _ = head.first_line.split(" ", 2)
+        run = Run(attempt, self.ident, self.service, f"{method} {target}",
+                  LONG_BODY, head.get("tenant"), time.monotonic())
+        journal.runs.append(run)
+        headers, body = self.early_answer(head, run)
+        writer.write(http_lite.head_bytes("HTTP/1.1 200 OK", headers)
+                     + (body if end == "order" else body[:len(body) // 2]))
+        await asyncio.sleep(EARLY_ANSWER_S)
+        run.ended = time.monotonic()
+        if end == "reset":
+            http_lite.abort(writer)
+        else:
+            writer.write_eof()
+            while await reader.read(MAX_READ_BYTES):
+                pass
+        return True
+
     async def control(self, target, body, writer):
         writer.write(http_lite.response_bytes(404))
         return True
@@ -230,6 +278,9 @@
 
 
 class RecordsServer(Server):
+    def early_answer(self, head, run):
+        return self.answer_headers(run), plain_body(run.attempt, run.request)
+
     async def work(self, head, run, writer):
         self.world.journal.runs.append(run)
         await asyncio.sleep(1 if self.fault == "slow" else 0.03)
@@ -374,6 +425,13 @@
         finally:
             self._paths.pop(run.attempt, None)
 
+    def early_answer(self, head, run):
+        first = int(head.get("last-event-id", "0") or 0) + 1
+        events = [event_bytes(run.attempt, number) for number in
+                  range(first, event_count(run.attempt) + 1)]
+        return {**self.answer_headers(run),
+                "Content-Type": "text/event-stream"}, b"".join(events)
+
     def garbage_success(self, kind, headers):
         """A success that is no event stream."""
         del headers["Transfer-Encoding"]
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -38,6 +38,7 @@
 # Share of the faults of servers in which they send garbage instead.
 GARBAGE_SHARE = 0.4
 GRACE_S = 5
+MAX_BODY_BYTES = 8 << 20
 ACCOUNT = "club"
 KEY = "key-of-club"
 MODEL, RECORDS = "model-pool", "records"
@@ -252,7 +253,7 @@
         return {"version": self.version, "routes": routes,
                 "services": [{"name": MODEL, "engine": engine},
                              {"name": RECORDS}],
-                "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536,
+                "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": MAX_BODY_BYTES,
                            "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
                 "tenants": [{"name": ACCOUNT, "apiKeys": [KEY]}]}
 
@@ -407,7 +408,9 @@
             load = [asyncio.create_task(
                 clients.Client(self, i, self.seed).run(float("inf")))
                 for i in range(8)]
+            self.journal.answers_early = True
             await self.inject_faults_until(end)
+            self.journal.answers_early = False
             await asyncio.sleep(RECOVERY_S)
             recovered_at = time.monotonic()
             await asyncio.sleep(RECOVERY_CHECK_S)
@@ -477,7 +480,7 @@
                 ("unanswered", checks.unanswered(done, self.undisturbed)),
                 ("lost", checks.lost_around_stop(
                     done, {f"{i.ip}:8227": i.stops for i in self.instances},
-                    undisturbed_except_stops)),
+                    undisturbed_except_stops, self.journal.broken_off())),
                 ("gone", checks.work_after_client_left(done, runs,
                                                        self.undisturbed)),
                 ("configuration", checks.stale_configuration(
