--- a/test/adapter_endless_test.cc
+++ b/test/adapter_endless_test.cc
@@ -38,12 +38,6 @@
   // and what it had sent stayed in memory.
   void EndlessResponsesAreCutOff() {
     const std::string filler(8000, 'z');
-    const std::string unsealed =
-        "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nTransfer-Encoding: "
-        "chunked\r\n\r\n";
-    const std::string failure =
-        "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: a1\r\n"
-        "Server-Seal: s\r\n\r\n";
     const struct {
       const char* name;
       std::string begin;
@@ -57,8 +51,8 @@
          "POST /post/x"},
         {"one field of a head", "HTTP/1.1 200 OK\r\nX-F: ", filler,
          "POST /post/x"},
-        {"body without seal", unsealed, MakeChunk(filler), "POST /post/x"},
-        {"body of a failure", failure, filler, "POST /post/x"},
+        {"body without seal", kUnsealedHead, MakeChunk(filler), "POST /post/x"},
+        {"body of a failure", kFailureHead, filler, "POST /post/x"},
         {"chunk extension", std::string(kStreamHead) + "5;x=", filler,
          "POST /stream/x"},
         {"chunk size", kStreamHead, std::string(8000, '0'), "POST /stream/x"},
