--- a/include/trefoilwick/response_parser.h
+++ b/include/trefoilwick/response_parser.h
@@ -1,5 +1,6 @@
 // Parser of HTTP/1.1 responses that accepts only what the protocol allows,
-// since a faulty server may send anything, and a reader of whole responses.
+// since a faulty server may send anything, a reader of whole responses, and the
+// reason for which a connection ended.
 #pragma once
 
 #include <boost/asio/buffer.hpp>
--- a/src/gateway_session.cc
+++ b/src/gateway_session.cc
@@ -421,7 +421,8 @@
   m_lingering = true;
   m_core.client_budget().SetPhase(m_core.Now(), m_id,
                                   ConnectionPhase::kClosing);
-  ResetOnClose(false);
+  if (!m_client_knows_chunks)
+    ResetOnClose(false);
   error_code ignored;
   m_socket.shutdown(tcp::socket::shutdown_send, ignored);
   m_buffer.consume(m_buffer.size());
--- a/src/gateway_session.h
+++ b/src/gateway_session.h
@@ -88,8 +88,8 @@
   std::string HeadBytes(int status,
                         HeaderFields headers,
                         std::optional<size_t> length) const;
-  // Chooses whether the connection is reset or ended in order when it closes,
-  // also when the process ends.
+  // Chooses whether the connection is reset or ended in order when it is
+  // closed, also by the end of the process.
   void ResetOnClose(bool reset);
 
   GatewayCore& m_core;
--- a/test/adapter_upload_test.cc
+++ b/test/adapter_upload_test.cc
@@ -9,22 +9,22 @@
 namespace trefoilwick {
 namespace {
 
-constexpr char kFirstLine[] = "HTTP/1.1 ";
+constexpr char kStatusLineStart[] = "HTTP/1.1 ";
 constexpr char kSealedFields[] = "\r\nAttempt-Id: a1\r\nServer-Seal: s\r\n";
 
 // A response that has neither a length nor chunks.
 std::string UnframedResponse(const std::string& status, size_t body_bytes) {
-  return kFirstLine + status + kSealedFields + "\r\n" +
+  return kStatusLineStart + status + kSealedFields + "\r\n" +
          std::string(body_bytes, 'p');
 }
 
 std::string UnframedStreamHead() {
-  return kFirstLine + std::string("200 OK") + kSealedFields +
+  return kStatusLineStart + std::string("200 OK") + kSealedFields +
          "Content-Type: text/event-stream\r\n\r\n";
 }
 
 std::string ChunkedHead() {
-  return kFirstLine + std::string("200 OK") + kSealedFields +
+  return kStatusLineStart + std::string("200 OK") + kSealedFields +
          "Transfer-Encoding: chunked\r\n\r\n";
 }
 
@@ -175,9 +175,10 @@
                                  const std::string& status,
                                  const std::string& body) {
     const Answer answer = SendUpload("/post/x", bytes, end);
-    const bool is_right = answer.sends == 1 && IsComplete(answer.response) &&
-                          answer.response.starts_with(kFirstLine + status) &&
-                          BodyOf(answer.response) == body;
+    const bool is_right =
+        answer.sends == 1 && IsComplete(answer.response) &&
+        answer.response.starts_with(kStatusLineStart + status) &&
+        BodyOf(answer.response) == body;
     return is_right ? "" : name + ": " + Summary(answer.response);
   }
 
