Bound a call to the store by silence, not by what a slow link takes

Cause: PlatformStore gave connection, call and body 700 ms together, and a long poll its wait and 800 ms. A row of 5,850 routes is 1.7 MB in base64, a second on such a link, so that it was cut off and read from its beginning again, without end. Lists of servers and the lease had the same bound.

A timer that fires while bytes wait to be read, because the process itself was busy, finds no silence.

--- a/include/trefoilwick/http_call.h
+++ b/include/trefoilwick/http_call.h
@@ -71,6 +71,24 @@
 };
 using CallHandler = std::function<void(CallResult)>;
 
+// How long a call waits for its server. A slow link delays a long response, but
+// only a lost peer is silent.
+struct CallTimeouts {
+  // From the start of the call to the first byte of the response.
+  Duration response_start;
+  // Between two arrivals of bytes of the response.
+  Duration silence;
+  // From the start of the call to the end of the response.
+  Duration total;
+};
+
+struct CallOptions {
+  CallTimeouts timeouts;
+  // A call whose response has a longer body fails as soon as that is known,
+  // with boost::beast::http::error::body_limit. Null for the client's limit.
+  std::optional<uint64_t> max_response_bytes = std::nullopt;
+};
+
 // HTTP client. Concurrent calls use a connection each, and each call may go to
 // another address. A GET request is sent again when the server closes the
 // reused connection of an earlier call without a response.
@@ -85,6 +103,11 @@
         m_connect_timeout(connect_timeout),
         m_max_response_bytes(max_response_bytes) {}
   // `handler` is called once, never from within Call().
+  void Call(const std::string& address,
+            HttpRequest request,
+            const CallOptions& options,
+            CallHandler handler);
+  // A call whose whole response must have arrived within `timeout`.
   void Call(const std::string& address,
             HttpRequest request,
             Duration timeout,
--- a/include/trefoilwick/response_parser.h
+++ b/include/trefoilwick/response_parser.h
@@ -111,22 +111,26 @@
 
 // Reads one response into `parser`. Bytes that follow it stay in `buffer`.
 // `failure` has the results of the other operations on the connection. Calls
-// `handler` once with the error, never from within the call. All arguments by
-// reference must live until then.
-template <typename Stream, typename Handler>
+// `on_bytes` each time bytes have arrived, and `handler` once with the error,
+// neither from within the call. All arguments by reference must live until
+// then.
+template <typename Stream, typename OnBytes, typename Handler>
 void AsyncReadResponse(Stream& stream,
                        boost::beast::flat_buffer& buffer,
                        ResponseParser& parser,
                        const ConnectionFailure& failure,
+                       OnBytes on_bytes,
                        Handler handler) {
   using boost::system::error_code;
   constexpr size_t kMaxReadBytes = size_t{64} * 1024;
   const size_t size = boost::beast::read_size(buffer, kMaxReadBytes);
   stream.async_read_some(
       buffer.prepare(size),
-      [&stream, &buffer, &parser, &failure, handler = std::move(handler)](
-          error_code error, size_t count) mutable {
+      [&stream, &buffer, &parser, &failure, on_bytes = std::move(on_bytes),
+       handler = std::move(handler)](error_code error, size_t count) mutable {
         buffer.commit(count);
+        if (count > 0)
+          on_bytes();
         error = failure.Explain(error);
         if (!error)
           error = parser.ParseBuffer(buffer);
@@ -136,7 +140,8 @@
           return handler(error);
         if (buffer.size() == buffer.max_size())
           return handler(boost::beast::http::error::buffer_overflow);
-        AsyncReadResponse(stream, buffer, parser, failure, std::move(handler));
+        AsyncReadResponse(stream, buffer, parser, failure, std::move(on_bytes),
+                          std::move(handler));
       });
 }
 
--- a/src/daemon_http_client.cc
+++ b/src/daemon_http_client.cc
@@ -197,13 +197,14 @@
   void Read() {
     if (m_completed)
       return;
-    AsyncReadResponse(*m_stream, m_buffer, *m_parser, m_failure,
-                      [self = shared_from_this()](error_code error) {
-                        if (error)
-                          self->OnConnectionError();
-                        else
-                          self->OnResponse();
-                      });
+    AsyncReadResponse(
+        *m_stream, m_buffer, *m_parser, m_failure, [] {},
+        [self = shared_from_this()](error_code error) {
+          if (error)
+            self->OnConnectionError();
+          else
+            self->OnResponse();
+        });
   }
 
   // The server may have closed a pooled connection while it was idle. Calls on
--- a/src/http_call_client.cc
+++ b/src/http_call_client.cc
@@ -28,23 +28,23 @@
   Exchange(HttpClient& client,
            std::string address,
            HttpRequest request,
-           Duration timeout,
+           const CallOptions& options,
            CallHandler handler)
       : m_client(client),
         m_address(std::move(address)),
         m_request(std::move(request)),
-        m_timeout(timeout),
+        m_timeouts(options.timeouts),
         m_handler(std::move(handler)),
         m_timer(client.m_io),
         m_connect_timer(client.m_io),
-        m_parser({.max_body_bytes = client.m_max_response_bytes}) {}
+        m_parser({.max_body_bytes = options.max_response_bytes.value_or(
+                      client.m_max_response_bytes)}) {}
 
   void Start() {
-    m_timer.expires_after(m_timeout);
-    m_timer.async_wait([self = shared_from_this()](error_code error) {
-      if (!error)
-        self->Fail(asio::error::timed_out);
-    });
+    const TimePoint now = BootClock().Now();
+    m_ends_at = now + m_timeouts.total;
+    m_silent_until = now + m_timeouts.response_start;
+    ScheduleTimeout(now);
     if (TakeIdleConnection()) {
       m_is_reused = true;
       Send();
@@ -54,6 +54,34 @@
   }
 
  private:
+  void ScheduleTimeout(TimePoint now) {
+    m_timer.expires_after(std::min(m_silent_until, m_ends_at) - now);
+    m_timer.async_wait([self = shared_from_this()](error_code error) {
+      if (!error && !self->m_done)
+        self->OnTimer();
+    });
+  }
+
+  // Bytes move the timeout without touching the timer, which finds this out.
+  void OnTimer() {
+    const TimePoint now = BootClock().Now();
+    // Not read yet when the process itself was busy.
+    if (HasUnreadBytes())
+      OnBytesReceived(now);
+    if (now >= std::min(m_silent_until, m_ends_at))
+      return Fail(asio::error::timed_out);
+    ScheduleTimeout(now);
+  }
+
+  bool HasUnreadBytes() const {
+    error_code ignored;
+    return m_socket && m_socket->available(ignored) > 0;
+  }
+
+  void OnBytesReceived(TimePoint now) {
+    m_silent_until = now + m_timeouts.silence;
+  }
+
   bool TakeIdleConnection() {
     auto& idle = m_client.m_idle_connections[m_address];
     while (!idle.empty()) {
@@ -120,14 +148,16 @@
   }
 
   void Receive() {
-    AsyncReadResponse(*m_socket, m_buffer, m_parser, m_failure,
-                      [self = shared_from_this()](error_code error) {
-                        if (self->m_done)
-                          return;
-                        if (error)
-                          return self->OnConnectionLost(error);
-                        self->Succeed();
-                      });
+    AsyncReadResponse(
+        *m_socket, m_buffer, m_parser, m_failure,
+        [this] { OnBytesReceived(BootClock().Now()); },
+        [self = shared_from_this()](error_code error) {
+          if (self->m_done)
+            return;
+          if (error)
+            return self->OnConnectionLost(error);
+          self->Succeed();
+        });
   }
 
   void Succeed() {
@@ -162,8 +192,11 @@
   HttpClient& m_client;
   std::string m_address;
   HttpRequest m_request;
-  Duration m_timeout;
+  CallTimeouts m_timeouts;
   CallHandler m_handler;
+  // The call fails when no byte has arrived until then, or at its end.
+  TimePoint m_silent_until;
+  TimePoint m_ends_at;
   asio::steady_timer m_timer;
   asio::steady_timer m_connect_timer;
   std::unique_ptr<tcp::socket> m_socket;
@@ -181,13 +214,21 @@
 
 void HttpClient::Call(const std::string& address,
                       HttpRequest request,
-                      Duration timeout,
+                      const CallOptions& options,
                       CallHandler handler) {
   request.set(http::field::host, address);
   request.prepare_payload();
-  std::make_shared<Exchange>(*this, address, std::move(request), timeout,
+  std::make_shared<Exchange>(*this, address, std::move(request), options,
                              std::move(handler))
       ->Start();
 }
 
+void HttpClient::Call(const std::string& address,
+                      HttpRequest request,
+                      Duration timeout,
+                      CallHandler handler) {
+  Call(address, std::move(request), CallOptions{{timeout, timeout, timeout}},
+       std::move(handler));
+}
+
 }  // namespace trefoilwick
