Refuse a response whose stated length is over the limit of a call

A backend server that answered an order or a report with a huge Content-Length could fill an instance's memory until the timeout of the call: the limit of 1 MiB held for chunks and for bodies that end with their connection, but not for stated lengths.

Cause: the parser reports such a body together with the end of the head, and Put() then overwrote the error with its own judgement of the head. Without that, calls without a limit would have failed: the parser compares a length with "no limit" as with nothing. They have the largest number as their limit now.

Evidence: response_parser_test, BodyOverLimitIsRejected, failed at the stated length on the code before, and passes; the other cases held before and hold.

--- a/src/response_parser.cc
+++ b/src/response_parser.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
+#include <limits>
 
 namespace trefoilwick {
 
@@ -47,10 +48,9 @@
 void ResponseParser::Reset() {
   m_parser.emplace();
   m_parser->header_limit(m_options.max_head_bytes);
-  if (m_options.max_body_bytes)
-    m_parser->body_limit(*m_options.max_body_bytes);
-  else
-    m_parser->body_limit(boost::none);
+  // The parser takes no limit for a limit of nothing.
+  m_parser->body_limit(
+      m_options.max_body_bytes.value_or(std::numeric_limits<uint64_t>::max()));
   m_parser->skip(!m_options.has_body);
   m_scanned_bytes = 0;
   m_scanned_line_is_empty = true;
@@ -65,7 +65,8 @@
   }
   const size_t used = m_parser->put(bytes, error);
   m_scanned_bytes -= std::min(m_scanned_bytes, used);
-  if (m_parser->is_header_done() && !m_head_accepted)
+  // The parser has an error of its own for a body that is too long.
+  if (!error && m_parser->is_header_done() && !m_head_accepted)
     error = JudgeHead();
   return used;
 }
--- a/test/response_parser_test.cc
+++ b/test/response_parser_test.cc
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(BadTransferCodingIsRejected);
   CPPUNIT_TEST(MalformedResponseIsRejected);
   CPPUNIT_TEST(TrailerIsDropped);
+  CPPUNIT_TEST(BodyOverLimitIsRejected);
   CPPUNIT_TEST_SUITE_END();
 
   static void CheckRejected(const std::vector<BrokenResponse>& responses) {
@@ -130,6 +131,27 @@
       CPPUNIT_ASSERT_EQUAL(size_t{0}, parsed.response.count("X-G"));
     }
   }
+
+  // A body whose length was stated was read up to any size.
+  void BodyOverLimitIsRejected() {
+    constexpr uint64_t kLimit = 10;
+    const auto parse = [](const std::string& fields, const std::string& body) {
+      ResponseParser parser({.max_body_bytes = kLimit});
+      boost::beast::flat_buffer buffer;
+      const std::string bytes = "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + body;
+      buffer.commit(boost::asio::buffer_copy(buffer.prepare(bytes.size()),
+                                             boost::asio::buffer(bytes)));
+      return parser.ParseBuffer(buffer);
+    };
+    const auto over_limit = boost::beast::http::error::body_limit;
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    CPPUNIT_ASSERT(!parse("Content-Length: 10\r\n", std::string(10, 'x')));
+    CPPUNIT_ASSERT(!parse(chunked, "5\r\nhello\r\n5\r\nthere\r\n0\r\n\r\n"));
+    // Before any byte of the body.
+    CPPUNIT_ASSERT(parse("Content-Length: 11\r\n", "") == over_limit);
+    CPPUNIT_ASSERT(parse(chunked, "5\r\nhello\r\n6\r\n") == over_limit);
+    CPPUNIT_ASSERT(parse("", std::string(11, 'x')) == over_limit);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ResponseParserTest);
