Tell all instances of a change while the coordinator still reads it

On slow links a long configuration came into force at followers after twice the time that the link takes, and up to 400 ms more: the coordinator read it first, and the next regular heartbeat named its version. With 1 s for the coordinator's read, 1 s for the follower's and what decoding takes, little was left of the time allowed.

Now a coordinator that notices a change says so in its heartbeats at once, with a number, and each follower reads on its own, once for each number. A configuration that is not sent to all followers is named by a heartbeat at once.

A coordinator compressed each configuration, also one that no datagram holds, and so did every follower, which never sends it: for 5,850 routes 1.3 MB each time, on instances with 0.084 of a core. It is compressed when it is first sent, and not at all beyond what a receiver inflates.

Evidence: ChangeIsReadByAllWhileTheCoordinatorReadsIt is new, and LargeConfigurationIsReadFromStoreByEach asks for 20 ms in place of 1 s.

--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -34,6 +34,16 @@
 // A member without a report for this long does not count.
 inline constexpr Duration kMemberTimeout = std::chrono::milliseconds(1500);
 inline constexpr Duration kReportInterval = std::chrono::milliseconds(250);
+
+// An announcement that a newer configuration is being read.
+struct ConfigurationChange {
+  // Of the coordinator that announced it.
+  int64_t fencing_token = 0;
+  // Counted by that coordinator; 0 when there is no announcement.
+  int64_t number = 0;
+  friend bool operator==(const ConfigurationChange&,
+                         const ConfigurationChange&) = default;
+};
 }  // namespace detail
 
 struct ClusterMember {
@@ -74,9 +84,11 @@
   int64_t expected_version = 0;
 };
 struct ReadServerList {};
-// The coordinator announced a newer configuration; it must be read from the
-// store.
-struct ReadConfiguration {};
+// A newer configuration must be read from the store.
+struct ReadConfiguration {
+  // Version that the coordinator announced; 0 when it is not known.
+  int64_t version = 0;
+};
 // The coordinator sent a newer configuration; `row` is its row in the store.
 struct ApplyConfiguration {
   std::string row;
@@ -121,7 +133,10 @@
   // store. The coordinator sends it to the other instances, so that they need
   // not read it.
   void OnConfigurationApplied(TimePoint now, int64_t version, std::string row);
-  void OnConfigurationRead(TimePoint now) { OnStoreAnswered(now); }
+  // A newer configuration is about to be read. The coordinator tells the other
+  // instances, so that they need not wait until it has read it.
+  void OnConfigurationChanging(TimePoint now);
+  void OnConfigurationRead(TimePoint now);
   void OnConfigurationReadFailed(TimePoint now);
   // The process was suspended, so the server list, the reports of other
   // instances and a held lease are out of date and are discarded.
@@ -379,7 +394,10 @@
   void SendReport(TimePoint now);
   void SendHeartbeats(TimePoint now);
   void SendList(TimePoint now, const std::string& ip, Peer& peer);
-  void SendConfiguration(TimePoint now, const std::string& ip);
+  // False when it cannot be sent now.
+  bool SendConfiguration(TimePoint now, const std::string& ip);
+  void ReadChangingConfiguration(TimePoint now,
+                                 const detail::CoordinatorHeartbeat& heartbeat);
   // Takes `bytes` from the part of the link's rate that is reserved for passing
   // on lists and configurations. Returns false and takes nothing when they do
   // not fit.
@@ -455,10 +473,18 @@
   TimePoint m_next_list_call;
 
   int64_t m_config_version = 0;
-  // Encoded configuration; empty when there is none or it does not fit into a
-  // datagram.
+  // Row of the configuration; empty when it is too long to be sent to other
+  // instances.
+  std::string m_config_row;
+  // The row, encoded when it is first sent.
   std::string m_config_message;
   TimePoint m_next_config_call;
+  // Number of changes that were announced, and whether the last one is being
+  // read.
+  int64_t m_config_changes = 0;
+  bool m_config_is_changing = false;
+  // Last announcement that this instance followed.
+  detail::ConfigurationChange m_seen_config_change;
 
   LoadMap m_local_loads;
   // Loads of all instances as summed by the coordinator, and this instance's
--- a/src/cluster.thrift
+++ b/src/cluster.thrift
@@ -185,6 +185,9 @@
   23: list<LeavingServer> leaving
   // Of all instances that see a shortage of capacity, the largest entries.
   24: list<Demand> demand
+  // Number of the change of the configuration that the sender is reading; 0 or
+  // unset when it reads none.
+  25: i64 config_change
 }
 
 struct Server {
--- a/src/cluster_codec.cc
+++ b/src/cluster_codec.cc
@@ -285,6 +285,7 @@
   out.fencing_token = heartbeat.fence;
   out.ip = heartbeat.ip;
   out.config_version = heartbeat.config_version;
+  out.config_change = heartbeat.config_change;
   out.list_version = heartbeat.list_version;
   out.list_age = std::chrono::milliseconds(heartbeat.list_age_ms);
   for (const wire::DataCenterMembers& group : heartbeat.members)
@@ -396,6 +397,7 @@
   out.fence = heartbeat.fencing_token;
   out.ip = heartbeat.ip;
   out.config_version = heartbeat.config_version;
+  out.config_change = heartbeat.config_change;
   out.list_version = heartbeat.list_version;
   out.list_age_ms = static_cast<int32_t>(ToMilliseconds(heartbeat.list_age));
   out.members = ToWire(heartbeat.members);
--- a/src/cluster_codec.h
+++ b/src/cluster_codec.h
@@ -13,6 +13,10 @@
 
 namespace trefoilwick::detail {
 
+// Longest row of a configuration that instances send to each other, below what
+// they inflate of a message.
+inline constexpr size_t kMaxRelayedRowBytes = 1'000'000;
+
 // Server ids of the last server lists. Loads name a server by its position
 // among the ids, because ids would otherwise be most of the bytes of a
 // heartbeat.
@@ -97,6 +101,9 @@
   int64_t fencing_token = 0;
   std::string ip;
   int64_t config_version = 0;
+  // Number of the change of the configuration that the coordinator is reading;
+  // 0 when it reads none.
+  int64_t config_change = 0;
   int64_t list_version = 0;
   Duration list_age{0};
   std::vector<ClusterMember> members;
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -426,16 +426,32 @@
                                           int64_t version,
                                           std::string row) {
   m_config_version = version;
-  m_config_message = detail::EncodeConfiguration({version, std::move(row)});
-  // A configuration that does not fit into a datagram is read from the store by
-  // each instance.
-  if (m_config_message.size() > detail::kMaxDatagramBytes)
-    m_config_message.clear();
+  m_config_message.clear();
+  m_config_row = std::move(row);
+  if (m_config_row.size() > detail::kMaxRelayedRowBytes)
+    m_config_row.clear();
   if (!m_is_coordinator)
     return;
+  bool sent_to_all = true;
   for (const auto& [ip, peer] : m_peers)
     if (now - peer.last_report_at <= detail::kMemberTimeout)
-      SendConfiguration(now, ip);
+      sent_to_all &= SendConfiguration(now, ip);
+  // The others read it when a heartbeat names the version.
+  if (!sent_to_all)
+    SendHeartbeats(now);
+}
+
+void Coordination::OnConfigurationChanging(TimePoint now) {
+  if (!m_is_coordinator)
+    return;
+  m_config_is_changing = true;
+  ++m_config_changes;
+  SendHeartbeats(now);
+}
+
+void Coordination::OnConfigurationRead(TimePoint now) {
+  m_config_is_changing = false;
+  OnStoreAnswered(now);
 }
 
 void Coordination::OnConfigurationReadFailed(TimePoint now) {
@@ -447,6 +463,18 @@
   if (version <= m_config_version || now < m_next_config_call)
     return;
   m_next_config_call = now + kConfigRetryInterval;
+  m_actions.emplace_back(ReadConfiguration{version});
+}
+
+void Coordination::ReadChangingConfiguration(
+    TimePoint now,
+    const detail::CoordinatorHeartbeat& heartbeat) {
+  const detail::ConfigurationChange change = {heartbeat.fencing_token,
+                                              heartbeat.config_change};
+  if (change.number == 0 ||
+      std::exchange(m_seen_config_change, change) == change)
+    return;
+  m_next_config_call = now + kConfigRetryInterval;
   m_actions.emplace_back(ReadConfiguration{});
 }
 
--- a/src/coordination_messages.cc
+++ b/src/coordination_messages.cc
@@ -81,12 +81,21 @@
     m_next_heartbeat = now;
 }
 
-void Coordination::SendConfiguration(TimePoint now, const std::string& ip) {
+bool Coordination::SendConfiguration(TimePoint now, const std::string& ip) {
   // An instance that does not receive it reads it from the store when a
   // heartbeat names the version.
-  if (!m_config_message.empty() &&
-      TryConsumeLinkBudget(now, m_config_message.size()))
-    m_actions.emplace_back(SendDatagram{ip, m_config_message});
+  if (m_config_row.empty())
+    return false;
+  if (m_config_message.empty())
+    m_config_message =
+        detail::EncodeConfiguration({m_config_version, m_config_row});
+  if (m_config_message.size() > detail::kMaxDatagramBytes)
+    m_config_row.clear();
+  if (m_config_row.empty() ||
+      !TryConsumeLinkBudget(now, m_config_message.size()))
+    return false;
+  m_actions.emplace_back(SendDatagram{ip, m_config_message});
+  return true;
 }
 
 void Coordination::Broadcast(TimePoint now, const std::string& bytes) {
@@ -137,6 +146,7 @@
   heartbeat.fencing_token = m_fencing_token;
   heartbeat.ip = m_ip;
   heartbeat.config_version = m_config_version;
+  heartbeat.config_change = m_config_is_changing ? m_config_changes : 0;
   heartbeat.list_version = m_list_version;
   heartbeat.list_age = ServerListAge(now);
   if (!is_large_deployment ||
@@ -262,6 +272,7 @@
   // coordinator's.
   if (m_list_version >= heartbeat.list_version && m_list_version > 0)
     m_list_fresh_at = std::max(m_list_fresh_at, now - heartbeat.list_age);
+  ReadChangingConfiguration(now, heartbeat);
   ReadConfigurationIfNewer(now, heartbeat.config_version);
 }
 
--- a/src/gen/cluster_types.cpp
+++ b/src/gen/cluster_types.cpp
@@ -2421,6 +2421,10 @@
 void Beat::__set_demand(const std::vector<Demand> & val) {
   this->demand = val;
 }
+
+void Beat::__set_config_change(const int64_t val) {
+  this->config_change = val;
+}
 std::ostream& operator<<(std::ostream& out, const Beat& obj)
 {
   obj.printTo(out);
@@ -2773,6 +2777,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->config_change);
+          this->__isset.config_change = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2974,6 +2986,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("config_change", ::apache::thrift::protocol::T_I64, 25);
+  xfer += oprot->writeI64(this->config_change);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3005,6 +3021,7 @@
   swap(a.limits, b.limits);
   swap(a.leaving, b.leaving);
   swap(a.demand, b.demand);
+  swap(a.config_change, b.config_change);
   swap(a.__isset, b.__isset);
 }
 
@@ -3033,6 +3050,7 @@
   limits = other168.limits;
   leaving = other168.leaving;
   demand = other168.demand;
+  config_change = other168.config_change;
   __isset = other168.__isset;
 }
 Beat& Beat::operator=(const Beat& other169) {
@@ -3060,6 +3078,7 @@
   limits = other169.limits;
   leaving = other169.leaving;
   demand = other169.demand;
+  config_change = other169.config_change;
   __isset = other169.__isset;
   return *this;
 }
@@ -3090,6 +3109,7 @@
   out << ", " << "limits=" << to_string(limits);
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "demand=" << to_string(demand);
+  out << ", " << "config_change=" << to_string(config_change);
   out << ")";
 }
 
--- a/src/gen/cluster_types.h
+++ b/src/gen/cluster_types.h
@@ -894,7 +894,7 @@
 std::ostream& operator<<(std::ostream& out, const Order& obj);
 
 typedef struct _Beat__isset {
-  _Beat__isset() : fence(false), ip(false), config_version(false), list_version(false), list_age_ms(false), members(false), loads(false), down(false), store_reachable(false), orders(false), requests(false), retries(false), held(false), names_key(false), unreported_retries(false), instances(false), sums_incomplete(false), sends(false), earlier_sends_unknown(false), suspects(false), quarantine(false), limits(false), leaving(false), demand(false) {}
+  _Beat__isset() : fence(false), ip(false), config_version(false), list_version(false), list_age_ms(false), members(false), loads(false), down(false), store_reachable(false), orders(false), requests(false), retries(false), held(false), names_key(false), unreported_retries(false), instances(false), sums_incomplete(false), sends(false), earlier_sends_unknown(false), suspects(false), quarantine(false), limits(false), leaving(false), demand(false), config_change(false) {}
   bool fence :1;
   bool ip :1;
   bool config_version :1;
@@ -919,6 +919,7 @@
   bool limits :1;
   bool leaving :1;
   bool demand :1;
+  bool config_change :1;
 } _Beat__isset;
 
 class Beat : public virtual ::apache::thrift::TBase {
@@ -939,7 +940,8 @@
          unreported_retries(0),
          instances(0),
          sums_incomplete(0),
-         earlier_sends_unknown(0) {
+         earlier_sends_unknown(0),
+         config_change(0) {
   }
 
   virtual ~Beat() noexcept;
@@ -967,6 +969,7 @@
   std::vector<ServerLimit>  limits;
   std::vector<LeavingServer>  leaving;
   std::vector<Demand>  demand;
+  int64_t config_change;
 
   _Beat__isset __isset;
 
@@ -1018,6 +1021,8 @@
 
   void __set_demand(const std::vector<Demand> & val);
 
+  void __set_config_change(const int64_t val);
+
   bool operator == (const Beat & rhs) const
   {
     if (!(fence == rhs.fence))
@@ -1068,6 +1073,8 @@
       return false;
     if (!(demand == rhs.demand))
       return false;
+    if (!(config_change == rhs.config_change))
+      return false;
     return true;
   }
   bool operator != (const Beat &rhs) const {
--- a/test/coordination_test.cc
+++ b/test/coordination_test.cc
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(CoordinatorSendsConfigurationToAll);
   CPPUNIT_TEST(MissedConfigurationIsReadFromStore);
   CPPUNIT_TEST(LargeConfigurationIsReadFromStoreByEach);
+  CPPUNIT_TEST(ChangeIsReadByAllWhileTheCoordinatorReadsIt);
   CPPUNIT_TEST(RandomBytesAreIgnored);
   CPPUNIT_TEST_SUITE_END();
 
@@ -518,12 +519,40 @@
     Coordination& coordinator = *cluster.NodeAt(first).coordination;
     coordinator.OnConfigurationApplied(cluster.now(), 7, row);
     cluster.NodeAt(first).config_version = 7;
-    cluster.RunFor(seconds(1));
+    // Not only with the next regular heartbeat.
+    cluster.RunFor(milliseconds(20));
     for (int i = 0; i < 3; ++i)
       CPPUNIT_ASSERT_EQUAL(int64_t{7}, cluster.NodeAt(i).config_version);
+    cluster.RunFor(seconds(1));
     CPPUNIT_ASSERT_EQUAL(2, cluster.store().config_reads);
   }
 
+  // The others began to read a long configuration only after the coordinator
+  // had read it: twice the time of a slow link.
+  void ChangeIsReadByAllWhileTheCoordinatorReadsIt() {
+    Cluster cluster(3);
+    cluster.RunFor(seconds(3));
+    const int first = cluster.IndexOf(cluster.Coordinator());
+    Coordination& coordinator = *cluster.NodeAt(first).coordination;
+    for (const int64_t version : {7, 8}) {
+      cluster.store().config_version = version;
+      cluster.store().config_reads = 0;
+      coordinator.OnConfigurationChanging(cluster.now());
+      cluster.RunFor(milliseconds(20));
+      for (int i = 0; i < 3; ++i)
+        if (i != first)
+          CPPUNIT_ASSERT_EQUAL(version, cluster.NodeAt(i).config_version);
+      // Later heartbeats repeat the announcement.
+      cluster.RunFor(seconds(1));
+      CPPUNIT_ASSERT_EQUAL(2, cluster.store().config_reads);
+    }
+    coordinator.OnConfigurationRead(cluster.now());
+    cluster.StartNode(3);
+    cluster.store().config_reads = 0;
+    cluster.RunFor(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(0, cluster.store().config_reads);
+  }
+
   void RandomBytesAreIgnored() {
     Cluster cluster(1);
     cluster.RunFor(seconds(2));
