Read the configuration once at a time, and only its newest version

Cause, from the routers' logs: heartbeats come every 250 ms, and a follower started another read every 500 ms while the first one still took its second on the link. Each one slowed the others down, so that none ended in time. The watch had the same fault in another form: it returns every version since the last one, and more come while these are read, each of 1.7 MB.

Change: ConfigurationReader (src/gateway_configuration.h) has one read in progress; an announcement meanwhile is followed by another read only if the first one does not yield its version. A watch whose response is longer than 256 KiB, or whose history was dropped (410), ends at once with "must be read"; the row itself holds the newest version only. The coordinator announces that before it reads. gateway_core.cc is shorter by what moved.

Evidence: gateway_configuration_test (8 tests of the order of reads, watches and announcements) and LongResponseOfWatchIsNotRead; the test of the dropped history now runs the reader itself, which must ask for row, watch, row, watch, row with no failure between.

--- a/include/trefoilwick/gateway.h
+++ b/include/trefoilwick/gateway.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "trefoilwick/coordination.h"
@@ -161,6 +162,18 @@
       Duration time_to_live) const = 0;
 };
 
+// How a watch of the configuration ended.
+struct StoreUnavailable {};
+struct WatchedConfiguration {
+  // The newest configuration; null when there is none.
+  std::shared_ptr<const RouteTable> table;
+};
+// What has changed is not known, or is longer than a watch returns: a response
+// may hold every version since the last one. The configuration must be read.
+struct MustReadConfiguration {};
+using ConfigurationWatchResult =
+    std::variant<StoreUnavailable, WatchedConfiguration, MustReadConfiguration>;
+
 // The platform's store as the gateway uses it.
 class ClusterStore {
  public:
@@ -182,8 +195,11 @@
       std::function<void(std::optional<std::shared_ptr<const RouteTable>>)>;
   virtual void ReadConfiguration(ConfigurationHandler handler) = 0;
   // Waits up to `wait` for a configuration newer than the last one read.
+  // `handler` is called once, never from within the call.
+  using ConfigurationWatchHandler =
+      std::function<void(const ConfigurationWatchResult&)>;
   virtual void WatchConfiguration(Duration wait,
-                                  ConfigurationHandler handler) = 0;
+                                  ConfigurationWatchHandler handler) = 0;
   // The newest configuration as the store holds it.
   virtual const std::string& ConfigurationRow() const = 0;
   // Applies a configuration that another instance read; null when it cannot be
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -146,7 +146,7 @@
     return ErrorStatus("peer port", error);
   m_peer_socket.non_blocking(true, error);
   ReceiveDatagram();
-  WatchConfiguration();
+  m_configuration_reader.Start();
   ScheduleTick();
   ScheduleStallCheck();
   Log("start",
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -28,10 +28,6 @@
 // Longest response of a server to an order or a report request.
 constexpr uint64_t kMaxServerResponseBytes = uint64_t{1} << 20;
 constexpr Duration kServerConnectTimeout = milliseconds(400);
-constexpr Duration kConfigLongPollWait = seconds(1);
-constexpr Duration kConfigWatchRecheckInterval = milliseconds(250);
-constexpr Duration kConfigRetryDelay = milliseconds(500);
-constexpr int kMaxConfigRetryBackoffFactor = 6;
 constexpr int kMaxLogLinesPerSecond = 200;
 constexpr size_t kMaxLoggedAnswerBytes = 200;
 
@@ -58,6 +54,7 @@
       m_retries(m_settings.retry_ratio,
                 m_settings.retry_slack,
                 m_settings.retry_window),
+      m_configuration_reader(io, store, this),
       m_client_acceptor(io),
       m_ready_acceptor(io),
       m_directory_acceptor(io),
@@ -65,7 +62,6 @@
       m_peer_socket(io),
       m_peer_buffer(kMaxDatagramBytes + 1),
       m_tick_timer(io),
-      m_watch_timer(io),
       m_stall_check_timer(io),
       m_last_tick(m_clock.Now()) {
   m_client_budget.SetMaxBytes(m_settings.client_memory_bytes);
@@ -443,14 +439,8 @@
                 RunActions();
               });
             },
-            [&](ReadConfiguration&) {
-              m_store->ReadConfiguration([this](const auto& response) {
-                UpdateStoreReachability(response.has_value());
-                if (!response)
-                  return m_coordination.OnConfigurationReadFailed(Now());
-                m_coordination.OnConfigurationRead(Now());
-                AdoptTable(*response);
-              });
+            [&](const ReadConfiguration& read) {
+              m_configuration_reader.Read(read.version);
             },
             [&](ApplyConfiguration& adopt) {
               AdoptTable(m_store->ApplyConfigurationRow(adopt.row));
@@ -460,31 +450,6 @@
   }
 }
 
-// The coordinator watches the configuration and sends it to the other
-// instances; an instance that does not receive its heartbeats watches by
-// itself.
-void GatewayCore::WatchConfiguration() {
-  if (m_coordination.ReceivesCoordinatorHeartbeats(Now()))
-    return WatchConfigurationAfter(kConfigWatchRecheckInterval);
-  const auto handler = [this](const ConfigurationResponse& response) {
-    OnConfigurationWatched(response);
-  };
-  // After a failure a short read shows sooner than a long poll that the store
-  // is back.
-  if (m_watch_failures > 0)
-    m_store->ReadConfiguration(handler);
-  else
-    m_store->WatchConfiguration(kConfigLongPollWait, handler);
-}
-
-void GatewayCore::WatchConfigurationAfter(Duration wait) {
-  m_watch_timer.expires_after(wait);
-  m_watch_timer.async_wait([this](error_code error) {
-    if (!error)
-      WatchConfiguration();
-  });
-}
-
 // Logs one line when the store stops responding and one when it responds again.
 void GatewayCore::UpdateStoreReachability(bool reachable) {
   const TimePoint now = Now();
@@ -503,23 +468,19 @@
        {"config_version", std::to_string(m_table ? m_table->version() : 0)}});
 }
 
-void GatewayCore::OnConfigurationWatched(
+void GatewayCore::OnConfigurationChanging() {
+  m_coordination.OnConfigurationChanging(Now());
+  RunActions();
+}
+
+void GatewayCore::OnConfigurationResponse(
     const ConfigurationResponse& response) {
   UpdateStoreReachability(response.has_value());
-  if (!response) {
-    m_coordination.OnConfigurationReadFailed(Now());
-    // Other instances receive changes from the coordinator, so they retry less
-    // often.
-    const int max_backoff_factor =
-        m_coordination.is_coordinator() ? 1 : kMaxConfigRetryBackoffFactor;
-    m_watch_failures = std::min(m_watch_failures + 1, max_backoff_factor);
-    return WatchConfigurationAfter(kConfigRetryDelay * m_watch_failures);
-  }
-  m_watch_failures = 0;
-  m_coordination.OnConfigurationRead(Now());
+  if (!response)
+    return m_coordination.OnConfigurationReadFailed(Now());
   AdoptTable(*response);
+  m_coordination.OnConfigurationRead(Now());
   RunActions();
-  WatchConfiguration();
 }
 
 void GatewayCore::AdoptTable(std::shared_ptr<const RouteTable> table) {
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -12,6 +12,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "gateway_configuration.h"
 #include "gateway_upstream.h"
 #include "planned_stop.h"
 #include "trefoilwick/client_budget.h"
@@ -36,13 +37,13 @@
 // Time for a server to respond to an order or a report request.
 inline constexpr Duration kOrderTimeout = std::chrono::milliseconds(1500);
 
-class GatewayCore {
+class GatewayCore final : private ConfigurationOwner {
  public:
   GatewayCore(boost::asio::io_context& io,
               GatewaySettings settings,
               const WireDialect* dialect,
               ClusterStore* store);
-  ~GatewayCore();
+  ~GatewayCore() override;
 
   absl::Status Start();
   void Reload(const GatewaySettings& settings);
@@ -199,11 +200,17 @@
   void Tick();
   void DetectSuspension(TimePoint now);
   void RunActions();
-  void WatchConfiguration();
-  using ConfigurationResponse =
-      std::optional<std::shared_ptr<const RouteTable>>;
-  void OnConfigurationWatched(const ConfigurationResponse& response);
-  void WatchConfigurationAfter(Duration wait);
+  bool IsCoordinator() const override {
+    return m_coordination.is_coordinator();
+  }
+  bool IsToldOfChanges() const override {
+    return m_coordination.ReceivesCoordinatorHeartbeats(Now());
+  }
+  int64_t ConfigurationVersion() const override {
+    return m_table ? m_table->version() : 0;
+  }
+  void OnConfigurationChanging() override;
+  void OnConfigurationResponse(const ConfigurationResponse& response) override;
   void UpdateStoreReachability(bool reachable);
   void AdoptTable(std::shared_ptr<const RouteTable> table);
   void OnServersChanged();
@@ -277,6 +284,7 @@
   // Servers whose requests are moving to other servers, by server id.
   std::map<std::string, Recovery> m_recoveries;
   std::shared_ptr<const RouteTable> m_table;
+  ConfigurationReader m_configuration_reader;
   std::shared_ptr<const ServerMap> m_seen_servers;
   std::shared_ptr<const ServerMap> m_seen_list;
 
@@ -288,12 +296,10 @@
   boost::asio::ip::udp::endpoint m_peer_sender;
   std::vector<char> m_peer_buffer;
   boost::asio::steady_timer m_tick_timer;
-  boost::asio::steady_timer m_watch_timer;
   boost::asio::steady_timer m_stall_check_timer;
   TimePoint m_last_tick;
   bool m_store_reachable = true;
   TimePoint m_store_unreachable_since;
-  int m_watch_failures = 0;
 
   std::unordered_map<ClientSession*, std::shared_ptr<ClientSession>> m_sessions;
   ClientBudget m_client_budget;
--- a/test/adapter_call_test.cc
+++ b/test/adapter_call_test.cc
@@ -3,6 +3,7 @@
 
 #include "broken_responses.h"
 #include "early_answer_server.h"
+#include "gateway_configuration.h"
 #include "gateway_harness.h"
 #include "rows.h"
 #include "store.h"
@@ -489,40 +490,54 @@
     CPPUNIT_ASSERT_EQUAL(int64_t{8}, holder.row_version);
   }
 
+  // Reads and watches until a third response has arrived.
+  class ThreeResponses final : public detail::ConfigurationOwner {
+   public:
+    explicit ThreeResponses(asio::io_context& io) : m_io(io) {}
+    int tables = 0;
+    int failures = 0;
+
+    bool IsCoordinator() const override { return false; }
+    bool IsToldOfChanges() const override { return false; }
+    int64_t ConfigurationVersion() const override { return 0; }
+    void OnConfigurationChanging() override {}
+    void OnConfigurationResponse(
+        const detail::ConfigurationResponse& response) override {
+      (response ? tables : failures) += 1;
+      if (tables + failures == 3)
+        m_io.stop();
+    }
+
+   private:
+    asio::io_context& m_io;
+  };
+
   // Guards against a watch that fails for ever after the store dropped its
-  // history (410): the row itself is read then.
+  // history (410): the row itself is read then, at once.
   void ConfigurationIsReadAgainAfterHistoryIsDropped() {
     // {"version":4,"services":[],"routes":[]}
     const std::string row =
         Ok(R"({"rows":[{"key":"config","value":"eyJ2ZXJzaW9uIjo0LCJzZXJ2aWNl)"
            R"(cyI6W10sInJvdXRlcyI6W119","ver":6}],"ver":7})");
-    std::vector<std::string> targets;
-    int tables = 0;
-    WithStore(
-        [&](const std::string& request) {
-          targets.push_back(request.substr(4, request.find(' ', 4) - 4));
-          return ScriptedResponse{
-              targets.size() == 2
-                  ? "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n"
-                  : row};
-        },
-        [&](platform::PlatformStore& store) {
-          const auto watch = [&](auto handler) {
-            store.WatchConfiguration(milliseconds(100), handler);
-          };
-          watch([&, watch](const auto& first) {
-            tables += first ? 1 : 0;
-            watch([&, watch](const auto& second) {
-              tables += second ? 1 : 0;
-              watch([&](const auto& third) { tables += third ? 1 : 0; });
-            });
-          });
-        });
-    CPPUNIT_ASSERT_EQUAL(size_t{3}, targets.size());
-    CPPUNIT_ASSERT(targets[0].starts_with("/rows-get"));
-    CPPUNIT_ASSERT(targets[1].starts_with("/rows-feed"));
-    CPPUNIT_ASSERT(targets[2].starts_with("/rows-get"));
-    CPPUNIT_ASSERT_EQUAL(2, tables);
+    ScriptedServer server([&](const std::string& request) {
+      const bool is_watch = request.starts_with("GET /rows-feed");
+      return ScriptedResponse{
+          is_watch ? "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n" : row};
+    });
+    asio::io_context io;
+    platform::PlatformStore store(io, server.address());
+    ThreeResponses owner(io);
+    detail::ConfigurationReader reader(io, &store, &owner);
+    reader.Start();
+    io.run();
+    const std::vector<std::string> requests = server.requests();
+    CPPUNIT_ASSERT_EQUAL(size_t{5}, requests.size());
+    for (const size_t read : {0, 2, 4})
+      CPPUNIT_ASSERT(requests[read].starts_with("GET /rows-get"));
+    for (const size_t watch : {1, 3})
+      CPPUNIT_ASSERT(requests[watch].starts_with("GET /rows-feed"));
+    CPPUNIT_ASSERT_EQUAL(3, owner.tables);
+    CPPUNIT_ASSERT_EQUAL(0, owner.failures);
   }
 };
 
--- a/test/adapter_slow_link_test.cc
+++ b/test/adapter_slow_link_test.cc
@@ -54,6 +54,12 @@
          "\r\n\r\n";
 }
 
+constexpr char kNoRows[] = R"({"rows":[],"truncated":false,"ver":7})";
+
+ScriptedResponse WholeResponse(const std::string& body) {
+  return {Head(body) + body};
+}
+
 // A response whose body a slow link carries.
 ScriptedResponse SlowResponse(const std::string& body) {
   ScriptedResponse response{Head(body)};
@@ -89,6 +95,7 @@
   CPPUNIT_TEST_SUITE(AdapterSlowLinkTest);
   CPPUNIT_TEST(ConfigurationOnSlowLinkIsRead);
   CPPUNIT_TEST(ChangeAtTheEndOfWatchIsReadOnSlowLink);
+  CPPUNIT_TEST(LongResponseOfWatchIsNotRead);
   CPPUNIT_TEST(ServerListOnSlowLinkIsRead);
   CPPUNIT_TEST(LeaseOnSlowLinkIsRead);
   CPPUNIT_TEST(ResponseThatArrivedWhileTheProcessWasBusyIsRead);
@@ -114,31 +121,48 @@
   // A change that came near the end of the wait had only the margin beyond it.
   void ChangeAtTheEndOfWatchIsReadOnSlowLink() {
     constexpr milliseconds kWait{300};
-    int requests = 0;
     std::shared_ptr<const RouteTable> table;
     WithStore(
         [&](const std::string& request) {
-          // The first read tells from which version on to watch.
-          if (++requests == 1) {
-            const std::string empty =
-                R"({"rows":[],"truncated":false,"ver":7})";
-            return ScriptedResponse{Head(empty) + empty};
-          }
+          if (request.starts_with("GET /rows-get"))
+            return WholeResponse(kNoRows);
           CPPUNIT_ASSERT(request.starts_with("GET /rows-feed"));
           std::this_thread::sleep_for(kWait);
           return SlowResponse(ConfigurationBody());
         },
         [&](auto&, platform::PlatformStore& store) {
-          store.WatchConfiguration(kWait, [&, kWait](const auto&) {
-            store.WatchConfiguration(kWait, [&](const auto& read) {
-              table = read.value_or(nullptr);
+          // The first read tells from which version on to watch.
+          store.ReadConfiguration([&, kWait](const auto&) {
+            store.WatchConfiguration(kWait, [&](const auto& result) {
+              if (const auto* read = std::get_if<WatchedConfiguration>(&result))
+                table = read->table;
             });
           });
         });
-    CPPUNIT_ASSERT_EQUAL(2, requests);
     CPPUNIT_ASSERT(table != nullptr);
   }
 
+  // Several versions that had come while the first one was read were all read,
+  // one after the other, and more came meanwhile.
+  void LongResponseOfWatchIsNotRead() {
+    const std::string long_body(size_t{1} << 20, ' ');
+    bool must_read = false;
+    const Duration time = WithStore(
+        [&](const std::string& request) {
+          return request.starts_with("GET /rows-get") ? WholeResponse(kNoRows)
+                                                      : SlowResponse(long_body);
+        },
+        [&](auto&, platform::PlatformStore& store) {
+          store.ReadConfiguration([&](const auto&) {
+            store.WatchConfiguration(seconds(1), [&](const auto& result) {
+              must_read = std::holds_alternative<MustReadConfiguration>(result);
+            });
+          });
+        });
+    CPPUNIT_ASSERT(must_read);
+    CPPUNIT_ASSERT(time < milliseconds(500));
+  }
+
   // The same bound cut off a long list of servers.
   void ServerListOnSlowLinkIsRead() {
     size_t servers = 0;
@@ -167,18 +191,15 @@
   // silence of the store.
   void ResponseThatArrivedWhileTheProcessWasBusyIsRead() {
     int64_t token = 0;
-    WithStore(
-        [](const std::string&) {
-          return ScriptedResponse{Head(LeaseBody()) + LeaseBody()};
-        },
-        [&](asio::io_context& io, platform::PlatformStore& store) {
-          store.ReadLease([&](const std::optional<LeaseRow>& row) {
-            token = row ? row->fencing_token : 0;
-          });
-          // The call has begun.
-          io.poll();
-          std::this_thread::sleep_for(milliseconds(1200));
-        });
+    WithStore([](const std::string&) { return WholeResponse(LeaseBody()); },
+              [&](asio::io_context& io, platform::PlatformStore& store) {
+                store.ReadLease([&](const std::optional<LeaseRow>& row) {
+                  token = row ? row->fencing_token : 0;
+                });
+                // The call has begun.
+                io.poll();
+                std::this_thread::sleep_for(milliseconds(1200));
+              });
     CPPUNIT_ASSERT_EQUAL(int64_t{3}, token);
   }
 
--- a/test/gateway_harness.h
+++ b/test/gateway_harness.h
@@ -196,10 +196,12 @@
   void ReadConfiguration(ConfigurationHandler handler) override {
     asio::post(m_io, [this, handler] { handler(table); });
   }
-  void WatchConfiguration(Duration, ConfigurationHandler handler) override {
+  void WatchConfiguration(Duration,
+                          ConfigurationWatchHandler handler) override {
     m_timer.expires_after(std::chrono::milliseconds(50));
-    m_timer.async_wait(
-        [this, handler](const boost::system::error_code&) { handler(table); });
+    m_timer.async_wait([this, handler](const boost::system::error_code&) {
+      handler(WatchedConfiguration{table});
+    });
   }
   const std::string& ConfigurationRow() const override { return m_row; }
   std::shared_ptr<const RouteTable> ApplyConfigurationRow(
