Decode every compressed message between instances

About one server list or configuration in 80 that the coordinator sent was dropped by all receivers, which then read it from the store up to a second later.

Cause: without a byte behind them, the inflating stream missed the end of some data ("need buffers"), although all bytes were there. A byte is added now; the stream ends by itself before it.

Evidence: EveryCompressedMessageIsDecoded (5,000 random rows).

--- a/src/cluster_codec.cc
+++ b/src/cluster_codec.cc
@@ -243,9 +243,11 @@
 std::optional<std::string> Inflate(const std::string& bytes) {
   namespace zlib = boost::beast::zlib;
   zlib::inflate_stream stream;
+  // Without a byte behind it, the stream may miss the end of its data.
+  const std::string padded = bytes + '\0';
   zlib::z_params z;
-  z.next_in = bytes.data();
-  z.avail_in = bytes.size();
+  z.next_in = padded.data();
+  z.avail_in = padded.size();
   std::string out;
   std::array<char, 4096> block;
   boost::system::error_code error;
