Tests: no two test programs take the same ports

adapter_upload_test, ResponseThatEndsInOrderIsAnswer, failed once beside other test programs: the gateway did not start. Each program took ports from its process id times 257 modulo 22,000 on, so that programs whose ids differ by 85 or 86 had the same ones, and a port was free when it was tried and taken when it was used.

A program now keeps the first port of a range of 256 bound and takes the others; the next program finds it taken and goes on to the next range. The output of the failed run does not name the port: this is the cause that the code allows, not one that a trace shows.

--- a/test/gateway_harness.h
+++ b/test/gateway_harness.h
@@ -216,25 +216,54 @@
   std::string m_row;
 };
 
-// A port that nothing listens on. Test programs that run at the same time take
-// different ones, below those that the system gives to outgoing connections.
-inline uint16_t FreePort() {
-  constexpr unsigned kFirstPort = 10'000;
-  constexpr unsigned kPorts = 22'000;
-  // More than a test program takes.
-  constexpr unsigned kPortsPerProcess = 257;
-  static unsigned next = static_cast<unsigned>(getpid()) * kPortsPerProcess;
-  asio::io_context io;
-  for (;;) {
-    const tcp::endpoint endpoint(
-        asio::ip::address_v4::loopback(),
-        static_cast<uint16_t>(kFirstPort + next++ % kPorts));
-    tcp::acceptor acceptor(io, endpoint.protocol());
+// A range of ports that belongs to this process: its first port stays bound, so
+// that test programs that run at the same time take other ranges. All lie below
+// the ports that the system gives to outgoing connections.
+class PortRange {
+ public:
+  static constexpr unsigned kPorts = 256;
+
+  PortRange() {
+    constexpr unsigned kFirstPort = 10'000;
+    constexpr unsigned kRanges = 85;
+    for (auto range = static_cast<unsigned>(getpid());; ++range) {
+      m_first = kFirstPort + range % kRanges * kPorts;
+      if (TryBind(m_guard, m_first))
+        return;
+    }
+  }
+
+  // Ports are taken in turn.
+  uint16_t Take() {
+    for (;;) {
+      const unsigned port = m_first + 1 + m_next++ % (kPorts - 1);
+      tcp::acceptor probe(m_io);
+      if (TryBind(probe, port))
+        return static_cast<uint16_t>(port);
+    }
+  }
+
+ private:
+  static bool TryBind(tcp::acceptor& acceptor, unsigned port) {
     boost::system::error_code error;
-    acceptor.bind(endpoint, error);
-    if (!error)
-      return endpoint.port();
+    acceptor.open(tcp::v4(), error);
+    acceptor.bind(
+        {asio::ip::address_v4::loopback(), static_cast<uint16_t>(port)}, error);
+    if (error)
+      acceptor.close();
+    return !error;
   }
+
+  asio::io_context m_io;
+  tcp::acceptor m_guard{m_io};
+  unsigned m_first = 0;
+  unsigned m_next = 0;
+};
+
+// A port that nothing listens on.
+inline uint16_t FreePort() {
+  static PortRange range;
+  return range.Take();
 }
 
 class GatewayHarness {
