Compare versions of the store only within its era

Cause: versions go back and are given out again then, and all comparisons took them as if they only grew. Each list of a lower version was dropped, by the reader and by the others, and still counted as fresh; nothing read Store-Era.

Change: StorePosition (era and version, compared by the era first) is the one type for a position, in lists, the lease, the watch, reports, heartbeats and list messages. - Lists: one of a later era replaces the present one, a late one of an earlier era is dropped and makes nothing fresh. A row with a lower token than is known is an earlier one: its holder is not followed, the coordinator writes its own again. Versions of the operators never go back, as before.

--- a/include/trefoilwick/coordination.h
+++ b/include/trefoilwick/coordination.h
@@ -20,6 +20,7 @@
 #include "trefoilwick/overload.h"
 #include "trefoilwick/retry_window.h"
 #include "trefoilwick/server_availability.h"
+#include "trefoilwick/server_list.h"
 
 namespace trefoilwick {
 
@@ -57,8 +58,9 @@
 
 // The lease row as the store holds it.
 struct LeaseRow {
-  // Store version of the row; 0 when there is no row.
-  int64_t row_version = 0;
+  // Position at which the row was written. Its version is 0 when there is no
+  // row; the era is that of the read then.
+  StorePosition position;
   // Fencing token of the holder's orders; increases with every holder.
   int64_t fencing_token = 0;
   std::string holder_ip;
@@ -78,10 +80,10 @@
   std::string bytes;
 };
 struct ReadLease {};
-// Writes the lease if the row still has `expected_version`.
+// Writes the lease if the row is still the one that was written at `expected`.
 struct WriteLease {
   LeaseRow row;
-  int64_t expected_version = 0;
+  StorePosition expected;
 };
 struct ReadServerList {};
 // A newer configuration must be read from the store.
@@ -126,7 +128,7 @@
   // as new as that.
   void OnServerList(TimePoint now,
                     TimePoint requested_at,
-                    int64_t version,
+                    StorePosition position,
                     ServerMap servers);
   void OnServerListReadFailed(TimePoint now);
   // A newer configuration is in force on this instance; `row` is its row in the
@@ -265,9 +267,9 @@
   const std::shared_ptr<const ServerMap>& usable_servers() const {
     return m_usable_servers;
   }
-  bool has_server_list() const { return m_list_version > 0; }
+  bool has_server_list() const { return m_list_position.version > 0; }
   Duration ServerListAge(TimePoint now) const { return now - m_list_fresh_at; }
-  int64_t list_version() const { return m_list_version; }
+  StorePosition list_position() const { return m_list_position; }
   // Live members, including this instance.
   std::vector<ClusterMember> Members(TimePoint now) const;
   // Loads of all instances, including this one.
@@ -289,7 +291,7 @@
   Coordination() = default;
   struct Peer {
     ClusterMember member;
-    int64_t list_version = 0;
+    StorePosition list_position;
     TimePoint last_report_at;
     LoadMap loads;
     std::set<std::string> unreachable_servers;
@@ -297,9 +299,9 @@
     std::map<std::string, double> limit_demand;
     // Demand of client accounts.
     DemandRates demand;
-    // Version of the list that was sent last; it is not sent again before the
+    // Position of the list that was sent last; it is not sent again before the
     // instance can have acknowledged it.
-    int64_t sent_list_version = 0;
+    StorePosition sent_list_position;
     TimePoint list_sent_at;
   };
   struct UnreachableMark {
@@ -388,6 +390,19 @@
   void HandleLimits(TimePoint now,
                     const detail::CoordinatorHeartbeat& heartbeat);
   void OnStoreAnswered(TimePoint now);
+  // Notes the era of a response of the store. In a new one, what was read or
+  // written in an earlier one must be read again.
+  void NoteEra(int64_t era);
+  // True when the lease that this coordinator holds was written in an earlier
+  // era, so that its version may name another row by now.
+  bool IsLeaseOfEarlierEra() const {
+    return m_lease.position.era < m_store_era;
+  }
+  // Writes the lease again under a new token when this coordinator still holds
+  // it, or follows the holder.
+  void RecoverLease(TimePoint now, const LeaseRow& row);
+  void AcquireLease(TimePoint now, const LeaseRow& previous);
+  void UseServerList(TimePoint now, StorePosition position, ServerMap servers);
   // Derives `m_listed_servers` and `m_usable_servers` from the stored list, the
   // announced shutdowns, the reported layers and the placement orders.
   void UpdateServers(TimePoint now);
@@ -434,6 +449,8 @@
   bool m_coordinator_store_reachable = false;
   int64_t m_fencing_token = 0;
   LeaseRow m_lease;
+  // Newest era that the store has named to this instance.
+  int64_t m_store_era = 0;
   std::string m_coordinator_ip;
   TimePoint m_last_heartbeat_at;
   TimePoint m_next_lease_call;
@@ -463,7 +480,8 @@
   std::shared_ptr<const ServerMap> m_usable_servers =
       std::make_shared<const ServerMap>();
   std::map<std::string, LayerRange> m_placement_orders;
-  int64_t m_list_version = 0;
+  StorePosition m_list_position;
+  ServerListHistory m_list_history;
   // Encoded server list, as of `m_list_encoded_at`.
   std::string m_list_message;
   TimePoint m_list_encoded_at;
--- a/include/trefoilwick/gateway.h
+++ b/include/trefoilwick/gateway.h
@@ -162,6 +162,12 @@
       Duration time_to_live) const = 0;
 };
 
+// The server list as of one position in the store.
+struct StoredServerList {
+  StorePosition position;
+  ServerMap servers;
+};
+
 // How a watch of the configuration ended.
 struct StoreUnavailable {};
 struct WatchedConfiguration {
@@ -181,13 +187,15 @@
   // Null when the store did not respond.
   virtual void ReadLease(
       std::function<void(std::optional<LeaseRow>)> handler) = 0;
+  // The result is unknown when the store answers in another era than that of
+  // `expected`, whose version may name another row by now.
   virtual void WriteLease(
       const LeaseRow& row,
-      int64_t expected_version,
+      StorePosition expected,
       std::function<void(LeaseWriteResult, LeaseRow)> handler) = 0;
-  // Version and servers; null when the store did not respond.
+  // Null when the store did not respond.
   using ServerListHandler =
-      std::function<void(std::optional<std::pair<int64_t, ServerMap>>)>;
+      std::function<void(std::optional<StoredServerList>)>;
   virtual void ReadServers(ServerListHandler handler) = 0;
   // The newest configuration, a null pointer when there is none; nullopt when
   // the store did not respond.
--- a/src/cluster.thrift
+++ b/src/cluster.thrift
@@ -119,6 +119,9 @@
   22: list<LeavingServer> leaving
   // Of this instance, while it sees a shortage of capacity.
   23: list<Demand> demand
+  // Era of the store in which `list_version` counts; 0 or unset when the store
+  // does not name its era.
+  24: i64 list_era
 }
 
 struct Member {
@@ -188,6 +191,9 @@
   // Number of the change of the configuration that the sender is reading; 0 or
   // unset when it reads none.
   25: i64 config_change
+  // Era of the store in which `list_version` counts; 0 or unset when the store
+  // does not name its era.
+  26: i64 list_era
 }
 
 struct Server {
@@ -210,6 +216,9 @@
   2: i64 version
   3: i32 age_ms
   4: list<Server> servers
+  // Era of the store in which `version` counts; 0 or unset when the store does
+  // not name its era.
+  5: i64 era
 }
 
 // The configuration, from the coordinator to an instance with an older one.
--- a/src/cluster_codec.cc
+++ b/src/cluster_codec.cc
@@ -199,7 +199,7 @@
   return {{report.ip, report.data_center, report.accepting, report.cpu_milli},
           report.incarnation,
           report.config_version,
-          report.list_version,
+          {report.list_era, report.list_version},
           FromWire(report.loads, report.names_key, dictionary),
           ReadMessageSends(report),
           ReadEarlierSends(report),
@@ -288,7 +288,7 @@
   out.ip = heartbeat.ip;
   out.config_version = heartbeat.config_version;
   out.config_change = heartbeat.config_change;
-  out.list_version = heartbeat.list_version;
+  out.list_position = {heartbeat.list_era, heartbeat.list_version};
   out.list_age = std::chrono::milliseconds(heartbeat.list_age_ms);
   for (const wire::DataCenterMembers& group : heartbeat.members)
     for (const wire::Member& member : group.members)
@@ -315,7 +315,7 @@
 ServerListMessage FromWire(const wire::ServerList& list) {
   ServerListMessage out;
   out.fencing_token = list.fence;
-  out.version = list.version;
+  out.position = {list.era, list.version};
   out.age = std::chrono::milliseconds(list.age_ms);
   for (const wire::Server& item : list.servers) {
     BackendServer& server = out.servers[item.id];
@@ -366,7 +366,8 @@
   out.cpu_milli = report.member.cpu_milli;
   out.incarnation = report.incarnation;
   out.config_version = report.config_version;
-  out.list_version = report.list_version;
+  out.list_era = report.list_position.era;
+  out.list_version = report.list_position.version;
   if (report.loads)
     out.loads = ToWire(*report.loads, dictionary.newest());
   out.names_key = dictionary.newest().key;
@@ -400,7 +401,8 @@
   out.ip = heartbeat.ip;
   out.config_version = heartbeat.config_version;
   out.config_change = heartbeat.config_change;
-  out.list_version = heartbeat.list_version;
+  out.list_era = heartbeat.list_position.era;
+  out.list_version = heartbeat.list_position.version;
   out.list_age_ms = static_cast<int32_t>(ToMilliseconds(heartbeat.list_age));
   out.members = ToWire(heartbeat.members);
   if (heartbeat.loads)
@@ -432,7 +434,8 @@
   wire::Message message;
   wire::ServerList& out = message.servers;
   out.fence = list.fencing_token;
-  out.version = list.version;
+  out.era = list.position.era;
+  out.version = list.position.version;
   out.age_ms = static_cast<int32_t>(ToMilliseconds(list.age));
   for (const auto& [id, server] : list.servers) {
     wire::Server& item = out.servers.emplace_back();
--- a/src/cluster_codec.h
+++ b/src/cluster_codec.h
@@ -75,7 +75,7 @@
   ClusterMember member;
   int64_t incarnation = 0;
   int64_t config_version = 0;
-  int64_t list_version = 0;
+  StorePosition list_position;
   // Null when the loads refer to a list that the receiver does not know.
   std::optional<LoadMap> loads;
   ServiceSends sends;
@@ -104,7 +104,7 @@
   // Number of the change of the configuration that the coordinator is reading;
   // 0 when it reads none.
   int64_t config_change = 0;
-  int64_t list_version = 0;
+  StorePosition list_position;
   Duration list_age{0};
   std::vector<ClusterMember> members;
   // Null when the loads refer to a list that the receiver does not know.
@@ -134,7 +134,7 @@
 
 struct ServerListMessage {
   int64_t fencing_token = 0;
-  int64_t version = 0;
+  StorePosition position;
   Duration age{0};
   ServerMap servers;
 };
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -189,6 +189,7 @@
   }
   row.quarantine = m_quarantine.List(now);
   const bool is_outdated =
+      IsLeaseOfEarlierEra() ||
       !HaveSameDecisions(row.quarantine, m_lease.quarantine) ||
       row.retries.value_or(0) - m_lease.retries.value_or(0) >=
           kRetriesPerLeaseWrite ||
@@ -201,7 +202,10 @@
     return;
   m_lease_call_pending = true;
   m_next_lease_call = now + kLeaseRenewalInterval;
-  m_actions.emplace_back(WriteLease{row, m_lease.row_version});
+  if (IsLeaseOfEarlierEra())
+    m_actions.emplace_back(ReadLease{});
+  else
+    m_actions.emplace_back(WriteLease{row, m_lease.position});
 }
 
 void Coordination::TryTakeOver(TimePoint now) {
@@ -226,12 +230,17 @@
     return;
   }
   OnStoreAnswered(now);
+  NoteEra(row->position.era);
   MergeQuarantine(now, row->quarantine);
   m_lease_read = true;
+  if (m_is_coordinator)
+    return RecoverLease(now, *row);
   const bool first_read = !m_lease_known;
   const bool token_changed = row->fencing_token != m_fencing_token;
-  if (row->row_version > 0 && row->holder_ip != m_ip &&
-      (first_read || token_changed)) {
+  // A lower token is that of an earlier holder: the store came back from a
+  // copy.
+  if (row->position.version > 0 && row->holder_ip != m_ip &&
+      row->fencing_token >= m_fencing_token && (first_read || token_changed)) {
     // Gives the holder time to send a heartbeat before it is replaced.
     FollowCoordinator(now, *row);
     return;
@@ -241,11 +250,36 @@
   const bool already_holder = row->holder_ip == m_ip;
   const bool replaces_coordinator =
       std::exchange(m_replacing_coordinator, false);
-  if (row->row_version > 0 && !timed_out && !already_holder &&
+  if (row->position.version > 0 && !timed_out && !already_holder &&
       !replaces_coordinator)
     return;
+  AcquireLease(now, *row);
+}
+
+void Coordination::AcquireLease(TimePoint now, const LeaseRow& previous) {
   m_lease_call_pending = true;
-  m_actions.emplace_back(WriteLease{MakeLease(now, *row), row->row_version});
+  m_actions.emplace_back(
+      WriteLease{MakeLease(now, previous), previous.position});
+}
+
+void Coordination::RecoverLease(TimePoint now, const LeaseRow& row) {
+  const bool has_successor =
+      row.holder_ip != m_ip && row.fencing_token >= m_fencing_token;
+  if (has_successor)
+    FollowCoordinator(now, row);
+  else
+    AcquireLease(now, row);
+}
+
+void Coordination::NoteEra(int64_t era) {
+  if (era <= m_store_era)
+    return;
+  const bool is_first = m_store_era == 0;
+  m_store_era = era;
+  if (is_first)
+    return;
+  m_next_list_call = TimePoint{};
+  m_actions.emplace_back(ReadConfiguration{});
 }
 
 void Coordination::FollowCoordinator(TimePoint now, const LeaseRow& row) {
@@ -274,6 +308,7 @@
                                   LeaseWriteResult result,
                                   const LeaseRow& row) {
   m_lease_call_pending = false;
+  NoteEra(row.position.era);
   switch (result) {
     case LeaseWriteResult::kWritten:
       OnStoreAnswered(now);
@@ -295,7 +330,11 @@
         m_next_lease_call = now;
         return;
       }
-      if (row.row_version > 0)
+      if (row.fencing_token < m_fencing_token && m_is_coordinator)
+        AcquireLease(now, row);
+      else if (row.fencing_token < m_fencing_token)
+        m_next_lease_call = now + kLeaseRetryInterval;
+      else if (row.position.version > 0)
         FollowCoordinator(now, row);
       else
         StepDown(now);
@@ -355,23 +394,39 @@
 
 void Coordination::OnServerList(TimePoint now,
                                 TimePoint requested_at,
-                                int64_t version,
+                                StorePosition position,
                                 ServerMap servers) {
   m_list_call_pending = false;
   OnStoreAnswered(now);
+  NoteEra(position.era);
   m_list_failures = 0;
+  // A late response from before the store came back from a copy says nothing of
+  // the servers since.
+  if (position.era < m_list_position.era)
+    return;
   m_list_fresh_at = std::max(m_list_fresh_at, requested_at);
-  if (version < m_list_version ||
-      (m_list_version > 0 && servers == *m_stored_servers)) {
+  if (position < m_list_position) {
     UpdateServers(now);
     return;
   }
-  m_list_version = version;
+  servers = m_list_history.Update(now, position.era, std::move(servers));
+  const bool is_new_era = position.era > m_list_position.era;
+  if (has_server_list() && !is_new_era && servers == *m_stored_servers) {
+    UpdateServers(now);
+    return;
+  }
+  UseServerList(now, position, std::move(servers));
+  if (m_is_coordinator)
+    SendHeartbeats(now);
+}
+
+void Coordination::UseServerList(TimePoint now,
+                                 StorePosition position,
+                                 ServerMap servers) {
+  m_list_position = position;
   m_stored_servers = std::make_shared<const ServerMap>(std::move(servers));
   m_list_message.clear();
   UpdateServers(now);
-  if (m_is_coordinator)
-    SendHeartbeats(now);
 }
 
 void Coordination::SetPlacementOrders(
--- a/src/coordination_messages.cc
+++ b/src/coordination_messages.cc
@@ -121,7 +121,7 @@
   report.member = {m_ip, m_data_center, m_accepting, m_cpu_milli};
   report.incarnation = m_incarnation;
   report.config_version = m_config_version;
-  report.list_version = m_list_version;
+  report.list_position = m_list_position;
   report.loads = m_local_loads;
   m_reported_loads = m_local_loads;
   report.sends = m_local_sends;
@@ -147,7 +147,7 @@
   heartbeat.ip = m_ip;
   heartbeat.config_version = m_config_version;
   heartbeat.config_change = m_config_is_changing ? m_config_changes : 0;
-  heartbeat.list_version = m_list_version;
+  heartbeat.list_position = m_list_position;
   heartbeat.list_age = ServerListAge(now);
   if (!is_large_deployment ||
       ++m_heartbeat_count % kHeartbeatsPerMemberList == 0)
@@ -179,20 +179,20 @@
     if (now - peer.last_report_at > detail::kMemberTimeout)
       continue;
     m_actions.emplace_back(SendDatagram{ip, bytes});
-    if (peer.list_version < m_list_version)
+    if (peer.list_position < m_list_position)
       SendList(now, ip, peer);
   }
 }
 
 void Coordination::SendList(TimePoint now, const std::string& ip, Peer& peer) {
-  if (peer.sent_list_version == m_list_version &&
+  if (peer.sent_list_position == m_list_position &&
       now - peer.list_sent_at < kListResendInterval)
     return;
   // Encoded once for all instances that it is sent to at the same time.
   if (m_list_message.empty() || m_list_encoded_at != now) {
     m_list_encoded_at = now;
     m_list_message =
-        detail::EncodeServerList({m_fencing_token, m_list_version,
+        detail::EncodeServerList({m_fencing_token, m_list_position,
                                   ServerListAge(now), *m_stored_servers});
   }
   const std::string& bytes = m_list_message;
@@ -201,7 +201,7 @@
   if (bytes.size() > detail::kMaxDatagramBytes ||
       !TryConsumeLinkBudget(now, bytes.size()))
     return;
-  peer.sent_list_version = m_list_version;
+  peer.sent_list_position = m_list_position;
   peer.list_sent_at = now;
   m_actions.emplace_back(SendDatagram{ip, bytes});
 }
@@ -211,10 +211,10 @@
   if (!m_is_coordinator)
     return;
   Peer& peer = m_peers[report.member.ip];
-  const bool list_outdated = report.list_version < m_list_version;
+  const bool list_outdated = report.list_position < m_list_position;
   const bool is_new = peer.last_report_at == TimePoint{};
   peer.member = report.member;
-  peer.list_version = report.list_version;
+  peer.list_position = report.list_position;
   peer.last_report_at = now;
   if (report.loads)
     peer.loads = *report.loads;
@@ -268,9 +268,10 @@
     m_reported_layers[server] = {layers, now + kReportedLayersTtl};
   UpdateServers(now);
   UpdateMajorityUnreachable(now, heartbeat.unreachable_servers);
-  // A list of the coordinator's version is also as fresh as the
+  // A list of the coordinator's position is also as fresh as the
   // coordinator's.
-  if (m_list_version >= heartbeat.list_version && m_list_version > 0)
+  if (has_server_list() && m_list_position.era == heartbeat.list_position.era &&
+      m_list_position >= heartbeat.list_position)
     m_list_fresh_at = std::max(m_list_fresh_at, now - heartbeat.list_age);
   ReadChangingConfiguration(now, heartbeat);
   ReadConfigurationIfNewer(now, heartbeat.config_version);
@@ -278,12 +279,11 @@
 
 void Coordination::HandleServerList(TimePoint now,
                                     const detail::ServerListMessage& list) {
-  if (list.version <= m_list_version)
+  if (list.position <= m_list_position)
     return;
-  m_list_version = list.version;
   m_list_fresh_at = std::max(m_list_fresh_at, now - list.age);
-  m_stored_servers = std::make_shared<const ServerMap>(list.servers);
-  UpdateServers(now);
+  UseServerList(now, list.position,
+                m_list_history.Update(now, list.position.era, list.servers));
 }
 
 void Coordination::OnDatagram(TimePoint now, const std::string& bytes) {
--- a/src/gateway_core.cc
+++ b/src/gateway_core.cc
@@ -411,7 +411,7 @@
             },
             [&](WriteLease& write) {
               m_store->WriteLease(
-                  write.row, write.expected_version,
+                  write.row, write.expected,
                   [this](LeaseWriteResult result, const LeaseRow& row) {
                     UpdateStoreReachability(result !=
                                             LeaseWriteResult::kUnknown);
@@ -430,8 +430,9 @@
               m_store->ReadServers([this, requested_at](auto list) {
                 UpdateStoreReachability(list.has_value());
                 if (list)
-                  m_coordination.OnServerList(Now(), requested_at, list->first,
-                                              std::move(list->second));
+                  m_coordination.OnServerList(Now(), requested_at,
+                                              list->position,
+                                              std::move(list->servers));
                 else
                   m_coordination.OnServerListReadFailed(Now());
                 if (m_seen_servers != m_coordination.usable_servers())
--- a/src/gen/cluster_types.cpp
+++ b/src/gen/cluster_types.cpp
@@ -1303,6 +1303,10 @@
 void Report::__set_demand(const std::vector<Demand> & val) {
   this->demand = val;
 }
+
+void Report::__set_list_era(const int64_t val) {
+  this->list_era = val;
+}
 std::ostream& operator<<(std::ostream& out, const Report& obj)
 {
   obj.printTo(out);
@@ -1627,6 +1631,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->list_era);
+          this->__isset.list_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1814,6 +1826,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("list_era", ::apache::thrift::protocol::T_I64, 24);
+  xfer += oprot->writeI64(this->list_era);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1843,6 +1859,7 @@
   swap(a.limits, b.limits);
   swap(a.leaving, b.leaving);
   swap(a.demand, b.demand);
+  swap(a.list_era, b.list_era);
   swap(a.__isset, b.__isset);
 }
 
@@ -1869,6 +1886,7 @@
   limits = other88.limits;
   leaving = other88.leaving;
   demand = other88.demand;
+  list_era = other88.list_era;
   __isset = other88.__isset;
 }
 Report& Report::operator=(const Report& other89) {
@@ -1894,6 +1912,7 @@
   limits = other89.limits;
   leaving = other89.leaving;
   demand = other89.demand;
+  list_era = other89.list_era;
   __isset = other89.__isset;
   return *this;
 }
@@ -1922,6 +1941,7 @@
   out << ", " << "limits=" << to_string(limits);
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "demand=" << to_string(demand);
+  out << ", " << "list_era=" << to_string(list_era);
   out << ")";
 }
 
@@ -2425,6 +2445,10 @@
 void Beat::__set_config_change(const int64_t val) {
   this->config_change = val;
 }
+
+void Beat::__set_list_era(const int64_t val) {
+  this->list_era = val;
+}
 std::ostream& operator<<(std::ostream& out, const Beat& obj)
 {
   obj.printTo(out);
@@ -2785,6 +2809,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 26:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->list_era);
+          this->__isset.list_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2990,6 +3022,10 @@
   xfer += oprot->writeI64(this->config_change);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("list_era", ::apache::thrift::protocol::T_I64, 26);
+  xfer += oprot->writeI64(this->list_era);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3022,6 +3058,7 @@
   swap(a.leaving, b.leaving);
   swap(a.demand, b.demand);
   swap(a.config_change, b.config_change);
+  swap(a.list_era, b.list_era);
   swap(a.__isset, b.__isset);
 }
 
@@ -3051,6 +3088,7 @@
   leaving = other168.leaving;
   demand = other168.demand;
   config_change = other168.config_change;
+  list_era = other168.list_era;
   __isset = other168.__isset;
 }
 Beat& Beat::operator=(const Beat& other169) {
@@ -3079,6 +3117,7 @@
   leaving = other169.leaving;
   demand = other169.demand;
   config_change = other169.config_change;
+  list_era = other169.list_era;
   __isset = other169.__isset;
   return *this;
 }
@@ -3110,6 +3149,7 @@
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "demand=" << to_string(demand);
   out << ", " << "config_change=" << to_string(config_change);
+  out << ", " << "list_era=" << to_string(list_era);
   out << ")";
 }
 
@@ -3385,6 +3425,10 @@
 void ServerList::__set_servers(const std::vector<Server> & val) {
   this->servers = val;
 }
+
+void ServerList::__set_era(const int64_t val) {
+  this->era = val;
+}
 std::ostream& operator<<(std::ostream& out, const ServerList& obj)
 {
   obj.printTo(out);
@@ -3457,6 +3501,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3498,6 +3550,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3509,6 +3565,7 @@
   swap(a.version, b.version);
   swap(a.age_ms, b.age_ms);
   swap(a.servers, b.servers);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
@@ -3517,6 +3574,7 @@
   version = other178.version;
   age_ms = other178.age_ms;
   servers = other178.servers;
+  era = other178.era;
   __isset = other178.__isset;
 }
 ServerList& ServerList::operator=(const ServerList& other179) {
@@ -3524,6 +3582,7 @@
   version = other179.version;
   age_ms = other179.age_ms;
   servers = other179.servers;
+  era = other179.era;
   __isset = other179.__isset;
   return *this;
 }
@@ -3534,6 +3593,7 @@
   out << ", " << "version=" << to_string(version);
   out << ", " << "age_ms=" << to_string(age_ms);
   out << ", " << "servers=" << to_string(servers);
+  out << ", " << "era=" << to_string(era);
   out << ")";
 }
 
--- a/src/gen/cluster_types.h
+++ b/src/gen/cluster_types.h
@@ -547,7 +547,7 @@
 std::ostream& operator<<(std::ostream& out, const Demand& obj);
 
 typedef struct _Report__isset {
-  _Report__isset() : ip(false), data_center(false), incarnation(false), accepting(false), cpu_milli(false), config_version(false), list_version(false), loads(false), down(false), requests(false), retries(false), names_key(false), age_ms(false), sends(false), earlier_sends(false), earlier_sends_age_ms(false), crashes(false), starts(false), quarantine(false), limits(false), leaving(false), demand(false) {}
+  _Report__isset() : ip(false), data_center(false), incarnation(false), accepting(false), cpu_milli(false), config_version(false), list_version(false), loads(false), down(false), requests(false), retries(false), names_key(false), age_ms(false), sends(false), earlier_sends(false), earlier_sends_age_ms(false), crashes(false), starts(false), quarantine(false), limits(false), leaving(false), demand(false), list_era(false) {}
   bool ip :1;
   bool data_center :1;
   bool incarnation :1;
@@ -570,6 +570,7 @@
   bool limits :1;
   bool leaving :1;
   bool demand :1;
+  bool list_era :1;
 } _Report__isset;
 
 class Report : public virtual ::apache::thrift::TBase {
@@ -589,7 +590,8 @@
            retries(0),
            names_key(0),
            age_ms(0),
-           earlier_sends_age_ms(0) {
+           earlier_sends_age_ms(0),
+           list_era(0) {
   }
 
   virtual ~Report() noexcept;
@@ -615,6 +617,7 @@
   std::vector<ServerLimit>  limits;
   std::vector<LeavingServer>  leaving;
   std::vector<Demand>  demand;
+  int64_t list_era;
 
   _Report__isset __isset;
 
@@ -662,6 +665,8 @@
 
   void __set_demand(const std::vector<Demand> & val);
 
+  void __set_list_era(const int64_t val);
+
   bool operator == (const Report & rhs) const
   {
     if (!(ip == rhs.ip))
@@ -712,6 +717,8 @@
       return false;
     if (!(demand == rhs.demand))
       return false;
+    if (!(list_era == rhs.list_era))
+      return false;
     return true;
   }
   bool operator != (const Report &rhs) const {
@@ -894,7 +901,7 @@
 std::ostream& operator<<(std::ostream& out, const Order& obj);
 
 typedef struct _Beat__isset {
-  _Beat__isset() : fence(false), ip(false), config_version(false), list_version(false), list_age_ms(false), members(false), loads(false), down(false), store_reachable(false), orders(false), requests(false), retries(false), held(false), names_key(false), unreported_retries(false), instances(false), sums_incomplete(false), sends(false), earlier_sends_unknown(false), suspects(false), quarantine(false), limits(false), leaving(false), demand(false), config_change(false) {}
+  _Beat__isset() : fence(false), ip(false), config_version(false), list_version(false), list_age_ms(false), members(false), loads(false), down(false), store_reachable(false), orders(false), requests(false), retries(false), held(false), names_key(false), unreported_retries(false), instances(false), sums_incomplete(false), sends(false), earlier_sends_unknown(false), suspects(false), quarantine(false), limits(false), leaving(false), demand(false), config_change(false), list_era(false) {}
   bool fence :1;
   bool ip :1;
   bool config_version :1;
@@ -920,6 +927,7 @@
   bool leaving :1;
   bool demand :1;
   bool config_change :1;
+  bool list_era :1;
 } _Beat__isset;
 
 class Beat : public virtual ::apache::thrift::TBase {
@@ -941,7 +949,8 @@
          instances(0),
          sums_incomplete(0),
          earlier_sends_unknown(0),
-         config_change(0) {
+         config_change(0),
+         list_era(0) {
   }
 
   virtual ~Beat() noexcept;
@@ -970,6 +979,7 @@
   std::vector<LeavingServer>  leaving;
   std::vector<Demand>  demand;
   int64_t config_change;
+  int64_t list_era;
 
   _Beat__isset __isset;
 
@@ -1023,6 +1033,8 @@
 
   void __set_config_change(const int64_t val);
 
+  void __set_list_era(const int64_t val);
+
   bool operator == (const Beat & rhs) const
   {
     if (!(fence == rhs.fence))
@@ -1075,6 +1087,8 @@
       return false;
     if (!(config_change == rhs.config_change))
       return false;
+    if (!(list_era == rhs.list_era))
+      return false;
     return true;
   }
   bool operator != (const Beat &rhs) const {
@@ -1193,11 +1207,12 @@
 std::ostream& operator<<(std::ostream& out, const Server& obj);
 
 typedef struct _ServerList__isset {
-  _ServerList__isset() : fence(false), version(false), age_ms(false), servers(false) {}
+  _ServerList__isset() : fence(false), version(false), age_ms(false), servers(false), era(false) {}
   bool fence :1;
   bool version :1;
   bool age_ms :1;
   bool servers :1;
+  bool era :1;
 } _ServerList__isset;
 
 class ServerList : public virtual ::apache::thrift::TBase {
@@ -1208,7 +1223,8 @@
   ServerList() noexcept
              : fence(0),
                version(0),
-               age_ms(0) {
+               age_ms(0),
+               era(0) {
   }
 
   virtual ~ServerList() noexcept;
@@ -1216,6 +1232,7 @@
   int64_t version;
   int32_t age_ms;
   std::vector<Server>  servers;
+  int64_t era;
 
   _ServerList__isset __isset;
 
@@ -1227,6 +1244,8 @@
 
   void __set_servers(const std::vector<Server> & val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const ServerList & rhs) const
   {
     if (!(fence == rhs.fence))
@@ -1237,6 +1256,8 @@
       return false;
     if (!(servers == rhs.servers))
       return false;
+    if (!(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const ServerList &rhs) const {
--- a/test/adapter_call_test.cc
+++ b/test/adapter_call_test.cc
@@ -380,7 +380,7 @@
   }
 
   void ServerListSkipsUndecodableRows() {
-    std::optional<std::pair<int64_t, ServerMap>> list;
+    std::optional<StoredServerList> list;
     WithStore(
         [](const std::string&) {
           return ScriptedResponse{
@@ -392,16 +392,16 @@
           store.ReadServers([&](auto read) { list = std::move(read); });
         });
     CPPUNIT_ASSERT(list.has_value());
-    CPPUNIT_ASSERT_EQUAL(int64_t{9}, list->first);
-    CPPUNIT_ASSERT_EQUAL(size_t{1}, list->second.size());
+    CPPUNIT_ASSERT_EQUAL(int64_t{9}, list->position.version);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, list->servers.size());
     CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:80"),
-                         list->second.at("i-1").address);
+                         list->servers.at("i-1").address);
   }
 
   // Servers on later pages were dropped when no row of a page could be decoded.
   void UndecodableLastRowDoesNotEndServerList() {
     std::vector<std::string> targets;
-    std::optional<std::pair<int64_t, ServerMap>> list;
+    std::optional<StoredServerList> list;
     WithStore(
         [&](const std::string& request) {
           targets.push_back(request.substr(4, request.find(' ', 4) - 4));
@@ -418,7 +418,7 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2}, targets.size());
     CPPUNIT_ASSERT(targets[1].ends_with("&from=i%201"));
     CPPUNIT_ASSERT(list.has_value());
-    CPPUNIT_ASSERT_EQUAL(size_t{1}, list->second.size());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, list->servers.size());
   }
 
   // A truncated page that does not say where the next one begins was taken for
@@ -479,7 +479,7 @@
           return ScriptedResponse{answer};
         },
         [&](platform::PlatformStore& store) {
-          store.WriteLease(LeaseRow(), 2,
+          store.WriteLease(LeaseRow(), {0, 2},
                            [&](LeaseWriteResult got, const LeaseRow& row) {
                              result = got;
                              holder = row;
@@ -487,7 +487,7 @@
         });
     CPPUNIT_ASSERT(result == LeaseWriteResult::kConflict);
     CPPUNIT_ASSERT_EQUAL(int64_t{3}, holder.fencing_token);
-    CPPUNIT_ASSERT_EQUAL(int64_t{8}, holder.row_version);
+    CPPUNIT_ASSERT_EQUAL(int64_t{8}, holder.position.version);
   }
 
   // Reads and watches until a third response has arrived.
--- a/test/adapter_slow_link_test.cc
+++ b/test/adapter_slow_link_test.cc
@@ -169,7 +169,7 @@
     WithStore([](const std::string&) { return SlowResponse(ServersBody()); },
               [&](auto&, platform::PlatformStore& store) {
                 store.ReadServers([&](const auto& list) {
-                  servers = list ? list->second.size() : 0;
+                  servers = list ? list->servers.size() : 0;
                 });
               });
     CPPUNIT_ASSERT_EQUAL(size_t{1}, servers);
--- a/test/coordination_harness.h
+++ b/test/coordination_harness.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "../src/cluster_codec.h"
 #include "trefoilwick/coordination.h"
@@ -20,6 +21,8 @@
 // A store with one lease row, a server list and a configuration version.
 struct FakeStore {
   bool reachable = true;
+  // 0 for a store that does not name its era.
+  int64_t era = 0;
   int64_t version = 1;
   LeaseRow lease;
   ServerMap servers;
@@ -68,6 +71,16 @@
   }
   Node& NodeAt(int index) { return m_nodes.at(NodeIp(index)); }
   FakeStore& store() { return m_store; }
+  // The store comes back from a copy, in a new era.
+  void RollBack(const FakeStore& copy) {
+    ++m_store.era;
+    m_store.version = copy.version;
+    m_store.lease = copy.lease;
+    m_store.servers = copy.servers;
+    m_store.config_version = copy.config_version;
+  }
+  // All leases that the store has taken, in order.
+  std::vector<LeaseRow> accepted_leases;
   // Server lists sent to each instance.
   std::map<std::string, int> sent_list_counts;
   // In these tests the row of a configuration is its version.
@@ -176,7 +189,7 @@
                 const bool ok = BeginStoreCall(node);
                 Schedule(kStoreDelay, ip, [this, ok](Coordination& c) {
                   c.OnLease(m_now,
-                            ok ? std::optional(m_store.lease) : std::nullopt);
+                            ok ? std::optional(LeaseAsRead()) : std::nullopt);
                 });
               },
               [&](WriteLease& write) { ExecuteLeaseWrite(ip, node, write); },
@@ -187,7 +200,8 @@
                          [this, ok, requested_at](Coordination& c) {
                            if (ok)
                              c.OnServerList(m_now, requested_at,
-                                            m_store.version, m_store.servers);
+                                            {m_store.era, m_store.version},
+                                            m_store.servers);
                            else
                              c.OnServerListReadFailed(m_now);
                          });
@@ -207,6 +221,12 @@
           action);
   }
 
+  LeaseRow LeaseAsRead() const {
+    LeaseRow lease = m_store.lease;
+    lease.position.era = m_store.era;
+    return lease;
+  }
+
   bool BeginStoreCall(const Node& node) {
     ++m_store.calls;
     return m_store.reachable && node.store_reachable;
@@ -222,17 +242,20 @@
       return;
     }
     const bool version_matches =
-        m_store.lease.row_version == write.expected_version;
+        m_store.lease.position.version == write.expected.version;
     if (version_matches) {
       CPPUNIT_ASSERT(write.row.fencing_token >= m_store.lease.fencing_token);
       m_store.lease = write.row;
-      m_store.lease.row_version = ++m_store.version;
+      m_store.lease.position.version = ++m_store.version;
+      accepted_leases.push_back(m_store.lease);
     }
-    const auto result = node.lose_answers ? LeaseWriteResult::kUnknown
+    const bool same_era = m_store.era == write.expected.era;
+    const auto result = node.lose_answers || (version_matches && !same_era)
+                            ? LeaseWriteResult::kUnknown
                         : version_matches ? LeaseWriteResult::kWritten
                                           : LeaseWriteResult::kConflict;
     Schedule(kStoreDelay, ip,
-             [this, result, row = m_store.lease](Coordination& c) {
+             [this, result, row = LeaseAsRead()](Coordination& c) {
                c.OnLeaseWritten(m_now, result, row);
              });
   }
--- a/test/coordination_test.cc
+++ b/test/coordination_test.cc
@@ -321,7 +321,7 @@
                                     .SetAddress("10.0.0.1", "regina")
                                     .SetIncarnation(1)
                                     .Build(now);
-    coordination.OnServerList(now, now, 1, {{"a", Server("a")}});
+    coordination.OnServerList(now, now, {0, 1}, {{"a", Server("a")}});
     for (int i = 0; i < 3; ++i)
       coordination.OnServerListReadFailed(now);
     coordination.OnTick(now);
@@ -329,7 +329,7 @@
     LeaseRow row;
     row.fencing_token = 3;
     row.holder_ip = "10.0.0.2";
-    row.row_version = 5;
+    row.position.version = 5;
     now += seconds(2);
     coordination.OnLease(now, row);
     coordination.OnTick(now);
@@ -381,7 +381,7 @@
     LeaseRow lease;
     lease.holder_ip = "10.0.0.1";
     lease.fencing_token = 1;
-    lease.row_version = 1;
+    lease.position.version = 1;
     coordination.OnLeaseWritten(start, LeaseWriteResult::kWritten, lease);
     detail::InstanceReport report;
     for (int i = 2; i < 102; ++i) {
--- a/test/gateway_configuration_test.cc
+++ b/test/gateway_configuration_test.cc
@@ -41,7 +41,7 @@
   }
   void ReadLease(std::function<void(std::optional<LeaseRow>)>) override {}
   void WriteLease(const LeaseRow&,
-                  int64_t,
+                  StorePosition,
                   std::function<void(LeaseWriteResult, LeaseRow)>) override {}
   void ReadServers(ServerListHandler) override {}
   const std::string& ConfigurationRow() const override { return m_row; }
--- a/test/gateway_harness.h
+++ b/test/gateway_harness.h
@@ -175,12 +175,12 @@
   }
   void WriteLease(
       const LeaseRow& row,
-      int64_t expected_version,
+      StorePosition expected,
       std::function<void(LeaseWriteResult, LeaseRow)> handler) override {
-    const bool version_matches = lease.row_version == expected_version;
+    const bool version_matches = lease.position == expected;
     if (version_matches) {
       lease = row;
-      lease.row_version = expected_version + 1;
+      ++lease.position.version;
     }
     asio::post(m_io, [this, version_matches, handler] {
       handler(version_matches ? LeaseWriteResult::kWritten
@@ -190,7 +190,7 @@
   }
   void ReadServers(ServerListHandler handler) override {
     asio::post(m_io, [this, handler] {
-      handler(std::make_pair(list_version, servers));
+      handler(StoredServerList{{0, list_version}, servers});
     });
   }
   void ReadConfiguration(ConfigurationHandler handler) override {
