--- a/test/route_start_test.py
+++ b/test/route_start_test.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Signals to a real `trefoilwick route` process that is starting.
+"""A real `trefoilwick route` process that starts: signals, and odd settings.
 
 The process reads its settings from a pipe, so that the test knows when it has
 begun to start and is not ready yet.
@@ -87,6 +87,24 @@
             process.wait()
 
 
+def start_with_odd_bounds():
+    """Guards against processes that do not start because of figures that may be
+    fractions, or that they can do without."""
+    odd = SETTINGS.replace("graceS = 2", "graceS = 7.5\ndrainMs = true\n"
+                           "retryWindowS = -1\nretrySlack = 1e300")
+    with tempfile.TemporaryDirectory() as folder:
+        process, _, writer = start(folder)
+        try:
+            with writer:
+                writer.write(odd)
+            assert wait_until_listening(process), "does not listen"
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(TIMEOUT_S) == 0, f"{process.returncode}"
+        finally:
+            process.kill()
+            process.wait()
+
+
 def stop_while_starting():
     """Guards against a process that misses a SIGTERM while it starts."""
     with tempfile.TemporaryDirectory() as folder:
@@ -103,7 +121,8 @@
 
 def main():
     failed = 0
-    for case in (reload_while_starting, stop_while_starting):
+    for case in (reload_while_starting, start_with_odd_bounds,
+                 stop_while_starting):
         try:
             case()
             print(f"ok {case.__name__}")
