Announce a change of the configuration only when there is one

A coordinator whose watch is older than the history of the store, as each new one's is, would have made all instances read the whole configuration: 116 calls for each change of the coordinator in a deployment of 117.

A watch now says whether the configuration has changed, by more than it returns, or whether the store cannot tell; only the former is announced. Evidence: UnknownChangeIsNotAnnounced fails when every such end is announced.

--- a/include/trefoilwick/gateway.h
+++ b/include/trefoilwick/gateway.h
@@ -174,9 +174,12 @@
   // The newest configuration; null when there is none.
   std::shared_ptr<const RouteTable> table;
 };
-// What has changed is not known, or is longer than a watch returns: a response
-// may hold every version since the last one. The configuration must be read.
-struct MustReadConfiguration {};
+// The configuration must be read.
+struct MustReadConfiguration {
+  // It has changed, by more than a watch returns: a response may hold every
+  // version since the last one. Otherwise the store cannot tell whether it has.
+  bool has_changed = false;
+};
 using ConfigurationWatchResult =
     std::variant<StoreUnavailable, WatchedConfiguration, MustReadConfiguration>;
 
--- a/src/gateway_configuration.cc
+++ b/src/gateway_configuration.cc
@@ -86,8 +86,9 @@
                    m_owner->OnConfigurationResponse(watched.table);
                    ContinueWatch(true);
                  },
-                 [&](const MustReadConfiguration&) {
-                   m_owner->OnConfigurationChanging();
+                 [&](const MustReadConfiguration& must_read) {
+                   if (must_read.has_changed)
+                     m_owner->OnConfigurationChanging();
                    m_watch_awaits_read = true;
                    Read(0);
                  },
--- a/test/gateway_configuration_test.cc
+++ b/test/gateway_configuration_test.cc
@@ -81,6 +81,7 @@
   CPPUNIT_TEST(UnnamedChangeIsReadAfterTheReadInProgress);
   CPPUNIT_TEST(FailedReadIsNotRepeatedAtOnce);
   CPPUNIT_TEST(WatchThatCannotTellIsFollowedByRead);
+  CPPUNIT_TEST(UnknownChangeIsNotAnnounced);
   CPPUNIT_TEST(WatchGoesOnAfterTheLastOfSeveralReads);
   CPPUNIT_TEST(WatchTriesAgainAfterFailures);
   CPPUNIT_TEST(InstanceThatIsToldDoesNotWatch);
@@ -140,7 +141,7 @@
 
   void WatchThatCannotTellIsFollowedByRead() {
     m_reader.Start();
-    m_store.EndWatch(MustReadConfiguration{});
+    m_store.EndWatch(MustReadConfiguration{.has_changed = true});
     CPPUNIT_ASSERT_EQUAL(1, m_instance.changes);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, m_store.reads.size());
     CPPUNIT_ASSERT(m_store.watches.empty());
@@ -151,6 +152,15 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, m_store.watches.size());
   }
 
+  // Guards against reads by all instances each time that a coordinator begins,
+  // whose watch is older than the history of the store.
+  void UnknownChangeIsNotAnnounced() {
+    m_reader.Start();
+    m_store.EndWatch(MustReadConfiguration{});
+    CPPUNIT_ASSERT_EQUAL(0, m_instance.changes);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, m_store.reads.size());
+  }
+
   // A watch from before the change would find it again and again.
   void WatchGoesOnAfterTheLastOfSeveralReads() {
     m_reader.Start();
