--- a/src/coordination_sends.cc
+++ b/src/coordination_sends.cc
@@ -23,18 +23,6 @@
 // may be cut off from this coordinator and go on.
 constexpr Duration kInstanceMemory = seconds(30);
 
-// Backend servers remember the highest token that they have seen, also when the
-// store comes back from a copy and names an earlier one. Tokens of a new era
-// are therefore above all earlier ones, and each write of the lease has its
-// own.
-int64_t NextFencingToken(int64_t last_known, const LeaseRow& previous) {
-  constexpr int kVersionBits = 32;
-  const StorePosition& position = previous.position;
-  const int64_t of_position =
-      position.era > 0 ? (position.era << kVersionBits) + position.version : 0;
-  return std::max({last_known, previous.fencing_token, of_position}) + 1;
-}
-
 }  // namespace
 
 void Coordination::UseSumsOfLease(TimePoint now) {
@@ -48,23 +36,6 @@
   m_remote_sends.as_of = now - kReportLag;
 }
 
-LeaseRow Coordination::MakeLease(TimePoint now,
-                                 const LeaseRow& previous) const {
-  LeaseRow lease;
-  lease.fencing_token = NextFencingToken(m_fencing_token, previous);
-  lease.holder_ip = m_ip;
-  lease.holder_incarnation = m_incarnation;
-  lease.instances = previous.instances;
-  lease.retries = previous.retries;
-  lease.quarantine = m_quarantine.List(now);
-  if (m_remote_sends.as_of)
-    lease.retries = std::max(previous.retries.value_or(0),
-                             TotalSends(ClusterSends(now)).retries);
-  else if (m_lease_sums_outdated && previous.instances > 0)
-    lease.retries.reset();
-  return lease;
-}
-
 void Coordination::BeginSums(TimePoint now) {
   UseSumsOfLease(now);
   m_send_ledger.Clear();
--- a/test/coordination_era_test.cc
+++ b/test/coordination_era_test.cc
@@ -41,6 +41,19 @@
     return cluster;
   }
 
+  // Makes another instance take the lease over, and returns it.
+  static std::string ReplaceHolder(Cluster& cluster) {
+    const std::string first = cluster.Coordinator();
+    auto& node = cluster.NodeAt(cluster.IndexOf(first));
+    node.store_reachable = false;
+    cluster.RunFor(seconds(4));
+    node.store_reachable = true;
+    cluster.RunFor(seconds(1));
+    const std::string second = cluster.Coordinator();
+    CPPUNIT_ASSERT(!second.empty() && second != first);
+    return second;
+  }
+
   static ServerState StateAt(Cluster& cluster, int index, const char* id) {
     const auto servers = cluster.NodeAt(index).coordination->usable_servers();
     return servers->at(id).state;
@@ -193,13 +206,7 @@
   void EarlierHolderDoesNotReturn() {
     Cluster cluster = StartCluster();
     const FakeStore copy = cluster.store();
-    const int first = cluster.IndexOf(cluster.Coordinator());
-    cluster.NodeAt(first).store_reachable = false;
-    cluster.RunFor(seconds(4));
-    cluster.NodeAt(first).store_reachable = true;
-    cluster.RunFor(seconds(1));
-    const std::string second = cluster.Coordinator();
-    CPPUNIT_ASSERT(cluster.IndexOf(second) != first);
+    const std::string second = ReplaceHolder(cluster);
     cluster.RollBack(copy);
     cluster.RunFor(milliseconds(800));
     CPPUNIT_ASSERT_EQUAL(second, cluster.Coordinator());
@@ -223,13 +230,9 @@
   void SuccessorOfKilledHolderHasHigherToken() {
     Cluster cluster = StartCluster();
     const FakeStore copy = cluster.store();
-    const int first = cluster.IndexOf(cluster.Coordinator());
-    cluster.NodeAt(first).store_reachable = false;
-    cluster.RunFor(seconds(4));
-    cluster.NodeAt(first).store_reachable = true;
-    cluster.RunFor(seconds(1));
+    const std::string second = ReplaceHolder(cluster);
     cluster.RollBack(copy);
-    cluster.NodeAt(cluster.IndexOf(cluster.Coordinator())).alive = false;
+    cluster.NodeAt(cluster.IndexOf(second)).alive = false;
     cluster.RunFor(seconds(4));
     CPPUNIT_ASSERT(!cluster.Coordinator().empty());
     CheckTokensRise(cluster.accepted_leases);
@@ -240,9 +243,7 @@
   void InstanceThatKnowsNothingHasHigherToken() {
     Cluster cluster = StartCluster();
     const FakeStore copy = cluster.store();
-    const int first = cluster.IndexOf(cluster.Coordinator());
-    cluster.NodeAt(first).store_reachable = false;
-    cluster.RunFor(seconds(4));
+    ReplaceHolder(cluster);
     cluster.RollBack(copy);
     for (int i = 0; i < kInstances; ++i)
       cluster.StartNode(i);
