--- a/test/coordination_era_test.cc
+++ b/test/coordination_era_test.cc
@@ -49,7 +49,7 @@
     cluster.RunFor(seconds(4));
     node.store_reachable = true;
     cluster.RunFor(seconds(1));
-    const std::string second = cluster.Coordinator();
+    std::string second = cluster.Coordinator();
     CPPUNIT_ASSERT(!second.empty() && second != first);
     return second;
   }
--- a/test/response_parser_test.cc
+++ b/test/response_parser_test.cc
@@ -134,9 +134,8 @@
 
   // A body whose length was stated was read up to any size.
   void BodyOverLimitIsRejected() {
-    constexpr uint64_t kLimit = 10;
     const auto parse = [](const std::string& fields, const std::string& body) {
-      ResponseParser parser({.max_body_bytes = kLimit});
+      ResponseParser parser({.max_body_bytes = 10});
       boost::beast::flat_buffer buffer;
       const std::string bytes = "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + body;
       buffer.commit(boost::asio::buffer_copy(buffer.prepare(bytes.size()),
