Tests: give long uploads the time that their route has

Callers saw nothing: the gateway reported an unfinished request at its deadline, as it is to do.

Cause: the request itself states 2,000 ms, so that the 10 s of this test's routes never applied. Under the thread sanitizer two uploads of 8 MiB take 0.4 to 0.8 s of a core (head at the first server after 0.19 s, at the second 0.27 s later, read 0.12 s after that, answered 0.11 s later). Ruled out: the small receive buffer of the stand-in (a buffer of 1 MiB changed nothing), retransmissions and drops (none in 24 runs), a wait of the gateway. The time grows with the share of the processor and with nothing else:

| copies on one core | runs | median | longest | runs failed | | one of eight | 24 | 0.58 s | 1.18 s | 0 | | two | 12 | 1.22 s | 1.997 s | 0 | | three | 6 | - | over 2 s | 6, each with this 504 |

With the deadline of the route three on a core showed a second fault of the test, in 2 of 6 runs: ResetOnKeptConnectionIsNotAnswer got the answer of a second send. A gateway that is held up for 100 ms sees the reset before the answer, and rightly takes it for the end of an idle connection. The test's route allows one send now, after which both orders end in the failure that the test asks for.

What is asserted is the same, at one place more narrowly: exactly two requests on a route with one send. With the failure of the write not recorded (the fault that the test was written for), five tests of the program fail, ResetOnKeptConnectionIsNotAnswer among them.

Time of the program in the default build, one run each: 27.0 s before, 28.9 s after.

--- a/test/adapter_upload_test.cc
+++ b/test/adapter_upload_test.cc
@@ -57,6 +57,14 @@
   return body;
 }
 
+// Time for two long uploads, also where the processor is slow or shared.
+constexpr seconds kUploadDeadline{10};
+
+std::string UploadRequest(const std::string& path) {
+  return Request("POST " + path, "", std::string(kLongUploadBytes, 'u'),
+                 kUploadDeadline);
+}
+
 class AdapterUploadTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AdapterUploadTest);
   CPPUNIT_TEST(UnframedResponseThatIsResetIsNotAnswer);
@@ -82,10 +90,11 @@
     club.keys = {"k1"};
     builder.AddService(desk).AddAccount(club).SetLimits(limits);
     for (Route route : {MakeRoute("/get/", RouteKind::kIdempotent, 2),
+                        MakeRoute("/once/", RouteKind::kIdempotent, 1),
                         MakeRoute("/post/", RouteKind::kNonIdempotent, 1),
                         MakeRoute("/stream/", RouteKind::kStream, 2),
                         MakeRoute("/single/", RouteKind::kStream, 1)}) {
-      route.timeout = seconds(10);
+      route.timeout = kUploadDeadline;
       builder.AddRoute(route);
     }
     return std::make_shared<const RouteTable>(builder.Build());
@@ -122,8 +131,7 @@
 
    private:
     std::string Call(const GatewayHarness& harness, const std::string& path) {
-      const std::string request =
-          Request("POST " + path, "", std::string(kLongUploadBytes, 'u'));
+      const std::string request = UploadRequest(path);
       if (unread == milliseconds(0))
         return harness.CallAsClient(request);
       asio::io_context io;
@@ -224,7 +232,9 @@
                            !IsComplete(answer.response));
   }
 
-  // Guards against judging the connection by the request before.
+  // Guards against judging the connection by the request before. A gateway that
+  // sees the reset first takes it for the end of an idle connection, and other
+  // routes allow a second send after that.
   void ResetOnKeptConnectionIsNotAnswer() {
     EarlyAnswerServer server(
         {.bytes = UnframedResponse("200 OK", 1000), .sound_requests = 1},
@@ -233,10 +243,9 @@
     harness.store().table = MakeUploadTable();
     harness.AddServer("i-0", "desk", server.address());
     harness.Start();
-    CPPUNIT_ASSERT(harness.CallAsClient(Request("POST /get/x", "", "b"))
+    CPPUNIT_ASSERT(harness.CallAsClient(Request("POST /once/x", "", "b"))
                        .ends_with("done"));
-    const std::string response = harness.CallAsClient(
-        Request("POST /get/x", "", std::string(kLongUploadBytes, 'u')));
+    const std::string response = harness.CallAsClient(UploadRequest("/once/x"));
     CPPUNIT_ASSERT_MESSAGE(Summary(response), IsLocalFailure(response));
     CPPUNIT_ASSERT_EQUAL(size_t{2}, server.requests());
   }
--- a/test/gateway_fixtures.h
+++ b/test/gateway_fixtures.h
@@ -90,11 +90,12 @@
 
 inline std::string Request(const std::string& line,
                            const std::string& extra = "",
-                           const std::string& body = "") {
+                           const std::string& body = "",
+                           milliseconds deadline = seconds(2)) {
   std::string out = line +
                     " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a1\r\n"
-                    "Credential: k1\r\nDeadline-Ms: 2000\r\n" +
-                    extra;
+                    "Credential: k1\r\nDeadline-Ms: " +
+                    std::to_string(deadline.count()) + "\r\n" + extra;
   if (!body.empty())
     out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   return out + "Connection: close\r\n\r\n" + body;
