A server that is listed again is not taken for ended in the next era

Cause: an instance that starts while the rows of a new era are still being written again reads lists with gaps. Servers that were missing in one of them were recorded as ended, and the record stayed when the next list had them. In the next era their rows were dropped as those of ended servers.

Test: ServerThatIsListedAgainHasNotEnded, which failed ("a " for "a b ").

Why it works: whatever is listed is not ended, so the record goes when a list has the server. Rows of ended servers do not reach that point while they are left out.

--- a/src/server_list.cc
+++ b/src/server_list.cc
@@ -62,8 +62,12 @@
   });
 }
 
+// A server that is listed again has not ended: the list before was read while
+// its row was missing.
 void ServerListHistory::RecordEndedServers(TimePoint now,
                                            const ServerMap& servers) {
+  for (const auto& [id, server] : servers)
+    m_ended.erase(id);
   for (const auto& [id, server] : m_servers) {
     const auto found = servers.find(id);
     if (found == servers.end())
--- a/test/server_list_test.cc
+++ b/test/server_list_test.cc
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(EndedServerIsNotUsedAgain);
   CPPUNIT_TEST(RestartedServerIsNotReplacedByItsOldRow);
   CPPUNIT_TEST(TwoErasInARowLoseNoServer);
+  CPPUNIT_TEST(ServerThatIsListedAgainHasNotEnded);
   CPPUNIT_TEST_SUITE_END();
 
   // Result of a list that is read `after` the last one.
@@ -143,6 +144,17 @@
         std::string("a b c "),
         Update(seconds(2), 3, {Server("a"), Server("b"), Server("c")}));
   }
+
+  // An instance that had started while rows were missing took these servers for
+  // ended in the next era.
+  void ServerThatIsListedAgainHasNotEnded() {
+    Update({}, 1, {Server("a"), Server("b")});
+    Update(seconds(1), 1, {Server("a")});
+    Update(seconds(1), 1, {Server("a"), Server("b")});
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("a b "),
+        Update(seconds(1), 2, {Server("a"), Server("b")}));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerListTest);
