Followers use a list again when the times of a new era have passed

After a roll-back, rows of ended servers are left out for 8 s and servers without a row are kept for 2.5 s. An instance that gets its lists from the coordinator gets none while nothing changes there, and went on with what it had decided at the start of the era: without servers whose record was wrong, or with servers that have ended, which it then tried for requests until their connections failed.

Tests: FollowerUsesRevivedServerLater, FollowerDropsServerWithoutRowLater; both failed.

Why it works: the history keeps the last list as it was read and says when it yields other servers; the tick of a follower asks.

--- a/include/trefoilwick/server_list.h
+++ b/include/trefoilwick/server_list.h
@@ -6,6 +6,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "trefoilwick/kernel.h"
@@ -40,9 +41,15 @@
   // `listed` was read in `era`, which is not before that of an earlier call.
   // Returns the servers to be used.
   ServerMap Update(TimePoint now, int64_t era, ServerMap listed);
+  // For an instance that gets no list unless it changes: the servers to be used
+  // of the last list, when one of the times above has passed since the last
+  // call.
+  std::optional<ServerMap> UpdateIfDue(TimePoint now);
 
  private:
   void BeginEra(TimePoint now);
+  // The next time at which the last list yields other servers.
+  std::optional<TimePoint> NextChange(TimePoint now) const;
   // Adds the servers whose rows are not back, and keeps what is known better
   // than the copy shows.
   void RestoreServers(ServerMap& listed);
@@ -52,6 +59,9 @@
   bool m_has_list = false;
   int64_t m_era = 0;
   TimePoint m_era_began;
+  // The last list, as it was read.
+  ServerMap m_listed;
+  std::optional<TimePoint> m_next_change;
   // Servers used after the last call.
   ServerMap m_servers;
   // Those of the era before that a row of this era does not replace yet.
--- a/src/coordination.cc
+++ b/src/coordination.cc
@@ -106,6 +106,8 @@
       SendHeartbeats(now);
   } else {
     TryTakeOver(now);
+    if (auto servers = m_list_history.UpdateIfDue(now))
+      UseServerList(now, m_list_position, std::move(*servers));
     if (now >= m_next_report && !m_coordinator_ip.empty())
       SendReport(now);
   }
--- a/src/server_list.cc
+++ b/src/server_list.cc
@@ -11,6 +11,8 @@
   if (m_has_list && era > m_era)
     BeginEra(now);
   m_era = era;
+  m_listed = listed;
+  m_next_change = NextChange(now);
   if (now - m_era_began >= kSettleTime)
     m_servers_before.clear();
   RestoreServers(listed);
@@ -21,6 +23,19 @@
   return listed;
 }
 
+std::optional<ServerMap> ServerListHistory::UpdateIfDue(TimePoint now) {
+  if (!m_next_change || now < *m_next_change)
+    return std::nullopt;
+  return Update(now, m_era, m_listed);
+}
+
+std::optional<TimePoint> ServerListHistory::NextChange(TimePoint now) const {
+  for (const Duration time : {kSettleTime, kRevivalTime})
+    if (now < m_era_began + time)
+      return m_era_began + time;
+  return std::nullopt;
+}
+
 void ServerListHistory::BeginEra(TimePoint now) {
   m_era_began = now;
   m_servers_before = m_servers;
--- a/test/coordination_era_test.cc
+++ b/test/coordination_era_test.cc
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(LateListOfEarlierEraIsDropped);
   CPPUNIT_TEST(ListMessageOfEarlierEraIsDropped);
   CPPUNIT_TEST(HeartbeatOfEarlierEraMakesNoListFresh);
+  CPPUNIT_TEST(FollowerUsesRevivedServerLater);
+  CPPUNIT_TEST(FollowerDropsServerWithoutRowLater);
   CPPUNIT_TEST(ConfigurationIsReadInNewEra);
   CPPUNIT_TEST(HolderWritesItsLeaseAgain);
   CPPUNIT_TEST(EarlierHolderDoesNotReturn);
@@ -172,6 +174,43 @@
     CPPUNIT_ASSERT(age_after({2, 8}) == Duration(0));
   }
 
+  // Servers that an instance gets from the coordinator at `position`.
+  static void ReceiveList(Coordination& coordination,
+                          TimePoint now,
+                          StorePosition position,
+                          const std::vector<const char*>& ids) {
+    ServerMap servers;
+    for (const char* id : ids)
+      servers[id] = Server(id);
+    coordination.OnDatagram(
+        now, detail::EncodeServerList({7, position, Duration(0), servers}));
+  }
+
+  // No list follows one that does not change. The instance went on without the
+  // servers that it had left out of it, for good.
+  void FollowerUsesRevivedServerLater() {
+    TimePoint now{seconds(100)};
+    Coordination coordination = OneInstance(now);
+    ReceiveList(coordination, now, {1, 5}, {"a", "b"});
+    ReceiveList(coordination, now, {1, 6}, {"a"});
+    ReceiveList(coordination, now, {2, 3}, {"a", "b"});
+    coordination.OnTick(now += seconds(7));
+    CPPUNIT_ASSERT(!coordination.usable_servers()->contains("b"));
+    coordination.OnTick(now += seconds(1));
+    CPPUNIT_ASSERT(coordination.usable_servers()->contains("b"));
+  }
+
+  void FollowerDropsServerWithoutRowLater() {
+    TimePoint now{seconds(100)};
+    Coordination coordination = OneInstance(now);
+    ReceiveList(coordination, now, {1, 5}, {"a", "b"});
+    ReceiveList(coordination, now, {2, 3}, {"a"});
+    coordination.OnTick(now += seconds(2));
+    CPPUNIT_ASSERT(coordination.usable_servers()->contains("b"));
+    coordination.OnTick(now += milliseconds(500));
+    CPPUNIT_ASSERT(!coordination.usable_servers()->contains("b"));
+  }
+
   // A change of which a watch from before does not tell.
   void ConfigurationIsReadInNewEra() {
     const TimePoint now{seconds(100)};
