--- a/test/server_list_test.cc
+++ b/test/server_list_test.cc
@@ -151,9 +151,8 @@
     Update({}, 1, {Server("a"), Server("b")});
     Update(seconds(1), 1, {Server("a")});
     Update(seconds(1), 1, {Server("a"), Server("b")});
-    CPPUNIT_ASSERT_EQUAL(
-        std::string("a b "),
-        Update(seconds(1), 2, {Server("a"), Server("b")}));
+    CPPUNIT_ASSERT_EQUAL(std::string("a b "),
+                         Update(seconds(1), 2, {Server("a"), Server("b")}));
   }
 };
 
