Probes that time out behind a long response of the store prove nothing

Half of the streams in progress had a pause that was too long, which had been put down to the decoding of the configuration alone.

Cause: an instance with a link of 14 Mbit/s reads the row for a second. Events of its streams and probes wait behind it. A probe has 20 ms; within 0.1 s of the log one instance took thirteen servers for lost (event=server_lost), and so did others, which makes a majority.

Why it works: the client of the store knows how many bytes its responses still lack, by their stated length. While the link needs longer for them than a probe waits, a probe that times out is dropped, and the next one follows 0.3 s later. A refused connection counts at all times. On links that carry the row within 20 ms nothing changes.

--- a/include/trefoilwick/gateway.h
+++ b/include/trefoilwick/gateway.h
@@ -219,6 +219,9 @@
       const std::string& row) = 0;
   // Closes idle connections; their peers may be gone without a reset.
   virtual void DropConnections() = 0;
+  // Bytes of the responses that are being received, as far as they state their
+  // length.
+  virtual uint64_t MissingBytes() const = 0;
 };
 
 // Settings of one instance.
--- a/include/trefoilwick/http_call.h
+++ b/include/trefoilwick/http_call.h
@@ -112,6 +112,9 @@
             HttpRequest request,
             Duration timeout,
             CallHandler handler);
+  // Bytes of the responses that are being received, as far as their heads state
+  // it.
+  uint64_t MissingBytes() const { return m_missing_bytes; }
   // Closes idle connections; their peers may be gone without a reset.
   void CloseIdleConnections() { m_idle_connections.clear(); }
 
@@ -128,6 +131,7 @@
   boost::asio::io_context& m_io;
   Duration m_connect_timeout;
   uint64_t m_max_response_bytes;
+  uint64_t m_missing_bytes = 0;
   std::map<std::string, std::vector<IdleConnection>> m_idle_connections;
 };
 
--- a/include/trefoilwick/response_parser.h
+++ b/include/trefoilwick/response_parser.h
@@ -56,6 +56,9 @@
   // The whole head was parsed and accepted.
   bool is_header_done() const { return m_head_accepted; }
   bool is_done() const { return m_head_accepted && m_parser->is_done(); }
+  // Bytes of the body that were not parsed yet; 0 when the head does not state
+  // the length.
+  uint64_t missing_body_bytes() const;
   // True when the end of the connection ends the response.
   bool need_eof() const { return m_parser->need_eof(); }
   // True when the connection can be used again after the response.
--- a/src/gateway_core.h
+++ b/src/gateway_core.h
@@ -252,6 +252,7 @@
   std::vector<StreamProgress> ActiveStreams() const;
   void OnServerReportedLost(const std::string& server);
   void StartProbe(const std::string& server, const std::string& address);
+  bool IsLinkBusy() const;
   void OnProbed(const std::string& server, ConnectResult result);
   // Reports the requests whose connections `server` closed, when it has
   // crashed, or drops them.
--- a/src/gateway_health.cc
+++ b/src/gateway_health.cc
@@ -193,7 +193,22 @@
                              const std::string& address) {
   TryConnect(
       m_io, address, kProbeTimeout, kSecondProbeDelay,
-      [this, server](ConnectResult result) { OnProbed(server, result); });
+      [this, server, was_link_busy = IsLinkBusy()](ConnectResult result) {
+        const bool is_link_busy = was_link_busy || IsLinkBusy();
+        // The probe, or its answer, waits behind the bytes of the store.
+        if (result != ConnectResult::kTimedOut || !is_link_busy)
+          OnProbed(server, result);
+      });
+}
+
+// True while responses of the store keep the link busy for longer than a probe
+// waits.
+bool GatewayCore::IsLinkBusy() const {
+  const double bytes_per_second = m_settings.link_mbps * 1e6 / 8;
+  const auto missing_bytes = static_cast<double>(m_store->MissingBytes());
+  return bytes_per_second > 0 &&
+         missing_bytes / bytes_per_second >
+             std::chrono::duration<double>(kProbeTimeout).count();
 }
 
 void GatewayCore::OnProbed(const std::string& server, ConnectResult result) {
--- a/src/http_call_client.cc
+++ b/src/http_call_client.cc
@@ -79,7 +79,16 @@
   }
 
   void OnBytesReceived(TimePoint now) {
+    if (m_done)
+      return;
     m_silent_until = now + m_timeouts.silence;
+    SetMissingBytes(m_parser.missing_body_bytes());
+  }
+
+  // Of the response, as the client sums them.
+  void SetMissingBytes(uint64_t bytes) {
+    m_client.m_missing_bytes -= std::exchange(m_missing_bytes, bytes);
+    m_client.m_missing_bytes += bytes;
   }
 
   bool TakeIdleConnection() {
@@ -162,6 +171,7 @@
 
   void Succeed() {
     m_done = true;
+    SetMissingBytes(0);
     m_timer.cancel();
     CallResult result;
     result.response = m_parser.Release();
@@ -177,6 +187,7 @@
     if (m_done)
       return;
     m_done = true;
+    SetMissingBytes(0);
     m_timer.cancel();
     m_connect_timer.cancel();
     if (m_socket) {
@@ -203,6 +214,7 @@
   boost::beast::flat_buffer m_buffer{kMaxReadAheadBytes};
   ConnectionFailure m_failure;
   ResponseParser m_parser;
+  uint64_t m_missing_bytes = 0;
   // The request was sent on a connection of an earlier call.
   bool m_is_reused = false;
   bool m_connected = false;
--- a/src/response_parser.cc
+++ b/src/response_parser.cc
@@ -58,6 +58,12 @@
   m_head_accepted = false;
 }
 
+uint64_t ResponseParser::missing_body_bytes() const {
+  if (!m_head_accepted || m_parser->is_done())
+    return 0;
+  return m_parser->content_length_remaining().value_or(0);
+}
+
 size_t ResponseParser::Put(boost::asio::const_buffer bytes, error_code& error) {
   if (FindFoldedLine({static_cast<const char*>(bytes.data()), bytes.size()})) {
     error = http::error::bad_field;
--- a/test/gateway_configuration_test.cc
+++ b/test/gateway_configuration_test.cc
@@ -50,6 +50,7 @@
     return nullptr;
   }
   void DropConnections() override {}
+  uint64_t MissingBytes() const override { return 0; }
 
  private:
   std::string m_row;
--- a/test/gateway_harness.h
+++ b/test/gateway_harness.h
@@ -168,6 +168,7 @@
   ServerMap servers;
   int64_t list_version = 1;
   LeaseRow lease;
+  std::atomic<uint64_t> missing_bytes{0};
 
   void ReadLease(
       std::function<void(std::optional<LeaseRow>)> handler) override {
@@ -209,6 +210,7 @@
     return table;
   }
   void DropConnections() override {}
+  uint64_t MissingBytes() const override { return missing_bytes; }
 
  private:
   asio::io_context& m_io;
