--- a/soak/soak.py
+++ b/soak/soak.py
@@ -37,9 +37,9 @@
 VARIANT_SEED_OFFSET = 1 << 40
 # Share of the faults of servers in which they send garbage instead.
 GARBAGE_SHARE = 0.4
-# Drills in which the store comes back from a copy: time away, age of the copy,
-# time until the rows that it lacks are written again, and time until it drops
-# those that nobody writes any more.
+# Rollbacks of the store to a copy: time away, age of the copy, time until the
+# rows that it lacks are written again, and time until it drops those that nobody
+# writes any more.
 MAX_AWAY_S = 3.0
 COPY_AGE_S = (0.5, 10.0)
 MAX_REWRITE_S = 2.0
@@ -154,17 +154,17 @@
 class World:
     """All state of the run of one seed."""
 
-    def __init__(self, binary, seed, count, directory, block, drills):
+    def __init__(self, binary, seed, count, directory, block, rollbacks):
         self.binary = binary
         self.seed = seed
         self.random = random.Random(seed)
         # Separate, so that seeds of earlier failures keep their faults.
         self.variant_random = random.Random(seed + VARIANT_SEED_OFFSET)
         self.garbage_random = random.Random(seed + 2 * VARIANT_SEED_OFFSET)
-        self.drill_random = random.Random(seed + 3 * VARIANT_SEED_OFFSET)
+        self.rollback_random = random.Random(seed + 3 * VARIANT_SEED_OFFSET)
         self.directory = directory
         self.block = block
-        self.drills = drills
+        self.rollbacks = rollbacks
         self.store = store.Store()
         self.store_address = (f"127.{block}.0.1", 8223)
         self.journal = servers.Journal()
@@ -318,12 +318,12 @@
         await asyncio.sleep(duration_s)
         self.store.fault = store.StoreFault.NONE
 
-    async def run_drill(self):
+    async def run_rollback(self):
         """The store is away and comes back from a copy."""
-        await asyncio.sleep(self.drill_random.uniform(0, FAULTS_S))
-        away_s = self.drill_random.uniform(0, MAX_AWAY_S)
-        age_s = self.drill_random.uniform(*COPY_AGE_S)
-        self.fault_log.append(f"drill, away {away_s:.2f}, copy {age_s:.2f}")
+        await asyncio.sleep(self.rollback_random.uniform(0, FAULTS_S))
+        away_s = self.rollback_random.uniform(0, MAX_AWAY_S)
+        age_s = self.rollback_random.uniform(*COPY_AGE_S)
+        self.fault_log.append(f"rollback, away {away_s:.2f}, copy {age_s:.2f}")
         self.record_disturbance(self.store_disturbances,
                                 away_s + MAX_REWRITE_S + 1)
         self.store.fault = store.StoreFault.DOWN
@@ -333,7 +333,7 @@
         await self.store.announce()
         await asyncio.gather(*[
             self.write_again(row_id,
-                             self.drill_random.uniform(0, MAX_REWRITE_S))
+                             self.rollback_random.uniform(0, MAX_REWRITE_S))
             for row_id in sorted(self.store.lost)])
         await asyncio.sleep(REVIVAL_S - MAX_REWRITE_S)
         self.store.drop_revived()
@@ -443,10 +443,10 @@
                 clients.Client(self, i, self.seed).run(float("inf")))
                 for i in range(8)]
             self.journal.answers_early = True
-            drills = [asyncio.create_task(self.run_drill())
-                      for _ in range(self.drills)]
+            rollbacks = [asyncio.create_task(self.run_rollback())
+                         for _ in range(self.rollbacks)]
             await self.inject_faults_until(end)
-            await asyncio.gather(*drills)
+            await asyncio.gather(*rollbacks)
             self.journal.answers_early = False
             await asyncio.sleep(RECOVERY_S)
             recovered_at = time.monotonic()
@@ -535,7 +535,7 @@
     for old in directory.glob("*.log"):
         old.unlink()
     world = World(args.bin, seed, args.instances, directory, block,
-                  args.drills)
+                  args.rollbacks)
     asyncio.run(world.run())
     served = sum(a.complete and a.status == 200 for a in world.attempts)
     print(f"seed {seed}: {len(world.attempts)} requests, {served} served, "
@@ -577,9 +577,9 @@
                 seed = queue.pop(0)
                 running[block] = seed, subprocess.Popen(
                     [sys.executable, __file__, "--bin", args.bin, "--logs",
-                     args.logs, "--instances", str(args.instances), "--drills",
-                     str(args.drills), "--block", str(block), "--seed",
-                     str(seed)])
+                     args.logs, "--instances", str(args.instances),
+                     "--rollbacks", str(args.rollbacks), "--block", str(block),
+                     "--seed", str(seed)])
         time.sleep(0.2)
         for block, (seed, process) in list(running.items()):
             if process.poll() is not None:
@@ -606,8 +606,8 @@
     parser.add_argument("--regressions", action="store_true",
                         help="run the seeds of regressions.txt")
     parser.add_argument("--instances", type=int, default=6)
-    parser.add_argument("--drills", type=int, default=0,
-                        help="drills of the store in the run of a seed")
+    parser.add_argument("--rollbacks", type=int, default=0,
+                        help="rollbacks of the store in the run of a seed")
     parser.add_argument("--jobs", type=int, default=3)
     parser.add_argument("--logs", default="build/soak")
     parser.add_argument("--block", type=int, help=argparse.SUPPRESS)
--- a/soak/store.py
+++ b/soak/store.py
@@ -1,5 +1,5 @@
 """Stand-in of the platform's store: versioned rows, a feed, transactions, and
-drills in which it comes back from a copy."""
+rollbacks to a copy."""
 
 import asyncio
 import base64
@@ -27,7 +27,7 @@
 
 # Time for which copies are kept.
 MAX_COPY_AGE_S = 12.0
-# Tables whose writers notice a drill and write their rows again.
+# Tables whose writers notice a rollback and write their rows again.
 REWRITTEN_TABLES = ("op", "servers")
 
 
@@ -35,12 +35,12 @@
     def __init__(self):
         self.fault = StoreFault.NONE
         self.version = 1
-        # Rises with each drill.
+        # Rises with each rollback.
         self.era = 1
         self.calls = 0
-        # Rows that a drill lost and nobody has written or removed since.
+        # Rows that a rollback lost and nobody has written or removed since.
         self.lost = {}
-        # Rows that a drill brought back and nobody has written since.
+        # Rows that a rollback brought back and nobody has written since.
         self.revived = set()
         self._rows = {}
         # (time, version, rows) after each change, the oldest first.
@@ -78,7 +78,7 @@
                         if row_id not in before and row_id not in known}
 
     async def write_again(self, row_id):
-        """Writes a row that the last drill lost."""
+        """Writes a row that the last rollback lost."""
         if row_id in self.lost:
             self._write(row_id, self.lost[row_id])
             await self.announce()
