Keep the last server list as read only while it may yield other servers

What callers saw: nothing. Found by reading the whole change: copied each list that was read, every 0.65 s, also when no time of a new era was left to wait for. The copy is made now only when a later change is due; nothing else reads it.

--- a/include/trefoilwick/server_list.h
+++ b/include/trefoilwick/server_list.h
@@ -59,9 +59,9 @@
   bool m_has_list = false;
   int64_t m_era = 0;
   TimePoint m_era_began;
-  // The last list, as it was read.
-  ServerMap m_listed;
   std::optional<TimePoint> m_next_change;
+  // The last list, as it was read; kept until the last change.
+  ServerMap m_listed;
   // Servers used after the last call.
   ServerMap m_servers;
   // Those of the era before that a row of this era does not replace yet.
--- a/src/server_list.cc
+++ b/src/server_list.cc
@@ -11,8 +11,8 @@
   if (m_has_list && era > m_era)
     BeginEra(now);
   m_era = era;
-  m_listed = listed;
   m_next_change = NextChange(now);
+  m_listed = m_next_change ? listed : ServerMap();
   if (now - m_era_began >= kSettleTime)
     m_servers_before.clear();
   RestoreServers(listed);
